--- /dev/null
+++ b/crates/board/src/lib.rs
@@ -0,0 +1,81 @@
+//! The blackboard that controllers read and write.
+//!
+//! One [`Board`] holds what a VM knows: the catalog made from the configuration in force, the fleet,
+//! the slots' terms and positions, and its share of each workspace's rate. Controllers change it in
+//! the control thread; request handlers read an immutable copy. It decides nothing.
+
+pub mod catalog;
+pub mod fleet;
+pub mod slots;
+
+use std::sync::Arc;
+
+use typed_index_collections::TiVec;
+
+pub use catalog::{Catalog, DatabaseKey, RouteKey, ServiceKey, SlotKey, WorkspaceKey};
+pub use fleet::{Fleet, VmIdentity};
+pub use slots::{DatabaseState, Member, SlotState};
+
+/// What a VM knows.
+#[derive(Clone, Debug)]
+pub struct Board {
+    /// The configuration in force, indexed.
+    pub catalog: Arc<Catalog>,
+    /// The VMs.
+    pub fleet: Fleet,
+    /// Each slot as last seen.
+    pub slots: TiVec<SlotKey, SlotState>,
+    /// Each database as last seen.
+    pub databases: TiVec<DatabaseKey, DatabaseState>,
+    /// How many seats of its data centre's rates this VM holds.
+    pub seats_in_force: usize,
+}
+
+impl Board {
+    /// A board that knows only its own VM.
+    pub fn new(me: VmIdentity) -> Board {
+        Board {
+            catalog: Arc::new(Catalog::empty()),
+            fleet: Fleet::new(me),
+            slots: TiVec::new(),
+            databases: TiVec::new(),
+            seats_in_force: 0,
+        }
+    }
+
+    /// Puts a configuration in force, keeping what is known of slots and databases that stay.
+    pub fn adopt(&mut self, catalog: Arc<Catalog>) {
+        let slots = catalog.slots.keys().map(|key| self.carried_slot(&catalog, key)).collect();
+        let databases = catalog.databases.iter().map(|d| {
+            let old = self.catalog.database(d.name.as_str());
+            old.map(|key| self.databases[key].clone()).unwrap_or_default()
+        });
+        self.databases = databases.collect();
+        self.slots = slots;
+        self.catalog = catalog;
+    }
+
+    fn carried_slot(&self, catalog: &Catalog, key: SlotKey) -> SlotState {
+        let fresh = SlotState::new(catalog, key);
+        let Some(old_key) = self.catalog.slot_by_digest(catalog.slots[key].digest) else {
+            return fresh;
+        };
+        let old = &self.slots[old_key];
+        let rename = |database: DatabaseKey| {
+            catalog.database(self.catalog.databases[database].name.as_str())
+        };
+        let members = fresh.members.iter().map(|member| {
+            let known = old.members.iter().find(|m| rename(m.database) == Some(member.database));
+            known.map_or_else(
+                || member.clone(),
+                |m| Member { database: member.database, ..m.clone() },
+            )
+        });
+        SlotState {
+            term: old.term,
+            primary: old.primary.and_then(rename).or(fresh.primary),
+            members: members.collect(),
+            confirmed: old.confirmed,
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/client.rs
@@ -0,0 +1,175 @@
+//! An HTTP client that says whether a failed request can have reached the other side.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper_util::{
+    client::legacy::{self, connect::HttpConnector},
+    rt::{TokioExecutor, TokioTimer},
+};
+use serde::{Serialize, de::DeserializeOwned};
+
+/// Largest answer read, in bytes.
+pub const ANSWER_MAX_BYTES: usize = 4 << 20;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+const IDLE_PER_HOST: usize = 64;
+
+/// Names the sender to the platform and to upstreams.
+pub const SENDER_HEADER: HeaderName = HeaderName::from_static("jasminepass-vm");
+
+/// Why a request got no usable answer.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum SendError {
+    /// No byte of it left: the other side did not see it.
+    #[error(
+        "{address} can't be reached: {reason}; check that it runs and that the address is right"
+    )]
+    NotSent {
+        /// Where it was to go.
+        address: String,
+        /// What failed.
+        reason: String,
+    },
+    /// It left, and whether it was acted on is unknown.
+    #[error("no answer from {address}: {reason}; ask for the outcome before sending it again")]
+    Lost {
+        /// Where it went.
+        address: String,
+        /// What failed.
+        reason: String,
+    },
+    /// The answer is not of the expected shape.
+    #[error(
+        "the answer from {address} can't be read: {reason}; check that both sides have the same version"
+    )]
+    Unreadable {
+        /// Who answered.
+        address: String,
+        /// What was found.
+        reason: String,
+    },
+}
+
+/// An answer: its status and whole body.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body, read to its end.
+    pub body: Bytes,
+}
+
+/// An HTTP client with a pool of connections. Cheap to clone.
+#[derive(Clone)]
+pub struct Client {
+    inner: legacy::Client<HttpConnector, Full<Bytes>>,
+    sender: HeaderValue,
+}
+
+impl Client {
+    /// A client that names itself `sender` in its requests.
+    pub fn new(sender: &str) -> Client {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        let inner = legacy::Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_max_idle_per_host(IDLE_PER_HOST)
+            .build(connector);
+        let sender =
+            HeaderValue::from_str(sender).unwrap_or_else(|_| HeaderValue::from_static("unnamed"));
+        Client { inner, sender }
+    }
+
+    /// Sends a request to `address` (`ip:port`) and reads the whole answer within `timeout`.
+    pub async fn send(
+        &self,
+        address: &str,
+        method: Method,
+        path: &str,
+        headers: &[(HeaderName, HeaderValue)],
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Reply, SendError> {
+        let mut req = Request::builder()
+            .method(method)
+            .uri(format!("http://{address}{path}"))
+            .header(SENDER_HEADER, &self.sender);
+        for (name, value) in headers {
+            req = req.header(name, value);
+        }
+        let not_sent = |reason: String| SendError::NotSent { address: address.to_owned(), reason };
+        let lost = |reason: String| SendError::Lost { address: address.to_owned(), reason };
+        let req = req.body(Full::new(body)).map_err(|e| not_sent(e.to_string()))?;
+        let exchange = async {
+            let response = self.inner.request(req).await.map_err(|e| match e.is_connect() {
+                true => not_sent(describe(&e)),
+                false => lost(describe(&e)),
+            })?;
+            let status = response.status();
+            let headers = response.headers().clone();
+            let body = Limited::new(response.into_body(), ANSWER_MAX_BYTES).collect();
+            let body = body.await.map_err(|e| lost(e.to_string()))?.to_bytes();
+            Ok(Reply { status, headers, body })
+        };
+        match tokio::time::timeout(timeout, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(lost(format!("nothing came within {} ms", timeout.as_millis()))),
+        }
+    }
+
+    /// Sends a JSON body and reads a JSON answer: `Ok` for status 200, `Err` for any other.
+    pub async fn post_json<T: DeserializeOwned, E: DeserializeOwned>(
+        &self,
+        address: &str,
+        path: &str,
+        body: &impl Serialize,
+        timeout: Duration,
+    ) -> Result<Result<T, E>, SendError> {
+        let body = encode_json(body);
+        let reply = self.send(address, Method::POST, path, &[json_type()], body, timeout).await?;
+        decode_json(address, &reply)
+    }
+}
+
+/// The header that marks a JSON body.
+pub fn json_type() -> (HeaderName, HeaderValue) {
+    (http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"))
+}
+
+/// Encodes a message as JSON.
+///
+/// # Panics
+/// Panics on a type that JSON can't express; the messages of `proto` all can.
+pub fn encode_json(body: &impl Serialize) -> Bytes {
+    serde_json::to_vec(body).expect("messages can be expressed in JSON").into()
+}
+
+/// Reads a JSON answer: `Ok` for status 200, `Err` for any other.
+pub fn decode_json<T: DeserializeOwned, E: DeserializeOwned>(
+    address: &str,
+    reply: &Reply,
+) -> Result<Result<T, E>, SendError> {
+    let unreadable = |e: serde_json::Error| SendError::Unreadable {
+        address: address.to_owned(),
+        reason: format!("status {}, {e}", reply.status),
+    };
+    match reply.status {
+        StatusCode::OK => serde_json::from_slice(&reply.body).map(Ok).map_err(unreadable),
+        _ => serde_json::from_slice(&reply.body).map(Err).map_err(unreadable),
+    }
+}
+
+fn describe(e: &dyn std::error::Error) -> String {
+    match e.source() {
+        Some(source) => format!("{e}: {}", describe(source)),
+        None => e.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/edge/src/connection.rs
@@ -0,0 +1,112 @@
+//! One connection to an upstream's request address, used for one request at a time.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, HeaderValue, Method, Request};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::net::TcpStream;
+
+use crate::client::{
+    ANSWER_MAX_BYTES, Reply, SENDER_HEADER, SendError, decode_json, encode_json, json_type,
+};
+
+/// A connection to an upstream. Dropping it closes it, which rolls back its open transaction.
+pub struct Connection {
+    /// Sent with every request, besides what the protocol needs.
+    pub headers: HeaderMap,
+    address: String,
+    requests: SendRequest<Full<Bytes>>,
+    driver: tokio::task::JoinHandle<()>,
+}
+
+impl Connection {
+    /// Opens a connection within `timeout`.
+    pub async fn open(
+        address: &str,
+        sender: &str,
+        timeout: Duration,
+    ) -> Result<Connection, SendError> {
+        let not_sent = |reason: String| SendError::NotSent { address: address.to_owned(), reason };
+        let open = async {
+            let stream = TcpStream::connect(address).await.map_err(|e| not_sent(e.to_string()))?;
+            stream.set_nodelay(true).map_err(|e| not_sent(e.to_string()))?;
+            http1::handshake(TokioIo::new(stream)).await.map_err(|e| not_sent(e.to_string()))
+        };
+        let opened = tokio::time::timeout(timeout, open).await;
+        let (requests, driver) =
+            opened.map_err(|_| not_sent("it took too long to connect".to_owned()))??;
+        let driver = tokio::spawn(async move {
+            // The requests in progress learn of a broken connection from their own errors.
+            let _ = driver.await;
+        });
+        let mut headers = HeaderMap::new();
+        if let Ok(sender) = HeaderValue::from_str(sender) {
+            headers.insert(SENDER_HEADER, sender);
+        }
+        Ok(Connection { headers, address: address.to_owned(), requests, driver })
+    }
+
+    /// Whether it can take another request.
+    pub fn is_open(&self) -> bool {
+        !self.requests.is_closed()
+    }
+
+    /// Sends a JSON request and reads the answer. After an error the connection must be dropped.
+    pub async fn call<T: DeserializeOwned, E: DeserializeOwned>(
+        &mut self,
+        path: &str,
+        body: &impl Serialize,
+        timeout: Duration,
+    ) -> Result<Result<T, E>, SendError> {
+        let reply = self.exchange(path, encode_json(body), timeout).await?;
+        decode_json(&self.address, &reply)
+    }
+
+    async fn exchange(
+        &mut self,
+        path: &str,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<Reply, SendError> {
+        let address = self.address.clone();
+        let not_sent = |reason: String| SendError::NotSent { address: address.clone(), reason };
+        let lost = |reason: String| SendError::Lost { address: address.clone(), reason };
+        let (content_type, json) = json_type();
+        let mut req = Request::builder()
+            .method(Method::POST)
+            .uri(path)
+            .header(http::header::HOST, &self.address)
+            .header(content_type, json)
+            .body(Full::new(body))
+            .map_err(|e| not_sent(e.to_string()))?;
+        req.headers_mut().extend(self.headers.clone());
+        self.requests.ready().await.map_err(|e| not_sent(e.to_string()))?;
+        let requests = &mut self.requests;
+        let exchange = async {
+            let response =
+                requests.try_send_request(req).await.map_err(|mut e| match e.take_message() {
+                    // The request came back untouched: no byte of it was written.
+                    Some(_) => not_sent(e.error().to_string()),
+                    None => lost(e.error().to_string()),
+                })?;
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, ANSWER_MAX_BYTES).collect();
+            let body = body.await.map_err(|e| lost(e.to_string()))?.to_bytes();
+            Ok(Reply { status: head.status, headers: head.headers, body })
+        };
+        match tokio::time::timeout(timeout, exchange).await {
+            Ok(result) => result,
+            Err(_) => Err(lost(format!("nothing came within {} ms", timeout.as_millis()))),
+        }
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
--- /dev/null
+++ b/crates/edge/src/platform.rs
@@ -0,0 +1,85 @@
+//! A client of the platform's object API. The contract is in docs/protocol-platform.md.
+
+use std::time::Duration;
+
+use http::{Method, StatusCode};
+use proto::platform::{Object, Update, Updated, Version, VmList};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::client::{Client, Reply, SendError, encode_json, json_type};
+
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// A client of the platform. Cheap to clone.
+#[derive(Clone)]
+pub struct Platform {
+    client: Client,
+    address: String,
+}
+
+impl Platform {
+    /// A client of the platform at `address` (`ip:port`).
+    pub fn new(client: Client, address: impl Into<String>) -> Platform {
+        Platform { client, address: address.into() }
+    }
+
+    /// Reads an object; version zero and a null value where it does not exist.
+    pub async fn get(&self, name: &str) -> Result<Object, SendError> {
+        self.read(&format!("/objects/{name}"), CALL_TIMEOUT).await
+    }
+
+    /// Waits until the object's version is past `after`, or for `wait`, and reads it.
+    pub async fn watch(
+        &self,
+        name: &str,
+        after: Version,
+        wait: Duration,
+    ) -> Result<Object, SendError> {
+        let path = format!("/objects/{name}?after={}&wait_ms={}", after.0, wait.as_millis());
+        self.read(&path, wait + CALL_TIMEOUT).await
+    }
+
+    /// Replaces an object's value if its version is still the expected one.
+    pub async fn update(
+        &self,
+        name: &str,
+        expected: Version,
+        value: Value,
+    ) -> Result<Updated, SendError> {
+        let path = format!("/objects/{name}");
+        let body = encode_json(&Update { expected, value });
+        let headers = [json_type()];
+        let reply = self
+            .client
+            .send(&self.address, Method::PUT, &path, &headers, body, CALL_TIMEOUT)
+            .await?;
+        self.decode(&reply)
+    }
+
+    /// Reads the list of VMs.
+    pub async fn vms(&self) -> Result<VmList, SendError> {
+        self.read("/vms", CALL_TIMEOUT).await
+    }
+
+    async fn read<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        timeout: Duration,
+    ) -> Result<T, SendError> {
+        let reply = self
+            .client
+            .send(&self.address, Method::GET, path, &[], Default::default(), timeout)
+            .await?;
+        self.decode(&reply)
+    }
+
+    fn decode<T: DeserializeOwned>(&self, reply: &Reply) -> Result<T, SendError> {
+        let unreadable =
+            |reason: String| SendError::Unreadable { address: self.address.clone(), reason };
+        if reply.status != StatusCode::OK {
+            return Err(unreadable(format!("status {}", reply.status)));
+        }
+        serde_json::from_slice(&reply.body).map_err(|e| unreadable(e.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,6 @@
+//! Membership, holder placement and distribution of the configuration.
+//!
+//! Decisions only: whom to ask and what to believe. Sending and receiving is the daemon's.
+
+pub mod access;
+pub mod placement;
--- /dev/null
+++ b/crates/jasminepassd/src/caller.rs
@@ -0,0 +1,204 @@
+//! The callers' listener: parses requests and writes answers.
+
+use std::{sync::Arc, time::Duration};
+
+use axum::{
+    Json, Router,
+    body::{Body, to_bytes},
+    extract::{Path, State},
+    http::{HeaderMap, HeaderValue, header},
+    response::{IntoResponse, Response},
+    routing::post,
+};
+use edge::server::Limits;
+use model::{key::PresentedKey, prelude::*, session::SessionError};
+use proto::caller::{
+    AnswerBody, CallerError, ErrorKind, IDEMPOTENCY_HEADER, Outcome, RequestBody, SESSION_HEADER,
+    TIMEOUT_HEADER,
+};
+use serde::de::DeserializeOwned;
+
+use crate::{app::App, caller_error, counters::Counter, entry};
+
+/// Body of the answer to a client that does not speak HTTP.
+pub const NOT_HTTP: &str = r#"{"error":{"kind":"bad_request","outcome":"not_run","message":"this is not an HTTP/1.1 request: send one, such as POST /v1/<service>/<route>"}}"#;
+
+const BODY_MAX_BYTES: usize = 256 << 10;
+const HEADERS_MAX: usize = 48;
+const TOKEN_MAX_BYTES: usize = 4 << 10;
+const IDEMPOTENCY_KEY_MAX_BYTES: usize = 256;
+const TIMEOUT_DEFAULT_MS: u64 = 10_000;
+const TIMEOUT_MAX_MS: u64 = 60_000;
+
+/// A request whose shape has been checked.
+pub struct CallerRequest {
+    /// Its service.
+    pub service: String,
+    /// Its route.
+    pub route: String,
+    /// The key that came with it.
+    pub key: Option<PresentedKey>,
+    /// The session token that came with it.
+    pub session: Option<String>,
+    /// Names it, so that its repetition finds the first outcome.
+    pub idempotency_key: Option<String>,
+    /// When its caller stops waiting.
+    pub deadline: MonoTime,
+    /// Its body.
+    pub body: RequestBody,
+}
+
+/// What the caller gets.
+pub struct CallerAnswer {
+    /// What the upstream returned.
+    pub body: AnswerBody,
+    /// The session token for the next request.
+    pub session: String,
+}
+
+/// The limits of the callers' listener. Headers are counted here as well, where the answer can say
+/// what to do about them.
+pub fn limits(max_connections: usize) -> Limits {
+    Limits {
+        connections: max_connections,
+        headers: 4 * HEADERS_MAX,
+        head_bytes: 32 << 10,
+        head_timeout: Duration::from_secs(60),
+    }
+}
+
+/// The callers' listener.
+pub fn router(app: Arc<App>) -> Router {
+    Router::new()
+        .route("/v1/{service}/{route}", post(request))
+        .fallback(no_such_path)
+        .with_state(app)
+}
+
+async fn request(
+    State(app): State<Arc<App>>,
+    Path((service, route)): Path<(String, String)>,
+    headers: HeaderMap,
+    body: Body,
+) -> Response {
+    app.counters.count(Counter::Requests);
+    let result = match parse(&app, service, route, &headers, body).await {
+        Ok(req) => entry::serve(&app, req).await,
+        Err(error) => Err(error),
+    };
+    match result {
+        Ok(answer) => {
+            app.counters.count(Counter::Answered);
+            respond(answer)
+        }
+        Err(error) => {
+            app.counters.count(outcome_counter(&error));
+            caller_error::response(error)
+        }
+    }
+}
+
+async fn no_such_path() -> Response {
+    caller_error::response(CallerError::not_run(
+        ErrorKind::NotFound,
+        "there is nothing here: send POST /v1/<service>/<route>",
+    ))
+}
+
+fn outcome_counter(error: &CallerError) -> Counter {
+    match (error.kind, error.outcome) {
+        (ErrorKind::RateLimited, _) => Counter::RateLimited,
+        (_, Outcome::NotRun) => Counter::Refused,
+        (_, Outcome::Unknown) => Counter::Unknown,
+        (_, Outcome::Failed) => Counter::Failed,
+    }
+}
+
+fn respond(answer: CallerAnswer) -> Response {
+    let mut response = Json(answer.body).into_response();
+    if let Ok(token) = HeaderValue::from_str(&answer.session) {
+        response.headers_mut().insert(SESSION_HEADER, token);
+    }
+    response
+}
+
+async fn parse(
+    app: &App,
+    service: String,
+    route: String,
+    headers: &HeaderMap,
+    body: Body,
+) -> Result<CallerRequest, CallerError> {
+    if headers.len() > HEADERS_MAX {
+        let message =
+            format!("the request has {} headers: send at most {HEADERS_MAX}", headers.len());
+        return Err(CallerError::not_run(ErrorKind::TooLarge, message));
+    }
+    let session = text(headers, SESSION_HEADER, TOKEN_MAX_BYTES)?;
+    let idempotency_key = text(headers, IDEMPOTENCY_HEADER, IDEMPOTENCY_KEY_MAX_BYTES)?;
+    let key = key(headers)?;
+    let deadline = app.now() + timeout(headers)?;
+    let body = parse_body(body).await?;
+    Ok(CallerRequest { service, route, key, session, idempotency_key, deadline, body })
+}
+
+fn text(
+    headers: &HeaderMap,
+    name: &'static str,
+    most: usize,
+) -> Result<Option<String>, CallerError> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    if value.len() > most {
+        let message = format!("header {name} has {} bytes: send at most {most}", value.len());
+        return Err(CallerError::not_run(ErrorKind::TooLarge, message));
+    }
+    let text =
+        value.to_str().map_err(|_| bad_request(format!("header {name} is not plain text")))?;
+    Ok(Some(text.to_owned()))
+}
+
+fn key(headers: &HeaderMap) -> Result<Option<PresentedKey>, CallerError> {
+    let Some(value) = text(headers, header::AUTHORIZATION.as_str(), TOKEN_MAX_BYTES)? else {
+        return Ok(None);
+    };
+    let malformed =
+        || CallerError::not_run(ErrorKind::Unauthorized, model::key::KeyError.to_string());
+    let key = value.strip_prefix("Bearer ").ok_or_else(malformed)?;
+    PresentedKey::parse(key).map(Some).map_err(|_| malformed())
+}
+
+fn timeout(headers: &HeaderMap) -> Result<DurationUs, CallerError> {
+    let Some(value) = text(headers, TIMEOUT_HEADER, 16)? else {
+        return Ok(DurationUs::from_ms(TIMEOUT_DEFAULT_MS));
+    };
+    match value.parse() {
+        Ok(ms @ 1..=TIMEOUT_MAX_MS) => Ok(DurationUs::from_ms(ms)),
+        _ => Err(bad_request(format!(
+            "header {TIMEOUT_HEADER} is `{value}`: give 1 to {TIMEOUT_MAX_MS}"
+        ))),
+    }
+}
+
+async fn parse_body<T: DeserializeOwned>(body: Body) -> Result<T, CallerError> {
+    let bytes = to_bytes(body, BODY_MAX_BYTES).await.map_err(|_| {
+        let message =
+            format!("the body is longer than {BODY_MAX_BYTES} bytes or broke off: send less");
+        CallerError::not_run(ErrorKind::TooLarge, message)
+    })?;
+    serde_json::from_slice(&bytes).map_err(|e| {
+        bad_request(format!(
+            "the body can't be read: {e}; send {{\"slot_key\", \"statement\", \"params\"}}"
+        ))
+    })
+}
+
+fn bad_request(message: String) -> CallerError {
+    CallerError::not_run(ErrorKind::BadRequest, message)
+}
+
+/// A session token that can't be used, as the caller sees it.
+pub fn session_error(error: SessionError) -> CallerError {
+    bad_request(error.to_string())
+}
--- /dev/null
+++ b/crates/jasminepassd/src/control.rs
@@ -0,0 +1,191 @@
+//! The control thread: the only one that changes the board.
+
+use std::{sync::Arc, time::Duration};
+
+use board::{Board, Catalog, DatabaseKey, SlotKey};
+use config::Configuration;
+use crossbeam_channel::{Receiver, RecvTimeoutError};
+use failover::observe::{self, Observation};
+use fleet::placement::holds_any;
+use model::{prelude::*, session::SlotDigest};
+use proto::platform::VmRecord;
+use quota::{
+    bucket::{Bucket, Portion},
+    seats::{Owner, SEATS, SeatController, SeatEffect, SeatEvent},
+};
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::{app::App, counters::Counter};
+
+const TICK: Duration = Duration::from_millis(50);
+
+/// What the control thread hears.
+#[derive(Debug)]
+pub enum Event {
+    /// A configuration was read.
+    Configuration(Box<Configuration>),
+    /// The list of VMs was read.
+    Vms(Vec<VmRecord>),
+    /// A database was asked for its status.
+    Observed(Observation),
+    /// Somebody said who a slot's primary is.
+    PrimarySeen {
+        /// The slot.
+        slot: SlotDigest,
+        /// Its term.
+        term: Term,
+        /// Its primary, where that is known.
+        primary: Option<DatabaseName>,
+    },
+    /// For the controller of the rates.
+    Seats(SeatEvent),
+    /// A planned stop has begun.
+    Stopping,
+}
+
+/// What the control thread asks for.
+#[derive(Debug)]
+pub enum Effect {
+    /// Watch these databases, and no others.
+    Monitor(Vec<config::Database>),
+    /// From the controller of the rates.
+    Seats(SeatEffect),
+}
+
+/// The controllers and the board they share.
+pub struct Control {
+    app: Arc<App>,
+    board: Board,
+    seats: SeatController,
+    effects: UnboundedSender<Effect>,
+    monitored: Vec<config::Database>,
+}
+
+impl Control {
+    /// Controllers for the daemon, before they have heard anything.
+    pub fn new(app: Arc<App>, effects: UnboundedSender<Effect>) -> Control {
+        let board = (*app.board()).clone();
+        let me = Owner { vm: app.settings.vm.clone(), incarnation: app.settings.incarnation };
+        Control { app, board, seats: SeatController::new(me), effects, monitored: Vec::new() }
+    }
+
+    /// Handles events until nobody can send any.
+    pub fn run(mut self, events: &Receiver<Event>) {
+        loop {
+            match events.recv_timeout(TICK) {
+                Ok(event) => self.handle(event),
+                Err(RecvTimeoutError::Timeout) => self.handle_seats(SeatEvent::Tick),
+                Err(RecvTimeoutError::Disconnected) => return,
+            }
+            while let Ok(event) = events.try_recv() {
+                self.handle(event);
+            }
+            self.app.board.store(Arc::new(self.board.clone()));
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Configuration(cfg) => self.adopt(*cfg),
+            Event::Vms(vms) => self.set_vms(vms),
+            Event::Observed(observation) => self.observe(&observation),
+            Event::PrimarySeen { slot, term, primary } => {
+                self.learn_primary(slot, term, primary.as_ref())
+            }
+            Event::Seats(event) => self.handle_seats(event),
+            Event::Stopping => self.board.fleet.stopping = true,
+        }
+    }
+
+    fn adopt(&mut self, cfg: Configuration) {
+        if cfg.generation <= self.board.catalog.cfg.generation {
+            return;
+        }
+        slog::info!(self.app.log, "configuration in force"; "generation" => cfg.generation.0);
+        self.app.counters.count(Counter::Configurations);
+        self.board.adopt(Arc::new(Catalog::new(cfg)));
+        self.set_portions();
+        self.monitor();
+    }
+
+    fn set_vms(&mut self, mut vms: Vec<VmRecord>) {
+        vms.sort_by(|a, b| a.vm.cmp(&b.vm));
+        if vms.is_empty() || vms == self.board.fleet.vms {
+            return;
+        }
+        slog::info!(self.app.log, "list of VMs changed"; "vms" => vms.len());
+        self.board.fleet.vms = vms;
+        self.monitor();
+    }
+
+    fn observe(&mut self, observation: &Observation) {
+        let terms: Vec<(Term, Option<DatabaseKey>)> =
+            self.board.slots.iter().map(|s| (s.term, s.primary)).collect();
+        observe::observe(&mut self.board, observation, self.app.now());
+        for (slot, before) in terms.iter().enumerate() {
+            let slot = SlotKey::from(slot);
+            let state = &self.board.slots[slot];
+            if (state.term, state.primary) != *before {
+                self.app.counters.count(Counter::PrimaryChanges);
+                let primary =
+                    state.primary.map(|key| self.board.catalog.databases[key].name.to_string());
+                let name = self.board.catalog.slots[slot].name.to_string();
+                slog::info!(self.app.log, "primary changed"; "slot" => name, "term" => state.term.0, "primary" => primary);
+            }
+        }
+    }
+
+    fn learn_primary(&mut self, slot: SlotDigest, term: Term, primary: Option<&DatabaseName>) {
+        let catalog = &self.board.catalog;
+        let Some(slot) = catalog.slot_by_digest(slot) else {
+            return;
+        };
+        let primary = primary.and_then(|name| catalog.database(name.as_str()));
+        observe::learn_primary(&mut self.board, slot, term, primary);
+    }
+
+    fn handle_seats(&mut self, event: SeatEvent) {
+        for effect in self.seats.handle(&self.board, event, self.app.now()) {
+            match effect {
+                SeatEffect::SeatsChanged => {
+                    self.board.seats_in_force = self.seats.in_force();
+                    self.set_portions();
+                }
+                effect => self.ask(Effect::Seats(effect)),
+            }
+        }
+    }
+
+    /// Gives each workspace's bucket the portion that this VM's seats stand for.
+    fn set_portions(&mut self) {
+        let catalog = &self.board.catalog;
+        let now = self.app.now();
+        let whole = (catalog.cfg.data_centres.len() * SEATS) as u64;
+        let mut buckets = self.app.buckets();
+        buckets.retain(|name, _| catalog.workspace(name.as_str()).is_some());
+        for workspace in &catalog.workspaces {
+            let cfg = &workspace.cfg;
+            let portion =
+                Portion::new(cfg.rate_per_s, cfg.burst, self.seats.in_force() as u64, whole);
+            let bucket = buckets.entry(cfg.name.clone()).or_insert_with(|| Bucket::new(now));
+            bucket.set_portion(portion, now);
+        }
+    }
+
+    /// Watches the databases of each service of which this VM is a holder.
+    fn monitor(&mut self) {
+        let catalog = &self.board.catalog;
+        let held = catalog.services.iter().filter(|s| holds_any(&self.board, &s.databases));
+        let databases = held.flat_map(|s| &s.databases).map(|&d| catalog.databases[d].cfg.clone());
+        let databases: Vec<config::Database> = databases.collect();
+        if databases != self.monitored {
+            self.monitored.clone_from(&databases);
+            self.ask(Effect::Monitor(databases));
+        }
+    }
+
+    fn ask(&self, effect: Effect) {
+        // The receiver ends only with the process.
+        let _ = self.effects.send(effect);
+    }
+}
--- /dev/null
+++ b/crates/jasminepassd/src/counters.rs
@@ -0,0 +1,109 @@
+//! Counters: kept in the process, shown to operators and sent on as StatsD metrics.
+
+use std::{
+    collections::BTreeMap,
+    net::{SocketAddr, UdpSocket},
+    sync::atomic::{AtomicU64, Ordering},
+};
+
+use cadence::{Counted, StatsdClient, UdpMetricSink};
+
+/// What is counted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Counter {
+    /// Requests that callers sent.
+    Requests,
+    /// Requests answered.
+    Answered,
+    /// Requests refused without having run.
+    Refused,
+    /// Requests refused because their workspace was past its rate.
+    RateLimited,
+    /// Requests whose outcome stayed unknown.
+    Unknown,
+    /// Requests that an upstream executed and failed.
+    Failed,
+    /// Requests forwarded to another VM.
+    Forwarded,
+    /// Reads that a replica served.
+    ReplicaReads,
+    /// Reads that the primary served.
+    PrimaryReads,
+    /// Upstream connections opened.
+    ConnectionsOpened,
+    /// Peer messages refused.
+    PeerRefused,
+    /// Calls to the platform.
+    PlatformCalls,
+    /// Changes of a slot's primary that were seen.
+    PrimaryChanges,
+    /// Configurations put in force.
+    Configurations,
+}
+
+impl Counter {
+    const ALL: [(Counter, &'static str); 14] = [
+        (Counter::Requests, "requests"),
+        (Counter::Answered, "answered"),
+        (Counter::Refused, "refused"),
+        (Counter::RateLimited, "rate_limited"),
+        (Counter::Unknown, "unknown"),
+        (Counter::Failed, "failed"),
+        (Counter::Forwarded, "forwarded"),
+        (Counter::ReplicaReads, "replica_reads"),
+        (Counter::PrimaryReads, "primary_reads"),
+        (Counter::ConnectionsOpened, "connections_opened"),
+        (Counter::PeerRefused, "peer_refused"),
+        (Counter::PlatformCalls, "platform_calls"),
+        (Counter::PrimaryChanges, "primary_changes"),
+        (Counter::Configurations, "configurations"),
+    ];
+}
+
+/// Every counter's value.
+#[derive(Default)]
+pub struct Counters {
+    values: [AtomicU64; Counter::ALL.len()],
+}
+
+impl Counters {
+    /// Adds one.
+    pub fn count(&self, counter: Counter) {
+        self.values[counter as usize].fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// Every value, by name.
+    pub fn snapshot(&self) -> BTreeMap<&'static str, u64> {
+        Counter::ALL.iter().map(|(counter, name)| (*name, self.value(*counter))).collect()
+    }
+
+    fn value(&self, counter: Counter) -> u64 {
+        self.values[counter as usize].load(Ordering::Relaxed)
+    }
+}
+
+/// Sends what was counted since the last time to a StatsD address.
+pub struct Reporter {
+    client: StatsdClient,
+    sent: BTreeMap<&'static str, u64>,
+}
+
+impl Reporter {
+    /// A reporter to that address.
+    pub fn new(address: SocketAddr) -> eyre::Result<Reporter> {
+        let socket = UdpSocket::bind("0.0.0.0:0")?;
+        let sink = UdpMetricSink::from(address, socket)?;
+        Ok(Reporter { client: StatsdClient::from_sink("jasminepass", sink), sent: BTreeMap::new() })
+    }
+
+    /// Sends the increase of each counter.
+    pub fn report(&mut self, counters: &Counters) {
+        for (name, value) in counters.snapshot() {
+            let sent = self.sent.insert(name, value).unwrap_or(0);
+            if value > sent {
+                // A lost datagram costs one interval's count; the operators' listener has the totals.
+                let _ = self.client.count(name, (value - sent) as i64);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jasminepassd/src/logging.rs
@@ -0,0 +1,25 @@
+//! The structured log, written to standard error by a thread of its own.
+
+use std::sync::Mutex;
+
+use slog::{Drain, Logger, o};
+
+use crate::settings::{LogFormat, Settings};
+
+/// A logger whose lines all name the VM.
+pub fn logger(settings: &Settings) -> Logger {
+    let drain = match settings.log_format {
+        LogFormat::Json => {
+            let json = slog_json::Json::default(std::io::stderr());
+            slog_async::Async::new(Mutex::new(json).fuse()).build().fuse()
+        }
+        LogFormat::Terminal => {
+            let decorator = slog_term::TermDecorator::new().stderr().build();
+            slog_async::Async::new(slog_term::FullFormat::new(decorator).build().fuse())
+                .build()
+                .fuse()
+        }
+    };
+    let run = settings.incarnation.0;
+    Logger::root(drain, o!("vm" => settings.vm.to_string(), "incarnation" => run))
+}
--- /dev/null
+++ b/crates/jasminepassd/src/main.rs
@@ -0,0 +1,31 @@
+//! The proxy daemon: one runs on every VM of the fleet.
+
+mod app;
+mod caller;
+mod caller_error;
+mod clock;
+mod control;
+mod counters;
+mod effects;
+mod entry;
+mod holder;
+mod logging;
+mod monitor;
+mod ops;
+mod peer;
+mod pools;
+mod run;
+mod settings;
+mod watch;
+
+use settings::Settings;
+
+fn main() -> eyre::Result<()> {
+    let matches = settings::command().get_matches();
+    let settings = Settings::new(&matches)?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.threads)
+        .enable_all()
+        .build()?;
+    runtime.block_on(run::run(settings))
+}
--- /dev/null
+++ b/crates/jasminepassd/src/monitor.rs
@@ -0,0 +1,61 @@
+//! Asks databases for their status, one task for each.
+
+use std::{sync::Arc, time::Duration};
+
+use config::Database;
+use failover::observe::Observation;
+use model::prelude::*;
+use proto::database::{DatabaseError, Status, StatusQuery};
+use tokio::task::JoinHandle;
+
+use crate::{app::App, control::Event};
+
+const INTERVAL: Duration = Duration::from_millis(100);
+const TIMEOUT: Duration = Duration::from_millis(400);
+
+/// The tasks that watch databases.
+pub struct Monitors {
+    app: Arc<App>,
+    tasks: FxHashMap<DatabaseName, (Database, JoinHandle<()>)>,
+}
+
+impl Monitors {
+    /// No tasks yet.
+    pub fn new(app: Arc<App>) -> Monitors {
+        Monitors { app, tasks: FxHashMap::default() }
+    }
+
+    /// Watches these databases and no others.
+    pub fn set(&mut self, databases: &[Database]) {
+        self.tasks.retain(|_, (database, task)| {
+            let keep = databases.contains(database);
+            if !keep {
+                task.abort();
+            }
+            keep
+        });
+        for database in databases {
+            let app = &self.app;
+            let start = || (database.clone(), tokio::spawn(monitor(app.clone(), database.clone())));
+            self.tasks.entry(database.name.clone()).or_insert_with(start);
+        }
+    }
+}
+
+async fn monitor(app: Arc<App>, database: Database) {
+    loop {
+        let asked_at = app.now();
+        let address = &database.admin_address;
+        let reply = app
+            .admin
+            .post_json::<Status, DatabaseError>(address, "/status", &StatusQuery {}, TIMEOUT)
+            .await;
+        let status = reply.ok().and_then(Result::ok);
+        app.tell(Event::Observed(Observation {
+            database: database.name.clone(),
+            asked_at,
+            status,
+        }));
+        tokio::time::sleep(INTERVAL).await;
+    }
+}
--- /dev/null
+++ b/crates/jasminepassd/src/ops.rs
@@ -0,0 +1,107 @@
+//! The operators' listener: health, readiness, state and counters.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+
+use axum::{Json, Router, extract::State, http::StatusCode, routing::get};
+use model::prelude::*;
+use serde::Serialize;
+
+use crate::app::App;
+
+/// Body of the answer to a client that does not speak HTTP.
+pub const NOT_HTTP: &str = "this listener is for operators and speaks HTTP";
+
+/// What the listener shows.
+#[derive(Clone)]
+pub struct Ops {
+    app: Arc<App>,
+    ready: Arc<AtomicBool>,
+}
+
+impl Ops {
+    /// A listener for the daemon; `ready` turns false when a planned stop begins.
+    pub fn new(app: Arc<App>, ready: Arc<AtomicBool>) -> Ops {
+        Ops { app, ready }
+    }
+}
+
+/// A slot as this VM sees it.
+#[derive(Serialize)]
+struct SlotView {
+    service: ServiceName,
+    slot: SlotName,
+    term: Term,
+    primary: Option<DatabaseName>,
+    confirmed: Position,
+}
+
+/// What this VM knows.
+#[derive(Serialize)]
+struct StateView {
+    vm: VmName,
+    incarnation: Incarnation,
+    dc: DcName,
+    generation: Generation,
+    vms: Vec<VmName>,
+    seats_in_force: usize,
+    slots: Vec<SlotView>,
+}
+
+/// The operators' listener.
+pub fn router(ops: Ops) -> Router {
+    Router::new()
+        .route("/health", get(health))
+        .route("/ready", get(ready))
+        .route("/state", get(state))
+        .route("/counters", get(counters))
+        .with_state(ops)
+}
+
+async fn health() -> &'static str {
+    "ok\n"
+}
+
+async fn ready(State(ops): State<Ops>) -> (StatusCode, &'static str) {
+    let configured = ops.app.board.load().catalog.cfg.generation > Generation(0);
+    match (configured, ops.ready.load(Ordering::Relaxed)) {
+        (true, true) => (StatusCode::OK, "ready\n"),
+        (false, _) => {
+            (StatusCode::SERVICE_UNAVAILABLE, "no configuration is in force yet: apply one\n")
+        }
+        (_, false) => (StatusCode::SERVICE_UNAVAILABLE, "a planned stop has begun\n"),
+    }
+}
+
+async fn state(State(ops): State<Ops>) -> Json<StateView> {
+    let board = ops.app.board();
+    let catalog = &board.catalog;
+    let slots = catalog.slots.iter_enumerated().map(|(key, entry)| {
+        let state = &board.slots[key];
+        SlotView {
+            service: catalog.services[entry.service].name.clone(),
+            slot: entry.name.clone(),
+            term: state.term,
+            primary: state.primary.map(|d| catalog.databases[d].name.clone()),
+            confirmed: state.confirmed,
+        }
+    });
+    Json(StateView {
+        vm: board.fleet.me.vm.clone(),
+        incarnation: board.fleet.me.incarnation,
+        dc: board.fleet.me.dc.clone(),
+        generation: catalog.cfg.generation,
+        vms: board.fleet.vms.iter().map(|vm| vm.vm.clone()).collect(),
+        seats_in_force: board.seats_in_force,
+        slots: slots.collect(),
+    })
+}
+
+async fn counters(State(ops): State<Ops>) -> Json<BTreeMap<&'static str, u64>> {
+    Json(ops.app.counters.snapshot())
+}
--- /dev/null
+++ b/crates/jasminepassd/src/run.rs
@@ -0,0 +1,148 @@
+//! Starts a daemon's listeners and tasks, and stops them in order.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use board::{Board, VmIdentity};
+use edge::{
+    client::Client,
+    peer::{Peers, Receiver},
+    platform::Platform,
+    server::{Limits, serve},
+};
+use eyre::WrapErr;
+use serde_json::json;
+use tokio::{
+    net::TcpListener,
+    signal::unix::{SignalKind, signal},
+    sync::{mpsc, watch},
+};
+
+use crate::{
+    app::App,
+    caller,
+    clock::Clock,
+    control::{Control, Event},
+    counters::{Counters, Reporter},
+    effects, logging, ops, peer,
+    pools::Pools,
+    settings::Settings,
+    watch as platform_watch,
+};
+
+const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(5);
+
+/// Runs a daemon until it is told to stop.
+pub async fn run(settings: Settings) -> eyre::Result<()> {
+    let log = logging::logger(&settings);
+    let callers = bind("--listen", settings.listen).await?;
+    let peers = bind("--peer-listen", settings.peer_listen).await?;
+    let operators = bind("--ops-listen", settings.ops_listen).await?;
+    let peer_address = settings.peer_address.unwrap_or(peers.local_addr()?);
+    let addresses = json!({
+        "listen": callers.local_addr()?, "peer": peer_address, "ops": operators.local_addr()?,
+    });
+    let (events_tx, events_rx) = crossbeam_channel::unbounded();
+    let (effects_tx, effects_rx) = mpsc::unbounded_channel();
+    let app = Arc::new(new_app(settings, &peer_address.to_string(), events_tx, log)?);
+
+    let control = Control::new(app.clone(), effects_tx);
+    thread::Builder::new().name("control".to_owned()).spawn(move || control.run(&events_rx))?;
+    tokio::spawn(effects::run(app.clone(), effects_rx));
+    tokio::spawn(platform_watch::configuration(app.clone()));
+    tokio::spawn(platform_watch::vms(app.clone()));
+    tokio::spawn(keep_house(app.clone()));
+
+    let (stop_tx, stop_rx) = watch::channel(false);
+    let ready = Arc::new(AtomicBool::new(true));
+    let limits = caller::limits(app.settings.max_connections);
+    let ops_app = ops::router(ops::Ops::new(app.clone(), ready.clone()));
+    tokio::spawn(serve(operators, ops_app, Limits::INTERNAL, ops::NOT_HTTP, stop_rx.clone()));
+    let peer_server =
+        serve(peers, peer::router(app.clone()), Limits::INTERNAL, peer::NOT_HTTP, stop_rx.clone());
+    let peer_server = tokio::spawn(peer_server);
+    let caller_server = tokio::spawn(serve(
+        callers,
+        caller::router(app.clone()),
+        limits,
+        caller::NOT_HTTP,
+        stop_rx,
+    ));
+
+    println!("{addresses}");
+    slog::info!(app.log, "started"; "addresses" => addresses.to_string());
+    wait_for_stop().await?;
+    slog::info!(app.log, "stopping");
+    ready.store(false, Ordering::Relaxed);
+    app.tell(Event::Stopping);
+    stop_tx.send_replace(true);
+    let drained = async {
+        let _ = caller_server.await;
+        let _ = peer_server.await;
+    };
+    let finished = tokio::time::timeout(app.settings.drain_limit, drained).await.is_ok();
+    slog::info!(app.log, "stopped"; "finished" => finished);
+    Ok(())
+}
+
+fn new_app(
+    settings: Settings,
+    peer_address: &str,
+    events: crossbeam_channel::Sender<Event>,
+    log: slog::Logger,
+) -> eyre::Result<App> {
+    let client = Client::new(settings.vm.as_str());
+    let receiver = Receiver { vm: settings.vm.clone(), incarnation: settings.incarnation };
+    let me = VmIdentity {
+        vm: settings.vm.clone(),
+        incarnation: settings.incarnation,
+        dc: settings.dc.clone(),
+        peer_address: peer_address.to_owned(),
+    };
+    Ok(App {
+        clock: Clock::new(),
+        board: ArcSwap::from_pointee(Board::new(me)),
+        buckets: Default::default(),
+        pools: Pools::new(&settings.vm),
+        peers: Peers::new(client.clone(), settings.fleet_secret.clone(), receiver),
+        platform: Platform::new(client.clone(), settings.platform.to_string()),
+        admin: client,
+        events,
+        counters: Counters::default(),
+        log,
+        settings,
+    })
+}
+
+async fn bind(setting: &str, address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
+    let problem = || format!("{setting} {address} can't be used: choose a free port of this VM");
+    TcpListener::bind(address).await.wrap_err_with(problem)
+}
+
+async fn keep_house(app: Arc<App>) {
+    let mut reporter = app.settings.statsd.and_then(|address| Reporter::new(address).ok());
+    loop {
+        tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
+        app.pools.close_idle();
+        if let Some(reporter) = &mut reporter {
+            reporter.report(&app.counters);
+        }
+    }
+}
+
+async fn wait_for_stop() -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/loadgen/src/closed.rs
@@ -0,0 +1,73 @@
+//! A closed loop: each connection sends its next request when the last one is answered.
+
+use std::time::{Duration, Instant};
+
+use hdrhistogram::Histogram;
+use serde::{Deserialize, Serialize};
+use tokio::task::JoinSet;
+
+const LATENCY_MAX_US: u64 = 60_000_000;
+
+/// What a load measured.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Connections.
+    pub connections: usize,
+    /// Requests answered.
+    pub answered: u64,
+    /// Requests that failed.
+    pub failed: u64,
+    /// Answers per second.
+    pub per_second: f64,
+    /// Median latency in microseconds.
+    pub p50_us: u64,
+    /// 99th percentile of the latency in microseconds.
+    pub p99_us: u64,
+}
+
+/// One connection of a load.
+pub trait Load: Send + 'static {
+    /// Sends the next request and says whether it was answered.
+    fn request(&mut self) -> impl Future<Output = bool> + Send;
+}
+
+/// Runs a loop on every connection for `span`.
+pub async fn run<L: Load>(connections: Vec<L>, span: Duration) -> eyre::Result<Report> {
+    let count = connections.len();
+    let mut loops = JoinSet::new();
+    let started = Instant::now();
+    for mut connection in connections {
+        loops.spawn(async move {
+            let mut latencies = histogram();
+            let mut failed = 0;
+            while started.elapsed() < span {
+                let sent = Instant::now();
+                match connection.request().await {
+                    true => latencies.saturating_record(sent.elapsed().as_micros() as u64),
+                    false => failed += 1,
+                }
+            }
+            (latencies, failed)
+        });
+    }
+    let mut latencies = histogram();
+    let mut failed = 0;
+    while let Some(done) = loops.join_next().await {
+        let (of_one, failed_of_one) = done?;
+        latencies.add(of_one)?;
+        failed += failed_of_one;
+    }
+    let seconds = started.elapsed().as_secs_f64();
+    Ok(Report {
+        connections: count,
+        answered: latencies.len(),
+        failed,
+        per_second: latencies.len() as f64 / seconds,
+        p50_us: latencies.value_at_quantile(0.5),
+        p99_us: latencies.value_at_quantile(0.99),
+    })
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, LATENCY_MAX_US, 3).expect("the bounds are constant and valid")
+}
--- /dev/null
+++ b/crates/proto/src/lib.rs
@@ -0,0 +1,8 @@
+//! Messages between callers, VMs, upstreams and the platform.
+//!
+//! Only their shapes: this crate encodes nothing and sends nothing.
+
+pub mod caller;
+pub mod database;
+pub mod peer;
+pub mod platform;
--- /dev/null
+++ b/crates/rig/src/fleet.rs
@@ -0,0 +1,348 @@
+//! A whole small fleet as processes: the platform, databases, daemons.
+
+use std::{path::PathBuf, time::Duration};
+
+use config::{
+    Configuration,
+    answers::{Answers, generate},
+};
+use edge::client::{Client, encode_json, json_type};
+use eyre::{WrapErr, eyre};
+use http::Method;
+use model::prelude::*;
+use proto::platform::{VmRecord, VmState};
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use crate::{
+    bootstrap::bootstrap,
+    process::{Process, run},
+    scratch::Scratch,
+    wait::until,
+};
+
+const TIMEOUT: Duration = Duration::from_secs(5);
+const FLEET_SECRET: &str = "a fleet secret for tests and demos";
+
+/// What to start.
+#[derive(Clone, Debug)]
+pub struct FleetSpec {
+    /// The team's answers. The addresses of the databases that are started are replaced.
+    pub answers: Answers,
+    /// Services whose databases are started.
+    pub services: Vec<ServiceName>,
+    /// VMs in each data centre.
+    pub vms_per_dc: usize,
+    /// Further flags of each database.
+    pub database_args: Vec<String>,
+    /// Further flags of each daemon.
+    pub daemon_args: Vec<String>,
+}
+
+impl FleetSpec {
+    /// A fleet for the first service of the answers, with one VM in each data centre.
+    pub fn new(answers: &str) -> eyre::Result<FleetSpec> {
+        let answers: Answers = toml::from_str(answers)?;
+        let services = answers.services.iter().take(1).map(|s| s.name.clone()).collect();
+        Ok(FleetSpec {
+            answers,
+            services,
+            vms_per_dc: 1,
+            database_args: Vec::new(),
+            daemon_args: Vec::new(),
+        })
+    }
+
+    /// The same with that many VMs in each data centre.
+    pub fn with_vms_per_dc(mut self, count: usize) -> FleetSpec {
+        self.vms_per_dc = count;
+        self
+    }
+
+    /// The same with a further flag for each database.
+    pub fn with_database_arg(mut self, name: &str, value: impl ToString) -> FleetSpec {
+        self.database_args.extend([format!("--{name}"), value.to_string()]);
+        self
+    }
+
+    /// The same with a further flag for each daemon.
+    pub fn with_daemon_arg(mut self, name: &str, value: impl ToString) -> FleetSpec {
+        self.daemon_args.extend([format!("--{name}"), value.to_string()]);
+        self
+    }
+}
+
+/// A database process.
+pub struct DatabaseProcess {
+    /// Its name in the configuration.
+    pub name: DatabaseName,
+    /// The process.
+    pub process: Process,
+}
+
+/// A daemon process.
+pub struct VmProcess {
+    /// Its name.
+    pub vm: VmName,
+    /// Which run of it.
+    pub incarnation: Incarnation,
+    /// Its data centre.
+    pub dc: DcName,
+    /// The process.
+    pub process: Process,
+}
+
+impl VmProcess {
+    /// Address of its callers' listener.
+    pub fn address(&self) -> String {
+        self.process.address("listen")
+    }
+
+    /// Its record in the platform's list.
+    pub fn record(&self, state: VmState) -> VmRecord {
+        VmRecord {
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+            dc: self.dc.clone(),
+            peer_address: self.process.address("peer"),
+            state,
+        }
+    }
+}
+
+/// A running fleet. Everything ends when it is dropped.
+pub struct Fleet {
+    /// The platform.
+    pub platform: Process,
+    /// The databases.
+    pub databases: Vec<DatabaseProcess>,
+    /// The daemons.
+    pub vms: Vec<VmProcess>,
+    /// The configuration that was applied first.
+    pub cfg: Configuration,
+    spec: FleetSpec,
+    scratch: Scratch,
+    client: Client,
+    next_incarnation: u64,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until every daemon is ready.
+    pub async fn start(spec: FleetSpec) -> eyre::Result<Fleet> {
+        let scratch = Scratch::new()?;
+        std::fs::write(scratch.file("fleet-secret"), FLEET_SECRET)?;
+        let platform =
+            Process::start("standin-platform", "platform", &[], &scratch.file("platform.log"))?;
+        let mut fleet = Fleet {
+            platform,
+            databases: Vec::new(),
+            vms: Vec::new(),
+            cfg: Configuration::empty(),
+            spec,
+            scratch,
+            client: Client::new("rig"),
+            next_incarnation: 1,
+        };
+        fleet.start_databases()?;
+        fleet.apply()?;
+        let running: Vec<DatabaseName> = fleet.databases.iter().map(|d| d.name.clone()).collect();
+        bootstrap(&fleet.cfg, &running).await?;
+        let dcs = fleet.spec.answers.data_centres.clone();
+        for dc in &dcs {
+            for number in 1..=fleet.spec.vms_per_dc {
+                fleet.start_vm(VmName::new(format!("{dc}-{number}"))?, dc.clone()).await?;
+            }
+        }
+        fleet.wait_until_ready().await?;
+        Ok(fleet)
+    }
+
+    /// Starts a daemon and puts it on the platform's list.
+    pub async fn start_vm(&mut self, vm: VmName, dc: DcName) -> eyre::Result<usize> {
+        let incarnation = Incarnation(self.next_incarnation);
+        self.next_incarnation += 1;
+        let flags = [
+            ("vm", vm.to_string()),
+            ("incarnation", incarnation.0.to_string()),
+            ("dc", dc.to_string()),
+            ("platform", self.platform.address("listen")),
+            ("fleet-secret-file", self.scratch.file("fleet-secret").display().to_string()),
+        ];
+        let mut args: Vec<String> =
+            flags.into_iter().flat_map(|(name, value)| [format!("--{name}"), value]).collect();
+        args.extend(self.spec.daemon_args.iter().cloned());
+        let log = self.log_file(&format!("{vm}.{}", incarnation.0));
+        let process = Process::start("jasminepassd", vm.as_str(), &args, &log)?;
+        let vm = VmProcess { vm, incarnation, dc, process };
+        self.list_vm(&vm.record(VmState::Live)).await?;
+        self.vms.push(vm);
+        Ok(self.vms.len() - 1)
+    }
+
+    /// Puts a VM on the platform's list.
+    pub async fn list_vm(&self, record: &VmRecord) -> eyre::Result<()> {
+        self.control(&self.platform, Method::POST, "/vms", record).await?;
+        Ok(())
+    }
+
+    /// Takes a VM off the platform's list.
+    pub async fn unlist_vm(&self, vm: &VmName) -> eyre::Result<()> {
+        self.control(&self.platform, Method::DELETE, &format!("/vms/{vm}"), &Value::Null).await?;
+        Ok(())
+    }
+
+    /// Sets the fault switches of the platform or of a database.
+    pub async fn set_faults(&self, process: &Process, faults: &impl Serialize) -> eyre::Result<()> {
+        self.control(process, Method::POST, "/faults", faults).await?;
+        Ok(())
+    }
+
+    /// What the platform or a database counted.
+    pub async fn counts(&self, process: &Process) -> eyre::Result<Value> {
+        self.control(process, Method::GET, "/counts", &Value::Null).await
+    }
+
+    /// Every object of the platform, as its control listener shows them.
+    pub async fn objects(&self) -> eyre::Result<Value> {
+        self.control(&self.platform, Method::GET, "/objects", &Value::Null).await
+    }
+
+    /// What a daemon's operators' listener shows at the path; absent where it does not answer.
+    pub async fn ops(&self, vm: &VmProcess, path: &str) -> Option<Value> {
+        let address = vm.process.address("ops");
+        let reply = self
+            .client
+            .send(&address, Method::GET, path, &[], Default::default(), TIMEOUT)
+            .await
+            .ok()?;
+        serde_json::from_slice(&reply.body).ok()
+    }
+
+    /// Runs the operators' tool against this fleet's platform.
+    pub fn ctl(&self, args: &[&str]) -> eyre::Result<String> {
+        let platform = self.platform.address("listen");
+        let mut all = vec!["--platform".to_owned(), platform];
+        all.extend(args.iter().map(|a| (*a).to_owned()));
+        run("jasminepassctl", &all)
+    }
+
+    /// Gives a workspace a key, and waits until every daemon knows it.
+    pub async fn give_key(&self, workspace: &str, name: &str) -> eyre::Result<String> {
+        let key = self.ctl(&["key", "give", workspace, "--name", name])?.trim().to_owned();
+        let generation = self.generation().await?;
+        self.wait_for_generation(generation).await?;
+        Ok(key)
+    }
+
+    /// The generation that the platform holds.
+    pub async fn generation(&self) -> eyre::Result<u64> {
+        let objects = self.objects().await?;
+        objects["configuration"]["value"]["generation"]
+            .as_u64()
+            .ok_or_else(|| eyre!("no configuration is applied"))
+    }
+
+    /// Waits until the generation is in force on every daemon.
+    pub async fn wait_for_generation(&self, generation: u64) -> eyre::Result<()> {
+        for vm in &self.vms {
+            let in_force = async || {
+                let state = self.ops(vm, "/state").await?;
+                (state["generation"].as_u64()? >= generation).then_some(())
+            };
+            until(&format!("generation {generation} in force on {}", vm.vm), in_force).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until every daemon knows all others, the primaries and its part of the rates.
+    pub async fn wait_until_ready(&self) -> eyre::Result<()> {
+        for vm in &self.vms {
+            let ready = async || {
+                let state = self.ops(vm, "/state").await?;
+                let knows_all = state["vms"].as_array()?.len() == self.vms.len();
+                let has_rates = state["seats_in_force"].as_u64()? > 0;
+                let configured = state["generation"].as_u64()? > 0;
+                (knows_all && has_rates && configured).then_some(())
+            };
+            until(&format!("{} ready", vm.vm), ready).await?;
+        }
+        Ok(())
+    }
+
+    /// The daemon in that data centre, the first where there are several.
+    pub fn vm_in(&self, dc: &str) -> eyre::Result<&VmProcess> {
+        self.vms.iter().find(|vm| vm.dc.as_str() == dc).ok_or_else(|| eyre!("no VM in {dc}"))
+    }
+
+    /// Path of a log file.
+    pub fn log_file(&self, name: &str) -> PathBuf {
+        self.scratch.file(&format!("{name}.log"))
+    }
+
+    /// What all processes have logged so far.
+    pub fn logs(&self) -> eyre::Result<String> {
+        let mut all = String::new();
+        for entry in std::fs::read_dir(self.scratch.path())? {
+            let path = entry?.path();
+            if path.extension().is_some_and(|e| e == "log") {
+                all.push_str(&std::fs::read_to_string(path)?);
+            }
+        }
+        Ok(all)
+    }
+
+    fn start_databases(&mut self) -> eyre::Result<()> {
+        let wanted = self.spec.services.clone();
+        for service in self.spec.answers.services.iter_mut().filter(|s| wanted.contains(&s.name)) {
+            for database in &mut service.databases {
+                let limit = database.connection_limit.to_string();
+                let mut args = vec![
+                    "--name".to_owned(),
+                    database.name.to_string(),
+                    "--connection-limit".to_owned(),
+                    limit,
+                ];
+                for slot in &service.slots {
+                    args.extend(["--slot".to_owned(), format!("{}/{slot}", service.name)]);
+                }
+                args.extend(self.spec.database_args.iter().cloned());
+                let log = self.scratch.file(&format!("{}.log", database.name));
+                let process =
+                    Process::start("standin-database", database.name.as_str(), &args, &log)?;
+                database.address = process.address("listen");
+                database.admin_address = process.address("admin");
+                self.databases.push(DatabaseProcess { name: database.name.clone(), process });
+            }
+        }
+        Ok(())
+    }
+
+    fn apply(&mut self) -> eyre::Result<()> {
+        let text = toml::to_string(&self.spec.answers)?;
+        self.cfg = generate(&text, &Configuration::empty(), 1)?;
+        let file = self.scratch.file("answers.toml");
+        std::fs::write(&file, text)?;
+        self.ctl(&["apply", &file.display().to_string()])?;
+        Ok(())
+    }
+
+    async fn control(
+        &self,
+        process: &Process,
+        method: Method,
+        path: &str,
+        message: &impl Serialize,
+    ) -> eyre::Result<Value> {
+        let address = process.address("control");
+        let body = encode_json(message);
+        let reply = self.client.send(&address, method, path, &[json_type()], body, TIMEOUT).await?;
+        if !reply.status.is_success() {
+            return Err(eyre!("{path} at {}: status {}", process.name, reply.status));
+        }
+        match reply.body.is_empty() {
+            true => Ok(json!(null)),
+            false => serde_json::from_slice(&reply.body)
+                .wrap_err_with(|| format!("{path} at {}", process.name)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,14 @@
+//! Starts and stops the processes of a small fleet for demos, benches and tests.
+//!
+//! Every process that it starts is one of this workspace, and ends with the value that started it.
+
+pub mod bootstrap;
+pub mod caller;
+pub mod fleet;
+pub mod process;
+pub mod scratch;
+pub mod wait;
+
+pub use caller::{Caller, Reply};
+pub use fleet::{Fleet, FleetSpec};
+pub use process::Process;
--- /dev/null
+++ b/crates/rig/tests/path.rs
@@ -0,0 +1,169 @@
+//! The whole path, from a caller to a database and back, through separate processes.
+
+use http::{HeaderName, HeaderValue, Method};
+use proto::caller::{CallerError, ErrorKind, Outcome};
+use rig::{Caller, Fleet, FleetSpec};
+use serde_json::{Value, json};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+const ANSWERS: &str = include_str!("../../../examples/quoting.toml");
+const WRITE: &str = "quote-ledger-1/annotate-quote";
+const READ: &str = "quote-ledger-1/quote";
+const WORKSPACE: &str = "calgary-dealer";
+
+async fn fleet() -> Fleet {
+    Fleet::start(FleetSpec::new(ANSWERS).expect("sound answers")).await.expect("a fleet")
+}
+
+async fn executed(fleet: &Fleet) -> u64 {
+    let mut sum = 0;
+    for database in &fleet.databases {
+        let counts = fleet.counts(&database.process).await.expect("counts");
+        sum += counts["executed"].as_u64().expect("a number");
+    }
+    sum
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_sees_own_writes_after_roaming() {
+    let fleet = fleet().await;
+    let mut caller = Caller::new(fleet.give_key(WORKSPACE, "k1").await.expect("a key"));
+    for (round, site) in ["a", "b", "c", "d", "e", "f"].into_iter().enumerate() {
+        let writer = &fleet.vms[round % 3];
+        let reader = &fleet.vms[(round + 1) % 3];
+        let params = [json!("quote"), json!(round)];
+        let written =
+            caller.call(&writer.address(), WRITE, site, "put", &params).await.expect("an answer");
+        assert_eq!(written.status, 200, "{written:?}");
+        let read = caller
+            .call(&reader.address(), READ, site, "get", &params[..1])
+            .await
+            .expect("an answer");
+        assert_eq!((read.status, read.result()), (200, &json!(round)));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_with_the_same_idempotency_key_runs_once() {
+    let fleet = fleet().await;
+    let mut caller = Caller::new(fleet.give_key(WORKSPACE, "k1").await.expect("a key"));
+    for vm in &fleet.vms {
+        let params = [json!("orders"), json!("squat rack")];
+        let reply =
+            caller.call_once(&vm.address(), WRITE, "gym", "append", &params, Some("order-1")).await;
+        assert_eq!(
+            reply.expect("an answer").result(),
+            &json!(1),
+            "the list has one entry at every try"
+        );
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_is_bad_is_refused_and_sent_nowhere() {
+    let fleet = fleet().await;
+    let key = fleet.give_key(WORKSPACE, "k1").await.expect("a key");
+    let address = fleet.vms[0].address();
+    let body = json!({"slot_key": "a", "statement": "get", "params": ["x"]}).to_string();
+    let before = executed(&fleet).await;
+    let long = "x".repeat(300_000);
+    for (path, key, session, body, expected) in [
+        (
+            "/v1/quote-ledger-1/nothing",
+            Some(key.as_str()),
+            None,
+            body.as_str(),
+            ErrorKind::NotFound,
+        ),
+        ("/v1/nothing/quote", Some(&key), None, &body, ErrorKind::NotFound),
+        ("/elsewhere", Some(&key), None, &body, ErrorKind::NotFound),
+        ("/v1/quote-ledger-1/quote", None, None, &body, ErrorKind::Unauthorized),
+        ("/v1/quote-ledger-1/quote", Some("no key at all"), None, &body, ErrorKind::Unauthorized),
+        (
+            "/v1/quote-ledger-1/quote",
+            Some("jp.k1.0123456789abcdef0123"),
+            None,
+            &body,
+            ErrorKind::Unauthorized,
+        ),
+        ("/v1/quote-ledger-1/quote", Some(&key), Some("forged"), &body, ErrorKind::BadRequest),
+        ("/v1/quote-ledger-1/quote", Some(&key), Some(&long[..5_000]), &body, ErrorKind::TooLarge),
+        ("/v1/quote-ledger-1/quote", Some(&key), None, "{", ErrorKind::BadRequest),
+        ("/v1/quote-ledger-1/quote", Some(&key), None, "{\"slot_key\": 7}", ErrorKind::BadRequest),
+        ("/v1/quote-ledger-1/quote", Some(&key), None, &long, ErrorKind::TooLarge),
+    ] {
+        let mut caller = Caller::anonymous();
+        caller.key = key.map(str::to_owned);
+        caller.session = session.map(str::to_owned);
+        let reply = caller.post(&address, path, body.to_owned(), None).await.expect("an answer");
+        let error: CallerError = reply.error().expect("an error");
+        assert_eq!((error.kind, error.outcome), (expected, Outcome::NotRun), "{path}: {error:?}");
+        assert!((400..500).contains(&reply.status), "{path}: {}", reply.status);
+        assert!(error.message.contains(": "), "the message names a remedy: {}", error.message);
+    }
+    assert_eq!(executed(&fleet).await, before, "nothing was sent to a database");
+    let mut caller = Caller::new(key);
+    let reply = caller.call(&address, READ, "a", "get", &[json!("x")]).await.expect("an answer");
+    assert_eq!(reply.status, 200, "the daemon goes on");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_with_a_header_too_many_is_refused() {
+    let fleet = fleet().await;
+    let client = edge::client::Client::new("test");
+    let header = |n: usize| {
+        let name = HeaderName::try_from(format!("x-header-{n}")).expect("a name");
+        (name, HeaderValue::from_static("x"))
+    };
+    let headers: Vec<_> = (0..60).map(header).collect();
+    let address = fleet.vms[0].address();
+    let patience = std::time::Duration::from_secs(5);
+    let reply = client
+        .send(&address, Method::POST, "/v1/quote-ledger-1/quote", &headers, "{}".into(), patience)
+        .await;
+    let reply = reply.expect("an answer");
+    let body: Value = serde_json::from_slice(&reply.body).expect("JSON");
+    assert_eq!((reply.status.as_u16(), &body["error"]["kind"]), (413, &json!("too_large")));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stream_that_is_not_http_is_refused() {
+    let fleet = fleet().await;
+    let mut stream = TcpStream::connect(fleet.vms[0].address()).await.expect("a connection");
+    stream.write_all(&[0x16, 0x03, 0x01, 0x02, 0x00]).await.expect("sent");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 400 "), "{answer}");
+    assert!(answer.contains("send one, such as POST"), "{answer}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn daemon_stops_gracefully_when_told() {
+    let mut fleet = fleet().await;
+    let vm = &mut fleet.vms[2];
+    vm.process.terminate().expect("a signal");
+    assert_eq!(vm.process.wait().expect("its end"), Some(0));
+}
+
+#[test]
+fn settings_name_what_is_wrong() {
+    let run = |args: &[&str]| {
+        let args: Vec<String> = args.iter().map(|a| (*a).to_owned()).collect();
+        rig::process::run("jasminepassd", &args).expect_err("wrong settings").to_string()
+    };
+    let sound = ["--vm", "v1", "--incarnation", "1", "--dc", "d1", "--platform", "127.0.0.1:1"];
+    let with = |more: &[&'static str]| [&sound[..], more].concat();
+    for (args, expected) in [
+        (with(&["--fleet-secret-file", "/nonexistent"]), "--fleet-secret-file /nonexistent"),
+        (with(&["--fleet-secret-file", "/dev/null"]), "too short"),
+        (with(&["--listen", "here"]), "such as 10.0.0.7:8080"),
+        (with(&["--threads", "0"]), "from 1 to 64"),
+        (vec!["--vm", "V 1"], "lower-case letters"),
+    ] {
+        let message = run(&args);
+        assert!(message.contains(expected), "{expected}: {message}");
+    }
+}
--- /dev/null
+++ b/crates/standin/src/database/replication.rs
@@ -0,0 +1,104 @@
+//! Asynchronous replication: each replica reads its primary's log.
+
+use std::time::Duration;
+
+use edge::client::Client;
+use model::prelude::*;
+use proto::database::{DatabaseError, Role};
+use serde::{Deserialize, Serialize};
+
+use super::{DatabaseState, SlotSettings, slot::Entry};
+
+const LOG_WAIT_MS: u64 = 200;
+const RETRY_INTERVAL: Duration = Duration::from_millis(20);
+
+/// `POST /log` on the admin address: the entries that a replica lacks.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LogQuery {
+    /// Service of the slot.
+    pub service: ServiceName,
+    /// The slot.
+    pub slot: SlotName,
+    /// The replica's term.
+    pub term: Term,
+    /// The last index of each term in the replica's log.
+    pub ends: Vec<Position>,
+    /// How long to wait for an entry, in milliseconds.
+    pub wait_ms: u64,
+}
+
+/// Answer to [`LogQuery`].
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct LogChunk {
+    /// How many of the replica's entries the primary shares; the others go.
+    pub keep: u64,
+    /// The entries after them.
+    pub entries: Vec<Entry>,
+}
+
+impl LogChunk {
+    /// Most entries in one answer.
+    pub const MOST_ENTRIES: usize = 1_000;
+}
+
+/// Starts copying the primary's log in the background, for every slot.
+pub fn replicate(state: &DatabaseState) {
+    let client = Client::new(state.name().as_str());
+    for settings in state.0.slots.keys() {
+        tokio::spawn(replicate_slot(state.clone(), client.clone(), settings.clone()));
+    }
+}
+
+async fn replicate_slot(state: DatabaseState, client: Client, settings: SlotSettings) {
+    loop {
+        if !copy_once(&state, &client, &settings).await {
+            tokio::time::sleep(RETRY_INTERVAL).await;
+        }
+    }
+}
+
+/// Copies what is there; false where there is no primary to copy from.
+async fn copy_once(state: &DatabaseState, client: &Client, settings: &SlotSettings) -> bool {
+    let Some((address, query)) = next_query(state, settings) else {
+        return false;
+    };
+    let timeout = Duration::from_millis(LOG_WAIT_MS + 1_000);
+    let reply =
+        client.post_json::<LogChunk, DatabaseError>(&address, "/log", &query, timeout).await;
+    let Ok(Ok(chunk)) = reply else {
+        return false;
+    };
+    let lag = state.lag();
+    if !lag.is_zero() {
+        tokio::time::sleep(lag).await;
+    }
+    if state.is_cut_from("") {
+        return false;
+    }
+    let Ok(mut slot) = state.slot(&settings.service, &settings.slot) else {
+        return false;
+    };
+    let unchanged =
+        slot.granted == query.term && slot.role == Role::Replica && slot.ends == query.ends;
+    if unchanged && (!chunk.entries.is_empty() || chunk.keep < slot.log.len() as u64) {
+        slot.replicate(chunk.keep, chunk.entries);
+        state.0.changed.notify_waiters();
+    }
+    true
+}
+
+fn next_query(state: &DatabaseState, settings: &SlotSettings) -> Option<(String, LogQuery)> {
+    if state.is_cut_from("") {
+        return None;
+    }
+    let slot = state.slot(&settings.service, &settings.slot).ok()?;
+    let leader = slot.leader.as_ref().filter(|_| slot.role == Role::Replica)?;
+    let query = LogQuery {
+        service: settings.service.clone(),
+        slot: settings.slot.clone(),
+        term: slot.granted,
+        ends: slot.ends.clone(),
+        wait_ms: LOG_WAIT_MS,
+    };
+    Some((leader.admin_address.clone()?, query))
+}
--- /dev/null
+++ b/crates/standin/src/database/requests.rs
@@ -0,0 +1,289 @@
+//! The request listener: scarce connections, each with at most one open transaction.
+
+use std::{
+    sync::{Arc, Mutex, atomic::Ordering},
+    time::Duration,
+};
+
+use edge::client::{SENDER_HEADER, encode_json};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{
+    Request, Response, StatusCode,
+    body::{Bytes, Incoming},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use proto::database::{
+    Access, Begin, Commit, DatabaseError, Execute, Executed, Recorded, Rollback,
+};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{
+    DatabaseState, lock,
+    statement::{Writes, run},
+};
+
+const BODY_MAX_BYTES: usize = 4 << 20;
+
+/// The answer was lost by a fault switch: the connection breaks instead.
+#[derive(Debug)]
+struct AnswerLost;
+
+impl std::fmt::Display for AnswerLost {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("answer lost")
+    }
+}
+
+impl std::error::Error for AnswerLost {}
+
+/// A transaction that is open on a connection.
+struct Transaction {
+    begun: Begin,
+    begun_at: u64,
+    touched: Vec<String>,
+    writes: Writes,
+    last_result: Value,
+}
+
+type OpenTransaction = Arc<Mutex<Option<Transaction>>>;
+
+/// Serves request connections for ever.
+pub async fn serve_requests(listener: TcpListener, state: DatabaseState) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(Duration::from_millis(10)).await;
+            continue;
+        };
+        tokio::spawn(serve_connection(stream, state.clone()));
+    }
+}
+
+async fn serve_connection(stream: TcpStream, state: DatabaseState) {
+    let open = state.0.open_connections.fetch_add(1, Ordering::Relaxed) + 1;
+    let refused = open > state.0.settings.connection_limit;
+    match refused {
+        true => state.0.refused_connections.fetch_add(1, Ordering::Relaxed) as usize,
+        false => state.0.most_connections.fetch_max(open, Ordering::Relaxed),
+    };
+    tokio::time::sleep(Duration::from_millis(state.0.settings.connect_ms)).await;
+    let _ = stream.set_nodelay(true);
+    let transaction = OpenTransaction::default();
+    let service = service_fn(|req| answer(state.clone(), transaction.clone(), refused, req));
+    // A broken connection rolls its transaction back by dropping it.
+    let _ = http1::Builder::new().serve_connection(TokioIo::new(stream), service).await;
+    state.0.open_connections.fetch_sub(1, Ordering::Relaxed);
+}
+
+async fn answer(
+    state: DatabaseState,
+    transaction: OpenTransaction,
+    refused: bool,
+    req: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, AnswerLost> {
+    if refused {
+        return Ok(respond(Err(DatabaseError::TooManyConnections), true));
+    }
+    let path = req.uri().path().to_owned();
+    let sender = req
+        .headers()
+        .get(SENDER_HEADER)
+        .and_then(|v| v.to_str().ok())
+        .unwrap_or_default()
+        .to_owned();
+    let body = Limited::new(req.into_body(), BODY_MAX_BYTES)
+        .collect()
+        .await
+        .map_err(|_| AnswerLost)?
+        .to_bytes();
+    // What has arrived is executed even if its sender goes away, as on a real network.
+    let executed = tokio::spawn(async move {
+        state.pass_faults(&sender).await;
+        if state.0.settings.execute_ms > 0 {
+            tokio::time::sleep(Duration::from_millis(state.0.settings.execute_ms)).await;
+        }
+        state.0.executed.fetch_add(1, Ordering::Relaxed);
+        let (result, wrote) = dispatch(&state, &transaction, &path, &body);
+        let lost = wrote && state.loses_answer();
+        // A cut that began meanwhile holds the answer back as well.
+        state.pass_faults(&sender).await;
+        if lost { Err(AnswerLost) } else { Ok(respond(result, false)) }
+    });
+    executed.await.unwrap_or(Err(AnswerLost))
+}
+
+fn respond(result: Result<Executed, DatabaseError>, close: bool) -> Response<Full<Bytes>> {
+    let (status, body) = match result {
+        Ok(executed) => (StatusCode::OK, encode_json(&executed)),
+        Err(error) => (StatusCode::CONFLICT, encode_json(&error)),
+    };
+    let mut response = Response::new(Full::new(body));
+    *response.status_mut() = status;
+    if close {
+        response
+            .headers_mut()
+            .insert(http::header::CONNECTION, http::HeaderValue::from_static("close"));
+    }
+    response
+}
+
+/// Runs a request; the flag says whether it committed a write.
+fn dispatch(
+    state: &DatabaseState,
+    transaction: &OpenTransaction,
+    path: &str,
+    body: &[u8],
+) -> (Result<Executed, DatabaseError>, bool) {
+    let mut open = lock(transaction);
+    let result = match path {
+        "/execute" => parse(body).and_then(|req: Execute| match req.in_transaction {
+            true => execute_inside(state, &mut open, &req),
+            false => execute(state, open.is_some(), &req),
+        }),
+        "/begin" => parse(body).and_then(|req: Begin| begin(state, &mut open, req)),
+        "/commit" => parse(body).and_then(|req: Commit| commit(state, &mut open, &req)),
+        "/rollback" => parse(body).and_then(|_: Rollback| rollback(state, &mut open)),
+        other => Err(DatabaseError::Statement { message: format!("unknown path {other}") }),
+    };
+    let wrote = result.is_ok() && (path == "/commit" || is_write(path, body));
+    (result, wrote)
+}
+
+fn is_write(path: &str, body: &[u8]) -> bool {
+    let write = |req: Execute| req.access == Access::Write && !req.in_transaction;
+    path == "/execute" && parse(body).is_ok_and(write)
+}
+
+fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, DatabaseError> {
+    serde_json::from_slice(body).map_err(|e| DatabaseError::Statement { message: e.to_string() })
+}
+
+fn execute(
+    state: &DatabaseState,
+    in_transaction: bool,
+    req: &Execute,
+) -> Result<Executed, DatabaseError> {
+    if in_transaction {
+        return Err(transaction_error("a transaction is open on this connection"));
+    }
+    let mut slot = state.slot(&req.service, &req.slot)?;
+    if req.access == Access::Read {
+        let effect = run(&slot, &Writes::new(), &req.statement, &req.params)?;
+        if !effect.writes.is_empty() {
+            return Err(DatabaseError::Statement { message: "a read may not write".to_owned() });
+        }
+        return Ok(Executed {
+            result: effect.result,
+            term: slot.granted,
+            position: slot.position(),
+            repeated: false,
+        });
+    }
+    slot.check_primary(req.term)?;
+    match slot.recorded(req.request_id) {
+        Recorded::Committed(executed) => return Ok(executed),
+        Recorded::Cancelled(_) => return Err(DatabaseError::Cancelled),
+        Recorded::Absent => {}
+    }
+    let effect = run(&slot, &Writes::new(), &req.statement, &req.params)?;
+    let position = slot.append(Some(req.request_id), false, effect.writes, effect.result.clone());
+    state.0.changed.notify_waiters();
+    Ok(Executed { result: effect.result, term: slot.granted, position, repeated: false })
+}
+
+fn begin(
+    state: &DatabaseState,
+    open: &mut Option<Transaction>,
+    req: Begin,
+) -> Result<Executed, DatabaseError> {
+    if open.is_some() {
+        return Err(transaction_error("one is open already"));
+    }
+    let slot = state.slot(&req.service, &req.slot)?;
+    slot.check_primary(req.term)?;
+    let executed = Executed {
+        result: Value::Null,
+        term: slot.granted,
+        position: slot.position(),
+        repeated: false,
+    };
+    *open = Some(Transaction {
+        begun_at: slot.position().index,
+        begun: req,
+        touched: Vec::new(),
+        writes: Writes::new(),
+        last_result: Value::Null,
+    });
+    Ok(executed)
+}
+
+fn execute_inside(
+    state: &DatabaseState,
+    open: &mut Option<Transaction>,
+    req: &Execute,
+) -> Result<Executed, DatabaseError> {
+    let transaction = open.as_mut().ok_or_else(|| transaction_error("none is open"))?;
+    let same_slot = transaction.begun.service == req.service && transaction.begun.slot == req.slot;
+    if !same_slot {
+        return Err(transaction_error("it is open in another slot"));
+    }
+    let slot = state.slot(&req.service, &req.slot)?;
+    slot.check_primary(transaction.begun.term)?;
+    let effect = run(&slot, &transaction.writes, &req.statement, &req.params)?;
+    transaction.touched.extend(req.params.first().and_then(Value::as_str).map(str::to_owned));
+    transaction.writes.extend(effect.writes);
+    transaction.last_result = effect.result.clone();
+    Ok(Executed {
+        result: effect.result,
+        term: slot.granted,
+        position: slot.position(),
+        repeated: false,
+    })
+}
+
+fn commit(
+    state: &DatabaseState,
+    open: &mut Option<Transaction>,
+    req: &Commit,
+) -> Result<Executed, DatabaseError> {
+    let transaction = open.take().ok_or_else(|| transaction_error("none is open"))?;
+    let begun = &transaction.begun;
+    let mut slot = state.slot(&begun.service, &begun.slot)?;
+    slot.check_primary(begun.term)?;
+    match slot.recorded(req.request_id) {
+        Recorded::Committed(executed) => return Ok(executed),
+        Recorded::Cancelled(_) => return Err(DatabaseError::Cancelled),
+        Recorded::Absent => {}
+    }
+    let changed_since =
+        |name: &String| slot.cell(name).is_some_and(|cell| cell.index > transaction.begun_at);
+    if let Some(name) = transaction.touched.iter().find(|name| changed_since(name)) {
+        let message = format!("`{name}` was changed by another transaction: begin again");
+        return Err(DatabaseError::Statement { message });
+    }
+    let result = transaction.last_result;
+    let position = slot.append(Some(req.request_id), false, transaction.writes, result.clone());
+    state.0.changed.notify_waiters();
+    Ok(Executed { result, term: slot.granted, position, repeated: false })
+}
+
+fn rollback(
+    state: &DatabaseState,
+    open: &mut Option<Transaction>,
+) -> Result<Executed, DatabaseError> {
+    let transaction = open.take().ok_or_else(|| transaction_error("none is open"))?;
+    let slot = state.slot(&transaction.begun.service, &transaction.begun.slot)?;
+    Ok(Executed {
+        result: Value::Null,
+        term: slot.granted,
+        position: slot.position(),
+        repeated: false,
+    })
+}
+
+fn transaction_error(message: &str) -> DatabaseError {
+    DatabaseError::Transaction { message: message.to_owned() }
+}
--- /dev/null
+++ b/crates/standin/src/platform/objects.rs
@@ -0,0 +1,36 @@
+//! Objects with versions.
+
+use std::collections::BTreeMap;
+
+use proto::platform::{Object, Update, Updated, Version};
+use serde_json::Value;
+
+/// All objects.
+#[derive(Default)]
+pub(super) struct Objects {
+    by_name: BTreeMap<String, Object>,
+}
+
+impl Objects {
+    /// The object; version zero and a null value where it does not exist.
+    pub(super) fn get(&self, name: &str) -> Object {
+        let missing = Object { version: Version(0), value: Value::Null };
+        self.by_name.get(name).cloned().unwrap_or(missing)
+    }
+
+    /// Replaces the value if the version is the expected one.
+    pub(super) fn update(&mut self, name: &str, update: Update) -> Updated {
+        let version = self.get(name).version;
+        if version != update.expected {
+            return Updated::Conflict { version };
+        }
+        let version = Version(version.0 + 1);
+        self.by_name.insert(name.to_owned(), Object { version, value: update.value });
+        Updated::Done { version }
+    }
+
+    /// Every object, by name.
+    pub(super) fn all(&self) -> BTreeMap<String, Object> {
+        self.by_name.clone()
+    }
+}
--- /dev/null
+++ b/crates/xtask/src/bench.rs
@@ -0,0 +1,176 @@
+//! The bench: the same load through one daemon and straight at the databases.
+
+use std::time::Duration;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use edge::connection::Connection;
+use http::{HeaderValue, header::AUTHORIZATION};
+use loadgen::closed::{self, Load, Report};
+use model::{prelude::*, request::stable_hash};
+use proto::{
+    caller::{AnswerBody, ErrorBody, RequestBody},
+    database::{Access, DatabaseError, Execute, Executed},
+};
+use rig::{Fleet, FleetSpec};
+use serde_json::{Value, json};
+
+const ANSWERS: &str = "examples/quoting.toml";
+const SERVICE: &str = "quote-ledger-1";
+const SLOT: &str = "quote-ledger-1-a";
+const SLOTS: u64 = 3;
+const WORKSPACE: &str = "calgary-dealer";
+const PATIENCE: Duration = Duration::from_secs(10);
+const RATE_UNLIMITED: u32 = 100_000_000;
+
+/// The command line of the bench.
+pub fn command() -> Command {
+    let number = |name, default, help| {
+        Arg::new(name).long(name).default_value(default).value_parser(value_parser!(u64)).help(help)
+    };
+    Command::new("bench")
+        .about("Measures what the proxy adds: the same load through one daemon and straight at the databases")
+        .arg(number("connections", "8", "Connections"))
+        .arg(number("seconds", "5", "Time for each load, in seconds"))
+        .arg(number("execute-ms", "0", "Time to execute a statement, in milliseconds"))
+}
+
+/// A connection to the request address of a database.
+struct Direct {
+    connection: Connection,
+    access: Access,
+}
+
+impl Load for Direct {
+    async fn request(&mut self) -> bool {
+        let message = Execute {
+            service: ServiceName::new(SERVICE).expect("a constant"),
+            slot: SlotName::new(SLOT).expect("a constant"),
+            term: Term(1),
+            request_id: RequestId::random(),
+            access: self.access,
+            statement: statement(self.access).to_owned(),
+            params: params(),
+            in_transaction: false,
+        };
+        let reply =
+            self.connection.call::<Executed, DatabaseError>("/execute", &message, PATIENCE).await;
+        matches!(reply, Ok(Ok(_)))
+    }
+}
+
+/// A connection to a daemon.
+struct Proxied {
+    connection: Connection,
+    path: &'static str,
+    body: RequestBody,
+}
+
+impl Load for Proxied {
+    async fn request(&mut self) -> bool {
+        let reply =
+            self.connection.call::<AnswerBody, ErrorBody>(self.path, &self.body, PATIENCE).await;
+        matches!(reply, Ok(Ok(_)))
+    }
+}
+
+/// Runs the bench.
+pub async fn run(matches: &ArgMatches) -> eyre::Result<()> {
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let connections = number("connections") as usize;
+    let span = Duration::from_secs(number("seconds"));
+    let mut spec = FleetSpec::new(&std::fs::read_to_string(ANSWERS)?)?
+        .with_database_arg("execute-ms", number("execute-ms"));
+    for workspace in &mut spec.answers.workspaces {
+        workspace.rate_per_s = RATE_UNLIMITED;
+        workspace.burst = RATE_UNLIMITED;
+    }
+    for database in spec.answers.services.iter_mut().flat_map(|s| &mut s.databases) {
+        database.connection_limit = 4 * connections as u32;
+    }
+    let fleet = Fleet::start(spec).await?;
+    let key = fleet.give_key(WORKSPACE, "bench").await?;
+    println!(
+        "{connections} connections, {} s each, statements take {} ms",
+        span.as_secs(),
+        number("execute-ms")
+    );
+    println!(
+        "{:<8} {:<8} {:>12} {:>10} {:>10} {:>8}",
+        "kind", "way", "answers/s", "p50 us", "p99 us", "failed"
+    );
+    for (access, path) in [
+        (Access::Read, "/v1/quote-ledger-1/quote"),
+        (Access::Write, "/v1/quote-ledger-1/annotate-quote"),
+    ] {
+        let direct = closed::run(direct(&fleet, access, connections).await?, span).await?;
+        print(access, "direct", &direct);
+        let proxied =
+            closed::run(proxied(&fleet, access, path, &key, connections).await?, span).await?;
+        print(access, "proxied", &proxied);
+        let ratio = proxied.per_second / direct.per_second;
+        let added = proxied.p50_us as i64 - direct.p50_us as i64;
+        println!(
+            "{:<8} {:<8} {:>11.0}% {added:>+10}",
+            format!("{access:?}"),
+            "ratio",
+            ratio * 100.0
+        );
+    }
+    Ok(())
+}
+
+async fn direct(fleet: &Fleet, access: Access, connections: usize) -> eyre::Result<Vec<Direct>> {
+    let address = fleet.databases[0].process.address("listen");
+    let mut loads = Vec::new();
+    for _ in 0..connections {
+        let connection = Connection::open(&address, "bench", PATIENCE).await?;
+        loads.push(Direct { connection, access });
+    }
+    Ok(loads)
+}
+
+async fn proxied(
+    fleet: &Fleet,
+    access: Access,
+    path: &'static str,
+    key: &str,
+    connections: usize,
+) -> eyre::Result<Vec<Proxied>> {
+    let address = fleet.vms[0].address();
+    let body = RequestBody {
+        slot_key: slot_key()?,
+        statement: statement(access).to_owned(),
+        params: params(),
+    };
+    let mut loads = Vec::new();
+    for _ in 0..connections {
+        let mut connection = Connection::open(&address, "bench", PATIENCE).await?;
+        connection.headers.insert(AUTHORIZATION, HeaderValue::from_str(&format!("Bearer {key}"))?);
+        loads.push(Proxied { connection, path, body: body.clone() });
+    }
+    Ok(loads)
+}
+
+/// A slot key that falls into the first slot, whose primary is the first database.
+fn slot_key() -> eyre::Result<String> {
+    let mut keys = (0..).map(|n| format!("deal-{n}"));
+    let first = |key: &String| stable_hash(key).is_multiple_of(SLOTS);
+    keys.find(first).ok_or_else(|| eyre::eyre!("no key falls into the first slot"))
+}
+
+fn statement(access: Access) -> &'static str {
+    match access {
+        Access::Read => "get",
+        Access::Write => "put",
+    }
+}
+
+fn params() -> Vec<Value> {
+    vec![json!("quote-1"), json!({"item": "squat rack", "price": 129_900})]
+}
+
+fn print(access: Access, way: &str, report: &Report) {
+    let kind = format!("{access:?}");
+    let Report { per_second, p50_us, p99_us, failed, .. } = report;
+    println!("{kind:<8} {way:<8} {per_second:>12.0} {p50_us:>10} {p99_us:>10} {failed:>8}");
+}
--- /dev/null
+++ b/crates/xtask/src/ci.rs
@@ -0,0 +1,86 @@
+//! What CI runs.
+
+use std::{
+    collections::BTreeSet,
+    io::{BufRead, BufReader},
+    process::{Command, Stdio},
+};
+
+use eyre::eyre;
+
+const CHECKS: [&[&str]; 3] = [
+    &["fmt", "--all", "--check"],
+    &["clippy", "--workspace", "--all-targets", "--locked", "--", "--deny", "warnings"],
+    &["build", "--workspace", "--bins", "--locked"],
+];
+
+/// The command that README names, told to go on after a failure.
+const TESTS: &[&str] = &["test", "--workspace", "--no-fail-fast"];
+
+const KNOWN_RED: &str = "KNOWN-RED.txt";
+
+/// Runs every step. Only the failures that `KNOWN-RED.txt` lists are passed over.
+pub fn run() -> eyre::Result<()> {
+    for step in CHECKS {
+        println!("cargo {}", step.join(" "));
+        let status = cargo(step).status()?;
+        if !status.success() {
+            return Err(eyre!("cargo {} failed: {status}", step.join(" ")));
+        }
+    }
+    println!("cargo {}", TESTS.join(" "));
+    let known = known_red()?;
+    let outcome = run_tests()?;
+    judge(&outcome, &known)
+}
+
+/// What the tests came to.
+struct TestOutcome {
+    success: bool,
+    failed: BTreeSet<String>,
+}
+
+fn run_tests() -> eyre::Result<TestOutcome> {
+    let mut child = cargo(TESTS).stdout(Stdio::piped()).spawn()?;
+    let stdout = child.stdout.take().ok_or_else(|| eyre!("cargo has no output"))?;
+    let mut failed = BTreeSet::new();
+    for line in BufReader::new(stdout).lines() {
+        let line = line?;
+        println!("{line}");
+        let name = line.strip_prefix("test ").and_then(|rest| rest.strip_suffix(" ... FAILED"));
+        failed.extend(name.map(str::to_owned));
+    }
+    Ok(TestOutcome { success: child.wait()?.success(), failed })
+}
+
+fn judge(outcome: &TestOutcome, known: &BTreeSet<String>) -> eyre::Result<()> {
+    for name in known {
+        let seen = if outcome.failed.contains(name) { "failed again" } else { "passed this time" };
+        println!("known red: {name}: {seen}");
+    }
+    let new: Vec<&str> = outcome.failed.difference(known).map(String::as_str).collect();
+    if !new.is_empty() {
+        return Err(eyre!("failed: {}", new.join(", ")));
+    }
+    // A failure without a test's name is a test that can't be built or a process that died.
+    if !outcome.success && outcome.failed.is_empty() {
+        return Err(eyre!("cargo {} failed", TESTS.join(" ")));
+    }
+    Ok(())
+}
+
+/// Names of the tests in `KNOWN-RED.txt`: the first word of each line that begins with no `#` or blank.
+fn known_red() -> eyre::Result<BTreeSet<String>> {
+    if !std::fs::exists(KNOWN_RED)? {
+        return Ok(BTreeSet::new());
+    }
+    let text = std::fs::read_to_string(KNOWN_RED)?;
+    let entries = text.lines().filter(|line| !line.starts_with(['#', ' ', '\t']));
+    Ok(entries.filter_map(|line| line.split_whitespace().next()).map(str::to_owned).collect())
+}
+
+fn cargo(args: &[&str]) -> Command {
+    let mut command = Command::new(std::env::var("CARGO").unwrap_or_else(|_| "cargo".to_owned()));
+    command.args(args);
+    command
+}
--- /dev/null
+++ b/crates/xtask/src/main.rs
@@ -0,0 +1,31 @@
+//! Developer tasks: `ci`, `demo` and `bench`.
+
+mod bench;
+mod ci;
+mod demo;
+
+use clap::Command;
+use eyre::eyre;
+
+fn main() -> eyre::Result<()> {
+    let matches = Command::new("xtask")
+        .about("Developer tasks")
+        .subcommand_required(true)
+        .subcommand(Command::new("ci").about("Checks formatting and lints, and runs every test"))
+        .subcommand(
+            Command::new("demo")
+                .about("Starts a small fleet of each example, uses it and prints what happened"),
+        )
+        .subcommand(bench::command())
+        .get_matches();
+    match matches.subcommand() {
+        Some(("ci", _)) => ci::run(),
+        Some(("demo", _)) => runtime()?.block_on(demo::run()),
+        Some(("bench", sub)) => runtime()?.block_on(bench::run(sub)),
+        _ => Err(eyre!("say what to do: see --help")),
+    }
+}
+
+fn runtime() -> eyre::Result<tokio::runtime::Runtime> {
+    Ok(tokio::runtime::Builder::new_multi_thread().enable_all().build()?)
+}
