--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod fleet;
 pub mod process;
 pub mod scratch;
+pub mod usage;
 pub mod wait;
 
 pub use caller::{Caller, Reply};
--- /dev/null
+++ b/crates/xtask/src/bench_memory.rs
@@ -0,0 +1,94 @@
+//! What callers' connections cost a daemon: memory for each, processor time for each request.
+
+use std::time::{Duration, Instant};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use edge::connection::Connection;
+use http::{HeaderValue, header::AUTHORIZATION};
+use proto::caller::{AnswerBody, ErrorBody, RequestBody};
+use rig::{Fleet, FleetSpec, usage::usage};
+use serde_json::json;
+
+const ANSWERS: &str = "examples/quoting.toml";
+const WORKSPACE: &str = "calgary-dealer";
+const PATH: &str = "/v1/quote-ledger-1/catalogue";
+const PATIENCE: Duration = Duration::from_secs(10);
+const REQUESTS: u32 = 20_000;
+const RATE_UNLIMITED: u32 = 100_000_000;
+
+/// The command line.
+pub fn command() -> Command {
+    Command::new("bench-memory")
+        .about("Measures memory per callers' connection and processor time per request")
+        .arg(
+            Arg::new("connections")
+                .long("connections")
+                .default_value("3250")
+                .value_parser(value_parser!(u64).range(1..=8_000))
+                .help("Connections to open, in four steps"),
+        )
+}
+
+/// Runs the measurement.
+pub async fn run(matches: &ArgMatches) -> eyre::Result<()> {
+    let most = matches.get_one::<u64>("connections").copied().unwrap_or_default() as usize;
+    let mut spec = FleetSpec::new(&std::fs::read_to_string(ANSWERS)?)?;
+    for workspace in &mut spec.answers.workspaces {
+        workspace.rate_per_s = RATE_UNLIMITED;
+        workspace.burst = RATE_UNLIMITED;
+    }
+    let fleet = Fleet::start(spec).await?;
+    let key = fleet.give_key(WORKSPACE, "bench").await?;
+    let daemon = &fleet.vms[0];
+    let id = daemon.process.id();
+    println!("{:>12} {:>16} {:>22}", "connections", "resident KiB", "KiB per connection");
+    let empty = usage(id)?.resident_bytes;
+    println!("{:>12} {:>16} {:>22}", 0, empty / 1024, "");
+    let mut connections = Vec::new();
+    for step in 1..=4 {
+        while connections.len() < most * step / 4 {
+            let mut connection = open(&daemon.address(), &key).await?;
+            request(&mut connection).await?;
+            connections.push(connection);
+        }
+        let resident = usage(id)?.resident_bytes;
+        let each = resident.saturating_sub(empty) as f64 / 1024.0 / connections.len() as f64;
+        println!("{:>12} {:>16} {each:>22.1}", connections.len(), resident / 1024);
+    }
+    measure_processor(id, &mut connections).await
+}
+
+async fn measure_processor(id: u32, connections: &mut [Connection]) -> eyre::Result<()> {
+    let before = usage(id)?.processor;
+    let started = Instant::now();
+    let count = connections.len();
+    for number in 0..REQUESTS as usize {
+        request(&mut connections[number % count]).await?;
+    }
+    let spent = usage(id)?.processor - before;
+    let each = spent.as_micros() as f64 / f64::from(REQUESTS);
+    println!(
+        "{REQUESTS} reads one by one in {:.1} s: {each:.0} us of processor time each",
+        started.elapsed().as_secs_f64()
+    );
+    Ok(())
+}
+
+async fn open(address: &str, key: &str) -> eyre::Result<Connection> {
+    let mut connection = Connection::open(address, "bench", PATIENCE).await?;
+    connection.headers.insert(AUTHORIZATION, HeaderValue::from_str(&format!("Bearer {key}"))?);
+    Ok(connection)
+}
+
+async fn request(connection: &mut Connection) -> eyre::Result<()> {
+    let body = RequestBody {
+        slot_key: "item-1".to_owned(),
+        statement: "get".to_owned(),
+        params: vec![json!("rack")],
+    };
+    connection
+        .call::<AnswerBody, ErrorBody>(PATH, &body, PATIENCE)
+        .await?
+        .map_err(|body| body.error)?;
+    Ok(())
+}
