Promote a member when a slot's primary is gone

Cause: nothing replaced a lost primary; new slots got theirs from the test rig.

Change: failover::promotion fences a majority at the next term and promotes one member whose position covers a majority, then tells the others to follow and keeps healing those that go astray. Replicas state when their primary was last in service to a VM, so that a VM which alone is cut off deposes nobody. The board notes what bounds the confirmed position at past moments, since when a primary is verified by a majority, and dates replicas by these bounds instead of by the positions last seen, which were only a lower bound.

The rig's bootstrap is gone: the controllers give new slots their first primary.

--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod catalog;
 pub mod fleet;
+pub mod freshness;
 pub mod slots;
 
 use std::sync::Arc;
@@ -68,7 +69,11 @@
             let known = old.members.iter().find(|m| rename(m.database) == Some(member.database));
             known.map_or_else(
                 || member.clone(),
-                |m| Member { database: member.database, ..m.clone() },
+                |m| Member {
+                    database: member.database,
+                    follows: m.follows.and_then(rename),
+                    ..m.clone()
+                },
             )
         });
         SlotState {
@@ -76,6 +81,8 @@
             primary: old.primary.and_then(rename).or(fresh.primary),
             members: members.collect(),
             confirmed: old.confirmed,
+            primary_verified_at: old.primary_verified_at,
+            bounds: old.bounds.clone(),
         }
     }
 }
--- a/crates/board/src/slots.rs
+++ b/crates/board/src/slots.rs
@@ -3,19 +3,28 @@
 use model::prelude::*;
 use proto::database::Role;
 
-use crate::catalog::{Catalog, DatabaseKey, SlotKey};
+use crate::{
+    catalog::{Catalog, DatabaseKey, SlotKey},
+    freshness::ConfirmedBounds,
+};
 
 /// A slot as last seen from this VM.
 #[derive(Clone, Debug, PartialEq)]
 pub struct SlotState {
     /// The highest term seen.
     pub term: Term,
-    /// Its primary, as far as known.
+    /// Its primary, as far as known. It may have been replaced meanwhile: see `primary_verified_at`.
     pub primary: Option<DatabaseKey>,
     /// Each database that carries it.
     pub members: Vec<Member>,
-    /// The highest position that a majority is known to have applied.
+    /// A position that a majority is known to have applied. The true one may be further.
     pub confirmed: Position,
+    /// The last moment at which a majority of the members is known not to have granted any term
+    /// higher than `term`, in which `primary` was seen to be the primary. No write can have been
+    /// acknowledged elsewhere before it. Absent until such a majority has answered.
+    pub primary_verified_at: Option<MonoTime>,
+    /// Past moments and how far the confirmed position can have been then.
+    pub bounds: ConfirmedBounds,
 }
 
 impl SlotState {
@@ -28,6 +37,8 @@
             primary: entry.members.first().copied(),
             members: members.collect(),
             confirmed: Position::ZERO,
+            primary_verified_at: None,
+            bounds: ConfirmedBounds::default(),
         }
     }
 
@@ -51,10 +62,18 @@
     pub role: Role,
     /// The highest term granted there.
     pub term: Term,
+    /// The primary that it follows, or itself.
+    pub follows: Option<DatabaseKey>,
     /// How far it has applied the log.
     pub position: Position,
-    /// The last moment at which the confirmed position was no further than this member's. Its data is
-    /// no older than the time since.
+    /// When the query left to which it gave its last answer.
+    pub asked_at: Option<MonoTime>,
+    /// At a replica: when its primary is last known to have answered both this replica and a VM.
+    /// Absent where the database can't tell.
+    pub primary_in_service_at: Option<MonoTime>,
+    /// The last moment at which the majority-confirmed position was no further than this member's:
+    /// every write acknowledged until then is in its data. Set only while its log ends in an entry
+    /// of the running term, so never for the divergent tail of an old one.
     pub fresh_at: Option<MonoTime>,
 }
 
@@ -65,7 +84,10 @@
             database,
             role: Role::Replica,
             term: Term::default(),
+            follows: None,
             position: Position::ZERO,
+            asked_at: None,
+            primary_in_service_at: None,
             fresh_at: None,
         }
     }
--- a/crates/failover/src/observe.rs
+++ b/crates/failover/src/observe.rs
@@ -1,6 +1,9 @@
 //! Takes what databases say of themselves onto the board.
 
-use board::{Board, DatabaseKey, SlotKey, SlotState};
+use board::{
+    Board, DatabaseKey, Member, SlotKey, SlotState,
+    freshness::{ConfirmedBound, ConfirmedBounds},
+};
 use model::prelude::*;
 use proto::database::{Role, SlotStatus, Status};
 
@@ -28,10 +31,40 @@
     state.answered_at = Some(now);
     state.silent_since = None;
     for slot_status in &status.slots {
-        if let Some(slot) = find_slot(board, slot_status) {
-            observe_member(&mut board.slots[slot], database, slot_status, observation.asked_at);
-        }
+        observe_slot(board, database, slot_status, observation.asked_at);
+    }
+}
+
+/// Takes what a database said of one slot, in answer to a query that left at `asked_at`.
+pub fn observe_slot(
+    board: &mut Board,
+    database: DatabaseKey,
+    status: &SlotStatus,
+    asked_at: MonoTime,
+) {
+    let Some(slot) = find_slot(board, status) else {
+        return;
+    };
+    let follows = status.primary.as_ref().and_then(|name| board.catalog.database(name.as_str()));
+    let state = &mut board.slots[slot];
+    let Some(member) = state.members.iter_mut().find(|m| m.database == database) else {
+        return;
+    };
+    if member.asked_at.is_some_and(|last| last > asked_at) {
+        return;
     }
+    let in_service_at =
+        status.primary_in_service_ms.map(|ms| asked_at - DurationUs(ms.saturating_mul(1_000)));
+    member.role = status.role;
+    member.term = status.term;
+    member.follows = follows;
+    member.position = status.position;
+    member.asked_at = Some(asked_at);
+    member.primary_in_service_at = in_service_at;
+    take_over(state, database, status);
+    update_confirmed(state);
+    update_verified(state);
+    update_fresh(state);
 }
 
 /// Takes the word of another VM or of a database about who is the primary.
@@ -40,6 +73,9 @@
     if term < state.term {
         return;
     }
+    if term > state.term {
+        state.primary_verified_at = None;
+    }
     state.term = term;
     state.primary = primary.or(state.primary);
 }
@@ -49,35 +85,81 @@
     board.catalog.slot(service, status.slot.as_str())
 }
 
-fn observe_member(
-    slot: &mut SlotState,
-    database: DatabaseKey,
-    status: &SlotStatus,
-    asked_at: MonoTime,
-) {
-    let Some(member) = slot.members.iter_mut().find(|m| m.database == database) else {
+fn take_over(slot: &mut SlotState, database: DatabaseKey, status: &SlotStatus) {
+    let takes_over = status.role == Role::Primary && status.term >= slot.term;
+    if !takes_over {
         return;
+    }
+    let changed = (slot.term, slot.primary) != (status.term, Some(database));
+    if changed {
+        slot.primary_verified_at = None;
+    }
+    slot.term = status.term;
+    slot.primary = Some(database);
+}
+
+/// Raises the confirmed position to what a majority holds of the running term's log.
+fn update_confirmed(slot: &mut SlotState) {
+    let running = slot.term;
+    let mut positions: Vec<Position> =
+        slot.members.iter().map(|m| m.position).filter(|p| p.term == running).collect();
+    positions.sort_unstable_by(|a, b| b.cmp(a));
+    if let Some(&held) = positions.get(slot.majority() - 1) {
+        slot.confirmed = slot.confirmed.max(held);
+    }
+}
+
+/// Notes since when a majority has granted no term past the primary's.
+fn update_verified(slot: &mut SlotState) {
+    let running = slot.term;
+    let is_primary = |m: &Member| {
+        Some(m.database) == slot.primary && m.role == Role::Primary && m.term == running
     };
-    member.role = status.role;
-    member.term = status.term;
-    member.position = status.position;
-    let takes_over = status.role == Role::Primary && status.term >= slot.term;
-    if takes_over {
-        slot.term = status.term;
-        slot.primary = Some(database);
+    if !slot.members.iter().any(is_primary) {
+        return;
     }
-    slot.confirmed = slot.confirmed.max(majority_position(slot));
-    let confirmed = slot.confirmed;
-    if let Some(member) =
-        slot.members.iter_mut().find(|m| m.database == database && m.position >= confirmed)
-    {
-        member.fresh_at = Some(asked_at);
+    let mut moments: Vec<MonoTime> =
+        slot.members.iter().filter(|m| m.term <= running).filter_map(|m| m.asked_at).collect();
+    moments.sort_unstable_by(|a, b| b.cmp(a));
+    let verified_at = moments.get(slot.majority() - 1).copied();
+    slot.primary_verified_at = slot.primary_verified_at.max(verified_at);
+}
+
+/// Adds what the last answers say of the confirmed position, and dates the members by it.
+fn update_fresh(slot: &mut SlotState) {
+    let majority = slot.majority();
+    let unseen_max = majority - 1;
+    let mut seen: Vec<(MonoTime, Position)> =
+        slot.members.iter().filter_map(|m| Some((m.asked_at?, m.position))).collect();
+    seen.sort_unstable_by(|a, b| b.cmp(a));
+    let fewest = slot.members.len() - unseen_max;
+    for count in fewest..=seen.len() {
+        add_bound(&mut slot.bounds, &seen[..count], slot.members.len(), majority);
+    }
+    let running = slot.term;
+    for member in &mut slot.members {
+        let in_lineage = member.term == running && member.position.term == running;
+        if in_lineage {
+            member.fresh_at = member.fresh_at.max(slot.bounds.covered_until(member.position));
+        }
     }
 }
 
-/// The highest position that a majority of the members has reached.
-fn majority_position(slot: &SlotState) -> Position {
-    let mut positions: Vec<Position> = slot.members.iter().map(|m| m.position).collect();
+/// What was confirmed at a moment was held by a majority then, so a majority of the positions seen
+/// later are no less. Members not seen since may hold anything.
+fn add_bound(
+    bounds: &mut ConfirmedBounds,
+    seen: &[(MonoTime, Position)],
+    members: usize,
+    majority: usize,
+) {
+    let Some(&(at, _)) = seen.last() else {
+        return;
+    };
+    let unseen = members - seen.len();
+    let mut positions: Vec<Position> = seen.iter().map(|&(_, position)| position).collect();
     positions.sort_unstable_by(|a, b| b.cmp(a));
-    positions.get(slot.majority() - 1).copied().unwrap_or(Position::ZERO)
+    if let Some(&position) = positions.get(majority - 1 - unseen) {
+        bounds.add(ConfirmedBound { at, position });
+    }
 }
--- a/crates/jasminepassd/src/control.rs
+++ b/crates/jasminepassd/src/control.rs
@@ -5,9 +5,13 @@
 use board::{Board, Catalog, DatabaseKey, SlotKey};
 use config::Configuration;
 use crossbeam_channel::{Receiver, RecvTimeoutError};
-use failover::observe::{self, Observation};
+use failover::{
+    limits::Limits,
+    observe::{self, Observation},
+    promotion::{PromotionController, PromotionEffect, PromotionEvent},
+};
 use fleet::placement::holds_any;
-use model::{prelude::*, session::SlotDigest};
+use model::{prelude::*, request::random_u64, session::SlotDigest};
 use proto::platform::VmRecord;
 use quota::{
     bucket::{Bucket, Portion},
@@ -39,6 +43,8 @@
     },
     /// For the controller of the rates.
     Seats(SeatEvent),
+    /// For the controller of promotions.
+    Promotion(PromotionEvent),
     /// A planned stop has begun.
     Stopping,
 }
@@ -50,6 +56,8 @@
     Monitor(Vec<config::Database>),
     /// From the controller of the rates.
     Seats(SeatEffect),
+    /// From the controller of promotions.
+    Promotion(PromotionEffect),
 }
 
 /// The controllers and the board they share.
@@ -57,6 +65,8 @@
     app: Arc<App>,
     board: Board,
     seats: SeatController,
+    promotions: PromotionController,
+    next_tick: MonoTime,
     effects: UnboundedSender<Effect>,
     monitored: Vec<config::Database>,
 }
@@ -66,7 +76,17 @@
     pub fn new(app: Arc<App>, effects: UnboundedSender<Effect>) -> Control {
         let board = (*app.board()).clone();
         let me = Owner { vm: app.settings.vm.clone(), incarnation: app.settings.incarnation };
-        Control { app, board, seats: SeatController::new(me), effects, monitored: Vec::new() }
+        let limits = Limits::new(app.settings.status_interval);
+        let promotions = PromotionController::new(board.fleet.me.clone(), limits);
+        Control {
+            app,
+            board,
+            seats: SeatController::new(me),
+            promotions,
+            next_tick: MonoTime::default(),
+            effects,
+            monitored: Vec::new(),
+        }
     }
 
     /// Handles events until nobody can send any.
@@ -80,6 +100,7 @@
             while let Ok(event) = events.try_recv() {
                 self.handle(event);
             }
+            self.tick_promotions();
             self.app.board.store(Arc::new(self.board.clone()));
         }
     }
@@ -93,6 +114,7 @@
                 self.learn_primary(slot, term, primary.as_ref())
             }
             Event::Seats(event) => self.handle_seats(event),
+            Event::Promotion(event) => self.handle_promotion(event),
             Event::Stopping => self.board.fleet.stopping = true,
         }
     }
@@ -119,19 +141,43 @@
     }
 
     fn observe(&mut self, observation: &Observation) {
-        let terms: Vec<(Term, Option<DatabaseKey>)> =
-            self.board.slots.iter().map(|s| (s.term, s.primary)).collect();
+        let before = self.primaries();
         observe::observe(&mut self.board, observation, self.app.now());
-        for (slot, before) in terms.iter().enumerate() {
+        self.log_primary_changes(&before);
+    }
+
+    fn tick_promotions(&mut self) {
+        let now = self.app.now();
+        if now >= self.next_tick {
+            self.next_tick = now + DurationUs::from_ms(TICK.as_millis() as u64);
+            self.handle_promotion(PromotionEvent::Tick { random: random_u64() });
+        }
+    }
+
+    fn handle_promotion(&mut self, event: PromotionEvent) {
+        let before = self.primaries();
+        for effect in self.promotions.handle(&mut self.board, event, self.app.now()) {
+            self.ask(Effect::Promotion(effect));
+        }
+        self.log_primary_changes(&before);
+    }
+
+    fn primaries(&self) -> Vec<(Term, Option<DatabaseKey>)> {
+        self.board.slots.iter().map(|s| (s.term, s.primary)).collect()
+    }
+
+    fn log_primary_changes(&self, before: &[(Term, Option<DatabaseKey>)]) {
+        for (slot, before) in before.iter().enumerate() {
             let slot = SlotKey::from(slot);
             let state = &self.board.slots[slot];
-            if (state.term, state.primary) != *before {
-                self.app.counters.count(Counter::PrimaryChanges);
-                let primary =
-                    state.primary.map(|key| self.board.catalog.databases[key].name.to_string());
-                let name = self.board.catalog.slots[slot].name.to_string();
-                slog::info!(self.app.log, "primary changed"; "slot" => name, "term" => state.term.0, "primary" => primary);
+            if (state.term, state.primary) == *before {
+                continue;
             }
+            self.app.counters.count(Counter::PrimaryChanges);
+            let primary =
+                state.primary.map(|key| self.board.catalog.databases[key].name.to_string());
+            let name = self.board.catalog.slots[slot].name.to_string();
+            slog::info!(self.app.log, "primary changed"; "slot" => name, "term" => state.term.0, "primary" => primary);
         }
     }
 
--- a/crates/jasminepassd/src/counters.rs
+++ b/crates/jasminepassd/src/counters.rs
@@ -37,12 +37,14 @@
     PlatformCalls,
     /// Changes of a slot's primary that were seen.
     PrimaryChanges,
+    /// Promotions that this VM brought to an end.
+    Promotions,
     /// Configurations put in force.
     Configurations,
 }
 
 impl Counter {
-    const ALL: [(Counter, &'static str); 14] = [
+    const ALL: [(Counter, &'static str); 15] = [
         (Counter::Requests, "requests"),
         (Counter::Answered, "answered"),
         (Counter::Refused, "refused"),
@@ -56,6 +58,7 @@
         (Counter::PeerRefused, "peer_refused"),
         (Counter::PlatformCalls, "platform_calls"),
         (Counter::PrimaryChanges, "primary_changes"),
+        (Counter::Promotions, "promotions"),
         (Counter::Configurations, "configurations"),
     ];
 }
--- /dev/null
+++ b/crates/jasminepassd/src/failover_io.rs
@@ -0,0 +1,82 @@
+//! Carries out what the controller of promotions asks for.
+
+use std::{sync::Arc, time::Duration};
+
+use board::{Board, SlotKey};
+use edge::client::Client;
+use failover::promotion::{Action, Answer, Call, PromotionEffect, PromotionEvent};
+use model::prelude::*;
+use proto::database::{DatabaseError, Fence, Follow, Promote, SlotStatus};
+use serde::Serialize;
+
+use crate::{app::App, control::Event, counters::Counter};
+
+const TIMEOUT: Duration = Duration::from_millis(600);
+
+/// Carries out an effect in the background.
+pub fn carry_out(app: &Arc<App>, effect: PromotionEffect) {
+    match effect {
+        PromotionEffect::Call(call) => {
+            tokio::spawn(run(app.clone(), call));
+        }
+        PromotionEffect::Promoted { slot, term, primary } => {
+            app.counters.count(Counter::Promotions);
+            let board = app.board();
+            let slot = board.catalog.slot_by_digest(slot).map(|key| &board.catalog.slots[key].name);
+            slog::info!(app.log, "promoted a member"; "slot" => slot.map(ToString::to_string),
+                "term" => term.0, "primary" => primary.to_string());
+        }
+    }
+}
+
+async fn run(app: Arc<App>, call: Call) {
+    let answer = send(&app, &call).await;
+    app.tell(Event::Promotion(PromotionEvent::Answered(call, answer)));
+}
+
+async fn send(app: &App, call: &Call) -> Answer {
+    let board = app.board();
+    let Some(slot) = board.catalog.slot_by_digest(call.slot) else {
+        return Answer::Lost;
+    };
+    let Some(address) = admin_address(&board, call.database.as_str()) else {
+        return Answer::Lost;
+    };
+    let proposer = format!("{}/{}", app.settings.vm, app.settings.incarnation.0);
+    let (service, slot) = names(&board, slot);
+    let term = call.term;
+    match &call.action {
+        Action::Fence => {
+            post(&app.admin, &address, "/fence", &Fence { service, slot, term, proposer }).await
+        }
+        Action::Promote => {
+            post(&app.admin, &address, "/promote", &Promote { service, slot, term, proposer }).await
+        }
+        Action::Follow(primary) => {
+            let Some(primary_admin_address) = admin_address(&board, primary.as_str()) else {
+                return Answer::Lost;
+            };
+            let primary = primary.clone();
+            let follow = Follow { service, slot, term, primary, primary_admin_address };
+            post(&app.admin, &address, "/follow", &follow).await
+        }
+    }
+}
+
+async fn post(client: &Client, address: &str, path: &str, message: &impl Serialize) -> Answer {
+    match client.post_json::<SlotStatus, DatabaseError>(address, path, message, TIMEOUT).await {
+        Ok(Ok(status)) => Answer::Done(status),
+        Ok(Err(error)) => Answer::Refused(error),
+        Err(_) => Answer::Lost,
+    }
+}
+
+fn admin_address(board: &Board, database: &str) -> Option<String> {
+    let database = board.catalog.database(database)?;
+    Some(board.catalog.databases[database].cfg.admin_address.clone())
+}
+
+fn names(board: &Board, slot: SlotKey) -> (ServiceName, SlotName) {
+    let entry = &board.catalog.slots[slot];
+    (board.catalog.services[entry.service].name.clone(), entry.name.clone())
+}
--- a/crates/jasminepassd/src/holder.rs
+++ b/crates/jasminepassd/src/holder.rs
@@ -9,14 +9,15 @@
 use model::prelude::*;
 use proto::{
     caller::{CallerError, ErrorKind},
-    database::{Access, DatabaseError, Execute, Executed, Wait, Waited},
+    database::{Access, DatabaseError, Execute, Executed},
     peer::{Answer, Forward, PeerReply, Redirect},
 };
 use route::replica::may_serve;
-use tokio::{task::JoinSet, time::Instant};
+use tokio::time::Instant;
 
 use crate::{
     app::App,
+    confirm::confirm,
     control::Event,
     counters::Counter,
     pools::{Lease, TakeError},
@@ -197,7 +198,7 @@
 ) -> Result<Answer, Stop> {
     let from_replica = board.slots[target.slot].primary != Some(target.database);
     if board.catalog.routes[target.route].cfg.kind == RouteKind::Write {
-        confirm(app, board, target, &executed, deadline).await?;
+        confirm(app, board, target.slot, target.database, &executed, deadline).await?;
         return Ok(Answer {
             result: executed.result,
             position: executed.position,
@@ -212,45 +213,6 @@
     Ok(Answer { result: executed.result, position: executed.position, from_replica })
 }
 
-/// Waits until a majority of the slot's members has applied the write under its term.
-async fn confirm(
-    app: &App,
-    board: &Board,
-    target: &Target,
-    executed: &Executed,
-    deadline: Instant,
-) -> Result<(), CallerError> {
-    let entry = &board.catalog.slots[target.slot];
-    let left = deadline.saturating_duration_since(Instant::now());
-    let message = Wait {
-        service: board.catalog.services[entry.service].name.clone(),
-        slot: entry.name.clone(),
-        position: executed.position,
-        term: executed.term,
-        wait_ms: left.as_millis() as u64,
-    };
-    let mut waits = JoinSet::new();
-    for &member in entry.members.iter().filter(|m| **m != target.database) {
-        let address = board.catalog.databases[member].cfg.admin_address.clone();
-        let client = app.admin.clone();
-        let message = message.clone();
-        waits.spawn(async move {
-            client.post_json::<Waited, DatabaseError>(&address, "/wait", &message, left).await
-        });
-    }
-    // The primary itself is the first.
-    let mut held = 1;
-    let majority = board.slots[target.slot].majority();
-    while held < majority {
-        match waits.join_next().await {
-            Some(Ok(Ok(Ok(waited)))) if waited.held => held += 1,
-            Some(_) => {}
-            None => return Err(unconfirmed()),
-        }
-    }
-    Ok(())
-}
-
 /// What a database's refusal means for the caller, or where the request should go instead.
 fn refused(app: &App, board: &Board, target: &Target, error: DatabaseError) -> Stop {
     let learned = match &error {
@@ -280,8 +242,3 @@
 fn lost_read(error: &SendError) -> CallerError {
     CallerError::unknown(ErrorKind::Unavailable, error.to_string()).with_retry_after(RETRY_AFTER)
 }
-
-fn unconfirmed() -> CallerError {
-    let message = "the write ran but no majority confirmed it in time: ask again with the same idempotency key";
-    CallerError::unknown(ErrorKind::Timeout, message)
-}
--- a/crates/jasminepassd/src/monitor.rs
+++ b/crates/jasminepassd/src/monitor.rs
@@ -10,7 +10,6 @@
 
 use crate::{app::App, control::Event};
 
-const INTERVAL: Duration = Duration::from_millis(100);
 const TIMEOUT: Duration = Duration::from_millis(400);
 
 /// The tasks that watch databases.
@@ -43,6 +42,7 @@
 }
 
 async fn monitor(app: Arc<App>, database: Database) {
+    let interval = Duration::from_micros(app.settings.status_interval.0);
     loop {
         let asked_at = app.now();
         let address = &database.admin_address;
@@ -56,6 +56,6 @@
             asked_at,
             status,
         }));
-        tokio::time::sleep(INTERVAL).await;
+        tokio::time::sleep(interval).await;
     }
 }
--- a/crates/jasminepassd/src/ops.rs
+++ b/crates/jasminepassd/src/ops.rs
@@ -9,6 +9,7 @@
 };
 
 use axum::{Json, Router, extract::State, http::StatusCode, routing::get};
+use fleet::placement::holds_any;
 use model::prelude::*;
 use serde::Serialize;
 
@@ -39,6 +40,10 @@
     term: Term,
     primary: Option<DatabaseName>,
     confirmed: Position,
+    /// Whether this VM is a holder of one of the service's databases, and so watches the slot.
+    held: bool,
+    /// Whether a majority has shown that the primary is the one of the running term.
+    primary_verified: bool,
 }
 
 /// What this VM knows.
@@ -89,6 +94,8 @@
             term: state.term,
             primary: state.primary.map(|d| catalog.databases[d].name.clone()),
             confirmed: state.confirmed,
+            held: holds_any(&board, &catalog.services[entry.service].databases),
+            primary_verified: state.primary_verified_at.is_some(),
         }
     });
     Json(StateView {
--- a/crates/jasminepassd/src/settings.rs
+++ b/crates/jasminepassd/src/settings.rs
@@ -46,6 +46,8 @@
     pub max_connections: usize,
     /// How long a planned stop waits for open work.
     pub drain_limit: Duration,
+    /// How often each database is asked for its status.
+    pub status_interval: DurationUs,
 }
 
 impl Settings {
@@ -73,6 +75,7 @@
             threads: one::<u64>(matches, "threads")? as usize,
             max_connections: one::<u64>(matches, "max-connections")? as usize,
             drain_limit: Duration::from_millis(one(matches, "drain-limit-ms")?),
+            status_interval: DurationUs::from_ms(one(matches, "status-interval-ms")?),
         })
     }
 }
@@ -159,6 +162,15 @@
             )
             .default_value("30000"),
         )
+        .arg(
+            setting(
+                "status-interval-ms",
+                "JASMINEPASS_STATUS_INTERVAL_MS",
+                "How often each database is asked for its status, in milliseconds; a primary is taken for gone after four times that, at least 500",
+                range(20, 10_000),
+            )
+            .default_value("100"),
+        )
 }
 
 fn setting(name: &'static str, env: &'static str, help: &'static str, parser: ValueParser) -> Arg {
--- a/crates/proto/src/database.rs
+++ b/crates/proto/src/database.rs
@@ -160,6 +160,10 @@
     pub primary: Option<DatabaseName>,
     /// How far its log is applied.
     pub position: Position,
+    /// At a replica: how long ago, in milliseconds, the primary is last known to have answered both
+    /// this replica and a VM. Absent where the database can't tell.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub primary_in_service_ms: Option<u64>,
 }
 
 /// `POST /wait` on the admin address: answers once the position is applied, or the time is over.
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -15,7 +15,6 @@
 use serde_json::{Value, json};
 
 use crate::{
-    bootstrap::bootstrap,
     process::{Process, run},
     scratch::Scratch,
     wait::until,
@@ -145,8 +144,6 @@
         };
         fleet.start_databases()?;
         fleet.apply()?;
-        let running: Vec<DatabaseName> = fleet.databases.iter().map(|d| d.name.clone()).collect();
-        bootstrap(&fleet.cfg, &running).await?;
         let dcs = fleet.spec.answers.data_centres.clone();
         for dc in &dcs {
             for number in 1..=fleet.spec.vms_per_dc {
@@ -262,13 +259,24 @@
                 let knows_all = state["vms"].as_array()?.len() == self.vms.len();
                 let has_rates = state["seats_in_force"].as_u64()? > 0;
                 let configured = state["generation"].as_u64()? > 0;
-                (knows_all && has_rates && configured).then_some(())
+                let promoted = self.knows_primaries(&state);
+                (knows_all && has_rates && configured && promoted).then_some(())
             };
             until(&format!("{} ready", vm.vm), ready).await?;
         }
         Ok(())
     }
 
+    /// Whether every slot that the daemon holds has a primary, in services whose databases run.
+    fn knows_primaries(&self, state: &Value) -> bool {
+        let runs = |slot: &Value| {
+            self.spec.services.iter().any(|s| slot["service"].as_str() == Some(s.as_str()))
+        };
+        let slots = state["slots"].as_array().map(Vec::as_slice).unwrap_or_default();
+        let held = slots.iter().filter(|slot| runs(slot) && slot["held"] == json!(true));
+        held.into_iter().all(|slot| slot["primary_verified"] == json!(true))
+    }
+
     /// The daemon in that data centre, the first where there are several.
     pub fn vm_in(&self, dc: &str) -> eyre::Result<&VmProcess> {
         self.vms.iter().find(|vm| vm.dc.as_str() == dc).ok_or_else(|| eyre!("no VM in {dc}"))
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -2,7 +2,6 @@
 //!
 //! Every process that it starts is one of this workspace, and ends with the value that started it.
 
-pub mod bootstrap;
 pub mod caller;
 pub mod fleet;
 pub mod process;
--- a/crates/standin/src/bin/database.rs
+++ b/crates/standin/src/bin/database.rs
@@ -6,7 +6,7 @@
 use standin::{
     database::{
         DatabaseSettings, DatabaseState, SlotSettings, admin_app, control_app, replicate,
-        serve_requests,
+        send_heartbeats, serve_requests,
     },
     program,
 };
@@ -32,6 +32,7 @@
     program::serve(admin, admin_app(state.clone()));
     program::serve(control, control_app(state.clone()));
     replicate(&state);
+    send_heartbeats(&state);
     program::announce(&json!({"listen": bound, "admin": admin_bound, "control": control_bound}));
     program::ended().await
 }
--- a/crates/standin/src/database/admin.rs
+++ b/crates/standin/src/database/admin.rs
@@ -12,7 +12,7 @@
 };
 use edge::client::SENDER_HEADER;
 use proto::database::{
-    DatabaseError, Fence, Follow, OutcomeQuery, OutcomeRecord, Promote, Recorded, SlotStatus,
+    DatabaseError, Fence, Follow, OutcomeQuery, OutcomeRecord, Promote, Recorded, Role, SlotStatus,
     Status, StatusQuery, Wait, Waited,
 };
 use serde_json::Value;
@@ -20,6 +20,7 @@
 
 use super::{
     DatabaseCounts, DatabaseFaults, DatabaseState, SlotSettings,
+    heartbeat::{Heartbeat, HeartbeatQuery},
     replication::{LogChunk, LogQuery},
     slot::Leader,
     statement::Writes,
@@ -37,6 +38,7 @@
         .route("/follow", post(follow))
         .route("/outcome", post(outcome))
         .route("/log", post(log))
+        .route("/heartbeat", post(heartbeat))
         .layer(middleware::from_fn_with_state(state.clone(), pass_faults))
         .with_state(state)
 }
@@ -58,7 +60,15 @@
 }
 
 async fn status(State(state): State<DatabaseState>, Json(_): Json<StatusQuery>) -> Json<Status> {
-    let slots = state.0.slots.iter().map(|(settings, slot)| super::lock(slot).status(settings));
+    state.0.heartbeats.asked_by_vm();
+    let slots = state.0.slots.iter().map(|(settings, slot)| {
+        let status = super::lock(slot).status(settings);
+        let primary_in_service_ms = match status.role {
+            Role::Primary => None,
+            Role::Replica => state.0.heartbeats.in_service_ms(settings, status.term),
+        };
+        SlotStatus { primary_in_service_ms, ..status }
+    });
     Json(Status { database: state.name().clone(), slots: slots.collect() })
 }
 
@@ -106,6 +116,7 @@
     let mut slot = state.slot(&settings.service, &settings.slot).map_err(refused)?;
     let leader = Leader { name: req.primary, admin_address: Some(req.primary_admin_address) };
     slot.follow(req.term, leader).map_err(refused)?;
+    state.0.heartbeats.heard(&settings, req.term, Duration::ZERO);
     state.0.changed.notify_waiters();
     Ok(Json(slot.status(&settings)))
 }
@@ -150,6 +161,15 @@
     }
 }
 
+async fn heartbeat(
+    State(state): State<DatabaseState>,
+    Json(req): Json<HeartbeatQuery>,
+) -> Reply<Heartbeat> {
+    let slot = state.slot(&req.service, &req.slot).map_err(refused)?;
+    slot.check_primary(req.term).map_err(refused)?;
+    Ok(Json(Heartbeat { asked_ms: state.0.heartbeats.asked_ms() }))
+}
+
 async fn set_faults(State(state): State<DatabaseState>, Json(faults): Json<DatabaseFaults>) {
     state.set_faults(faults);
 }
--- a/crates/standin/src/database/mod.rs
+++ b/crates/standin/src/database/mod.rs
@@ -3,6 +3,7 @@
 
 mod admin;
 mod faults;
+mod heartbeat;
 mod replication;
 mod requests;
 mod slot;
@@ -22,6 +23,7 @@
 
 pub use admin::{admin_app, control_app};
 pub use faults::{DatabaseCounts, DatabaseFaults};
+pub use heartbeat::send_heartbeats;
 pub use replication::replicate;
 pub use requests::serve_requests;
 pub use slot::{Entry, SlotData};
@@ -65,6 +67,7 @@
     settings: DatabaseSettings,
     slots: BTreeMap<SlotSettings, Mutex<SlotData>>,
     changed: Notify,
+    heartbeats: heartbeat::Heartbeats,
     faults: Mutex<DatabaseFaults>,
     faults_changed: Notify,
     open_connections: AtomicUsize,
@@ -86,6 +89,7 @@
             settings,
             slots,
             changed: Notify::new(),
+            heartbeats: heartbeat::Heartbeats::default(),
             faults: Mutex::default(),
             faults_changed: Notify::new(),
             open_connections: AtomicUsize::new(0),
--- a/crates/standin/src/database/slot.rs
+++ b/crates/standin/src/database/slot.rs
@@ -108,6 +108,7 @@
             term: self.granted,
             primary: self.leader.as_ref().map(|l| l.name.clone()),
             position: self.position(),
+            primary_in_service_ms: None,
         }
     }
 
