Move admission and the connection's take out of the holder

`admission::admit(app, board, workspace, route, deadline)` is async from now on, since it will wait for transferred tokens; `admission::connect(app, board, workspace, database, deadline)` returns the lease. No change of behaviour.

--- a/crates/jasminepassd/src/holder.rs
+++ b/crates/jasminepassd/src/holder.rs
@@ -16,10 +16,10 @@
 use tokio::{task::JoinSet, time::Instant};
 
 use crate::{
+    admission::{admit, connect, unavailable},
     app::App,
     control::Event,
     counters::Counter,
-    pools::{Lease, TakeError},
 };
 
 const RETRY_AFTER: DurationUs = DurationUs::from_ms(500);
@@ -59,8 +59,8 @@
     let target = find(&board, forward)?;
     check(&board, forward)?;
     check_database(app, &board, &target, forward)?;
-    admit(app, &board, &target)?;
-    let mut lease = connect(app, &board, &target, deadline).await?;
+    admit(app, &board, target.workspace, target.route, deadline).await?;
+    let mut lease = connect(app, &board, target.workspace, target.database, deadline).await?;
     // The key may have been withdrawn while the request waited.
     if let Err(error) = check(&app.board(), forward) {
         lease.give_back();
@@ -131,44 +131,6 @@
     Redirect { term: state.term, primary }
 }
 
-fn admit(app: &App, board: &Board, target: &Target) -> Result<(), CallerError> {
-    let weight = board.catalog.routes[target.route].cfg.weight;
-    let workspace = &board.catalog.workspaces[target.workspace].cfg;
-    let now = app.now();
-    let spent = match app.buckets().get_mut(&workspace.name) {
-        Some(bucket) => bucket.try_spend(weight, now),
-        None => Err(RETRY_AFTER),
-    };
-    spent.map_err(|wait| {
-        let message = format!("workspace `{}` is past its rate: come back later", workspace.name);
-        CallerError::not_run(ErrorKind::RateLimited, message).with_retry_after(wait)
-    })
-}
-
-async fn connect(
-    app: &App,
-    board: &Board,
-    target: &Target,
-    deadline: Instant,
-) -> Result<Lease, CallerError> {
-    let cfg = &board.catalog.databases[target.database].cfg;
-    let share = cfg.connection_limit / board.catalog.cfg.holders_per_database.max(1);
-    let workspace = &board.catalog.workspaces[target.workspace].cfg.name;
-    match app.pools.take(cfg, share as usize, workspace, deadline).await {
-        Ok(lease) => {
-            if lease.opened {
-                app.counters.count(Counter::ConnectionsOpened);
-            }
-            Ok(lease)
-        }
-        Err(TakeError::Unreachable(_)) => Err(unavailable()),
-        Err(TakeError::Timeout) => {
-            let message = "no connection came free in the request's time: give it more time or try again later";
-            Err(CallerError::not_run(ErrorKind::Timeout, message).with_retry_after(RETRY_AFTER))
-        }
-    }
-}
-
 fn execute_message(board: &Board, target: &Target, forward: &Forward) -> Execute {
     let access = match board.catalog.routes[target.route].cfg.kind {
         RouteKind::Read => Access::Read,
@@ -272,11 +234,6 @@
     })
 }
 
-fn unavailable() -> CallerError {
-    let message = "the database can't be reached: try again later";
-    CallerError::not_run(ErrorKind::Unavailable, message).with_retry_after(RETRY_AFTER)
-}
-
 fn lost_read(error: &SendError) -> CallerError {
     CallerError::unknown(ErrorKind::Unavailable, error.to_string()).with_retry_after(RETRY_AFTER)
 }
--- a/crates/jasminepassd/src/main.rs
+++ b/crates/jasminepassd/src/main.rs
@@ -1,5 +1,6 @@
 //! The proxy daemon: one runs on every VM of the fleet.
 
+mod admission;
 mod app;
 mod caller;
 mod caller_error;
