--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -6,6 +6,9 @@
 
 use crate::types::{Configuration, Service};
 
+/// Names that mean something else in a caller's path.
+pub const RESERVED_ROUTES: [&str; 3] = ["transactions", "commit", "rollback"];
+
 /// A fault in a configuration.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("{place}: {problem}; {remedy}")]
@@ -108,6 +111,10 @@
             faults.push(Fault::new(&place, problem, "name a database of the service"));
         }
     }
+    for route in service.routes.iter().filter(|r| RESERVED_ROUTES.contains(&r.name.as_str())) {
+        let place = format!("{place}.routes.{}", route.name);
+        faults.push(Fault::new(place, "the name is reserved", "choose another name"));
+    }
     for route in service.routes.iter().filter(|r| r.weight == 0) {
         let place = format!("{place}.routes.{}", route.name);
         faults.push(Fault::new(place, "weight is 0", "give 1 or more"));
--- a/crates/config/tests/answers.rs
+++ b/crates/config/tests/answers.rs
@@ -56,6 +56,7 @@
         ("connection_limit = 10", "connection_limit = 0", "connection_limit is 0"),
         ("127.0.0.1:7003", "localhost:7003", "`localhost:7003` is not an address"),
         ("weight = 3", "weight = 0", "weight is 0"),
+        (r#"name = "draft""#, r#"name = "transactions""#, "the name is reserved"),
         ("weight = 3", "weight = 201", "less than the heaviest request of weight 201"),
         ("rate_per_s = 100", "rate_per_s = 0", "rate_per_s is 0"),
         (r#"services = ["quotes"]"#, r#"services = ["orders"]"#, "service `orders` is unknown"),
--- a/crates/fleet/src/access.rs
+++ b/crates/fleet/src/access.rs
@@ -1,6 +1,6 @@
 //! Who may run what: keys, workspaces and open routes.
 
-use board::{Catalog, RouteKey, WorkspaceKey};
+use board::{Catalog, RouteKey, ServiceKey, WorkspaceKey};
 use config::KeyState;
 use model::{key::PresentedKey, prelude::*};
 use proto::caller::{CallerError, ErrorKind};
@@ -26,14 +26,25 @@
     let identity = match presented {
         Some(key) => by_key(catalog, key)?,
         None if catalog.routes[route].cfg.open => public(catalog)?,
-        None => {
-            return Err(unauthorized("the request has no key: send `Authorization: Bearer <key>`"));
-        }
+        None => return Err(no_key()),
     };
     check_service(catalog, route, identity.workspace)?;
     Ok(identity)
 }
 
+/// Finds out whose request it is, where the service and not a route decides: a key is needed.
+pub fn authenticate_for_service(
+    catalog: &Catalog,
+    service: ServiceKey,
+    presented: Option<&PresentedKey>,
+) -> Result<Identity, CallerError> {
+    let identity = by_key(catalog, presented.ok_or_else(no_key)?)?;
+    if catalog.workspaces[identity.workspace].services.contains(&service) {
+        return Ok(identity);
+    }
+    Err(not_allowed(catalog, service))
+}
+
 /// Checks again, by name, that a key works and stands for the workspace.
 pub fn check_key(
     catalog: &Catalog,
@@ -77,10 +88,18 @@
     if allowed {
         return Ok(());
     }
-    let service = &catalog.services[route.service].name;
+    Err(not_allowed(catalog, route.service))
+}
+
+fn not_allowed(catalog: &Catalog, service: ServiceKey) -> CallerError {
+    let service = &catalog.services[service].name;
     let message =
         format!("the key's workspace may not use service `{service}`: ask the operators to add it");
-    Err(CallerError::not_run(ErrorKind::Forbidden, message))
+    CallerError::not_run(ErrorKind::Forbidden, message)
+}
+
+fn no_key() -> CallerError {
+    unauthorized("the request has no key: send `Authorization: Bearer <key>`")
 }
 
 fn unknown() -> CallerError {
--- a/crates/jasminepassd/src/app.rs
+++ b/crates/jasminepassd/src/app.rs
@@ -1,6 +1,9 @@
 //! What the listeners and background tasks of one daemon share.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::{
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
 
 use arc_swap::ArcSwap;
 use board::Board;
@@ -12,9 +15,14 @@
 };
 use model::prelude::*;
 use quota::bucket::Bucket;
+use route::budget::RetryBudget;
 use slog::Logger;
+use tokio::time::Instant;
 
-use crate::{clock::Clock, control::Event, counters::Counters, pools::Pools, settings::Settings};
+use crate::{
+    clock::Clock, control::Event, counters::Counters, pools::Pools, settings::Settings,
+    transactions::OpenTransactions,
+};
 
 /// One daemon.
 pub struct App {
@@ -26,6 +34,10 @@
     pub board: ArcSwap<Board>,
     /// Each workspace's bucket on this VM.
     pub buckets: Mutex<FxHashMap<WorkspaceName, Bucket>>,
+    /// Retries that this VM may still make.
+    pub retries: Mutex<RetryBudget>,
+    /// The transactions that are open here.
+    pub transactions: OpenTransactions,
     /// Connections to upstreams.
     pub pools: Pools,
     /// Client of other VMs.
@@ -48,6 +60,16 @@
         self.clock.now()
     }
 
+    /// The moment on the runtime's clock.
+    pub fn instant(&self, at: MonoTime) -> Instant {
+        Instant::now() + self.time_until(at)
+    }
+
+    /// The time until then; none where it has passed.
+    pub fn time_until(&self, at: MonoTime) -> Duration {
+        Duration::from_micros(at.since(self.now()).0)
+    }
+
     /// The board as last published.
     pub fn board(&self) -> Arc<Board> {
         self.board.load_full()
@@ -64,6 +86,11 @@
         self.buckets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The retry budget, for this thread alone.
+    pub fn retries(&self) -> MutexGuard<'_, RetryBudget> {
+        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Who this VM is to other VMs.
     pub fn receiver(&self) -> Receiver {
         Receiver { vm: self.settings.vm.clone(), incarnation: self.settings.incarnation }
--- a/crates/jasminepassd/src/caller.rs
+++ b/crates/jasminepassd/src/caller.rs
@@ -13,12 +13,11 @@
 use edge::server::Limits;
 use model::{key::PresentedKey, prelude::*, session::SessionError};
 use proto::caller::{
-    AnswerBody, CallerError, ErrorKind, IDEMPOTENCY_HEADER, Outcome, RequestBody, SESSION_HEADER,
-    TIMEOUT_HEADER,
+    CallerError, ErrorKind, IDEMPOTENCY_HEADER, Outcome, SESSION_HEADER, TIMEOUT_HEADER,
 };
-use serde::de::DeserializeOwned;
+use serde::{Serialize, de::DeserializeOwned};
 
-use crate::{app::App, caller_error, counters::Counter, entry};
+use crate::{app::App, caller_error, counters::Counter, entry, transaction_entry};
 
 /// Body of the answer to a client that does not speak HTTP.
 pub const NOT_HTTP: &str = r#"{"error":{"kind":"bad_request","outcome":"not_run","message":"this is not an HTTP/1.1 request: send one, such as POST /v1/<service>/<route>"}}"#;
@@ -30,12 +29,10 @@
 const TIMEOUT_DEFAULT_MS: u64 = 10_000;
 const TIMEOUT_MAX_MS: u64 = 60_000;
 
-/// A request whose shape has been checked.
-pub struct CallerRequest {
-    /// Its service.
+/// What comes with every request, checked for its shape.
+pub struct CallerHead {
+    /// The service that it names.
     pub service: String,
-    /// Its route.
-    pub route: String,
     /// The key that came with it.
     pub key: Option<PresentedKey>,
     /// The session token that came with it.
@@ -44,16 +41,14 @@
     pub idempotency_key: Option<String>,
     /// When its caller stops waiting.
     pub deadline: MonoTime,
-    /// Its body.
-    pub body: RequestBody,
 }
 
 /// What the caller gets.
-pub struct CallerAnswer {
-    /// What the upstream returned.
-    pub body: AnswerBody,
+pub struct CallerAnswer<T> {
+    /// The body.
+    pub body: T,
     /// The session token for the next request.
-    pub session: String,
+    pub session: Option<String>,
 }
 
 /// The limits of the callers' listener. Headers are counted here as well, where the answer can say
@@ -70,6 +65,10 @@
 /// The callers' listener.
 pub fn router(app: Arc<App>) -> Router {
     Router::new()
+        .route("/v1/{service}/transactions", post(begin))
+        .route("/v1/{service}/transactions/{transaction}/commit", post(commit))
+        .route("/v1/{service}/transactions/{transaction}/rollback", post(rollback))
+        .route("/v1/{service}/transactions/{transaction}/{route}", post(step))
         .route("/v1/{service}/{route}", post(request))
         .fallback(no_such_path)
         .with_state(app)
@@ -81,11 +80,66 @@
     headers: HeaderMap,
     body: Body,
 ) -> Response {
-    app.counters.count(Counter::Requests);
-    let result = match parse(&app, service, route, &headers, body).await {
-        Ok(req) => entry::serve(&app, req).await,
-        Err(error) => Err(error),
+    let served = async {
+        let head = parse_head(&app, service, &headers)?;
+        entry::serve(&app, head, &route, parse_body(body).await?).await
+    };
+    finish(&app, served.await)
+}
+
+async fn begin(
+    State(app): State<Arc<App>>,
+    Path(service): Path<String>,
+    headers: HeaderMap,
+    body: Body,
+) -> Response {
+    let served = async {
+        let head = parse_head(&app, service, &headers)?;
+        transaction_entry::begin(&app, head, parse_body(body).await?).await
     };
+    finish(&app, served.await)
+}
+
+async fn step(
+    State(app): State<Arc<App>>,
+    Path((service, transaction, route)): Path<(String, String, String)>,
+    headers: HeaderMap,
+    body: Body,
+) -> Response {
+    let served = async {
+        let head = parse_head(&app, service, &headers)?;
+        let body = parse_body(body).await?;
+        transaction_entry::step(&app, head, &transaction, &route, body).await
+    };
+    finish(&app, served.await)
+}
+
+async fn commit(
+    State(app): State<Arc<App>>,
+    Path((service, transaction)): Path<(String, String)>,
+    headers: HeaderMap,
+) -> Response {
+    let served = async {
+        let head = parse_head(&app, service, &headers)?;
+        transaction_entry::commit(&app, head, &transaction).await
+    };
+    finish(&app, served.await)
+}
+
+async fn rollback(
+    State(app): State<Arc<App>>,
+    Path((service, transaction)): Path<(String, String)>,
+    headers: HeaderMap,
+) -> Response {
+    let served = async {
+        let head = parse_head(&app, service, &headers)?;
+        transaction_entry::rollback(&app, head, &transaction).await
+    };
+    finish(&app, served.await)
+}
+
+fn finish<T: Serialize>(app: &App, result: Result<CallerAnswer<T>, CallerError>) -> Response {
+    app.counters.count(Counter::Requests);
     match result {
         Ok(answer) => {
             app.counters.count(Counter::Answered);
@@ -114,21 +168,15 @@
     }
 }
 
-fn respond(answer: CallerAnswer) -> Response {
+fn respond<T: Serialize>(answer: CallerAnswer<T>) -> Response {
     let mut response = Json(answer.body).into_response();
-    if let Ok(token) = HeaderValue::from_str(&answer.session) {
+    if let Some(token) = answer.session.and_then(|token| HeaderValue::try_from(token).ok()) {
         response.headers_mut().insert(SESSION_HEADER, token);
     }
     response
 }
 
-async fn parse(
-    app: &App,
-    service: String,
-    route: String,
-    headers: &HeaderMap,
-    body: Body,
-) -> Result<CallerRequest, CallerError> {
+fn parse_head(app: &App, service: String, headers: &HeaderMap) -> Result<CallerHead, CallerError> {
     if headers.len() > HEADERS_MAX {
         let message =
             format!("the request has {} headers: send at most {HEADERS_MAX}", headers.len());
@@ -138,8 +186,7 @@
     let idempotency_key = text(headers, IDEMPOTENCY_HEADER, IDEMPOTENCY_KEY_MAX_BYTES)?;
     let key = key(headers)?;
     let deadline = app.now() + timeout(headers)?;
-    let body = parse_body(body).await?;
-    Ok(CallerRequest { service, route, key, session, idempotency_key, deadline, body })
+    Ok(CallerHead { service, key, session, idempotency_key, deadline })
 }
 
 fn text(
--- a/crates/jasminepassd/src/control.rs
+++ b/crates/jasminepassd/src/control.rs
@@ -104,6 +104,10 @@
         slog::info!(self.app.log, "configuration in force"; "generation" => cfg.generation.0);
         self.app.counters.count(Counter::Configurations);
         self.board.adopt(Arc::new(Catalog::new(cfg)));
+        // Transactions of withdrawn keys are rolled back at once.
+        for _ in 0..self.app.transactions.sweep(&self.board, self.app.now()) {
+            self.app.counters.count(Counter::TransactionsExpired);
+        }
         self.set_portions();
         self.monitor();
     }
--- a/crates/jasminepassd/src/counters.rs
+++ b/crates/jasminepassd/src/counters.rs
@@ -39,10 +39,20 @@
     PrimaryChanges,
     /// Configurations put in force.
     Configurations,
+    /// Times that a database was asked what became of a write.
+    OutcomesAsked,
+    /// Requests sent again.
+    Retries,
+    /// Transactions opened.
+    TransactionsBegun,
+    /// Transactions committed.
+    TransactionsCommitted,
+    /// Transactions rolled back because their caller, key or time was gone.
+    TransactionsExpired,
 }
 
 impl Counter {
-    const ALL: [(Counter, &'static str); 14] = [
+    const ALL: [(Counter, &'static str); 19] = [
         (Counter::Requests, "requests"),
         (Counter::Answered, "answered"),
         (Counter::Refused, "refused"),
@@ -57,6 +67,11 @@
         (Counter::PlatformCalls, "platform_calls"),
         (Counter::PrimaryChanges, "primary_changes"),
         (Counter::Configurations, "configurations"),
+        (Counter::OutcomesAsked, "outcomes_asked"),
+        (Counter::Retries, "retries"),
+        (Counter::TransactionsBegun, "transactions_begun"),
+        (Counter::TransactionsCommitted, "transactions_committed"),
+        (Counter::TransactionsExpired, "transactions_expired"),
     ];
 }
 
--- a/crates/jasminepassd/src/entry.rs
+++ b/crates/jasminepassd/src/entry.rs
@@ -1,37 +1,51 @@
-//! The entry VM's part: finds out whose request it is and where it should run, and sends it there.
+//! The entry VM's part: finds out whose request it is, and carries out the steps of its way.
 
 use std::time::Duration;
 
-use board::{Board, DatabaseKey, RouteKey, SlotKey};
-use config::RouteKind;
+use board::{Board, RouteKey, ServiceKey, SlotKey};
 use edge::{client::SendError, peer::Receiver};
-use fleet::{
-    access::{Identity, authenticate},
-    placement::holders_to_try,
+use fleet::access::{Identity, authenticate};
+use model::{
+    prelude::*,
+    request::stable_hash,
+    session::{Session, SlotDigest},
 };
-use model::{prelude::*, session::Session};
 use proto::{
-    caller::{AnswerBody, CallerError, ErrorKind},
-    peer::{Answer, Forward, PeerReply, PeerRequest, Redirect},
-    platform::VmRecord,
+    caller::{AnswerBody, CallerError, ErrorKind, RequestBody},
+    peer::{Answer, Begin, Forward, PeerReply, PeerRequest, Resolve},
 };
-use route::replica::databases_to_try;
+use route::attempt::{Attempt, Event, Send, Step};
 
 use crate::{
     app::App,
-    caller::{CallerAnswer, CallerRequest, session_error},
-    control::Event,
+    caller::{CallerAnswer, CallerHead, session_error},
+    control,
     counters::Counter,
-    holder,
+    holder, outcome, transactions,
 };
 
-const REDIRECTS_MAX: usize = 4;
-const FORWARD_MARGIN: Duration = Duration::from_millis(50);
-const RETRY_AFTER: DurationUs = DurationUs::from_ms(500);
+const REPLY_MARGIN: Duration = Duration::from_millis(50);
+
+/// What is sent to a holder.
+pub enum Job {
+    /// A caller's request.
+    Request(Forward),
+    /// The opening of a transaction.
+    Begin(Begin),
+    /// The commit of a transaction, whose outcome is asked for.
+    Commit,
+}
+
+/// What came of a job.
+pub enum Finished {
+    /// The upstream's answer.
+    Answered(Answer),
+    /// A transaction was opened on that VM.
+    Begun(VmName, TransactionId),
+}
 
 /// A request together with what the configuration says of it.
 struct Plan {
-    identity: Identity,
     session: Session,
     route: RouteKey,
     slot: SlotKey,
@@ -39,174 +53,215 @@
 }
 
 /// Serves a caller's request.
-pub async fn serve(app: &App, req: CallerRequest) -> Result<CallerAnswer, CallerError> {
+pub async fn serve(
+    app: &App,
+    head: CallerHead,
+    route: &str,
+    body: RequestBody,
+) -> Result<CallerAnswer<AnswerBody>, CallerError> {
     let board = app.board();
-    let mut plan = plan(app, &board, &req)?;
-    let answer = run(app, &board, &plan, req.deadline).await?;
-    let digest = board.catalog.slots[plan.slot].digest;
-    plan.session.record(digest, answer.position).map_err(session_error)?;
-    let workspace = &board.catalog.workspaces[plan.identity.workspace].cfg.name;
-    let session = plan.session.seal(&app.settings.fleet_secret, workspace);
-    Ok(CallerAnswer { body: AnswerBody { result: answer.result }, session })
+    let Plan { session, route, slot, forward } = plan(app, &board, &head, route, body)?;
+    app.retries().earn();
+    let cfg = &board.catalog.routes[route].cfg;
+    let workspace = forward.workspace.clone();
+    let started = Attempt::start(&board, slot, cfg, forward.request_id, head.deadline, app.now());
+    let finished = drive(app, &board, slot, started, &mut Job::Request(forward)).await?;
+    let Finished::Answered(answer) = finished else {
+        return Err(route::refusal::unavailable());
+    };
+    let session = seal(app, session, &workspace, board.catalog.slots[slot].digest, &answer)?;
+    Ok(CallerAnswer { body: AnswerBody { result: answer.result }, session: Some(session) })
 }
 
-fn plan(app: &App, board: &Board, req: &CallerRequest) -> Result<Plan, CallerError> {
+fn plan(
+    app: &App,
+    board: &Board,
+    head: &CallerHead,
+    route: &str,
+    body: RequestBody,
+) -> Result<Plan, CallerError> {
     let catalog = &board.catalog;
-    let service = catalog.service(&req.service).ok_or_else(|| no_such("service", &req.service))?;
-    let route = catalog.route(service, &req.route).ok_or_else(|| no_such("route", &req.route))?;
-    let identity = authenticate(catalog, route, req.key.as_ref())?;
-    let workspace = &catalog.workspaces[identity.workspace].cfg.name;
-    let session = match &req.session {
-        Some(token) => {
-            Session::open(token, &app.settings.fleet_secret, workspace).map_err(session_error)?
-        }
-        None => Session::default(),
-    };
-    let slot = catalog
-        .slot_for(service, &req.body.slot_key)
-        .ok_or_else(|| no_such("slot", &req.body.slot_key))?;
-    // The session must have room for the slot before anything runs.
-    session.clone().record(catalog.slots[slot].digest, Position::ZERO).map_err(session_error)?;
+    let service = find_service(board, &head.service)?;
+    let route = catalog.route(service, route).ok_or_else(|| no_such("route", route))?;
+    let Identity { workspace, key } = authenticate(catalog, route, head.key.as_ref())?;
+    let workspace = &catalog.workspaces[workspace].cfg.name;
+    let slot = find_slot(board, service, &body.slot_key)?;
+    let session = open_session(app, head, workspace, catalog.slots[slot].digest)?;
+    let database = catalog.slots[slot].members.first().copied();
+    let database = database.ok_or_else(route::refusal::unavailable)?;
     let route_name = &catalog.routes[route].cfg.name;
-    let database = catalog.slots[slot].members.first().copied().ok_or_else(unavailable)?;
     let forward = Forward {
         workspace: workspace.clone(),
-        key: identity.key.clone(),
+        key,
         generation: catalog.cfg.generation,
         service: catalog.services[service].name.clone(),
         route: route_name.clone(),
         slot: catalog.slots[slot].name.clone(),
         database: catalog.databases[database].name.clone(),
         min_position: session.seen(catalog.slots[slot].digest),
-        request_id: request_id(req, workspace, route_name),
-        statement: req.body.statement.clone(),
-        params: req.body.params.clone(),
+        request_id: request_id(head, workspace, route_name),
+        fingerprint: fingerprint(head, &body),
+        statement: body.statement,
+        params: body.params,
         time_left: DurationUs::default(),
     };
-    Ok(Plan { identity, session, route, slot, forward })
+    Ok(Plan { session, route, slot, forward })
+}
+
+/// The service of that name.
+pub fn find_service(board: &Board, name: &str) -> Result<ServiceKey, CallerError> {
+    board.catalog.service(name).ok_or_else(|| no_such("service", name))
+}
+
+/// The slot that a slot key falls into.
+pub fn find_slot(
+    board: &Board,
+    service: ServiceKey,
+    slot_key: &str,
+) -> Result<SlotKey, CallerError> {
+    board.catalog.slot_for(service, slot_key).ok_or_else(|| no_such("slot", slot_key))
+}
+
+/// Opens the session that came with a request; it must have room for the slot.
+pub fn open_session(
+    app: &App,
+    head: &CallerHead,
+    workspace: &WorkspaceName,
+    slot: SlotDigest,
+) -> Result<Session, CallerError> {
+    let session = match &head.session {
+        Some(token) => {
+            Session::open(token, &app.settings.fleet_secret, workspace).map_err(session_error)?
+        }
+        None => Session::default(),
+    };
+    session.clone().record(slot, Position::ZERO).map_err(session_error)?;
+    Ok(session)
+}
+
+/// The session token after an answer.
+pub fn seal(
+    app: &App,
+    mut session: Session,
+    workspace: &WorkspaceName,
+    slot: SlotDigest,
+    answer: &Answer,
+) -> Result<String, CallerError> {
+    if answer.resets_session {
+        session.reset(slot, answer.position);
+    }
+    session.record(slot, answer.position).map_err(session_error)?;
+    Ok(session.seal(&app.settings.fleet_secret, workspace))
 }
 
-fn request_id(req: &CallerRequest, workspace: &WorkspaceName, route: &RouteName) -> RequestId {
-    match &req.idempotency_key {
+fn request_id(head: &CallerHead, workspace: &WorkspaceName, route: &RouteName) -> RequestId {
+    match &head.idempotency_key {
         Some(key) => {
-            RequestId::from_idempotency_key(workspace.as_str(), &req.service, route.as_str(), key)
+            RequestId::from_idempotency_key(workspace.as_str(), &head.service, route.as_str(), key)
         }
         None => RequestId::random(),
     }
 }
 
-/// Tries one database after the other until one answers, or until another try could run it twice.
-async fn run(
-    app: &App,
-    board: &Board,
-    plan: &Plan,
-    deadline: MonoTime,
-) -> Result<Answer, CallerError> {
-    let route = &board.catalog.routes[plan.route].cfg;
-    let mut databases = databases_to_try(board, plan.slot, route);
-    databases.reverse();
-    let mut redirects = 0;
-    let mut last_error = unavailable();
-    while let Some(database) = databases.pop() {
-        match run_on(app, board, plan, database, deadline).await {
-            Ok(PeerReply::Answer(answer)) => return Ok(answer),
-            Ok(PeerReply::Redirect(redirect)) => {
-                let primary = learn(app, board, plan.slot, &redirect);
-                redirects += 1;
-                if let Some(primary) = primary.filter(|_| redirects <= REDIRECTS_MAX) {
-                    databases.retain(|d| *d != primary);
-                    databases.push(primary);
-                }
-            }
-            Ok(PeerReply::Error(error)) if may_try_another(&error, route.kind) => {
-                last_error = error
-            }
-            Ok(PeerReply::Error(error)) => return Err(error),
-            Ok(_) => {
-                return Err(CallerError::unknown(
-                    ErrorKind::Unavailable,
-                    "a VM of the fleet answered nonsense",
-                ));
-            }
-            Err(error) => return Err(error),
-        }
+/// Tells apart requests under the same idempotency key; the same on every VM.
+fn fingerprint(head: &CallerHead, body: &RequestBody) -> u64 {
+    if head.idempotency_key.is_none() {
+        return 0;
     }
-    Err(last_error)
+    stable_hash(&serde_json::to_string(body).unwrap_or_default())
 }
 
-/// Runs the request on a database, through the first of its holders that can be reached.
-async fn run_on(
+/// Carries out the steps of a job until there is a final answer.
+pub async fn drive(
     app: &App,
     board: &Board,
-    plan: &Plan,
-    database: DatabaseKey,
-    deadline: MonoTime,
-) -> Result<PeerReply, CallerError> {
-    let mut forward = plan.forward.clone();
-    forward.database = board.catalog.databases[database].name.clone();
-    for holder in holders_to_try(board, database) {
-        let left = deadline.since(app.now());
-        if left == DurationUs::default() {
-            return Err(timed_out());
+    slot: SlotKey,
+    (mut attempt, mut step): (Attempt, Step),
+    job: &mut Job,
+) -> Result<Finished, CallerError> {
+    loop {
+        let event = match step {
+            Step::Done(result) => return result.map(Finished::Answered),
+            Step::Run(send) => match run(app, board, &send, job).await {
+                Event::Reply(PeerReply::Begun(id)) => return Ok(Finished::Begun(send.holder, id)),
+                event => event,
+            },
+            Step::Resolve(send) => resolve(app, board, slot, &send).await,
+        };
+        if let Event::Reply(PeerReply::Redirect(redirect)) = &event {
+            let slot = board.catalog.slots[slot].digest;
+            let (term, primary) = (redirect.term, redirect.primary.clone());
+            app.tell(control::Event::PrimarySeen { slot, term, primary });
         }
-        forward.time_left = left;
-        if holder.vm == app.settings.vm {
-            return Ok(holder::run(app, forward).await);
+        step = attempt.handle(board, event, &mut app.retries(), app.now());
+        if !matches!(step, Step::Done(_)) {
+            app.counters.count(Counter::Retries);
         }
-        match send(app, holder, forward.clone()).await {
-            Ok(reply) => return Ok(reply),
-            Err(SendError::NotSent { .. }) => continue,
-            Err(error) if repeatable(board, plan) => {
-                slog::debug!(app.log, "holder lost"; "holder" => holder.vm.to_string(), "error" => error.to_string());
-                continue;
+    }
+}
+
+async fn run(app: &App, board: &Board, send: &Send, job: &mut Job) -> Event {
+    let time_left = send.until.since(app.now());
+    let database = &board.catalog.databases[send.database].name;
+    let is_local = send.holder == app.settings.vm;
+    match job {
+        Job::Request(forward) => {
+            forward.database = database.clone();
+            forward.request_id = send.request_id;
+            forward.time_left = time_left;
+            match is_local {
+                true => Event::Reply(holder::run(app, forward).await),
+                false => {
+                    app.counters.count(Counter::Forwarded);
+                    let req = PeerRequest::Forward(Box::new(forward.clone()));
+                    call(app, board, send, req).await
+                }
             }
-            Err(error) => {
-                return Err(CallerError::unknown(ErrorKind::Unavailable, error.to_string()));
+        }
+        Job::Begin(begin) => {
+            begin.database = database.clone();
+            begin.time_left = time_left;
+            match is_local {
+                true => Event::Reply(transactions::begin(app, begin).await),
+                false => {
+                    let req = PeerRequest::Begin(Box::new(begin.clone()));
+                    call(app, board, send, req).await
+                }
             }
         }
+        Job::Commit => Event::NotSent,
     }
-    Ok(PeerReply::Error(unavailable()))
 }
 
-async fn send(app: &App, holder: &VmRecord, forward: Forward) -> Result<PeerReply, SendError> {
-    app.counters.count(Counter::Forwarded);
-    let timeout = Duration::from_micros(forward.time_left.0) + FORWARD_MARGIN;
-    let receiver = Receiver { vm: holder.vm.clone(), incarnation: holder.incarnation };
-    let req = PeerRequest::Forward(Box::new(forward));
-    app.peers.call(&receiver, &holder.peer_address, &req, timeout).await
-}
-
-fn repeatable(board: &Board, plan: &Plan) -> bool {
-    let route = &board.catalog.routes[plan.route].cfg;
-    route.repeatable || route.kind == RouteKind::Read
-}
-
-fn may_try_another(error: &CallerError, kind: RouteKind) -> bool {
-    kind == RouteKind::Read && error.kind == ErrorKind::Unavailable
+async fn resolve(app: &App, board: &Board, slot: SlotKey, send: &Send) -> Event {
+    let slot = &board.catalog.slots[slot];
+    let req = Resolve {
+        service: board.catalog.services[slot.service].name.clone(),
+        slot: slot.name.clone(),
+        request_id: send.request_id,
+        time_left: send.until.since(app.now()),
+    };
+    if send.holder == app.settings.vm {
+        return Event::Reply(outcome::resolve(app, &req).await);
+    }
+    call(app, board, send, PeerRequest::Resolve(Box::new(req))).await
 }
 
-fn learn(app: &App, board: &Board, slot: SlotKey, redirect: &Redirect) -> Option<DatabaseKey> {
-    let entry = &board.catalog.slots[slot];
-    app.tell(Event::PrimarySeen {
-        slot: entry.digest,
-        term: redirect.term,
-        primary: redirect.primary.clone(),
-    });
-    redirect.primary.as_ref().and_then(|name| board.catalog.database(name.as_str()))
+async fn call(app: &App, board: &Board, send: &Send, req: PeerRequest) -> Event {
+    let Some(holder) = board.fleet.vm(send.holder.as_str()) else {
+        return Event::NotSent;
+    };
+    let receiver = Receiver { vm: holder.vm.clone(), incarnation: holder.incarnation };
+    let timeout = app.time_until(send.until) + REPLY_MARGIN;
+    match app.peers.call(&receiver, &holder.peer_address, &req, timeout).await {
+        Ok(reply) => Event::Reply(reply),
+        Err(SendError::NotSent { .. }) => Event::NotSent,
+        Err(error) => Event::Lost(error.to_string()),
+    }
 }
 
-fn no_such(what: &str, name: &str) -> CallerError {
+/// There is nothing of that name.
+pub fn no_such(what: &str, name: &str) -> CallerError {
     let message = format!("there is no {what} `{name}`: check the name against the configuration");
     CallerError::not_run(ErrorKind::NotFound, message)
 }
-
-fn unavailable() -> CallerError {
-    let message = "no upstream that can serve the request is reachable: try again later";
-    CallerError::not_run(ErrorKind::Unavailable, message).with_retry_after(RETRY_AFTER)
-}
-
-fn timed_out() -> CallerError {
-    let message =
-        "the request's time ran out before it was sent: give it more time or try again later";
-    CallerError::not_run(ErrorKind::Timeout, message).with_retry_after(RETRY_AFTER)
-}
--- a/crates/jasminepassd/src/holder.rs
+++ b/crates/jasminepassd/src/holder.rs
@@ -1,287 +1,185 @@
-//! The holder's part: admits a request, runs it on its database and vouches for the outcome.
+//! The holder's part: carries out the steps of a request on its database.
 
 use std::time::Duration;
 
-use board::{Board, DatabaseKey, RouteKey, SlotKey, WorkspaceKey};
+use board::Board;
 use config::RouteKind;
 use edge::client::SendError;
-use fleet::access::check_key;
-use model::prelude::*;
+use model::{prelude::*, session::SlotDigest};
 use proto::{
-    caller::{CallerError, ErrorKind},
     database::{Access, DatabaseError, Execute, Executed, Wait, Waited},
-    peer::{Answer, Forward, PeerReply, Redirect},
+    peer::{Forward, PeerReply},
 };
-use route::replica::may_serve;
-use tokio::{task::JoinSet, time::Instant};
+use route::{
+    execution::{Event, Execution, Step, Target},
+    refusal,
+};
+use serde_json::Value;
 
 use crate::{
+    admission::{admit, connect},
     app::App,
-    control::Event,
+    confirm::confirm,
+    control,
     counters::Counter,
-    pools::{Lease, TakeError},
+    outcome::{self, Write},
+    pools::Lease,
 };
 
-const RETRY_AFTER: DurationUs = DurationUs::from_ms(500);
-
-/// The keys of what a forwarded request names.
-struct Target {
-    workspace: WorkspaceKey,
-    route: RouteKey,
-    slot: SlotKey,
-    database: DatabaseKey,
-}
-
-/// Why a request got no answer.
-enum Stop {
-    Error(CallerError),
-    Redirect(Redirect),
-}
-
-impl From<CallerError> for Stop {
-    fn from(error: CallerError) -> Stop {
-        Stop::Error(error)
-    }
-}
-
 /// Runs a request that this VM took or was sent.
-pub async fn run(app: &App, forward: Forward) -> PeerReply {
-    match run_inner(app, &forward).await {
-        Ok(answer) => PeerReply::Answer(answer),
-        Err(Stop::Error(error)) => PeerReply::Error(error),
-        Err(Stop::Redirect(redirect)) => PeerReply::Redirect(redirect),
-    }
-}
-
-async fn run_inner(app: &App, forward: &Forward) -> Result<Answer, Stop> {
-    let deadline = Instant::now() + Duration::from_micros(forward.time_left.0);
-    let board = app.board();
-    let target = find(&board, forward)?;
-    check(&board, forward)?;
-    check_database(app, &board, &target, forward)?;
-    admit(app, &board, &target)?;
-    let mut lease = connect(app, &board, &target, deadline).await?;
-    // The key may have been withdrawn while the request waited.
-    if let Err(error) = check(&app.board(), forward) {
-        lease.give_back();
-        return Err(error.into());
-    }
-    let message = execute_message(&board, &target, forward);
-    let left = deadline.saturating_duration_since(Instant::now());
-    let reply = lease.connection.call::<Executed, DatabaseError>("/execute", &message, left).await;
-    match reply {
-        Ok(Ok(executed)) => {
-            lease.give_back();
-            conclude(app, &board, &target, forward, executed, deadline).await
-        }
-        Ok(Err(error)) => {
-            lease.give_back();
-            Err(refused(app, &board, &target, error))
-        }
-        Err(SendError::NotSent { .. }) => Err(unavailable().into()),
-        Err(error) if message.access == Access::Read => Err(lost_read(&error).into()),
-        Err(error) => Err(CallerError::unknown(ErrorKind::Unavailable, error.to_string()).into()),
-    }
-}
-
-fn find(board: &Board, forward: &Forward) -> Result<Target, CallerError> {
-    let catalog = &board.catalog;
-    let find = || {
-        let service = catalog.service(forward.service.as_str())?;
-        Some(Target {
-            workspace: catalog.workspace(forward.workspace.as_str())?,
-            route: catalog.route(service, forward.route.as_str())?,
-            slot: catalog.slot(service, forward.slot.as_str())?,
-            database: catalog.database(forward.database.as_str())?,
-        })
+pub async fn run(app: &App, forward: &Forward) -> PeerReply {
+    let mut board = app.board();
+    let (mut execution, mut step) = match Execution::start(&board, forward, app.now()) {
+        Ok(started) => started,
+        Err(reply) => return reply,
     };
-    find().ok_or_else(|| {
-        let message = "the holder's configuration does not know the route or database yet: try again in a moment";
-        CallerError::not_run(ErrorKind::Unavailable, message).with_retry_after(RETRY_AFTER)
-    })
-}
-
-fn check(board: &Board, forward: &Forward) -> Result<(), CallerError> {
-    match &forward.key {
-        Some(key) => check_key(&board.catalog, key, &forward.workspace),
-        None => Ok(()),
+    let mut lease = None;
+    loop {
+        let event = match step {
+            Step::Done(reply) => {
+                // It was not used.
+                if let Some(lease) = lease.take() {
+                    lease.give_back();
+                }
+                count(app, &board, execution.target(), &reply);
+                return reply;
+            }
+            step => carry_out(app, &board, forward, &execution, step, &mut lease).await,
+        };
+        board = app.board();
+        step = execution.handle(&board, event, app.now());
     }
 }
 
-fn check_database(
+async fn carry_out(
     app: &App,
     board: &Board,
-    target: &Target,
     forward: &Forward,
-) -> Result<(), Stop> {
-    let route = &board.catalog.routes[target.route].cfg;
-    let state = &board.slots[target.slot];
-    let suits = match route.kind {
-        RouteKind::Write => state.primary == Some(target.database),
-        RouteKind::Read => {
-            may_serve(board, target.slot, target.database, route, forward.min_position, app.now())
+    execution: &Execution<'_>,
+    step: Step,
+    lease: &mut Option<Lease>,
+) -> Event {
+    let target = execution.target();
+    let deadline = app.instant(execution.deadline());
+    match step {
+        Step::Verify { term, until } => {
+            Event::Confirmed(verify(app, board, target, term, until).await)
         }
-    };
-    if suits { Ok(()) } else { Err(Stop::Redirect(redirect(board, target.slot))) }
-}
-
-fn redirect(board: &Board, slot: SlotKey) -> Redirect {
-    let state = &board.slots[slot];
-    let primary = state.primary.map(|database| board.catalog.databases[database].name.clone());
-    Redirect { term: state.term, primary }
-}
-
-fn admit(app: &App, board: &Board, target: &Target) -> Result<(), CallerError> {
-    let weight = board.catalog.routes[target.route].cfg.weight;
-    let workspace = &board.catalog.workspaces[target.workspace].cfg;
-    let now = app.now();
-    let spent = match app.buckets().get_mut(&workspace.name) {
-        Some(bucket) => bucket.try_spend(weight, now),
-        None => Err(RETRY_AFTER),
-    };
-    spent.map_err(|wait| {
-        let message = format!("workspace `{}` is past its rate: come back later", workspace.name);
-        CallerError::not_run(ErrorKind::RateLimited, message).with_retry_after(wait)
-    })
-}
-
-async fn connect(
-    app: &App,
-    board: &Board,
-    target: &Target,
-    deadline: Instant,
-) -> Result<Lease, CallerError> {
-    let cfg = &board.catalog.databases[target.database].cfg;
-    let share = cfg.connection_limit / board.catalog.cfg.holders_per_database.max(1);
-    let workspace = &board.catalog.workspaces[target.workspace].cfg.name;
-    match app.pools.take(cfg, share as usize, workspace, deadline).await {
-        Ok(lease) => {
-            if lease.opened {
-                app.counters.count(Counter::ConnectionsOpened);
-            }
-            Ok(lease)
+        Step::CatchUp { position, term, wait } => {
+            Event::Confirmed(catch_up(app, board, target, position, term, wait).await)
         }
-        Err(TakeError::Unreachable(_)) => Err(unavailable()),
-        Err(TakeError::Timeout) => {
-            let message = "no connection came free in the request's time: give it more time or try again later";
-            Err(CallerError::not_run(ErrorKind::Timeout, message).with_retry_after(RETRY_AFTER))
+        Step::Admit => {
+            Event::Admitted(admit(app, board, target.workspace, target.route, deadline).await)
         }
+        Step::Connect => {
+            let taken = connect(app, board, target.workspace, target.database, deadline).await;
+            Event::Connected(taken.map(|taken| *lease = Some(taken)))
+        }
+        Step::Execute { access, term, until } => match lease.take() {
+            Some(lease) => execute(app, forward, lease, access, term, until).await,
+            None => Event::NotSent,
+        },
+        Step::Confirm { executed, until } => {
+            let until = app.instant(until);
+            let held = confirm(app, board, target.slot, target.database, &executed, until).await;
+            Event::Confirmed(held.is_ok())
+        }
+        Step::Resolve(step) => {
+            let write = Write {
+                service: &forward.service,
+                slot: &forward.slot,
+                request_id: forward.request_id,
+            };
+            let deadline = execution.deadline();
+            Event::Outcome(outcome::carry_out(app, board, &write, step, deadline).await)
+        }
+        Step::Done(_) => Event::NotSent,
     }
 }
 
-fn execute_message(board: &Board, target: &Target, forward: &Forward) -> Execute {
-    let access = match board.catalog.routes[target.route].cfg.kind {
-        RouteKind::Read => Access::Read,
-        RouteKind::Write => Access::Write,
-    };
-    Execute {
+async fn execute(
+    app: &App,
+    forward: &Forward,
+    mut lease: Lease,
+    access: Access,
+    term: Term,
+    until: MonoTime,
+) -> Event {
+    let message = Execute {
         service: forward.service.clone(),
         slot: forward.slot.clone(),
-        term: board.slots[target.slot].term,
+        term,
         request_id: forward.request_id,
+        fingerprint: forward.fingerprint,
         access,
         statement: forward.statement.clone(),
         params: forward.params.clone(),
         in_transaction: false,
+    };
+    let left = app.time_until(until);
+    match lease.connection.call::<Executed, DatabaseError>("/execute", &message, left).await {
+        Ok(reply) => {
+            lease.give_back();
+            if let Err(error) = &reply {
+                learn(app, &forward.service, &forward.slot, error);
+            }
+            Event::Executed(reply)
+        }
+        // The connection is closed with the lease: a late answer finds nobody.
+        Err(SendError::NotSent { .. }) => Event::NotSent,
+        Err(error) => Event::Lost(error.to_string()),
     }
 }
 
-/// Makes an answer of what the database returned, once it may be given.
-async fn conclude(
-    app: &App,
-    board: &Board,
-    target: &Target,
-    forward: &Forward,
-    executed: Executed,
-    deadline: Instant,
-) -> Result<Answer, Stop> {
-    let from_replica = board.slots[target.slot].primary != Some(target.database);
-    if board.catalog.routes[target.route].cfg.kind == RouteKind::Write {
-        confirm(app, board, target, &executed, deadline).await?;
-        return Ok(Answer {
-            result: executed.result,
-            position: executed.position,
-            from_replica: false,
-        });
-    }
-    if executed.position < forward.min_position {
-        return Err(Stop::Redirect(redirect(board, target.slot)));
-    }
-    let counter = if from_replica { Counter::ReplicaReads } else { Counter::PrimaryReads };
-    app.counters.count(counter);
-    Ok(Answer { result: executed.result, position: executed.position, from_replica })
+/// Whether a majority says that the primary has not been replaced in the term.
+async fn verify(app: &App, board: &Board, target: Target, term: Term, until: MonoTime) -> bool {
+    let nothing = Executed { result: Value::Null, term, position: Position::ZERO, repeated: false };
+    let until = app.instant(until);
+    confirm(app, board, target.slot, target.database, &nothing, until).await.is_ok()
 }
 
-/// Waits until a majority of the slot's members has applied the write under its term.
-async fn confirm(
+async fn catch_up(
     app: &App,
     board: &Board,
-    target: &Target,
-    executed: &Executed,
-    deadline: Instant,
-) -> Result<(), CallerError> {
-    let entry = &board.catalog.slots[target.slot];
-    let left = deadline.saturating_duration_since(Instant::now());
+    target: Target,
+    position: Position,
+    term: Term,
+    wait: DurationUs,
+) -> bool {
+    let slot = &board.catalog.slots[target.slot];
     let message = Wait {
-        service: board.catalog.services[entry.service].name.clone(),
-        slot: entry.name.clone(),
-        position: executed.position,
-        term: executed.term,
-        wait_ms: left.as_millis() as u64,
+        service: board.catalog.services[slot.service].name.clone(),
+        slot: slot.name.clone(),
+        position,
+        term,
+        wait_ms: wait.as_ms(),
     };
-    let mut waits = JoinSet::new();
-    for &member in entry.members.iter().filter(|m| **m != target.database) {
-        let address = board.catalog.databases[member].cfg.admin_address.clone();
-        let client = app.admin.clone();
-        let message = message.clone();
-        waits.spawn(async move {
-            client.post_json::<Waited, DatabaseError>(&address, "/wait", &message, left).await
+    let address = &board.catalog.databases[target.database].cfg.admin_address;
+    let timeout = 2 * Duration::from_micros(wait.0);
+    let reply = app.admin.post_json::<Waited, DatabaseError>(address, "/wait", &message, timeout);
+    matches!(reply.await, Ok(Ok(waited)) if waited.held || waited.status.position > position)
+}
+
+/// Tells the control thread what a database's refusal says of the slot's primary.
+pub fn learn(app: &App, service: &ServiceName, slot: &SlotName, error: &DatabaseError) {
+    if let Some(redirect) = refusal::learned(error) {
+        let slot = SlotDigest::new(service.as_str(), slot.as_str());
+        app.tell(control::Event::PrimarySeen {
+            slot,
+            term: redirect.term,
+            primary: redirect.primary,
         });
     }
-    // The primary itself is the first.
-    let mut held = 1;
-    let majority = board.slots[target.slot].majority();
-    while held < majority {
-        match waits.join_next().await {
-            Some(Ok(Ok(Ok(waited)))) if waited.held => held += 1,
-            Some(_) => {}
-            None => return Err(unconfirmed()),
-        }
-    }
-    Ok(())
 }
 
-/// What a database's refusal means for the caller, or where the request should go instead.
-fn refused(app: &App, board: &Board, target: &Target, error: DatabaseError) -> Stop {
-    let learned = match &error {
-        DatabaseError::NotPrimary { term, primary } => Some((*term, primary.clone())),
-        DatabaseError::StaleTerm { term } | DatabaseError::TermTaken { term } => {
-            Some((*term, None))
-        }
-        _ => None,
+fn count(app: &App, board: &Board, target: Target, reply: &PeerReply) {
+    let PeerReply::Answer(answer) = reply else {
+        return;
     };
-    if let Some((term, primary)) = learned {
-        let slot = board.catalog.slots[target.slot].digest;
-        app.tell(Event::PrimarySeen { slot, term, primary: primary.clone() });
-        return Stop::Redirect(Redirect { term, primary });
+    if board.catalog.routes[target.route].cfg.kind == RouteKind::Read {
+        app.counters.count(match answer.from_replica {
+            true => Counter::ReplicaReads,
+            false => Counter::PrimaryReads,
+        });
     }
-    Stop::Error(match error {
-        DatabaseError::Statement { message } => CallerError::failed(message),
-        other => CallerError::not_run(ErrorKind::Unavailable, other.to_string())
-            .with_retry_after(RETRY_AFTER),
-    })
-}
-
-fn unavailable() -> CallerError {
-    let message = "the database can't be reached: try again later";
-    CallerError::not_run(ErrorKind::Unavailable, message).with_retry_after(RETRY_AFTER)
-}
-
-fn lost_read(error: &SendError) -> CallerError {
-    CallerError::unknown(ErrorKind::Unavailable, error.to_string()).with_retry_after(RETRY_AFTER)
-}
-
-fn unconfirmed() -> CallerError {
-    let message = "the write ran but no majority confirmed it in time: ask again with the same idempotency key";
-    CallerError::unknown(ErrorKind::Timeout, message)
 }
--- a/crates/jasminepassd/src/main.rs
+++ b/crates/jasminepassd/src/main.rs
@@ -1,9 +1,11 @@
 //! The proxy daemon: one runs on every VM of the fleet.
 
+mod admission;
 mod app;
 mod caller;
 mod caller_error;
 mod clock;
+mod confirm;
 mod control;
 mod counters;
 mod effects;
@@ -12,10 +14,14 @@
 mod logging;
 mod monitor;
 mod ops;
+mod outcome;
 mod peer;
 mod pools;
 mod run;
 mod settings;
+mod transaction_entry;
+mod transaction_steps;
+mod transactions;
 mod watch;
 
 use settings::Settings;
--- /dev/null
+++ b/crates/jasminepassd/src/outcome.rs
@@ -0,0 +1,126 @@
+//! Carries out the search for the outcome of a write.
+
+use std::time::Duration;
+
+use board::{Board, DatabaseKey};
+use model::{prelude::*, session::SlotDigest};
+use proto::{
+    caller::CallerError,
+    database::{DatabaseError, Executed, OutcomeQuery, OutcomeRecord},
+    peer::{Answer, PeerReply, Resolve},
+};
+use route::{
+    outcome::{Event, Resolution, Step, Verdict},
+    refusal,
+};
+use serde_json::Value;
+
+use crate::{app::App, confirm::confirm, counters::Counter, holder::learn};
+
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The write whose outcome is searched for.
+pub struct Write<'a> {
+    /// Service of its slot.
+    pub service: &'a ServiceName,
+    /// Its slot.
+    pub slot: &'a SlotName,
+    /// Its id.
+    pub request_id: RequestId,
+}
+
+/// Answers a VM that asks what became of a write.
+pub async fn resolve(app: &App, req: &Resolve) -> PeerReply {
+    let write = Write { service: &req.service, slot: &req.slot, request_id: req.request_id };
+    match run(app, &write, app.now() + req.time_left).await {
+        Verdict::Committed(executed) => PeerReply::Answer(Answer {
+            result: executed.result,
+            position: executed.position,
+            from_replica: false,
+            resets_session: false,
+        }),
+        verdict => PeerReply::Error(error(&verdict)),
+    }
+}
+
+/// The error of a write that has no answer.
+fn error(verdict: &Verdict) -> CallerError {
+    match verdict {
+        Verdict::Cancelled => refusal::cancelled(),
+        Verdict::Committed(_) | Verdict::Unknown => refusal::unresolved(),
+    }
+}
+
+/// Searches until the outcome is found or the deadline has come.
+pub async fn run(app: &App, write: &Write<'_>, deadline: MonoTime) -> Verdict {
+    let mut resolution = Resolution::new(digest(write), deadline);
+    let mut board = app.board();
+    let mut step = resolution.start(&board, app.now());
+    loop {
+        let event = match step {
+            Step::Done(verdict) => return verdict,
+            step => carry_out(app, &board, write, step, deadline).await,
+        };
+        board = app.board();
+        step = resolution.handle(&board, event, app.now());
+    }
+}
+
+fn digest(write: &Write<'_>) -> SlotDigest {
+    SlotDigest::new(write.service.as_str(), write.slot.as_str())
+}
+
+/// Carries out one step.
+pub async fn carry_out(
+    app: &App,
+    board: &Board,
+    write: &Write<'_>,
+    step: Step,
+    deadline: MonoTime,
+) -> Event {
+    match step {
+        Step::Ask { database, term } => ask(app, board, write, database, term, deadline).await,
+        Step::Confirm { database, position, term } => {
+            let Some(slot) = board.catalog.slot_by_digest(digest(write)) else {
+                return Event::Confirmed(false);
+            };
+            let entry = Executed { result: Value::Null, term, position, repeated: false };
+            let until = app.instant(deadline);
+            Event::Confirmed(confirm(app, board, slot, database, &entry, until).await.is_ok())
+        }
+        Step::Pause(span) => {
+            tokio::time::sleep(Duration::from_micros(span.0)).await;
+            Event::Resumed
+        }
+        Step::Done(_) => Event::Resumed,
+    }
+}
+
+async fn ask(
+    app: &App,
+    board: &Board,
+    write: &Write<'_>,
+    database: DatabaseKey,
+    term: Term,
+    deadline: MonoTime,
+) -> Event {
+    app.counters.count(Counter::OutcomesAsked);
+    let query = OutcomeQuery {
+        service: write.service.clone(),
+        slot: write.slot.clone(),
+        term,
+        request_id: write.request_id,
+        cancel: true,
+    };
+    let address = &board.catalog.databases[database].cfg.admin_address;
+    let timeout = app.time_until(deadline).min(ASK_TIMEOUT);
+    let reply = app
+        .admin
+        .post_json::<OutcomeRecord, DatabaseError>(address, "/outcome", &query, timeout)
+        .await
+        .ok();
+    if let Some(Err(error)) = &reply {
+        learn(app, write.service, write.slot, error);
+    }
+    Event::Asked(reply)
+}
--- a/crates/jasminepassd/src/peer.rs
+++ b/crates/jasminepassd/src/peer.rs
@@ -13,7 +13,7 @@
 use edge::peer::{PEER_PATH, decode, encode, verify};
 use proto::peer::{PeerReply, PeerRequest};
 
-use crate::{app::App, counters::Counter, holder};
+use crate::{app::App, counters::Counter, holder, outcome, transaction_steps, transactions};
 
 /// Body of the answer to a client that does not speak HTTP.
 pub const NOT_HTTP: &str = "this listener is for the fleet's VMs";
@@ -39,7 +39,10 @@
 
 async fn handle(app: &App, req: PeerRequest) -> PeerReply {
     match req {
-        PeerRequest::Forward(forward) => holder::run(app, *forward).await,
+        PeerRequest::Forward(forward) => holder::run(app, &forward).await,
+        PeerRequest::Resolve(resolve) => outcome::resolve(app, &resolve).await,
+        PeerRequest::Begin(begin) => transactions::begin(app, &begin).await,
+        PeerRequest::Step(step) => transaction_steps::run(app, &step).await,
         PeerRequest::FetchConfiguration { have } => {
             let board = app.board();
             let cfg = &board.catalog.cfg;
--- a/crates/jasminepassd/src/run.rs
+++ b/crates/jasminepassd/src/run.rs
@@ -34,6 +34,7 @@
     effects, logging, ops, peer,
     pools::Pools,
     settings::Settings,
+    transactions::{self, OpenTransactions},
     watch as platform_watch,
 };
 
@@ -59,6 +60,7 @@
     tokio::spawn(platform_watch::configuration(app.clone()));
     tokio::spawn(platform_watch::vms(app.clone()));
     tokio::spawn(keep_house(app.clone()));
+    tokio::spawn(transactions::keep_sweeping(app.clone()));
 
     let (stop_tx, stop_rx) = watch::channel(false);
     let ready = Arc::new(AtomicBool::new(true));
@@ -82,8 +84,9 @@
     slog::info!(app.log, "stopping");
     ready.store(false, Ordering::Relaxed);
     app.tell(Event::Stopping);
-    stop_tx.send_replace(true);
     let drained = async {
+        transactions::wait_until_none(&app).await;
+        stop_tx.send_replace(true);
         let _ = caller_server.await;
         let _ = peer_server.await;
     };
@@ -110,6 +113,8 @@
         clock: Clock::new(),
         board: ArcSwap::from_pointee(Board::new(me)),
         buckets: Default::default(),
+        retries: Default::default(),
+        transactions: OpenTransactions::new(settings.transaction_limits),
         pools: Pools::new(&settings.vm),
         peers: Peers::new(client.clone(), settings.fleet_secret.clone(), receiver),
         platform: Platform::new(client.clone(), settings.platform.to_string()),
--- a/crates/jasminepassd/src/settings.rs
+++ b/crates/jasminepassd/src/settings.rs
@@ -5,6 +5,7 @@
 use clap::{Arg, ArgMatches, Command, builder::ValueParser, value_parser};
 use eyre::WrapErr;
 use model::{key::FleetSecret, prelude::*};
+use route::transaction::Limits;
 
 /// How log lines look.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,6 +47,8 @@
     pub max_connections: usize,
     /// How long a planned stop waits for open work.
     pub drain_limit: Duration,
+    /// When transactions are rolled back.
+    pub transaction_limits: Limits,
 }
 
 impl Settings {
@@ -73,6 +76,10 @@
             threads: one::<u64>(matches, "threads")? as usize,
             max_connections: one::<u64>(matches, "max-connections")? as usize,
             drain_limit: Duration::from_millis(one(matches, "drain-limit-ms")?),
+            transaction_limits: Limits {
+                idle: DurationUs::from_ms(one(matches, "transaction-idle-ms")?),
+                total: DurationUs::from_ms(one(matches, "transaction-limit-ms")?),
+            },
         })
     }
 }
@@ -159,6 +166,24 @@
             )
             .default_value("30000"),
         )
+        .arg(
+            setting(
+                "transaction-idle-ms",
+                "JASMINEPASS_TRANSACTION_IDLE_MS",
+                "Time without a request after which a transaction is rolled back, in milliseconds",
+                range(10, 600_000),
+            )
+            .default_value("5000"),
+        )
+        .arg(
+            setting(
+                "transaction-limit-ms",
+                "JASMINEPASS_TRANSACTION_LIMIT_MS",
+                "Time in all after which a transaction is rolled back, in milliseconds",
+                range(10, 600_000),
+            )
+            .default_value("30000"),
+        )
 }
 
 fn setting(name: &'static str, env: &'static str, help: &'static str, parser: ValueParser) -> Arg {
--- /dev/null
+++ b/crates/jasminepassd/src/transaction_entry.rs
@@ -0,0 +1,235 @@
+//! The entry VM's part of transactions: finds the VM where one is open from its name.
+
+use std::time::Duration;
+
+use board::{Board, ServiceKey, SlotKey};
+use edge::{client::SendError, peer::Receiver};
+use fleet::access::authenticate_for_service;
+use model::{prelude::*, transaction::TransactionName};
+use proto::{
+    caller::{
+        AnswerBody, CallerError, ErrorKind, Outcome, StepBody, TransactionBody, TransactionOpened,
+    },
+    peer::{Begin, PeerReply, PeerRequest, TransactionAction, TransactionStep},
+};
+use route::{attempt::Attempt, execution::reserve, refusal, transaction::ended};
+use serde_json::Value;
+
+use crate::{
+    app::App,
+    caller::{CallerAnswer, CallerHead},
+    entry::{Finished, Job, drive, find_service, find_slot, no_such, open_session, seal},
+    transaction_steps,
+};
+
+const REPLY_MARGIN: Duration = Duration::from_millis(50);
+
+/// A request on an open transaction together with what the configuration says of it.
+struct Plan {
+    workspace: WorkspaceName,
+    key: KeyName,
+    service: ServiceKey,
+    slot: SlotKey,
+    name: TransactionName,
+}
+
+/// Opens a transaction.
+pub async fn begin(
+    app: &App,
+    head: CallerHead,
+    body: TransactionBody,
+) -> Result<CallerAnswer<TransactionOpened>, CallerError> {
+    let board = app.board();
+    let catalog = &board.catalog;
+    let service = find_service(&board, &head.service)?;
+    let (workspace, key) = authenticate(&board, service, &head)?;
+    let slot = find_slot(&board, service, &body.slot_key)?;
+    let entry = &catalog.slots[slot];
+    let session = open_session(app, &head, &workspace, entry.digest)?;
+    let database = entry.members.first().copied().ok_or_else(refusal::unavailable)?;
+    let begin = Begin {
+        workspace: workspace.clone(),
+        key,
+        service: catalog.services[service].name.clone(),
+        slot: entry.name.clone(),
+        database: catalog.databases[database].name.clone(),
+        min_position: session.seen(entry.digest),
+        time_left: DurationUs::default(),
+    };
+    app.retries().earn();
+    let started = Attempt::start_begin(&board, slot, head.deadline, app.now());
+    let finished = drive(app, &board, slot, started, &mut Job::Begin(begin)).await?;
+    let Finished::Begun(vm, id) = finished else {
+        return Err(refusal::unavailable());
+    };
+    let record = board.fleet.vm(vm.as_str()).ok_or_else(refusal::unavailable)?;
+    let name = TransactionName { vm, incarnation: record.incarnation, id, slot: entry.digest };
+    let transaction = name.seal(&app.settings.fleet_secret, &workspace);
+    Ok(CallerAnswer { body: TransactionOpened { transaction }, session: head.session })
+}
+
+/// Executes a statement inside a transaction.
+pub async fn step(
+    app: &App,
+    head: CallerHead,
+    transaction: &str,
+    route: &str,
+    body: StepBody,
+) -> Result<CallerAnswer<AnswerBody>, CallerError> {
+    let board = app.board();
+    let plan = plan(app, &board, &head, transaction)?;
+    let route_key =
+        board.catalog.route(plan.service, route).ok_or_else(|| no_such("route", route))?;
+    if let Some(slot_key) = &body.slot_key {
+        check_slot(&board, &plan, slot_key)?;
+    }
+    let action = TransactionAction::Execute {
+        route: board.catalog.routes[route_key].cfg.name.clone(),
+        statement: body.statement,
+        params: body.params,
+    };
+    match send(app, &board, &plan, action, head.deadline).await {
+        Ok(PeerReply::Answer(answer)) => {
+            let body = AnswerBody { result: answer.result };
+            Ok(CallerAnswer { body, session: head.session })
+        }
+        Ok(PeerReply::Error(error)) => Err(error),
+        Ok(_) => Err(refusal::lost("a VM of the fleet answered nonsense")),
+        Err(SendError::NotSent { .. }) => Err(refusal::unavailable()),
+        Err(error) => Err(refusal::lost(error)),
+    }
+}
+
+/// Commits a transaction, or finds out whether it was committed.
+pub async fn commit(
+    app: &App,
+    head: CallerHead,
+    transaction: &str,
+) -> Result<CallerAnswer<AnswerBody>, CallerError> {
+    let board = app.board();
+    let plan = plan(app, &board, &head, transaction)?;
+    let digest = board.catalog.slots[plan.slot].digest;
+    let session = open_session(app, &head, &plan.workspace, digest)?;
+    let left = head.deadline.since(app.now());
+    let until = head.deadline - reserve(left);
+    let action = TransactionAction::Commit(plan.name.commit_id());
+    let answer = match send(app, &board, &plan, action, until).await {
+        Ok(PeerReply::Answer(answer)) => answer,
+        Ok(PeerReply::Error(error)) if !is_in_doubt(&error) => return Err(error),
+        // The book knows only open transactions; the database knows what it committed.
+        _ => find_out(app, &board, &plan, head.deadline).await?,
+    };
+    let session = seal(app, session, &plan.workspace, digest, &answer)?;
+    Ok(CallerAnswer { body: AnswerBody { result: answer.result }, session: Some(session) })
+}
+
+/// Rolls a transaction back.
+pub async fn rollback(
+    app: &App,
+    head: CallerHead,
+    transaction: &str,
+) -> Result<CallerAnswer<AnswerBody>, CallerError> {
+    let board = app.board();
+    let plan = plan(app, &board, &head, transaction)?;
+    match send(app, &board, &plan, TransactionAction::Rollback, head.deadline).await {
+        Ok(PeerReply::RolledBack) => {
+            Ok(CallerAnswer { body: AnswerBody { result: Value::Null }, session: head.session })
+        }
+        Ok(PeerReply::Error(error)) => Err(error),
+        Ok(_) => Err(refusal::lost("a VM of the fleet answered nonsense")),
+        Err(SendError::NotSent { .. }) => Err(refusal::unavailable()),
+        Err(error) => Err(refusal::lost(error)),
+    }
+}
+
+fn is_in_doubt(error: &CallerError) -> bool {
+    error.kind == ErrorKind::TransactionEnded || error.outcome == Outcome::Unknown
+}
+
+async fn find_out(
+    app: &App,
+    board: &Board,
+    plan: &Plan,
+    deadline: MonoTime,
+) -> Result<proto::peer::Answer, CallerError> {
+    let id = plan.name.commit_id();
+    let started = Attempt::start_resolution(board, plan.slot, id, deadline, app.now());
+    match drive(app, board, plan.slot, started, &mut Job::Commit).await {
+        Ok(Finished::Answered(answer)) => Ok(answer),
+        Ok(Finished::Begun(..)) => Err(refusal::unresolved()),
+        Err(error) if error.outcome == Outcome::NotRun => Err(ended()),
+        Err(error) => Err(error),
+    }
+}
+
+fn plan(
+    app: &App,
+    board: &Board,
+    head: &CallerHead,
+    transaction: &str,
+) -> Result<Plan, CallerError> {
+    let service = find_service(board, &head.service)?;
+    let (workspace, key) = authenticate(board, service, head)?;
+    let missing = || {
+        CallerError::not_run(
+            ErrorKind::NotFound,
+            model::transaction::TransactionNameError.to_string(),
+        )
+    };
+    let name = TransactionName::open(transaction, &app.settings.fleet_secret, &workspace)
+        .map_err(|_| missing())?;
+    let slot = board.catalog.slot_by_digest(name.slot);
+    let slot = slot.filter(|&s| board.catalog.slots[s].service == service).ok_or_else(missing)?;
+    Ok(Plan { workspace, key, service, slot, name })
+}
+
+fn authenticate(
+    board: &Board,
+    service: ServiceKey,
+    head: &CallerHead,
+) -> Result<(WorkspaceName, KeyName), CallerError> {
+    let identity = authenticate_for_service(&board.catalog, service, head.key.as_ref())?;
+    let workspace = board.catalog.workspaces[identity.workspace].cfg.name.clone();
+    let key = identity.key.ok_or_else(refusal::unavailable)?;
+    Ok((workspace, key))
+}
+
+fn check_slot(board: &Board, plan: &Plan, slot_key: &str) -> Result<(), CallerError> {
+    if find_slot(board, plan.service, slot_key)? == plan.slot {
+        return Ok(());
+    }
+    let message =
+        "the transaction is open in another slot: send the slot key that opened it, or none";
+    Err(CallerError::not_run(ErrorKind::BadRequest, message))
+}
+
+/// Sends a step to the VM that holds the transaction's connection.
+async fn send(
+    app: &App,
+    board: &Board,
+    plan: &Plan,
+    action: TransactionAction,
+    until: MonoTime,
+) -> Result<PeerReply, SendError> {
+    let step = TransactionStep {
+        transaction: plan.name.id,
+        workspace: plan.workspace.clone(),
+        key: plan.key.clone(),
+        service: board.catalog.services[plan.service].name.clone(),
+        slot: board.catalog.slots[plan.slot].name.clone(),
+        action,
+        time_left: until.since(app.now()),
+    };
+    let receiver = Receiver { vm: plan.name.vm.clone(), incarnation: plan.name.incarnation };
+    if receiver == app.receiver() {
+        return Ok(transaction_steps::run(app, &step).await);
+    }
+    let record = board.fleet.vm(receiver.vm.as_str());
+    let Some(record) = record.filter(|r| r.incarnation == receiver.incarnation) else {
+        // That run of the VM is over, and its connections with it.
+        return Ok(PeerReply::Error(ended()));
+    };
+    let timeout = app.time_until(until) + REPLY_MARGIN;
+    let req = PeerRequest::Step(Box::new(step));
+    app.peers.call(&receiver, &record.peer_address, &req, timeout).await
+}
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod request;
 pub mod session;
 pub mod time;
+pub mod transaction;
 
 /// A hash map with a fast hasher, for keys that callers do not choose freely.
 pub type FxHashMap<K, V> = rustc_hash::FxHashMap<K, V>;
--- a/crates/model/src/request.rs
+++ b/crates/model/src/request.rs
@@ -27,7 +27,27 @@
             hasher.update(&(part.len() as u64).to_le_bytes());
             hasher.update(part.as_bytes());
         }
-        let hash = hasher.finalize();
+        RequestId::from_hash(&hasher.finalize())
+    }
+
+    /// The identifier of the commit of a transaction: the same on every VM.
+    pub fn of_commit(vm: &str, incarnation: Incarnation, transaction: TransactionId) -> RequestId {
+        let mut hasher = blake3::Hasher::new_derive_key("jasminepass commit id v1");
+        hasher.update(&incarnation.0.to_le_bytes());
+        hasher.update(&transaction.0.to_le_bytes());
+        hasher.update(vm.as_bytes());
+        RequestId::from_hash(&hasher.finalize())
+    }
+
+    /// The identifier of the next try under the same idempotency key, after this one was cancelled.
+    pub fn next_try(self) -> RequestId {
+        let mut hasher = blake3::Hasher::new_derive_key("jasminepass next try v1");
+        hasher.update(&self.0.to_le_bytes());
+        hasher.update(&self.1.to_le_bytes());
+        RequestId::from_hash(&hasher.finalize())
+    }
+
+    fn from_hash(hash: &blake3::Hash) -> RequestId {
         let (high, low) = hash.as_bytes()[..16].split_at(8);
         RequestId(le_u64(high), le_u64(low))
     }
--- a/crates/model/src/session.rs
+++ b/crates/model/src/session.rs
@@ -71,6 +71,13 @@
         Ok(())
     }
 
+    /// Forgets a position that the slot's history no longer has, in favour of the one stated.
+    pub fn reset(&mut self, slot: SlotDigest, position: Position) {
+        if let Ok(at) = self.seen.binary_search_by_key(&slot, |(s, _)| *s) {
+            self.seen[at].1 = position;
+        }
+    }
+
     /// The token for the caller, bound to the workspace by the fleet's secret.
     pub fn seal(&self, secret: &FleetSecret, workspace: &WorkspaceName) -> String {
         let mut buf = Vec::with_capacity(self.seen.len() * ENTRY_BYTES + MAC_BYTES);
--- a/crates/proto/src/caller.rs
+++ b/crates/proto/src/caller.rs
@@ -39,6 +39,20 @@
     pub transaction: String,
 }
 
+/// Body of a request inside a transaction.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StepBody {
+    /// May be left out; otherwise it must choose the slot of the transaction.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub slot_key: Option<String>,
+    /// What the upstream is to execute.
+    pub statement: String,
+    /// Its parameters.
+    #[serde(default)]
+    pub params: Vec<Value>,
+}
+
 /// Body of an answer.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AnswerBody {
@@ -89,6 +103,8 @@
     Timeout,
     /// The transaction has ended.
     TransactionEnded,
+    /// The idempotency key was used for another request.
+    KeyReused,
     /// The upstream executed the request and reported an error.
     Statement,
 }
@@ -101,7 +117,7 @@
             ErrorKind::Unauthorized => 401,
             ErrorKind::Forbidden => 403,
             ErrorKind::NotFound => 404,
-            ErrorKind::TransactionEnded => 409,
+            ErrorKind::TransactionEnded | ErrorKind::KeyReused => 409,
             ErrorKind::TooLarge => 413,
             ErrorKind::RateLimited => 429,
             ErrorKind::QueueFull | ErrorKind::Unavailable => 503,
--- a/crates/proto/src/database.rs
+++ b/crates/proto/src/database.rs
@@ -11,8 +11,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Access {
-    /// It only reads.
+    /// It only reads, from what has been applied here.
     Read,
+    /// It only reads, and only the primary of the stated term takes it.
+    ReadPrimary,
     /// It may write: only the primary of the stated term takes it.
     Write,
 }
@@ -30,6 +32,10 @@
     pub request_id: RequestId,
     /// Whether it writes.
     pub access: Access,
+    /// Recorded with the commit of a write: a write with a recorded id and another fingerprint is
+    /// refused.
+    #[serde(default)]
+    pub fingerprint: u64,
     /// What to execute.
     pub statement: String,
     /// Its parameters.
@@ -117,6 +123,9 @@
     /// The write was cancelled before it came. Nothing ran.
     #[error("the request was cancelled before it came")]
     Cancelled,
+    /// Another write is recorded under the request id. Nothing ran.
+    #[error("the request id was used for another request")]
+    OtherRequest,
     /// Every connection is taken. Nothing ran.
     #[error("every connection is taken")]
     TooManyConnections,
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -11,6 +11,12 @@
 pub enum PeerRequest {
     /// A caller's request, for a holder of the database.
     Forward(Box<Forward>),
+    /// Asks what became of a write, and keeps it from running if it has not run.
+    Resolve(Box<Resolve>),
+    /// Opens a transaction.
+    Begin(Box<Begin>),
+    /// A request inside a transaction, for the holder that opened it.
+    Step(Box<TransactionStep>),
     /// Asks for the configuration, if its generation is higher than the one stated.
     FetchConfiguration {
         /// What the sender has.
@@ -27,6 +33,12 @@
     Error(CallerError),
     /// Another database can serve the forwarded request. It did not run.
     Redirect(Redirect),
+    /// The forwarded request's id was cancelled before it came. It did not run under this id.
+    Cancelled,
+    /// A transaction was opened.
+    Begun(TransactionId),
+    /// A transaction was rolled back.
+    RolledBack,
     /// The configuration, as JSON; absent where the sender's is as new.
     Configuration(Option<String>),
 }
@@ -52,6 +64,8 @@
     pub min_position: Position,
     /// Names the request at the upstream.
     pub request_id: RequestId,
+    /// Tells apart requests that were sent under the same idempotency key.
+    pub fingerprint: u64,
     /// What to execute.
     pub statement: String,
     /// Its parameters.
@@ -69,6 +83,78 @@
     pub position: Position,
     /// Whether a replica served it.
     pub from_replica: bool,
+    /// Whether the slot's history no longer has the position that the session had seen: the session
+    /// goes on from `position`.
+    pub resets_session: bool,
+}
+
+/// Asks a holder what became of a write.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Resolve {
+    /// Service of the slot.
+    pub service: ServiceName,
+    /// The slot.
+    pub slot: SlotName,
+    /// The write.
+    pub request_id: RequestId,
+    /// Time left, in microseconds.
+    pub time_left: DurationUs,
+}
+
+/// Opens a transaction on a holder.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Begin {
+    /// Whose it is.
+    pub workspace: WorkspaceName,
+    /// Name of the key that came with it.
+    pub key: KeyName,
+    /// Its service.
+    pub service: ServiceName,
+    /// Its slot.
+    pub slot: SlotName,
+    /// Where to open it.
+    pub database: DatabaseName,
+    /// Position that it must see.
+    pub min_position: Position,
+    /// Time left, in microseconds.
+    pub time_left: DurationUs,
+}
+
+/// A request inside a transaction.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TransactionStep {
+    /// The transaction.
+    pub transaction: TransactionId,
+    /// Whose request it is.
+    pub workspace: WorkspaceName,
+    /// Name of the key that came with it.
+    pub key: KeyName,
+    /// Service of the transaction.
+    pub service: ServiceName,
+    /// Slot of the transaction.
+    pub slot: SlotName,
+    /// What to do.
+    pub action: TransactionAction,
+    /// Time left, in microseconds.
+    pub time_left: DurationUs,
+}
+
+/// What to do inside a transaction.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum TransactionAction {
+    /// Executes a statement.
+    Execute {
+        /// The kind of request.
+        route: RouteName,
+        /// What to execute.
+        statement: String,
+        /// Its parameters.
+        params: Vec<Value>,
+    },
+    /// Commits under the request id.
+    Commit(RequestId),
+    /// Rolls back.
+    Rollback,
 }
 
 /// Where a request should go instead.
--- /dev/null
+++ b/crates/route/src/attempt.rs
@@ -0,0 +1,327 @@
+//! The entry VM's part of a request, as a state machine: where to send it, when to send it again and
+//! when to give the final answer.
+//!
+//! - What never left moves to another holder.
+//! - What left and may be repeated is sent again, within the VM's retry budget.
+//! - What left and may not be repeated is never sent again: its outcome is asked for.
+
+use board::{Board, DatabaseKey, SlotKey};
+use config::{Route, RouteKind};
+use fleet::placement::holders_to_try;
+use model::prelude::*;
+use proto::{
+    caller::{CallerError, ErrorKind, Outcome},
+    peer::{Answer, PeerReply, Redirect},
+};
+
+use crate::{
+    budget::RetryBudget,
+    execution::reserve,
+    refusal,
+    replica::{databases_to_try, primary_first},
+};
+
+const SENDS_MAX: usize = 12;
+const REDIRECTS_MAX: usize = 4;
+const CANCELLED_TRIES_MAX: usize = 16;
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Send the request to a holder.
+    Run(Send),
+    /// Ask a holder what became of the request.
+    Resolve(Send),
+    /// Answer the caller.
+    Done(Result<Answer, CallerError>),
+}
+
+/// Where to send.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Send {
+    /// The holder.
+    pub holder: VmName,
+    /// The database that it is to use.
+    pub database: DatabaseKey,
+    /// Names the request at the upstream.
+    pub request_id: RequestId,
+    /// When to give up waiting for its reply.
+    pub until: MonoTime,
+}
+
+/// What came of a step.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// The holder replied.
+    Reply(PeerReply),
+    /// No byte left for the holder, or it refused the message unread.
+    NotSent,
+    /// The message left and no reply came.
+    Lost(String),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    Run,
+    Resolve,
+}
+
+/// One request on its entry VM.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    slot: SlotKey,
+    may_repeat: bool,
+    deadline: MonoTime,
+    request_id: RequestId,
+    phase: Phase,
+    /// Best last.
+    databases: Vec<DatabaseKey>,
+    database: Option<DatabaseKey>,
+    /// Holders of the database that have not been tried, best last.
+    holders: Vec<VmName>,
+    sends_left: usize,
+    redirects_left: usize,
+    cancelled_tries_left: usize,
+    /// Databases that were turned to, and the term in which the slot was believed to be.
+    tried: Vec<(DatabaseKey, Term)>,
+    /// Why it was not sent so far.
+    last_error: CallerError,
+    /// Set once it may have run.
+    lost: Option<CallerError>,
+}
+
+impl Attempt {
+    /// A request on its way, and the first step.
+    pub fn start(
+        board: &Board,
+        slot: SlotKey,
+        route: &Route,
+        request_id: RequestId,
+        deadline: MonoTime,
+        now: MonoTime,
+    ) -> (Attempt, Step) {
+        let databases = databases_to_try(board, slot, route);
+        let may_repeat = route.repeatable || route.kind == RouteKind::Read;
+        Attempt::new(board, slot, databases, may_repeat, request_id, deadline, now)
+    }
+
+    /// The opening of a transaction on its way, and the first step.
+    pub fn start_begin(
+        board: &Board,
+        slot: SlotKey,
+        deadline: MonoTime,
+        now: MonoTime,
+    ) -> (Attempt, Step) {
+        let databases = primary_first(board, slot);
+        // One whose answer is lost is rolled back when it has been idle for long enough.
+        Attempt::new(board, slot, databases, true, RequestId::random(), deadline, now)
+    }
+
+    /// The search for the outcome of a write that another VM sent, and the first step.
+    pub fn start_resolution(
+        board: &Board,
+        slot: SlotKey,
+        request_id: RequestId,
+        deadline: MonoTime,
+        now: MonoTime,
+    ) -> (Attempt, Step) {
+        let (mut attempt, _) =
+            Attempt::new(board, slot, Vec::new(), false, request_id, deadline, now);
+        let step = attempt.resolve(board, now);
+        (attempt, step)
+    }
+
+    fn new(
+        board: &Board,
+        slot: SlotKey,
+        mut databases: Vec<DatabaseKey>,
+        may_repeat: bool,
+        request_id: RequestId,
+        deadline: MonoTime,
+        now: MonoTime,
+    ) -> (Attempt, Step) {
+        databases.reverse();
+        let mut attempt = Attempt {
+            slot,
+            may_repeat,
+            deadline,
+            request_id,
+            phase: Phase::Run,
+            databases,
+            database: None,
+            holders: Vec::new(),
+            sends_left: SENDS_MAX,
+            redirects_left: REDIRECTS_MAX,
+            cancelled_tries_left: CANCELLED_TRIES_MAX,
+            tried: Vec::new(),
+            last_error: refusal::unavailable(),
+            lost: None,
+        };
+        let step = attempt.next(board, now);
+        (attempt, step)
+    }
+
+    /// What to do after an event.
+    pub fn handle(
+        &mut self,
+        board: &Board,
+        event: Event,
+        budget: &mut RetryBudget,
+        now: MonoTime,
+    ) -> Step {
+        match (self.phase, event) {
+            (_, Event::Reply(PeerReply::Answer(answer))) => Step::Done(Ok(answer)),
+            (_, Event::Reply(PeerReply::Redirect(redirect))) => {
+                self.follow(board, &redirect);
+                self.next(board, now)
+            }
+            (_, Event::NotSent) => self.next(board, now),
+            (Phase::Run, Event::Reply(PeerReply::Cancelled)) => self.try_again(board, now),
+            (Phase::Run, Event::Reply(PeerReply::Error(error))) => {
+                self.failed(board, error, budget, now)
+            }
+            (Phase::Run, Event::Reply(other)) => self.lost(board, nonsense(&other), budget, now),
+            (Phase::Run, Event::Lost(reason)) => {
+                self.lost(board, refusal::lost(reason), budget, now)
+            }
+            (Phase::Resolve, Event::Reply(PeerReply::Error(error))) => {
+                self.resolved(board, error, now)
+            }
+            (Phase::Resolve, Event::Reply(_) | Event::Lost(_)) => self.next(board, now),
+        }
+    }
+
+    /// The next holder to send to, or the final answer where there is none.
+    fn next(&mut self, board: &Board, now: MonoTime) -> Step {
+        if now >= self.deadline {
+            return self.finish(refusal::timed_out());
+        }
+        while self.holders.is_empty() {
+            let Some(database) = self.databases.pop() else {
+                return self.finish(self.last_error.clone());
+            };
+            self.turn_to(board, database, board.slots[self.slot].term);
+        }
+        match (self.sends_left.checked_sub(1), self.holders.pop(), self.database) {
+            (Some(left), Some(holder), Some(database)) => {
+                self.sends_left = left;
+                self.send(holder, database, now)
+            }
+            _ => self.finish(self.last_error.clone()),
+        }
+    }
+
+    fn send(&self, holder: VmName, database: DatabaseKey, now: MonoTime) -> Step {
+        let left = self.deadline.since(now);
+        let until = self.deadline - reserve(left);
+        let send = Send { holder, database, request_id: self.request_id, until };
+        match self.phase {
+            Phase::Run => Step::Run(send),
+            Phase::Resolve => Step::Resolve(send),
+        }
+    }
+
+    fn turn_to(&mut self, board: &Board, database: DatabaseKey, term: Term) {
+        let holders = holders_to_try(board, database);
+        self.holders = holders.into_iter().rev().map(|vm| vm.vm.clone()).collect();
+        self.database = Some(database);
+        self.tried.push((database, term));
+    }
+
+    /// The final answer of a request that got none. "Not run" is said only if no sending was lost.
+    fn finish(&self, error: CallerError) -> Step {
+        if self.phase == Phase::Resolve {
+            return Step::Done(Err(refusal::unresolved()));
+        }
+        match &self.lost {
+            Some(lost) if error.outcome == Outcome::NotRun => Step::Done(Err(lost.clone())),
+            _ => Step::Done(Err(error)),
+        }
+    }
+
+    /// Goes on with the primary that a holder named, unless it was tried in that term.
+    fn follow(&mut self, board: &Board, redirect: &Redirect) {
+        let primary = redirect.primary.as_ref().and_then(|p| board.catalog.database(p.as_str()));
+        let known = |p: &DatabaseKey| self.tried.iter().any(|t| t.0 == *p && t.1 >= redirect.term);
+        let Some(primary) = primary.filter(|p| self.redirects_left > 0 && !known(p)) else {
+            return;
+        };
+        self.redirects_left -= 1;
+        self.databases.retain(|d| *d != primary);
+        self.turn_to(board, primary, redirect.term);
+    }
+
+    /// Goes on under the id of the next try: an earlier one under the same idempotency key was
+    /// cancelled, and its caller was told so.
+    fn try_again(&mut self, board: &Board, now: MonoTime) -> Step {
+        let Some(left) = self.cancelled_tries_left.checked_sub(1) else {
+            return self.finish(refusal::cancelled());
+        };
+        self.cancelled_tries_left = left;
+        self.sends_left += 1;
+        self.request_id = self.request_id.next_try();
+        if let Some(database) = self.database {
+            self.turn_to(board, database, board.slots[self.slot].term);
+        }
+        self.next(board, now)
+    }
+
+    fn failed(
+        &mut self,
+        board: &Board,
+        error: CallerError,
+        budget: &mut RetryBudget,
+        now: MonoTime,
+    ) -> Step {
+        match (error.kind, error.outcome) {
+            (ErrorKind::Unavailable, Outcome::NotRun) => {
+                self.last_error = error;
+                self.next(board, now)
+            }
+            // The holder of a request that may not be repeated has asked for the outcome already.
+            (ErrorKind::Unavailable, Outcome::Unknown) if self.may_repeat => {
+                self.lost(board, error, budget, now)
+            }
+            _ => self.finish(error),
+        }
+    }
+
+    fn lost(
+        &mut self,
+        board: &Board,
+        error: CallerError,
+        budget: &mut RetryBudget,
+        now: MonoTime,
+    ) -> Step {
+        if !self.may_repeat {
+            return self.resolve(board, now);
+        }
+        if !budget.try_spend() {
+            return Step::Done(Err(error));
+        }
+        self.lost = Some(error);
+        self.next(board, now)
+    }
+
+    fn resolve(&mut self, board: &Board, now: MonoTime) -> Step {
+        self.phase = Phase::Resolve;
+        // Whichever holder is asked turns to the primary that it knows.
+        self.databases = primary_first(board, self.slot);
+        self.databases.reverse();
+        self.holders.clear();
+        self.sends_left = SENDS_MAX;
+        self.next(board, now)
+    }
+
+    fn resolved(&mut self, board: &Board, error: CallerError, now: MonoTime) -> Step {
+        match error.outcome {
+            Outcome::NotRun | Outcome::Failed => Step::Done(Err(error)),
+            Outcome::Unknown => self.next(board, now),
+        }
+    }
+}
+
+fn nonsense(reply: &PeerReply) -> CallerError {
+    debug_assert!(false, "{reply:?} does not belong to a request");
+    refusal::lost("a VM of the fleet answered nonsense: check that all have the same version")
+}
--- /dev/null
+++ b/crates/route/src/execution.rs
@@ -0,0 +1,398 @@
+//! The holder's part of a request, as a state machine: admit, connect, execute, confirm, resolve.
+
+use board::{Board, DatabaseKey, RouteKey, SlotKey, WorkspaceKey};
+use config::{Route, RouteKind};
+use fleet::access::check_key;
+use model::prelude::*;
+use proto::{
+    caller::{CallerError, ErrorKind},
+    database::{Access, DatabaseError, Executed},
+    peer::{Answer, Forward, PeerReply, Redirect},
+};
+
+use crate::{
+    outcome::{self, Resolution, Verdict},
+    refusal,
+    replica::{self, Service},
+};
+
+/// Part of a request's time that is kept for finding out its outcome.
+const RESERVE_DIVISOR: u64 = 4;
+const RESERVE_MAX: DurationUs = DurationUs::from_ms(1_000);
+const VERIFIED_WITHIN: DurationUs = DurationUs::from_ms(1_500);
+const PRECHECK_LIMIT: DurationUs = DurationUs::from_ms(500);
+const CATCH_UP_LIMIT: DurationUs = DurationUs::from_ms(20);
+const RETRY_AFTER: DurationUs = DurationUs::from_ms(500);
+
+/// The keys of what a forwarded request names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Target {
+    /// Whose it is.
+    pub workspace: WorkspaceKey,
+    /// Its kind.
+    pub route: RouteKey,
+    /// Its slot.
+    pub slot: SlotKey,
+    /// Where it is to run.
+    pub database: DatabaseKey,
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// Find out whether the primary is still the current one in the term.
+    Verify {
+        /// The term.
+        term: Term,
+        /// When to give up.
+        until: MonoTime,
+    },
+    /// Wait until the database has applied the position.
+    CatchUp {
+        /// The position.
+        position: Position,
+        /// The slot's term.
+        term: Term,
+        /// How long.
+        wait: DurationUs,
+    },
+    /// Count the request against its workspace's rate.
+    Admit,
+    /// Take a connection to the database.
+    Connect,
+    /// Execute the request on the connection.
+    Execute {
+        /// How.
+        access: Access,
+        /// The term in which the slot is believed to be.
+        term: Term,
+        /// When to give up waiting for the answer.
+        until: MonoTime,
+    },
+    /// Find out whether a majority holds the write.
+    Confirm {
+        /// The write.
+        executed: Executed,
+        /// When to give up.
+        until: MonoTime,
+    },
+    /// Carry out a step of the search for the outcome.
+    Resolve(outcome::Step),
+    /// It is over.
+    Done(PeerReply),
+}
+
+/// What came of a step.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Event {
+    /// The answer to [`Step::Verify`], [`Step::CatchUp`] or [`Step::Confirm`].
+    Confirmed(bool),
+    /// Whether the workspace's rate allows the request.
+    Admitted(Result<(), CallerError>),
+    /// Whether a connection was had.
+    Connected(Result<(), CallerError>),
+    /// The database answered.
+    Executed(Result<Executed, DatabaseError>),
+    /// No byte of the request left for the database.
+    NotSent,
+    /// The request left and no whole answer came.
+    Lost(String),
+    /// For the search for the outcome.
+    Outcome(outcome::Event),
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Stage {
+    Precheck,
+    CatchUp,
+    Admit,
+    Connect,
+    Execute,
+    VerifyRead(Executed),
+    ConfirmWrite(Executed),
+    Resolve { resolution: Resolution, ran: bool },
+    Done,
+}
+
+/// One request on its holder.
+#[derive(Clone, Debug)]
+pub struct Execution<'a> {
+    forward: &'a Forward,
+    target: Target,
+    generation: Generation,
+    route: Route,
+    service: Service,
+    deadline: MonoTime,
+    stage: Stage,
+}
+
+/// The share of the time left that is kept for the outcome.
+pub fn reserve(left: DurationUs) -> DurationUs {
+    DurationUs(left.0 / RESERVE_DIVISOR).min(RESERVE_MAX)
+}
+
+impl<'a> Execution<'a> {
+    /// The first step, or the reply where there is none to take.
+    pub fn start(
+        board: &Board,
+        forward: &'a Forward,
+        now: MonoTime,
+    ) -> Result<(Execution<'a>, Step), PeerReply> {
+        let target = find(board, forward).map_err(PeerReply::Error)?;
+        check(board, forward).map_err(PeerReply::Error)?;
+        let route = board.catalog.routes[target.route].cfg.clone();
+        let service = replica::service(
+            board,
+            target.slot,
+            target.database,
+            &route,
+            forward.min_position,
+            now,
+        );
+        let deadline = now + forward.time_left;
+        let generation = board.catalog.cfg.generation;
+        let stage = Stage::Precheck;
+        let mut execution =
+            Execution { forward, target, generation, route, service, deadline, stage };
+        let step = match service {
+            Service::Never => return Err(execution.redirect(board)),
+            Service::LateReplica => execution.catch_up(board),
+            Service::Replica => execution.admit(),
+            Service::Primary => execution.precheck(board, now),
+        };
+        Ok((execution, step))
+    }
+
+    /// The keys of what the request names.
+    pub fn target(&self) -> Target {
+        self.target
+    }
+
+    /// When the request's time is over.
+    pub fn deadline(&self) -> MonoTime {
+        self.deadline
+    }
+
+    /// What to do after an event.
+    pub fn handle(&mut self, board: &Board, event: Event, now: MonoTime) -> Step {
+        if let Err(error) = self.carry_over(board) {
+            return self.fail(error);
+        }
+        match (std::mem::replace(&mut self.stage, Stage::Done), event) {
+            (Stage::Precheck, Event::Confirmed(true)) => self.admit(),
+            (Stage::Precheck, Event::Confirmed(false)) => self.fail(refusal::unavailable()),
+            (Stage::CatchUp, Event::Confirmed(true)) => self.admit(),
+            (Stage::CatchUp, Event::Confirmed(false)) => Step::Done(self.redirect(board)),
+            (Stage::Admit, Event::Admitted(admitted)) => self.connect(admitted),
+            (Stage::Connect, Event::Connected(connected)) => self.execute(board, connected, now),
+            (Stage::Execute, Event::Executed(Ok(executed))) => self.executed(board, executed, now),
+            (Stage::Execute, Event::Executed(Err(error))) => self.refused(error),
+            (Stage::Execute, Event::NotSent) => self.fail(refusal::unavailable()),
+            (Stage::Execute, Event::Lost(reason)) => self.lost(board, &reason, now),
+            (Stage::VerifyRead(executed), Event::Confirmed(true)) => self.answer(executed),
+            (Stage::VerifyRead(_), Event::Confirmed(false)) => self.fail(refusal::unverified()),
+            (Stage::ConfirmWrite(executed), Event::Confirmed(true)) => self.answer(executed),
+            (Stage::ConfirmWrite(_), Event::Confirmed(false)) => self.resolve(board, true, now),
+            (Stage::Resolve { mut resolution, ran }, Event::Outcome(event)) => {
+                let step = resolution.handle(board, event, now);
+                self.resolving(resolution, ran, step)
+            }
+            (stage, event) => {
+                debug_assert!(false, "{event:?} does not belong to {stage:?}");
+                self.fail(refusal::unresolved())
+            }
+        }
+    }
+
+    /// Finds the keys again where another configuration came into force.
+    fn carry_over(&mut self, board: &Board) -> Result<(), CallerError> {
+        if board.catalog.cfg.generation == self.generation {
+            return Ok(());
+        }
+        let sent =
+            !matches!(self.stage, Stage::Precheck | Stage::CatchUp | Stage::Admit | Stage::Connect);
+        let gone = |error| if sent { refusal::unresolved() } else { error };
+        self.target = find(board, self.forward).map_err(gone)?;
+        self.generation = board.catalog.cfg.generation;
+        Ok(())
+    }
+
+    fn precheck(&mut self, board: &Board, now: MonoTime) -> Step {
+        let term = board.slots[self.target.slot].term;
+        let known = replica::verified_within(board, self.target.slot, VERIFIED_WITHIN, now)
+            || replica::is_verified(board, self.target.slot, &self.route, now);
+        if known || self.route.kind == RouteKind::Write {
+            return self.admit();
+        }
+        self.stage = Stage::Precheck;
+        Step::Verify { term, until: (now + PRECHECK_LIMIT).min(self.deadline) }
+    }
+
+    fn catch_up(&mut self, board: &Board) -> Step {
+        self.stage = Stage::CatchUp;
+        let position = self.forward.min_position;
+        Step::CatchUp {
+            position,
+            term: board.slots[self.target.slot].term,
+            wait: CATCH_UP_LIMIT.min(self.forward.time_left),
+        }
+    }
+
+    fn admit(&mut self) -> Step {
+        self.stage = Stage::Admit;
+        Step::Admit
+    }
+
+    fn connect(&mut self, admitted: Result<(), CallerError>) -> Step {
+        match admitted {
+            Ok(()) => {
+                self.stage = Stage::Connect;
+                Step::Connect
+            }
+            Err(error) => self.fail(error),
+        }
+    }
+
+    fn execute(
+        &mut self,
+        board: &Board,
+        connected: Result<(), CallerError>,
+        now: MonoTime,
+    ) -> Step {
+        // The key may have been withdrawn while the request waited.
+        if let Err(error) = connected.and_then(|()| check(board, self.forward)) {
+            return self.fail(error);
+        }
+        if now >= self.deadline {
+            return self.fail(refusal::timed_out());
+        }
+        self.stage = Stage::Execute;
+        let access = match (self.route.kind, self.service) {
+            (RouteKind::Write, _) => Access::Write,
+            (RouteKind::Read, Service::Primary) => Access::ReadPrimary,
+            (RouteKind::Read, _) => Access::Read,
+        };
+        let term = board.slots[self.target.slot].term;
+        Step::Execute { access, term, until: self.run_until(now) }
+    }
+
+    /// Writes that may not be repeated keep a part of their time for finding out the outcome.
+    fn run_until(&self, now: MonoTime) -> MonoTime {
+        match self.may_repeat() {
+            true => self.deadline,
+            false => self.deadline - reserve(self.deadline.since(now)),
+        }
+    }
+
+    fn may_repeat(&self) -> bool {
+        self.route.repeatable || self.route.kind == RouteKind::Read
+    }
+
+    fn executed(&mut self, board: &Board, executed: Executed, now: MonoTime) -> Step {
+        if self.route.kind == RouteKind::Write {
+            self.stage = Stage::ConfirmWrite(executed.clone());
+            return Step::Confirm { executed, until: self.run_until(now) };
+        }
+        let covers = executed.position >= self.forward.min_position;
+        if self.service != Service::Primary {
+            return match covers {
+                true => self.answer(executed),
+                false => Step::Done(self.redirect(board)),
+            };
+        }
+        if covers && replica::is_verified(board, self.target.slot, &self.route, now) {
+            return self.answer(executed);
+        }
+        let term = executed.term;
+        self.stage = Stage::VerifyRead(executed);
+        Step::Verify { term, until: self.deadline }
+    }
+
+    fn answer(&mut self, executed: Executed) -> Step {
+        // Only the current primary answers below the session's position: then the slot's history no
+        // longer has what the session saw.
+        let resets_session = executed.position < self.forward.min_position;
+        Step::Done(PeerReply::Answer(Answer {
+            result: executed.result,
+            position: executed.position,
+            from_replica: self.service != Service::Primary,
+            resets_session,
+        }))
+    }
+
+    fn refused(&mut self, error: DatabaseError) -> Step {
+        if let Some(redirect) = refusal::learned(&error) {
+            return Step::Done(PeerReply::Redirect(redirect));
+        }
+        match error {
+            DatabaseError::Cancelled => Step::Done(PeerReply::Cancelled),
+            error => self.fail(refusal::refused(error)),
+        }
+    }
+
+    fn lost(&mut self, board: &Board, reason: &str, now: MonoTime) -> Step {
+        match self.may_repeat() {
+            true => self.fail(refusal::lost(reason)),
+            false => self.resolve(board, false, now),
+        }
+    }
+
+    fn resolve(&mut self, board: &Board, ran: bool, now: MonoTime) -> Step {
+        let mut resolution =
+            Resolution::new(board.catalog.slots[self.target.slot].digest, self.deadline);
+        let step = resolution.start(board, now);
+        self.resolving(resolution, ran, step)
+    }
+
+    fn resolving(&mut self, resolution: Resolution, ran: bool, step: outcome::Step) -> Step {
+        match step {
+            outcome::Step::Done(Verdict::Committed(executed)) => self.answer(executed),
+            outcome::Step::Done(Verdict::Cancelled) if ran => self.fail(refusal::undone()),
+            outcome::Step::Done(Verdict::Cancelled) => self.fail(refusal::cancelled()),
+            outcome::Step::Done(Verdict::Unknown) => self.fail(refusal::unresolved()),
+            step => {
+                self.stage = Stage::Resolve { resolution, ran };
+                Step::Resolve(step)
+            }
+        }
+    }
+
+    fn fail(&mut self, error: CallerError) -> Step {
+        Step::Done(PeerReply::Error(error))
+    }
+
+    fn redirect(&self, board: &Board) -> PeerReply {
+        PeerReply::Redirect(redirect(board, self.target.slot))
+    }
+}
+
+/// Who the slot's primary is, as far as this VM knows.
+pub fn redirect(board: &Board, slot: SlotKey) -> Redirect {
+    let state = &board.slots[slot];
+    let primary = state.primary.map(|database| board.catalog.databases[database].name.clone());
+    Redirect { term: state.term, primary }
+}
+
+fn find(board: &Board, forward: &Forward) -> Result<Target, CallerError> {
+    let catalog = &board.catalog;
+    let find = || {
+        let service = catalog.service(forward.service.as_str())?;
+        Some(Target {
+            workspace: catalog.workspace(forward.workspace.as_str())?,
+            route: catalog.route(service, forward.route.as_str())?,
+            slot: catalog.slot(service, forward.slot.as_str())?,
+            database: catalog.database(forward.database.as_str())?,
+        })
+    };
+    find().ok_or_else(|| {
+        let message = "the holder's configuration does not know the route or database yet: try again in a moment";
+        CallerError::not_run(ErrorKind::Unavailable, message).with_retry_after(RETRY_AFTER)
+    })
+}
+
+fn check(board: &Board, forward: &Forward) -> Result<(), CallerError> {
+    match &forward.key {
+        Some(key) => check_key(&board.catalog, key, &forward.workspace),
+        None => Ok(()),
+    }
+}
--- a/crates/route/src/replica.rs
+++ b/crates/route/src/replica.rs
@@ -1,43 +1,98 @@
-//! Which databases may serve a request.
+//! Which databases may serve a request, and how.
 
 use board::{Board, DatabaseKey, SlotKey};
 use config::{Route, RouteKind};
 use model::prelude::*;
 
+/// Longest time between the moment at which a database stated its term and its answer's arrival.
+const STATUS_TIMEOUT: DurationUs = DurationUs::from_ms(400);
+
+/// How a database can serve a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Service {
+    /// As the slot's primary.
+    Primary,
+    /// As a replica that is fresh enough.
+    Replica,
+    /// As a replica, once it has applied the position that the session has seen.
+    LateReplica,
+    /// Not at all.
+    Never,
+}
+
 /// The databases to try for a request, best first, as an entry VM sees it.
 pub fn databases_to_try(board: &Board, slot: SlotKey, route: &Route) -> Vec<DatabaseKey> {
-    let state = &board.slots[slot];
-    let usable = |database: &DatabaseKey| !board.catalog.databases[*database].cfg.leaving;
-    if route.kind == RouteKind::Write {
-        return state.primary.into_iter().collect();
+    if route.kind == RouteKind::Write || route.max_age_ms == 0 {
+        return primary_first(board, slot);
     }
-    let distance = |database: &DatabaseKey| {
-        let near = board.catalog.databases[*database].cfg.dc == board.fleet.me.dc;
-        (!near, Some(*database) != state.primary)
-    };
+    let state = &board.slots[slot];
+    let is_primary = |database: DatabaseKey| Some(database) == state.primary;
+    let cfg = |database: DatabaseKey| &board.catalog.databases[database].cfg;
+    let members = state.members.iter().map(|m| m.database);
     let mut databases: Vec<DatabaseKey> =
-        state.members.iter().map(|m| m.database).filter(usable).collect();
-    databases.sort_by_key(distance);
+        members.filter(|&d| is_primary(d) || !cfg(d).leaving).collect();
+    databases.sort_by_key(|&d| (cfg(d).leaving, cfg(d).dc != board.fleet.me.dc, is_primary(d)));
+    databases
+}
+
+/// The slot's databases, its primary first: the holders of the others know where it went.
+pub fn primary_first(board: &Board, slot: SlotKey) -> Vec<DatabaseKey> {
+    let state = &board.slots[slot];
+    let is_far =
+        |database: DatabaseKey| board.catalog.databases[database].cfg.dc != board.fleet.me.dc;
+    let mut databases: Vec<DatabaseKey> = state.members.iter().map(|m| m.database).collect();
+    databases.sort_by_key(|&d| (Some(d) != state.primary, is_far(d)));
     databases
 }
 
-/// Whether a database can serve a read, as far as is known before asking it.
-pub fn may_serve(
+/// How the database can serve the request, as far as is known before asking it.
+pub fn service(
     board: &Board,
     slot: SlotKey,
     database: DatabaseKey,
     route: &Route,
     min_position: Position,
     now: MonoTime,
-) -> bool {
+) -> Service {
     let state = &board.slots[slot];
     if state.primary == Some(database) {
-        return true;
+        return Service::Primary;
     }
-    let Some(member) = state.member(database) else {
-        return false;
+    let Some(member) = state.member(database).filter(|_| route.kind == RouteKind::Read) else {
+        return Service::Never;
     };
+    let entry = &board.catalog.databases[database].cfg;
     let age = member.fresh_at.map(|at| now.since(at));
-    let young = age.is_some_and(|age| age <= DurationUs::from_ms(route.max_age_ms));
-    young && member.position >= min_position
+    let young = age.is_some_and(|age| age <= max_age(route));
+    if !young || entry.leaving || route.max_age_ms == 0 {
+        return Service::Never;
+    }
+    if member.position >= min_position {
+        return Service::Replica;
+    }
+    let primary_is_near =
+        state.primary.is_some_and(|primary| board.catalog.databases[primary].cfg.dc == entry.dc);
+    if primary_is_near { Service::Never } else { Service::LateReplica }
+}
+
+/// Whether it is known without asking that the primary was the current one at a moment that the
+/// route's age allows.
+pub fn is_verified(board: &Board, slot: SlotKey, route: &Route, now: MonoTime) -> bool {
+    route.max_age_ms > 0 && verified_within(board, slot, max_age(route), now)
+}
+
+/// Whether a majority of the slot's members stated within that time that they know of no term later
+/// than the board's.
+pub fn verified_within(board: &Board, slot: SlotKey, age: DurationUs, now: MonoTime) -> bool {
+    let state = &board.slots[slot];
+    let agree = |m: &&board::Member| {
+        let answered_at = board.databases[m.database].answered_at;
+        let young = answered_at.is_some_and(|at| now.since(at - STATUS_TIMEOUT) <= age);
+        m.term <= state.term && young
+    };
+    state.members.iter().filter(agree).count() >= state.majority()
+}
+
+fn max_age(route: &Route) -> DurationUs {
+    DurationUs::from_ms(route.max_age_ms)
 }
--- a/crates/standin/src/database/requests.rs
+++ b/crates/standin/src/database/requests.rs
@@ -170,7 +170,10 @@
         return Err(transaction_error("a transaction is open on this connection"));
     }
     let mut slot = state.slot(&req.service, &req.slot)?;
-    if req.access == Access::Read {
+    if req.access == Access::ReadPrimary {
+        slot.check_primary(req.term)?;
+    }
+    if req.access != Access::Write {
         let effect = run(&slot, &Writes::new(), &req.statement, &req.params)?;
         if !effect.writes.is_empty() {
             return Err(DatabaseError::Statement { message: "a read may not write".to_owned() });
@@ -183,13 +186,16 @@
         });
     }
     slot.check_primary(req.term)?;
+    if slot.is_other_request(req) {
+        return Err(DatabaseError::OtherRequest);
+    }
     match slot.recorded(req.request_id) {
         Recorded::Committed(executed) => return Ok(executed),
         Recorded::Cancelled(_) => return Err(DatabaseError::Cancelled),
         Recorded::Absent => {}
     }
     let effect = run(&slot, &Writes::new(), &req.statement, &req.params)?;
-    let position = slot.append(Some(req.request_id), false, effect.writes, effect.result.clone());
+    let position = slot.append_write(req, effect.writes, effect.result.clone());
     state.0.changed.notify_waiters();
     Ok(Executed { result: effect.result, term: slot.granted, position, repeated: false })
 }
--- a/crates/standin/src/database/slot.rs
+++ b/crates/standin/src/database/slot.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use model::prelude::*;
-use proto::database::{DatabaseError, Executed, Recorded, Role, SlotStatus};
+use proto::database::{DatabaseError, Execute, Executed, Recorded, Role, SlotStatus};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -16,6 +16,9 @@
     pub term: Term,
     /// The request that it records; absent in the first entry of a term.
     pub request_id: Option<RequestId>,
+    /// Fingerprint of that request.
+    #[serde(default)]
+    pub fingerprint: u64,
     /// Whether it records that the request was cancelled.
     pub cancelled: bool,
     /// Values written, by name.
@@ -141,6 +144,25 @@
         }
     }
 
+    /// Appends the entry of a write in the granted term.
+    pub fn append_write(&mut self, req: &Execute, writes: Writes, result: Value) -> Position {
+        self.apply(Entry {
+            term: self.granted,
+            request_id: Some(req.request_id),
+            fingerprint: req.fingerprint,
+            cancelled: false,
+            writes,
+            result,
+        });
+        self.position()
+    }
+
+    /// Whether the entry of the request was written with another fingerprint.
+    pub fn is_other_request(&self, req: &Execute) -> bool {
+        let entry = self.recorded.get(&req.request_id).map(|&i| &self.log[i as usize - 1]);
+        entry.is_some_and(|entry| !entry.cancelled && entry.fingerprint != req.fingerprint)
+    }
+
     /// Appends an entry in the granted term.
     pub fn append(
         &mut self,
@@ -149,7 +171,15 @@
         writes: Writes,
         result: Value,
     ) -> Position {
-        self.apply(Entry { term: self.granted, request_id, cancelled, writes, result });
+        let fingerprint = 0;
+        self.apply(Entry {
+            term: self.granted,
+            request_id,
+            fingerprint,
+            cancelled,
+            writes,
+            result,
+        });
         self.position()
     }
 
--- a/crates/xtask/src/bench.rs
+++ b/crates/xtask/src/bench.rs
@@ -48,6 +48,7 @@
             term: Term(1),
             request_id: RequestId::random(),
             access: self.access,
+            fingerprint: 0,
             statement: statement(self.access).to_owned(),
             params: params(),
             in_transaction: false,
@@ -160,7 +161,7 @@
 
 fn statement(access: Access) -> &'static str {
     match access {
-        Access::Read => "get",
+        Access::Read | Access::ReadPrimary => "get",
         Access::Write => "put",
     }
 }
