Replay requests against the state machines, under stated and random faults

A world in virtual time (three databases, six VMs, one slot) drives the real attempt, execution and outcome machines.

--- a/crates/jasminepassd/src/holder.rs
+++ b/crates/jasminepassd/src/holder.rs
@@ -33,7 +33,7 @@
         Ok(started) => started,
         Err(reply) => return reply,
     };
-    let mut lease = None;
+    let mut lease: Option<Lease> = None;
     loop {
         let event = match step {
             Step::Done(reply) => {
--- /dev/null
+++ b/crates/replay/src/requests/database.rs
@@ -0,0 +1,179 @@
+//! A slot at one database, as the contract of upstreams has it, without time or sockets.
+
+use model::prelude::*;
+use proto::database::{
+    Access, DatabaseError, Execute, Executed, OutcomeRecord, Recorded, Role, SlotStatus, Status,
+};
+use serde_json::Value;
+
+/// An entry of the log.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// Term in which it was written.
+    pub term: Term,
+    /// The write; absent in the first entry of a term.
+    pub request_id: Option<RequestId>,
+    /// Whether it records a cancellation.
+    pub cancelled: bool,
+    /// Fingerprint of the write.
+    pub fingerprint: u64,
+    /// What was written.
+    pub statement: String,
+}
+
+/// A database that carries one slot.
+#[derive(Clone, Debug)]
+pub struct Database {
+    /// Its name.
+    pub name: DatabaseName,
+    /// The highest term granted.
+    pub granted: Term,
+    /// The primary that it follows, or itself.
+    pub primary: Option<DatabaseName>,
+    /// Its log.
+    pub log: Vec<Entry>,
+    /// Nobody reaches it.
+    pub cut: bool,
+    /// It does not copy the primary's log.
+    pub lags: bool,
+    /// What arrives when the cut ends.
+    pub held_back: Vec<Execute>,
+}
+
+impl Database {
+    /// An empty replica.
+    pub fn new(name: DatabaseName) -> Database {
+        Database {
+            name,
+            granted: Term(1),
+            primary: None,
+            log: Vec::new(),
+            cut: false,
+            lags: false,
+            held_back: Vec::new(),
+        }
+    }
+
+    /// Whether it takes itself for the primary.
+    pub fn is_primary(&self) -> bool {
+        self.primary.as_ref() == Some(&self.name)
+    }
+
+    /// How far its log goes.
+    pub fn position(&self) -> Position {
+        self.position_at(self.log.len())
+    }
+
+    /// Whether its log holds the entry at the position.
+    pub fn holds(&self, position: Position) -> bool {
+        position == Position::ZERO || self.position_at(position.index as usize) == position
+    }
+
+    /// Its answer to a status query.
+    pub fn status(&self, service: &ServiceName, slot: &SlotName) -> Status {
+        Status { database: self.name.clone(), slots: vec![self.slot_status(service, slot)] }
+    }
+
+    /// Executes a message.
+    pub fn execute(&mut self, req: &Execute) -> Result<Executed, DatabaseError> {
+        if req.access != Access::Read {
+            self.check_primary(req.term)?;
+        }
+        if req.access != Access::Write {
+            return Ok(self.executed(self.position(), false));
+        }
+        if let Some((position, entry)) = self.find(req.request_id) {
+            return match (entry.cancelled, entry.fingerprint == req.fingerprint) {
+                (true, _) => Err(DatabaseError::Cancelled),
+                (false, true) => Ok(self.executed(position, true)),
+                (false, false) => Err(DatabaseError::OtherRequest),
+            };
+        }
+        self.append(Some(req.request_id), false, req.fingerprint, &req.statement);
+        Ok(self.executed(self.position(), false))
+    }
+
+    /// Says what is recorded of a write, and records it as cancelled where there is nothing.
+    pub fn outcome(
+        &mut self,
+        request_id: RequestId,
+        term: Term,
+        service: &ServiceName,
+        slot: &SlotName,
+    ) -> Result<OutcomeRecord, DatabaseError> {
+        if self.find(request_id).is_none() {
+            self.check_primary(term)?;
+            self.append(Some(request_id), true, 0, "");
+        }
+        let recorded = match self.find(request_id) {
+            Some((position, entry)) if entry.cancelled => Recorded::Cancelled(position),
+            Some((position, _)) => Recorded::Committed(self.executed(position, true)),
+            None => Recorded::Absent,
+        };
+        Ok(OutcomeRecord { recorded, status: self.slot_status(service, slot) })
+    }
+
+    /// Becomes the primary of the term.
+    pub fn promote(&mut self, term: Term) {
+        self.granted = term;
+        self.primary = Some(self.name.clone());
+        self.append(None, false, 0, "");
+    }
+
+    /// Copies another log.
+    pub fn copy(&mut self, primary: &Database) {
+        self.granted = primary.granted;
+        self.primary = Some(primary.name.clone());
+        if !self.lags {
+            self.log.clone_from(&primary.log);
+        }
+    }
+
+    fn append(
+        &mut self,
+        request_id: Option<RequestId>,
+        cancelled: bool,
+        fingerprint: u64,
+        statement: &str,
+    ) {
+        let statement = statement.to_owned();
+        self.log.push(Entry { term: self.granted, request_id, cancelled, fingerprint, statement });
+    }
+
+    fn find(&self, request_id: RequestId) -> Option<(Position, &Entry)> {
+        let at = self.log.iter().position(|entry| entry.request_id == Some(request_id))?;
+        Some((self.position_at(at + 1), &self.log[at]))
+    }
+
+    fn position_at(&self, index: usize) -> Position {
+        match self.log.get(index.wrapping_sub(1)) {
+            Some(entry) => Position::new(entry.term, index as u64),
+            None => Position::ZERO,
+        }
+    }
+
+    fn check_primary(&self, term: Term) -> Result<(), DatabaseError> {
+        if term < self.granted {
+            return Err(DatabaseError::StaleTerm { term: self.granted });
+        }
+        if self.is_primary() && term == self.granted {
+            return Ok(());
+        }
+        Err(DatabaseError::NotPrimary { term: self.granted, primary: self.primary.clone() })
+    }
+
+    fn executed(&self, position: Position, repeated: bool) -> Executed {
+        Executed { result: Value::from(position.index), term: self.granted, position, repeated }
+    }
+
+    fn slot_status(&self, service: &ServiceName, slot: &SlotName) -> SlotStatus {
+        SlotStatus {
+            service: service.clone(),
+            slot: slot.clone(),
+            role: if self.is_primary() { Role::Primary } else { Role::Replica },
+            term: self.granted,
+            primary: self.primary.clone(),
+            position: self.position(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/replay/src/requests/world.rs
@@ -0,0 +1,384 @@
+//! The world of a trace: databases, the board as the VMs see it, and virtual time.
+
+use std::{collections::VecDeque, sync::Arc};
+
+use board::{Board, Catalog, RouteKey, SlotKey, VmIdentity};
+use config::{Configuration, RouteKind, answers::generate};
+use failover::observe::{Observation, observe};
+use model::{prelude::*, request::stable_hash};
+use proto::{
+    caller::CallerError,
+    peer::{Answer, Forward},
+    platform::{VmRecord, VmState},
+};
+use route::{
+    attempt::{self, Attempt},
+    budget::RetryBudget,
+};
+
+use super::{Database, Event, Expected, Fault, Request};
+
+const ANSWERS: &str = include_str!("answers.toml");
+const STEP: DurationUs = DurationUs::from_ms(10);
+const STATUS_INTERVAL: DurationUs = DurationUs::from_ms(100);
+const HOP: DurationUs = DurationUs::from_ms(1);
+
+/// What a caller was told.
+#[derive(Clone, Debug)]
+struct Told {
+    statement: String,
+    key: Option<String>,
+    is_write: bool,
+    is_repeatable: bool,
+    what: Expected,
+}
+
+/// Everything outside the state machines under test.
+#[derive(Clone)]
+pub struct World {
+    pub(super) now: MonoTime,
+    pub(super) board: Board,
+    pub(super) databases: Vec<Database>,
+    pub(super) dead: FxHashSet<VmName>,
+    pub(super) faults: Vec<Fault>,
+    scheduled: VecDeque<(MonoTime, Event)>,
+    /// Every acknowledged write.
+    acknowledged: Vec<(MonoTime, Position)>,
+    sessions: FxHashMap<String, Position>,
+    budget: RetryBudget,
+    told: Vec<Told>,
+    violations: Vec<String>,
+    requests: u64,
+}
+
+impl World {
+    /// Three databases, of which the first is primary in the first term, and six VMs.
+    pub fn new() -> World {
+        let cfg = generate(ANSWERS, &Configuration::empty(), 1).expect("sound answers");
+        let catalog = Arc::new(Catalog::new(cfg));
+        let mut databases: Vec<Database> =
+            catalog.databases.iter().map(|d| Database::new(d.name.clone())).collect();
+        databases[0].promote(Term(1));
+        let mut board = Board::new(VmIdentity {
+            vm: VmName::new("a-1").expect("a name"),
+            incarnation: Incarnation(1),
+            dc: DcName::new("a").expect("a name"),
+            peer_address: String::new(),
+        });
+        board.adopt(catalog);
+        board.fleet.vms = ["a-1", "a-2", "b-1", "b-2", "c-1", "c-2"].map(vm).into();
+        let mut world = World {
+            now: MonoTime::default() + World::START,
+            board,
+            databases,
+            dead: FxHashSet::default(),
+            faults: Vec::new(),
+            scheduled: VecDeque::new(),
+            acknowledged: Vec::new(),
+            sessions: FxHashMap::default(),
+            budget: RetryBudget::new(),
+            told: Vec::new(),
+            violations: Vec::new(),
+            requests: 0,
+        };
+        world.tick();
+        world.look();
+        world.look();
+        world
+    }
+
+    /// The virtual time at which a trace begins.
+    pub const START: DurationUs = DurationUs::from_ms(1_000);
+
+    /// Changes the world at that time, or as soon as a request that is running lets time pass so far.
+    pub fn schedule(&mut self, at: MonoTime, event: Event) {
+        self.scheduled.push_back((at, event));
+    }
+
+    /// Lets time pass.
+    pub fn advance_to(&mut self, at: MonoTime) {
+        self.apply_due();
+        while self.now < at {
+            let before = self.now;
+            self.now = at.min(self.now + STEP);
+            self.apply_due();
+            self.tick();
+            if before.0 / STATUS_INTERVAL.0 != self.now.0 / STATUS_INTERVAL.0 {
+                self.look();
+            }
+        }
+    }
+
+    fn apply_due(&mut self) {
+        while self.scheduled.front().is_some_and(|(at, _)| *at <= self.now) {
+            if let Some((_, event)) = self.scheduled.pop_front() {
+                self.apply(event);
+            }
+        }
+    }
+
+    /// Changes the world.
+    pub fn apply(&mut self, event: Event) {
+        match event {
+            Event::Fault(fault) => self.faults.push(fault),
+            Event::Cut(name) => self.database(&name).cut = true,
+            Event::Release(name) => self.release(&name),
+            Event::Lag(name) => self.database(&name).lags = true,
+            Event::CatchUp(name) => self.database(&name).lags = false,
+            Event::Promote {} => self.promote(),
+            Event::Request(_) | Event::Expect { .. } => {}
+        }
+    }
+
+    /// Runs a request to its end and returns what its caller is told.
+    pub fn request(&mut self, req: &Request) -> Expected {
+        self.requests += 1;
+        let forward = self.forward(req);
+        let route = self.route(&req.route);
+        let asked_at = self.now;
+        let deadline = self.now + DurationUs::from_ms(req.timeout_ms);
+        let result = self.drive(req, forward.clone(), &route, deadline);
+        if self.now > deadline + STEP {
+            self.violations.push(format!("{}: answered after its time", req.name));
+        }
+        let what = match &result {
+            Ok(answer) if answer.from_replica => Expected::AnsweredByReplica,
+            Ok(_) => Expected::Answered,
+            Err(error) => Expected::of_error(error),
+        };
+        if let Ok(answer) = &result {
+            self.check_position(req, &route, &forward, answer, asked_at);
+        }
+        self.told.push(Told {
+            statement: req.name.clone(),
+            key: req.key.clone(),
+            is_write: route.kind == RouteKind::Write,
+            is_repeatable: route.repeatable,
+            what,
+        });
+        what
+    }
+
+    /// The world once every cut is over and everything held back has arrived.
+    pub fn healed(&self) -> World {
+        let mut world = self.clone();
+        let names: Vec<DatabaseName> = world.databases.iter().map(|d| d.name.clone()).collect();
+        for name in &names {
+            world.database(name.as_str()).lags = false;
+            world.release(name.as_str());
+        }
+        world.tick();
+        world
+    }
+
+    /// How often the statement is in the slot's history.
+    pub fn runs(&self, statement: &str) -> usize {
+        self.history().filter(|written| *written == statement).count()
+    }
+
+    /// Where what callers were told does not fit the slot's history.
+    pub fn violations(&self) -> Vec<String> {
+        let mut violations = self.violations.clone();
+        for told in self.told.iter().filter(|told| told.is_write) {
+            let runs = self.runs(&told.statement);
+            let same_key = |other: &&Told| told.key.is_some() && other.key == told.key;
+            let statements: FxHashSet<&str> =
+                self.told.iter().filter(same_key).map(|t| t.statement.as_str()).collect();
+            let of_key: usize = statements.iter().map(|s| self.runs(s)).sum();
+            let fits = match told.what {
+                Expected::Answered | Expected::AnsweredByReplica => {
+                    told.key.is_some() && of_key == 1 || runs == 1
+                }
+                Expected::NotRun | Expected::Failed => runs == 0,
+                Expected::Unknown => true,
+            };
+            if !fits {
+                violations
+                    .push(format!("{}: {:?}, but it ran {runs} times", told.statement, told.what));
+            }
+            if !told.is_repeatable && (runs > 1 || of_key > 1) {
+                violations.push(format!("{}: ran more than once", told.statement));
+            }
+        }
+        violations
+    }
+
+    /// Checks that an answer covers the session, and for a read what was acknowledged before it by its
+    /// route's age.
+    fn check_position(
+        &mut self,
+        req: &Request,
+        route: &config::Route,
+        forward: &Forward,
+        answer: &Answer,
+        asked_at: MonoTime,
+    ) {
+        if let Some(name) = &req.session {
+            let seen = match answer.resets_session {
+                true => answer.position,
+                false => answer.position.max(forward.min_position),
+            };
+            self.sessions.insert(name.clone(), seen);
+        }
+        if route.kind == RouteKind::Write {
+            self.acknowledged.push((self.now, answer.position));
+            return;
+        }
+        if answer.position < forward.min_position && !answer.resets_session {
+            self.violations.push(format!("{}: its session has seen more", req.name));
+        }
+        let due = asked_at - DurationUs::from_ms(route.max_age_ms);
+        let covered =
+            |(at, position): &(MonoTime, Position)| *at > due || *position <= answer.position;
+        if !self.acknowledged.iter().all(covered) {
+            self.violations.push(format!("{}: older than its route allows", req.name));
+        }
+    }
+
+    fn forward(&self, req: &Request) -> Forward {
+        let request_id = match &req.key {
+            Some(key) => RequestId::from_idempotency_key("w", "s", &req.route, key),
+            None => RequestId(self.requests, 0),
+        };
+        let body = req.body.as_ref().or(req.key.as_ref()).unwrap_or(&req.name);
+        let seen = req.session.as_ref().and_then(|name| self.sessions.get(name));
+        Forward {
+            workspace: "w".parse().expect("a name"),
+            key: None,
+            generation: self.board.catalog.cfg.generation,
+            service: "s".parse().expect("a name"),
+            route: req.route.parse().expect("a name"),
+            slot: "one".parse().expect("a name"),
+            database: self.databases[0].name.clone(),
+            min_position: seen.copied().unwrap_or(Position::ZERO),
+            request_id,
+            fingerprint: stable_hash(body),
+            statement: req.name.clone(),
+            params: Vec::new(),
+            time_left: DurationUs::default(),
+        }
+    }
+
+    fn route(&self, name: &str) -> config::Route {
+        let catalog = &self.board.catalog;
+        let find = |route: &RouteKey| catalog.routes[*route].cfg.name.as_str() == name;
+        let key = catalog.routes.keys().find(find).expect("a route of the world");
+        catalog.routes[key].cfg.clone()
+    }
+
+    /// Replicas copy their primary's log.
+    fn tick(&mut self) {
+        let primary = self.databases.iter().filter(|d| d.is_primary() && !d.cut);
+        let Some(primary) = primary.max_by_key(|d| d.granted).cloned() else {
+            return;
+        };
+        for database in &mut self.databases {
+            let follows = database.name != primary.name && !database.cut;
+            if follows && database.granted <= primary.granted {
+                database.copy(&primary);
+            }
+        }
+    }
+
+    /// The VMs ask every database for its status.
+    fn look(&mut self) {
+        let catalog = self.board.catalog.clone();
+        let slot = &catalog.slots[SlotKey::from(0)];
+        let service = &catalog.services[slot.service].name;
+        for database in &self.databases {
+            let status = (!database.cut).then(|| database.status(service, &slot.name));
+            let observation =
+                Observation { database: database.name.clone(), asked_at: self.now, status };
+            observe(&mut self.board, &observation, self.now);
+        }
+    }
+
+    pub(super) fn database(&mut self, name: &str) -> &mut Database {
+        let found = self.databases.iter_mut().find(|d| d.name.as_str() == name);
+        found.expect("a database of the world")
+    }
+
+    fn release(&mut self, name: &str) {
+        let database = self.database(name);
+        database.cut = false;
+        for message in std::mem::take(&mut database.held_back) {
+            // Nobody waits for the answer any more.
+            let _ = database.execute(&message);
+        }
+    }
+
+    fn promote(&mut self) {
+        let reached = || self.databases.iter().filter(|d| !d.cut);
+        if reached().count() < 2 {
+            return;
+        }
+        let term = reached().map(|d| d.granted).max().expect("there are some").next();
+        let best = reached().max_by_key(|d| d.position()).expect("there are some").name.clone();
+        for database in self.databases.iter_mut().filter(|d| !d.cut) {
+            database.granted = term;
+            database.primary = None;
+        }
+        self.database(best.as_str()).promote(term);
+    }
+
+    fn history(&self) -> impl Iterator<Item = &str> {
+        let current = self.databases.iter().filter(|d| d.is_primary()).max_by_key(|d| d.granted);
+        let log = current.map(|d| d.log.as_slice()).unwrap_or_default();
+        log.iter().filter(|e| !e.cancelled && e.request_id.is_some()).map(|e| e.statement.as_str())
+    }
+
+    fn drive(
+        &mut self,
+        req: &Request,
+        mut forward: Forward,
+        route: &config::Route,
+        deadline: MonoTime,
+    ) -> Result<Answer, CallerError> {
+        let mut board = self.board.clone();
+        let entry = board.fleet.vm(&req.entry).expect("a VM of the world");
+        (board.fleet.me.vm, board.fleet.me.dc) = (entry.vm.clone(), entry.dc.clone());
+        self.budget.earn();
+        let id = forward.request_id;
+        let (mut attempt, mut step) =
+            Attempt::start(&board, SlotKey::from(0), route, id, deadline, self.now);
+        loop {
+            self.advance_to(self.now + HOP);
+            let event = match step {
+                attempt::Step::Done(result) => return result,
+                attempt::Step::Run(send) if self.dead.contains(&send.holder) => {
+                    attempt::Event::NotSent
+                }
+                attempt::Step::Resolve(send) if self.dead.contains(&send.holder) => {
+                    attempt::Event::NotSent
+                }
+                attempt::Step::Run(send) => {
+                    forward.database = self.databases[usize::from(send.database)].name.clone();
+                    forward.request_id = send.request_id;
+                    forward.time_left = send.until.since(self.now);
+                    self.hold(&send.holder, &forward, send.until)
+                }
+                attempt::Step::Resolve(send) => {
+                    attempt::Event::Reply(self.resolve(send.request_id, send.until))
+                }
+            };
+            self.advance_to(self.now + HOP);
+            step = attempt.handle(&board, event, &mut self.budget, self.now);
+        }
+    }
+}
+
+impl Default for World {
+    fn default() -> World {
+        World::new()
+    }
+}
+
+fn vm(name: &str) -> VmRecord {
+    VmRecord {
+        vm: VmName::new(name).expect("a name"),
+        incarnation: Incarnation(1),
+        dc: DcName::new(&name[..1]).expect("a name"),
+        peer_address: String::new(),
+        state: VmState::Live,
+    }
+}
--- a/crates/route/src/execution.rs
+++ b/crates/route/src/execution.rs
@@ -309,9 +309,10 @@
     }
 
     fn answer(&mut self, executed: Executed) -> Step {
-        // Only the current primary answers below the session's position: then the slot's history no
-        // longer has what the session saw.
-        let resets_session = executed.position < self.forward.min_position;
+        // A read below the session's position comes only from a primary that was shown to be the
+        // current one: then the slot's history no longer has what the session saw.
+        let resets_session =
+            self.route.kind == RouteKind::Read && executed.position < self.forward.min_position;
         Step::Done(PeerReply::Answer(Answer {
             result: executed.result,
             position: executed.position,
--- a/crates/route/src/refusal.rs
+++ b/crates/route/src/refusal.rs
@@ -36,7 +36,7 @@
 /// A write was kept from running.
 pub fn cancelled() -> CallerError {
     let message = "the write did not reach its upstream in time and was cancelled: send it again";
-    CallerError::not_run(ErrorKind::Unavailable, message).with_retry_after(RETRY_AFTER)
+    CallerError::not_run(ErrorKind::Timeout, message).with_retry_after(RETRY_AFTER)
 }
 
 /// A write ran, and a change of primary undid it.
