--- a/crates/jasminepassd/src/main.rs
+++ b/crates/jasminepassd/src/main.rs
@@ -15,10 +15,14 @@
 mod logging;
 mod monitor;
 mod ops;
+mod outcome;
 mod peer;
 mod pools;
 mod run;
 mod settings;
+mod transaction_entry;
+mod transaction_steps;
+mod transactions;
 mod watch;
 
 use settings::Settings;
--- a/crates/jasminepassd/src/settings.rs
+++ b/crates/jasminepassd/src/settings.rs
@@ -5,6 +5,7 @@
 use clap::{Arg, ArgMatches, Command, builder::ValueParser, value_parser};
 use eyre::WrapErr;
 use model::{key::FleetSecret, prelude::*};
+use route::transaction::Limits;
 
 /// How log lines look.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +49,8 @@
     pub drain_limit: Duration,
     /// How often each database is asked for its status.
     pub status_interval: DurationUs,
+    /// When transactions are rolled back.
+    pub transaction_limits: Limits,
 }
 
 impl Settings {
@@ -76,6 +79,10 @@
             max_connections: one::<u64>(matches, "max-connections")? as usize,
             drain_limit: Duration::from_millis(one(matches, "drain-limit-ms")?),
             status_interval: DurationUs::from_ms(one(matches, "status-interval-ms")?),
+            transaction_limits: Limits {
+                idle: DurationUs::from_ms(one(matches, "transaction-idle-ms")?),
+                total: DurationUs::from_ms(one(matches, "transaction-limit-ms")?),
+            },
         })
     }
 }
@@ -171,6 +178,24 @@
             )
             .default_value("100"),
         )
+        .arg(
+            setting(
+                "transaction-idle-ms",
+                "JASMINEPASS_TRANSACTION_IDLE_MS",
+                "Time without a request after which a transaction is rolled back, in milliseconds",
+                range(10, 600_000),
+            )
+            .default_value("5000"),
+        )
+        .arg(
+            setting(
+                "transaction-limit-ms",
+                "JASMINEPASS_TRANSACTION_LIMIT_MS",
+                "Time in all after which a transaction is rolled back, in milliseconds",
+                range(10, 600_000),
+            )
+            .default_value("30000"),
+        )
 }
 
 fn setting(name: &'static str, env: &'static str, help: &'static str, parser: ValueParser) -> Arg {
