--- a/crates/board/src/fleet.rs
+++ b/crates/board/src/fleet.rs
@@ -1,7 +1,12 @@
 //! The VMs of the fleet.
 
+use std::{ops::Deref, sync::Arc};
+
 use model::prelude::*;
-use proto::platform::{VmRecord, VmState};
+use proto::{
+    gossip::Rumour,
+    platform::{Object, VmRecord, VmState},
+};
 
 /// Who this VM is.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,6 +21,86 @@
     pub peer_address: String,
 }
 
+impl VmIdentity {
+    /// Its record in a list of VMs.
+    pub fn record(&self, state: VmState) -> VmRecord {
+        VmRecord {
+            vm: self.vm.clone(),
+            incarnation: self.incarnation,
+            dc: self.dc.clone(),
+            peer_address: self.peer_address.clone(),
+            state,
+        }
+    }
+}
+
+/// A list of VMs, sorted by name. Cheap to clone.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Members(Arc<Vec<VmRecord>>);
+
+impl Members {
+    /// Whether both are the same allocation, hence equal.
+    pub fn is_same(&self, other: &Members) -> bool {
+        Arc::ptr_eq(&self.0, &other.0)
+    }
+}
+
+impl From<Vec<VmRecord>> for Members {
+    fn from(mut vms: Vec<VmRecord>) -> Members {
+        vms.sort_by(|a, b| a.vm.cmp(&b.vm));
+        Members(Arc::new(vms))
+    }
+}
+
+impl Deref for Members {
+    type Target = [VmRecord];
+
+    fn deref(&self) -> &[VmRecord] {
+        &self.0
+    }
+}
+
+/// How old something was at a moment of this VM's clock.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Age {
+    /// Its age then.
+    pub age: DurationUs,
+    /// The moment.
+    pub at: MonoTime,
+}
+
+impl Age {
+    /// Of something that is new at this moment.
+    pub fn zero(at: MonoTime) -> Age {
+        Age { age: DurationUs::default(), at }
+    }
+
+    /// Its age now.
+    pub fn now(self, now: MonoTime) -> DurationUs {
+        DurationUs(self.age.0.saturating_add(now.since(self.at).0))
+    }
+}
+
+/// The platform's list of VMs as last read by this VM or by one that told it.
+#[derive(Clone, Debug)]
+pub struct ListReading {
+    /// The list.
+    pub vms: Members,
+    /// Hash of the list.
+    pub hash: u64,
+    /// Time since it was read from the platform.
+    pub read: Age,
+}
+
+/// A change of the fleet that this VM passes on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeardRumour {
+    /// The change.
+    pub rumour: Rumour,
+    /// When it was heard.
+    pub at: MonoTime,
+}
+
 /// The VMs as last heard of.
 #[derive(Clone, Debug)]
 pub struct Fleet {
@@ -23,27 +108,48 @@
     pub me: VmIdentity,
     /// Whether this VM is being stopped.
     pub stopping: bool,
-    /// The platform's list, which may lag. Sorted by name.
-    pub vms: Vec<VmRecord>,
+    /// The VMs: the platform's list, corrected by what the VMs said themselves.
+    pub vms: Members,
+    /// The platform's list as read, which may lag; absent until it was read.
+    pub listed: Option<ListReading>,
     /// VMs that don't answer, and since when.
     pub suspects: FxHashMap<VmName, MonoTime>,
+    /// Time since the platform answered this VM, or one that told it.
+    pub platform: Option<Age>,
+    /// Time since each other data centre was heard from.
+    pub heard: FxHashMap<DcName, Age>,
+    /// Recent changes of the fleet, newest last.
+    pub rumours: Vec<HeardRumour>,
+    /// The object of this VM's data centre.
+    pub dc_object: Option<Arc<Object>>,
 }
 
 impl Fleet {
     /// A fleet in which only this VM is known.
     pub fn new(me: VmIdentity) -> Fleet {
-        let record = VmRecord {
-            vm: me.vm.clone(),
-            incarnation: me.incarnation,
-            dc: me.dc.clone(),
-            peer_address: me.peer_address.clone(),
-            state: VmState::Live,
-        };
-        Fleet { me, stopping: false, vms: vec![record], suspects: FxHashMap::default() }
+        let record = me.record(VmState::Live);
+        Fleet {
+            me,
+            stopping: false,
+            vms: vec![record].into(),
+            listed: None,
+            suspects: FxHashMap::default(),
+            platform: None,
+            heard: FxHashMap::default(),
+            rumours: Vec::new(),
+            dc_object: None,
+        }
     }
 
     /// The VM of that name.
     pub fn vm(&self, name: &str) -> Option<&VmRecord> {
-        self.vms.iter().find(|r| r.vm.as_str() == name)
+        let at = self.vms.binary_search_by(|r| r.vm.as_str().cmp(name)).ok()?;
+        Some(&self.vms[at])
+    }
+
+    /// The record under which this VM tells others of itself.
+    pub fn my_record(&self) -> VmRecord {
+        let state = if self.stopping { VmState::Leaving } else { VmState::Live };
+        self.me.record(state)
     }
 }
--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod catalog;
 pub mod fleet;
+pub mod placement;
 pub mod slots;
 
 use std::sync::Arc;
@@ -13,7 +14,8 @@
 use typed_index_collections::TiVec;
 
 pub use catalog::{Catalog, DatabaseKey, RouteKey, ServiceKey, SlotKey, WorkspaceKey};
-pub use fleet::{Fleet, VmIdentity};
+pub use fleet::{Fleet, Members, VmIdentity};
+pub use placement::Placement;
 pub use slots::{DatabaseState, Member, SlotState};
 
 /// What a VM knows.
@@ -29,14 +31,19 @@
     pub databases: TiVec<DatabaseKey, DatabaseState>,
     /// How many seats of its data centre's rates this VM holds.
     pub seats_in_force: usize,
+    /// Holders of the databases, for the catalog and VMs of the last call of [`Board::place`].
+    pub placement: Arc<Placement>,
 }
 
 impl Board {
     /// A board that knows only its own VM.
     pub fn new(me: VmIdentity) -> Board {
+        let catalog = Arc::new(Catalog::empty());
+        let fleet = Fleet::new(me);
         Board {
-            catalog: Arc::new(Catalog::empty()),
-            fleet: Fleet::new(me),
+            placement: Arc::new(Placement::new(catalog.clone(), fleet.vms.clone())),
+            catalog,
+            fleet,
             slots: TiVec::new(),
             databases: TiVec::new(),
             seats_in_force: 0,
@@ -55,6 +62,14 @@
         self.catalog = catalog;
     }
 
+    /// Brings the placement up to date with the catalog and the VMs.
+    pub fn place(&mut self) {
+        if !self.placement.is_for(&self.catalog, &self.fleet.vms) {
+            let placement = Placement::new(self.catalog.clone(), self.fleet.vms.clone());
+            self.placement = Arc::new(placement);
+        }
+    }
+
     fn carried_slot(&self, catalog: &Catalog, key: SlotKey) -> SlotState {
         let fresh = SlotState::new(catalog, key);
         let Some(old_key) = self.catalog.slot_by_digest(catalog.slots[key].digest) else {
--- /dev/null
+++ b/crates/board/src/placement.rs
@@ -0,0 +1,53 @@
+//! Which VMs hold connections to each database, worked out once for a catalog and a list of VMs.
+
+use std::sync::{Arc, OnceLock};
+
+use model::request::stable_hash;
+use proto::platform::{VmRecord, VmState};
+use typed_index_collections::TiVec;
+
+use crate::{Catalog, DatabaseKey, fleet::Members};
+
+/// Ranks of the VMs for the databases of a catalog. Each database's is worked out when first needed.
+#[derive(Debug)]
+pub struct Placement {
+    catalog: Arc<Catalog>,
+    vms: Members,
+    holders: TiVec<DatabaseKey, OnceLock<Vec<usize>>>,
+}
+
+impl Placement {
+    /// The placement of a catalog's databases on these VMs.
+    pub fn new(catalog: Arc<Catalog>, vms: Members) -> Placement {
+        let holders = catalog.databases.iter().map(|_| OnceLock::new()).collect();
+        Placement { catalog, vms, holders }
+    }
+
+    /// Whether it was made for just these.
+    pub fn is_for(&self, catalog: &Arc<Catalog>, vms: &Members) -> bool {
+        Arc::ptr_eq(&self.catalog, catalog) && self.vms.is_same(vms)
+    }
+
+    /// Places of the database's holders in the list of VMs, best-ranked first.
+    pub fn holders(&self, database: DatabaseKey) -> &[usize] {
+        self.holders[database].get_or_init(|| rank(&self.catalog, &self.vms, database))
+    }
+}
+
+/// Places of the database's holders in the list of VMs, best-ranked first: rendezvous hashing over the
+/// live VMs of its data centre. Where none is live, those that are leaving go on.
+pub fn rank(catalog: &Catalog, vms: &[VmRecord], database: DatabaseKey) -> Vec<usize> {
+    let entry = &catalog.databases[database];
+    let in_dc = |vm: &VmRecord, state| vm.dc == entry.cfg.dc && vm.state == state;
+    let has_live = vms.iter().any(|vm| in_dc(vm, VmState::Live));
+    let state = if has_live { VmState::Live } else { VmState::Leaving };
+    let mut ranked: Vec<(u64, usize)> = vms
+        .iter()
+        .enumerate()
+        .filter(|(_, vm)| in_dc(vm, state))
+        .map(|(at, vm)| (stable_hash(&format!("{} {}", vm.vm, entry.name)), at))
+        .collect();
+    ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| vms[a.1].vm.cmp(&vms[b.1].vm)));
+    let count = catalog.cfg.holders_per_database as usize;
+    ranked.into_iter().take(count).map(|(_, at)| at).collect()
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod connection;
 pub mod peer;
 pub mod platform;
+pub mod replay;
 pub mod server;
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -1,13 +1,11 @@
 //! Messages between VMs: MessagePack over HTTP, authenticated with the fleet's secret.
 //!
 //! The authentication code covers the sender, its incarnation, a sequence number, the receiver and
-//! the body, so that a message can neither be made without the secret nor sent to another VM.
+//! the body, so that a message can neither be made without the secret nor sent to another VM. The
+//! answer's covers the message's stamp and the answer's body, so that it fits just that message.
 
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicU64, Ordering},
-    },
+    sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
 
@@ -19,12 +17,17 @@
 
 use crate::client::{Client, SendError};
 
-/// Path of the peer listener.
+/// Path of messages that are for one run of a VM.
 pub const PEER_PATH: &str = "/peer";
 
+/// Path of introductions, which are for whoever listens at the address.
+pub const INTRODUCTION_PATH: &str = "/introduction";
+
 const STAMP: HeaderName = HeaderName::from_static("jasminepass-stamp");
 const MAC: HeaderName = HeaderName::from_static("jasminepass-mac");
-const MAC_CONTEXT: &[u8] = b"peer request";
+const REQUEST_CONTEXT: &[u8] = b"peer request";
+const INTRODUCTION_CONTEXT: &[u8] = b"peer introduction";
+const REPLY_CONTEXT: &[u8] = b"peer reply";
 
 /// Why a message from another VM is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -40,7 +43,7 @@
     )]
     WrongMac,
     /// It was received before.
-    #[error("the message was received before")]
+    #[error("the message was received before: send a new one")]
     Replayed,
 }
 
@@ -70,7 +73,7 @@
 }
 
 /// Whom a message is for: another run of the same VM does not take it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Receiver {
     /// Its name.
     pub vm: VmName,
@@ -90,11 +93,35 @@
     me: &Receiver,
     headers: &HeaderMap,
     body: &[u8],
+) -> Result<Stamp, PeerAuthError> {
+    verify_for(secret, REQUEST_CONTEXT, &me.text(), headers, body)
+}
+
+/// Checks the stamp of a received introduction, and returns it.
+pub fn verify_introduction(
+    secret: &FleetSecret,
+    headers: &HeaderMap,
+    body: &[u8],
+) -> Result<Stamp, PeerAuthError> {
+    verify_for(secret, INTRODUCTION_CONTEXT, "", headers, body)
+}
+
+/// The header that proves that an answer is for the message with this stamp.
+pub fn sign_reply(secret: &FleetSecret, stamp: &Stamp, body: &[u8]) -> (HeaderName, HeaderValue) {
+    let mac = secret.mac(&[REPLY_CONTEXT, stamp.text().as_bytes(), body]);
+    (MAC, plain(hex(&mac)))
+}
+
+fn verify_for(
+    secret: &FleetSecret,
+    context: &[u8],
+    receiver: &str,
+    headers: &HeaderMap,
+    body: &[u8],
 ) -> Result<Stamp, PeerAuthError> {
     let stamp = headers.get(STAMP).and_then(|v| v.to_str().ok()).ok_or(PeerAuthError::NoStamp)?;
-    let mac =
-        headers.get(MAC).and_then(|v| parse_hex(v.as_bytes())).ok_or(PeerAuthError::NoStamp)?;
-    if !secret.verify(&[MAC_CONTEXT, stamp.as_bytes(), me.text().as_bytes(), body], &mac) {
+    let mac = code(headers).ok_or(PeerAuthError::NoStamp)?;
+    if !secret.verify(&[context, stamp.as_bytes(), receiver.as_bytes(), body], &mac) {
         return Err(PeerAuthError::WrongMac);
     }
     Stamp::parse(stamp).ok_or(PeerAuthError::NoStamp)
@@ -106,13 +133,36 @@
     client: Client,
     secret: FleetSecret,
     me: Receiver,
-    sequence: Arc<AtomicU64>,
+    sequences: Arc<Mutex<Sequences>>,
+}
+
+/// Receivers whose numbers are remembered; beyond, all numbers go on from the highest.
+const RECEIVERS_MAX: usize = 4096;
+
+/// The last number sent to each receiver. Each has its own, so that its window covers just the
+/// messages that it gets.
+#[derive(Default)]
+struct Sequences {
+    last: FxHashMap<Receiver, u64>,
+    floor: u64,
+}
+
+impl Sequences {
+    fn next(&mut self, to: &Receiver) -> u64 {
+        if self.last.len() >= RECEIVERS_MAX && !self.last.contains_key(to) {
+            self.floor = self.last.values().copied().max().unwrap_or(self.floor);
+            self.last.clear();
+        }
+        let sequence = self.last.entry(to.clone()).or_insert(self.floor);
+        *sequence += 1;
+        *sequence
+    }
 }
 
 impl Peers {
     /// A client for the VM `me`.
     pub fn new(client: Client, secret: FleetSecret, me: Receiver) -> Peers {
-        Peers { client, secret, me, sequence: Arc::new(AtomicU64::new(1)) }
+        Peers { client, secret, me, sequences: Arc::default() }
     }
 
     /// Sends a message and reads the answer within `timeout`.
@@ -123,31 +173,71 @@
         req: &PeerRequest,
         timeout: Duration,
     ) -> Result<PeerReply, SendError> {
-        let body = encode(req);
-        let headers = self.stamp(to, &body);
-        let reply =
-            self.client.send(address, Method::POST, PEER_PATH, &headers, body, timeout).await?;
-        match reply.status {
-            StatusCode::OK => decode(&reply.body)
-                .map_err(|reason| SendError::Unreadable { address: address.to_owned(), reason }),
+        let stamp = self.next_stamp(to);
+        let context = (REQUEST_CONTEXT, to.text());
+        self.exchange(address, PEER_PATH, context, stamp, encode(req), timeout).await
+    }
+
+    /// Asks whoever listens at the address who it is and which VMs it knows.
+    pub async fn introduce(
+        &self,
+        address: &str,
+        timeout: Duration,
+    ) -> Result<PeerReply, SendError> {
+        // Nothing is changed by an introduction, so that its number need not be remembered.
+        let stamp = self.stamp(model::request::random_u64());
+        let context = (INTRODUCTION_CONTEXT, String::new());
+        let body = encode(&PeerRequest::Introduce);
+        self.exchange(address, INTRODUCTION_PATH, context, stamp, body, timeout).await
+    }
+
+    async fn exchange(
+        &self,
+        address: &str,
+        path: &str,
+        (context, receiver): (&[u8], String),
+        stamp: Stamp,
+        body: Bytes,
+        timeout: Duration,
+    ) -> Result<PeerReply, SendError> {
+        let text = stamp.text();
+        let mac = self.secret.mac(&[context, text.as_bytes(), receiver.as_bytes(), &body]);
+        let headers = [(STAMP, plain(text.clone())), (MAC, plain(hex(&mac)))];
+        let reply = self.client.send(address, Method::POST, path, &headers, body, timeout).await?;
+        let unreadable =
+            |reason: String| SendError::Unreadable { address: address.to_owned(), reason };
+        if reply.status != StatusCode::OK {
             // A peer that refuses the message has not acted on it.
-            status => Err(SendError::NotSent {
-                address: address.to_owned(),
-                reason: format!("status {status}: {}", String::from_utf8_lossy(&reply.body)),
-            }),
+            let reason =
+                format!("status {}: {}", reply.status, String::from_utf8_lossy(&reply.body));
+            return Err(SendError::NotSent { address: address.to_owned(), reason });
         }
+        let code = code(&reply.headers).unwrap_or_default();
+        if !self.secret.verify(&[REPLY_CONTEXT, text.as_bytes(), &reply.body], &code) {
+            return Err(unreadable("it was not made with this fleet's secret".to_owned()));
+        }
+        decode(&reply.body).map_err(unreadable)
+    }
+
+    fn next_stamp(&self, to: &Receiver) -> Stamp {
+        let mut sequences = self.sequences.lock().unwrap_or_else(PoisonError::into_inner);
+        self.stamp(sequences.next(to))
     }
 
-    fn stamp(&self, to: &Receiver, body: &[u8]) -> [(HeaderName, HeaderValue); 2] {
-        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
-        let stamp =
-            Stamp { vm: self.me.vm.clone(), incarnation: self.me.incarnation, sequence }.text();
-        let mac = self.secret.mac(&[MAC_CONTEXT, stamp.as_bytes(), to.text().as_bytes(), body]);
-        let value = |text: String| HeaderValue::try_from(text).expect("stamps are plain text");
-        [(STAMP, value(stamp)), (MAC, value(hex(&mac)))]
+    fn stamp(&self, sequence: u64) -> Stamp {
+        Stamp { vm: self.me.vm.clone(), incarnation: self.me.incarnation, sequence }
     }
 }
 
+fn code(headers: &HeaderMap) -> Option<Vec<u8>> {
+    headers.get(MAC).and_then(|v| parse_hex(v.as_bytes()))
+}
+
+/// Stamps and codes are plain text by their construction.
+fn plain(text: String) -> HeaderValue {
+    HeaderValue::try_from(text).expect("stamps are plain text")
+}
+
 /// Encodes a message as MessagePack.
 ///
 /// # Panics
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -38,6 +38,8 @@
     };
 }
 
+const FIRST_BYTE_GRACE: Duration = Duration::from_millis(500);
+
 const NOT_HTTP: &str =
     "HTTP/1.1 400 Bad Request\r\ncontent-type: application/json\r\nconnection: close\r\n";
 
@@ -57,7 +59,10 @@
             Ok(permit) => permit,
             Err(_) => break,
         };
+        // Connections that the system has taken already are served: closing the listener would reset
+        // them.
         let accepted = tokio::select! {
+            biased;
             accepted = listener.accept() => accepted,
             _ = stop.wait_for(|stop| *stop) => break,
         };
@@ -75,7 +80,7 @@
             let is_http = tokio::select! {
                 is_http = starts_like_http(&stream, limits.head_timeout) => is_http,
                 // A connection that has sent nothing yet is idle.
-                _ = stop.wait_for(|stop| *stop) => return,
+                _ = first_byte_overdue(&mut stop) => return,
             };
             if !is_http {
                 return refuse(stream, not_http).await;
@@ -95,6 +100,13 @@
     graceful.shutdown().await;
 }
 
+/// Returns some time after the stop, so that a request that was on its way is read.
+async fn first_byte_overdue(stop: &mut watch::Receiver<bool>) {
+    // The sender ends only with the process.
+    let _ = stop.wait_for(|stop| *stop).await;
+    tokio::time::sleep(FIRST_BYTE_GRACE).await;
+}
+
 /// Whether the first byte can begin an HTTP method. A connection that is closed or sends nothing
 /// counts as HTTP, since the server deals with both.
 async fn starts_like_http(stream: &TcpStream, timeout: Duration) -> bool {
--- a/crates/fleet/src/access.rs
+++ b/crates/fleet/src/access.rs
@@ -1,6 +1,6 @@
 //! Who may run what: keys, workspaces and open routes.
 
-use board::{Catalog, RouteKey, WorkspaceKey};
+use board::{Board, Catalog, RouteKey, WorkspaceKey, fleet::Age};
 use config::KeyState;
 use model::{key::PresentedKey, prelude::*};
 use proto::caller::{CallerError, ErrorKind};
@@ -8,6 +8,8 @@
 /// The workspace of requests that come without a key, on routes open to all.
 pub const PUBLIC_WORKSPACE: &str = "public";
 
+const CUT_OFF_RETRY_AFTER: DurationUs = DurationUs::from_ms(5_000);
+
 /// Whose request it is.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Identity {
@@ -48,6 +50,33 @@
     }
 }
 
+/// Checks that what this VM knows of keys is young enough: the platform answered it, directly or through
+/// other VMs, within the configured time, or every other data centre was heard from within it. In the
+/// second case nobody hears of the platform, so that a withdrawal is in force nowhere else either.
+pub fn check_trust(board: &Board, now: MonoTime) -> Result<(), CallerError> {
+    let cfg = &board.catalog.cfg;
+    let limit = DurationUs::from_ms(cfg.cut_off_trust_s.saturating_mul(1_000));
+    let is_young = |age: Option<&Age>| age.is_some_and(|age| age.now(now) <= limit);
+    if is_young(board.fleet.platform.as_ref()) {
+        return Ok(());
+    }
+    let mut others = cfg
+        .data_centres
+        .iter()
+        .map(|dc| &dc.name)
+        .filter(|dc| **dc != board.fleet.me.dc)
+        .peekable();
+    let hears_all = others.peek().is_some() && others.all(|dc| is_young(board.fleet.heard.get(dc)));
+    if hears_all {
+        return Ok(());
+    }
+    let message = format!(
+        "this data centre has been cut off for more than {} s, so that keys are no longer trusted here: try another data centre",
+        cfg.cut_off_trust_s
+    );
+    Err(CallerError::not_run(ErrorKind::Unavailable, message).with_retry_after(CUT_OFF_RETRY_AFTER))
+}
+
 fn by_key(catalog: &Catalog, presented: &PresentedKey) -> Result<Identity, CallerError> {
     let record = catalog
         .key(presented.name.as_str())
--- /dev/null
+++ b/crates/fleet/src/members.rs
@@ -0,0 +1,159 @@
+//! Which VMs there are: the platform's list, corrected by what the VMs say themselves.
+//!
+//! The list may be late. A VM's own word goes before it: a run that says that it leaves is leaving, and
+//! a run that is not on the list yet is a member once it was heard. A run that another run of the same
+//! VM has replaced never comes back, however late a message or list that names it.
+
+use std::collections::VecDeque;
+
+use board::{
+    Board, Members,
+    fleet::{Age, ListReading},
+};
+use model::{prelude::*, request::stable_hash};
+use proto::platform::{VmRecord, VmState};
+
+/// Replaced runs that are remembered.
+const REPLACED_KEPT: usize = 4096;
+
+type Run = (VmName, Incarnation);
+
+/// What is known of the VMs besides the platform's list.
+#[derive(Debug)]
+pub struct Membership {
+    heard: FxHashMap<VmName, VmRecord>,
+    once_listed: FxHashSet<Run>,
+    replaced: FxHashSet<Run>,
+    replaced_order: VecDeque<Run>,
+}
+
+impl Membership {
+    /// Only this VM is known.
+    pub fn new(me: VmRecord) -> Membership {
+        Membership {
+            heard: [(me.vm.clone(), me)].into_iter().collect(),
+            once_listed: FxHashSet::default(),
+            replaced: FxHashSet::default(),
+            replaced_order: VecDeque::new(),
+        }
+    }
+
+    /// Takes the platform's list as read at some time. Returns whether the members changed.
+    pub fn take_list(&mut self, board: &mut Board, vms: Vec<VmRecord>, read: Age) -> bool {
+        if vms.is_empty() {
+            return false;
+        }
+        let vms = Members::from(vms);
+        let hash = list_hash(&vms);
+        let unchanged = board.fleet.listed.as_ref().is_some_and(|known| known.hash == hash);
+        if !unchanged {
+            self.note_listed(board, &vms);
+        }
+        board.fleet.listed = Some(ListReading { vms, hash, read });
+        !unchanged && self.rebuild(board)
+    }
+
+    /// Takes what a VM said of itself. Returns whether that is news.
+    pub fn hear(&mut self, board: &mut Board, record: &VmRecord) -> bool {
+        let run = run_of(record);
+        if self.replaced.contains(&run) || record.vm == board.fleet.me.vm {
+            return false;
+        }
+        if let Some(known) = self.heard.get(&record.vm) {
+            let leaving_already = known.state == VmState::Leaving;
+            if known.incarnation == record.incarnation && (known == record || leaving_already) {
+                return false;
+            }
+        }
+        let known = board.fleet.vm(record.vm.as_str());
+        if let Some(other) = known.filter(|known| known.incarnation != record.incarnation) {
+            self.replace(run_of(other));
+        }
+        self.heard.insert(record.vm.clone(), record.clone());
+        self.rebuild(board)
+    }
+
+    /// Takes this VM's own record, which changes when it leaves.
+    pub fn set_me(&mut self, board: &mut Board) {
+        let me = board.fleet.my_record();
+        self.heard.insert(me.vm.clone(), me);
+        self.rebuild(board);
+    }
+
+    fn note_listed(&mut self, board: &Board, vms: &[VmRecord]) {
+        for record in vms {
+            self.once_listed.insert(run_of(record));
+            let known = board.fleet.vm(record.vm.as_str());
+            let other = known.filter(|known| known.incarnation != record.incarnation);
+            // A late list may still name the run that the known one has replaced.
+            if let Some(known) = other.filter(|_| !self.replaced.contains(&run_of(record))) {
+                self.replace(run_of(known));
+            }
+        }
+        let named: FxHashSet<&VmName> = vms.iter().map(|r| &r.vm).collect();
+        self.heard.retain(|vm, record| {
+            *vm == board.fleet.me.vm
+                || named.contains(vm)
+                || !self.once_listed.contains(&run_of(record))
+        });
+    }
+
+    fn replace(&mut self, run: Run) {
+        if self.replaced.insert(run.clone()) {
+            self.replaced_order.push_back(run);
+        }
+        if self.replaced_order.len() <= REPLACED_KEPT {
+            return;
+        }
+        if let Some(oldest) = self.replaced_order.pop_front() {
+            self.replaced.remove(&oldest);
+            self.once_listed.remove(&oldest);
+        }
+    }
+
+    /// Works out the members anew. Returns whether they changed.
+    fn rebuild(&self, board: &mut Board) -> bool {
+        let mut members: FxHashMap<&VmName, VmRecord> = FxHashMap::default();
+        let listed = board.fleet.listed.iter().flat_map(|listed| listed.vms.iter());
+        for record in listed.filter(|record| !self.replaced.contains(&run_of(record))) {
+            members.insert(&record.vm, record.clone());
+        }
+        for (vm, heard) in &self.heard {
+            if self.replaced.contains(&run_of(heard)) {
+                continue;
+            }
+            let listed = members.get(vm).filter(|listed| listed.incarnation == heard.incarnation);
+            let leaving = listed.is_some_and(|listed| listed.state == VmState::Leaving);
+            let was_listed = self.once_listed.contains(&run_of(heard));
+            if listed.is_none() && was_listed && *vm != board.fleet.me.vm {
+                continue;
+            }
+            let state = if leaving { VmState::Leaving } else { heard.state };
+            members.insert(vm, VmRecord { state, ..heard.clone() });
+        }
+        let members = Members::from(members.into_values().collect::<Vec<_>>());
+        if members == board.fleet.vms {
+            return false;
+        }
+        let stays = |vm: &VmName| members.iter().any(|record| record.vm == *vm);
+        board.fleet.suspects.retain(|vm, _| stays(vm));
+        board.fleet.vms = members;
+        true
+    }
+}
+
+fn run_of(record: &VmRecord) -> Run {
+    (record.vm.clone(), record.incarnation)
+}
+
+/// Hash of a list of VMs, the same on every VM.
+fn list_hash(vms: &[VmRecord]) -> u64 {
+    let mut text = String::new();
+    for record in vms {
+        let state = if record.state == VmState::Live { "live" } else { "leaving" };
+        let line = [record.vm.as_str(), record.dc.as_str(), &record.peer_address, state].join(" ");
+        text.push_str(&line);
+        text.push_str(&format!(" {}\n", record.incarnation.0));
+    }
+    stable_hash(&text)
+}
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -1,19 +1,15 @@
 //! Which VMs hold connections to a database: rendezvous hashing over the VMs of its data centre.
 
-use board::{Board, DatabaseKey};
-use model::request::stable_hash;
-use proto::platform::{VmRecord, VmState};
+use board::{Board, DatabaseKey, placement::rank};
+use proto::platform::VmRecord;
 
 /// The VMs that hold connections to the database, best-ranked first.
 pub fn holders(board: &Board, database: DatabaseKey) -> Vec<&VmRecord> {
-    let entry = &board.catalog.databases[database];
-    let in_dc =
-        board.fleet.vms.iter().filter(|vm| vm.dc == entry.cfg.dc && vm.state == VmState::Live);
-    let mut ranked: Vec<(u64, &VmRecord)> =
-        in_dc.map(|vm| (stable_hash(&format!("{} {}", vm.vm, entry.name)), vm)).collect();
-    ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.vm.cmp(&b.1.vm)));
-    let count = board.catalog.cfg.holders_per_database as usize;
-    ranked.into_iter().take(count).map(|(_, vm)| vm).collect()
+    let vms = &board.fleet.vms;
+    if board.placement.is_for(&board.catalog, vms) {
+        return board.placement.holders(database).iter().map(|&at| &vms[at]).collect();
+    }
+    rank(&board.catalog, vms, database).into_iter().map(|at| &vms[at]).collect()
 }
 
 /// The holders in the order in which to try them: this VM, those that answer, the others.
--- a/crates/jasminepassd/src/app.rs
+++ b/crates/jasminepassd/src/app.rs
@@ -9,10 +9,13 @@
     client::Client,
     peer::{Peers, Receiver},
     platform::Platform,
+    replay::ReplayGuard,
 };
+use fleet::transfer::Outgoing;
 use model::prelude::*;
 use quota::bucket::Bucket;
 use slog::Logger;
+use tokio::sync::watch;
 
 use crate::{clock::Clock, control::Event, counters::Counters, pools::Pools, settings::Settings};
 
@@ -28,6 +31,12 @@
     pub buckets: Mutex<FxHashMap<WorkspaceName, Bucket>>,
     /// Connections to upstreams.
     pub pools: Pools,
+    /// What other VMs may pull of the configuration.
+    pub outgoing: ArcSwap<Outgoing>,
+    /// Whether this VM watches the platform.
+    pub watching: watch::Sender<bool>,
+    /// Peer messages received.
+    pub replay: Mutex<ReplayGuard>,
     /// Client of other VMs.
     pub peers: Peers,
     /// Client of upstreams' admin addresses.
@@ -64,6 +73,11 @@
         self.buckets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The record of peer messages received, for this thread alone.
+    pub fn replay_guard(&self) -> MutexGuard<'_, ReplayGuard> {
+        self.replay.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Who this VM is to other VMs.
     pub fn receiver(&self) -> Receiver {
         Receiver { vm: self.settings.vm.clone(), incarnation: self.settings.incarnation }
--- a/crates/jasminepassd/src/control.rs
+++ b/crates/jasminepassd/src/control.rs
@@ -4,11 +4,14 @@
 
 use board::{Board, Catalog, DatabaseKey, SlotKey};
 use config::Configuration;
-use crossbeam_channel::{Receiver, RecvTimeoutError};
+use crossbeam_channel::{Receiver, select, tick};
 use failover::observe::{self, Observation};
-use fleet::placement::holds_any;
+use fleet::{
+    distribution::{Distribution, FleetEffect, FleetEvent},
+    placement::holds_any,
+};
 use model::{prelude::*, session::SlotDigest};
-use proto::platform::VmRecord;
+use proto::platform::Object;
 use quota::{
     bucket::{Bucket, Portion},
     seats::{Owner, SEATS, SeatController, SeatEffect, SeatEvent},
@@ -22,10 +25,8 @@
 /// What the control thread hears.
 #[derive(Debug)]
 pub enum Event {
-    /// A configuration was read.
-    Configuration(Box<Configuration>),
-    /// The list of VMs was read.
-    Vms(Vec<VmRecord>),
+    /// For the controller of the fleet.
+    Fleet(FleetEvent),
     /// A database was asked for its status.
     Observed(Observation),
     /// Somebody said who a slot's primary is.
@@ -39,8 +40,6 @@
     },
     /// For the controller of the rates.
     Seats(SeatEvent),
-    /// A planned stop has begun.
-    Stopping,
 }
 
 /// What the control thread asks for.
@@ -48,6 +47,8 @@
 pub enum Effect {
     /// Watch these databases, and no others.
     Monitor(Vec<config::Database>),
+    /// From the controller of the fleet.
+    Fleet(FleetEffect),
     /// From the controller of the rates.
     Seats(SeatEffect),
 }
@@ -56,6 +57,7 @@
 pub struct Control {
     app: Arc<App>,
     board: Board,
+    distribution: Distribution,
     seats: SeatController,
     effects: UnboundedSender<Effect>,
     monitored: Vec<config::Database>,
@@ -66,16 +68,26 @@
     pub fn new(app: Arc<App>, effects: UnboundedSender<Effect>) -> Control {
         let board = (*app.board()).clone();
         let me = Owner { vm: app.settings.vm.clone(), incarnation: app.settings.incarnation };
-        Control { app, board, seats: SeatController::new(me), effects, monitored: Vec::new() }
+        Control {
+            distribution: Distribution::new(board.fleet.my_record()),
+            app,
+            board,
+            seats: SeatController::new(me),
+            effects,
+            monitored: Vec::new(),
+        }
     }
 
     /// Handles events until nobody can send any.
     pub fn run(mut self, events: &Receiver<Event>) {
+        let ticker = tick(TICK);
         loop {
-            match events.recv_timeout(TICK) {
-                Ok(event) => self.handle(event),
-                Err(RecvTimeoutError::Timeout) => self.handle_seats(SeatEvent::Tick),
-                Err(RecvTimeoutError::Disconnected) => return,
+            select! {
+                recv(events) -> event => match event {
+                    Ok(event) => self.handle(event),
+                    Err(_) => return,
+                },
+                recv(ticker) -> _ => self.tick(),
             }
             while let Ok(event) = events.try_recv() {
                 self.handle(event);
@@ -84,16 +96,34 @@
         }
     }
 
+    fn tick(&mut self) {
+        self.handle_fleet(FleetEvent::Tick);
+        self.handle_seats(SeatEvent::Tick);
+    }
+
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Configuration(cfg) => self.adopt(*cfg),
-            Event::Vms(vms) => self.set_vms(vms),
+            Event::Fleet(event) => self.handle_fleet(event),
             Event::Observed(observation) => self.observe(&observation),
             Event::PrimarySeen { slot, term, primary } => {
                 self.learn_primary(slot, term, primary.as_ref())
             }
             Event::Seats(event) => self.handle_seats(event),
-            Event::Stopping => self.board.fleet.stopping = true,
+        }
+    }
+
+    fn handle_fleet(&mut self, event: FleetEvent) {
+        let now = self.app.now();
+        let effects = self.distribution.handle(&mut self.board, event, now, rand::random());
+        for effect in effects {
+            match effect {
+                FleetEffect::Adopt(cfg) => self.adopt(*cfg),
+                FleetEffect::MembersChanged => self.members_changed(),
+                FleetEffect::DcObject(Object { version, value }) => {
+                    self.handle_seats(SeatEvent::Read { version, value })
+                }
+                effect => self.ask(Effect::Fleet(effect)),
+            }
         }
     }
 
@@ -103,18 +133,16 @@
         }
         slog::info!(self.app.log, "configuration in force"; "generation" => cfg.generation.0);
         self.app.counters.count(Counter::Configurations);
+        self.app.outgoing.store(Arc::new(self.app.outgoing.load().with_next(cfg.clone())));
         self.board.adopt(Arc::new(Catalog::new(cfg)));
+        self.board.place();
         self.set_portions();
         self.monitor();
     }
 
-    fn set_vms(&mut self, mut vms: Vec<VmRecord>) {
-        vms.sort_by(|a, b| a.vm.cmp(&b.vm));
-        if vms.is_empty() || vms == self.board.fleet.vms {
-            return;
-        }
-        slog::info!(self.app.log, "list of VMs changed"; "vms" => vms.len());
-        self.board.fleet.vms = vms;
+    fn members_changed(&mut self) {
+        slog::info!(self.app.log, "VMs changed"; "vms" => self.board.fleet.vms.len());
+        self.board.place();
         self.monitor();
     }
 
--- a/crates/jasminepassd/src/counters.rs
+++ b/crates/jasminepassd/src/counters.rs
@@ -39,10 +39,16 @@
     PrimaryChanges,
     /// Configurations put in force.
     Configurations,
+    /// Digests sent to other VMs.
+    GossipSent,
+    /// Digests received from other VMs.
+    GossipReceived,
+    /// Times that another VM was asked for what this one lacked.
+    Pulls,
 }
 
 impl Counter {
-    const ALL: [(Counter, &'static str); 14] = [
+    const ALL: [(Counter, &'static str); 17] = [
         (Counter::Requests, "requests"),
         (Counter::Answered, "answered"),
         (Counter::Refused, "refused"),
@@ -57,6 +63,9 @@
         (Counter::PlatformCalls, "platform_calls"),
         (Counter::PrimaryChanges, "primary_changes"),
         (Counter::Configurations, "configurations"),
+        (Counter::GossipSent, "gossip_sent"),
+        (Counter::GossipReceived, "gossip_received"),
+        (Counter::Pulls, "pulls"),
     ];
 }
 
--- a/crates/jasminepassd/src/effects.rs
+++ b/crates/jasminepassd/src/effects.rs
@@ -9,6 +9,7 @@
     app::App,
     control::{Effect, Event},
     counters::Counter,
+    fleet_io,
     monitor::Monitors,
 };
 
@@ -18,6 +19,7 @@
     while let Some(effect) = effects.recv().await {
         match effect {
             Effect::Monitor(databases) => monitors.set(&databases),
+            Effect::Fleet(effect) => fleet_io::perform(&app, effect),
             Effect::Seats(effect) => {
                 tokio::spawn(call_platform(app.clone(), effect));
             }
--- a/crates/jasminepassd/src/entry.rs
+++ b/crates/jasminepassd/src/entry.rs
@@ -4,9 +4,9 @@
 
 use board::{Board, DatabaseKey, RouteKey, SlotKey};
 use config::RouteKind;
-use edge::{client::SendError, peer::Receiver};
+use edge::client::SendError;
 use fleet::{
-    access::{Identity, authenticate},
+    access::{Identity, authenticate, check_trust},
     placement::holders_to_try,
 };
 use model::{prelude::*, session::Session};
@@ -22,7 +22,7 @@
     caller::{CallerAnswer, CallerRequest, session_error},
     control::Event,
     counters::Counter,
-    holder,
+    fleet_io, holder,
 };
 
 const REDIRECTS_MAX: usize = 4;
@@ -55,6 +55,9 @@
     let service = catalog.service(&req.service).ok_or_else(|| no_such("service", &req.service))?;
     let route = catalog.route(service, &req.route).ok_or_else(|| no_such("route", &req.route))?;
     let identity = authenticate(catalog, route, req.key.as_ref())?;
+    if identity.key.is_some() {
+        check_trust(board, app.now())?;
+    }
     let workspace = &catalog.workspaces[identity.workspace].cfg.name;
     let session = match &req.session {
         Some(token) => {
@@ -171,9 +174,8 @@
 async fn send(app: &App, holder: &VmRecord, forward: Forward) -> Result<PeerReply, SendError> {
     app.counters.count(Counter::Forwarded);
     let timeout = Duration::from_micros(forward.time_left.0) + FORWARD_MARGIN;
-    let receiver = Receiver { vm: holder.vm.clone(), incarnation: holder.incarnation };
     let req = PeerRequest::Forward(Box::new(forward));
-    app.peers.call(&receiver, &holder.peer_address, &req, timeout).await
+    fleet_io::call(app, holder, &req, timeout).await
 }
 
 fn repeatable(board: &Board, plan: &Plan) -> bool {
--- /dev/null
+++ b/crates/jasminepassd/src/fleet_io.rs
@@ -0,0 +1,114 @@
+//! Carries messages between VMs for the controller of the fleet.
+
+use std::{sync::Arc, time::Duration};
+
+use edge::{
+    client::SendError,
+    peer::{Receiver, Stamp},
+};
+use fleet::{
+    distribution::{FleetEffect, FleetEvent},
+    gossip::{answer, digest},
+};
+use proto::{
+    gossip::{Digest, Pull},
+    peer::{PeerReply, PeerRequest},
+    platform::VmRecord,
+};
+
+use crate::{app::App, control::Event, counters::Counter};
+
+const GOSSIP_TIMEOUT: Duration = Duration::from_millis(800);
+const PULL_TIMEOUT: Duration = Duration::from_millis(1_500);
+const INTRODUCTION_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Carries out an effect of the controller.
+pub fn perform(app: &Arc<App>, effect: FleetEffect) {
+    match effect {
+        FleetEffect::Watch(watch) => {
+            app.watching.send_replace(watch);
+        }
+        FleetEffect::Tell(to, digest) => {
+            tokio::spawn(tell(app.clone(), to, digest));
+        }
+        FleetEffect::Pull(from, what) => {
+            tokio::spawn(pull(app.clone(), from, what));
+        }
+        // The control thread deals with these itself.
+        FleetEffect::Adopt(_) | FleetEffect::MembersChanged | FleetEffect::DcObject(_) => {}
+    }
+}
+
+/// Sends a message to a VM and reads the answer. The controller learns whether the VM answers.
+pub async fn call(
+    app: &App,
+    to: &VmRecord,
+    req: &PeerRequest,
+    timeout: Duration,
+) -> Result<PeerReply, SendError> {
+    let receiver = Receiver { vm: to.vm.clone(), incarnation: to.incarnation };
+    let result = app.peers.call(&receiver, &to.peer_address, req, timeout).await;
+    let is_suspect = app.board.load().fleet.suspects.contains_key(&to.vm);
+    match &result {
+        Ok(_) if is_suspect => {
+            app.tell(Event::Fleet(FleetEvent::Reached(receiver.vm, receiver.incarnation)));
+        }
+        Err(SendError::NotSent { .. } | SendError::Lost { .. }) if !is_suspect => {
+            app.tell(Event::Fleet(FleetEvent::Failed(receiver.vm, receiver.incarnation)));
+        }
+        _ => {}
+    }
+    result
+}
+
+/// Takes a digest that another VM sent, and answers with this VM's own.
+pub fn told(app: &App, stamp: &Stamp, theirs: Box<Digest>) -> PeerReply {
+    let is_own = theirs.from.vm == stamp.vm && theirs.from.incarnation == stamp.incarnation;
+    if is_own {
+        app.tell(Event::Fleet(FleetEvent::Told(theirs)));
+    }
+    app.counters.count(Counter::GossipReceived);
+    PeerReply::Gossip(Box::new(digest(&app.board(), app.now())))
+}
+
+/// Answers what another VM lacks.
+pub fn pulled(app: &App, pull: &Pull) -> PeerReply {
+    let pulled = answer(&app.board(), &app.outgoing.load(), pull, app.now());
+    PeerReply::Pulled(Box::new(pulled))
+}
+
+/// Tells a new VM which VMs this one knows.
+pub fn introduced(app: &App) -> PeerReply {
+    PeerReply::Introduced(app.board().fleet.vms.to_vec())
+}
+
+/// Asks at the addresses in the settings until some VM is known.
+pub async fn introduce(app: Arc<App>) {
+    while app.board().fleet.vms.len() < 2 {
+        for address in &app.settings.seeds {
+            let reply = app.peers.introduce(&address.to_string(), GOSSIP_TIMEOUT).await;
+            if let Ok(PeerReply::Introduced(vms)) = reply {
+                app.tell(Event::Fleet(FleetEvent::Introduced(vms)));
+            }
+        }
+        tokio::time::sleep(INTRODUCTION_INTERVAL).await;
+    }
+}
+
+async fn tell(app: Arc<App>, to: VmRecord, digest: Box<Digest>) {
+    let sent_at = app.now();
+    app.counters.count(Counter::GossipSent);
+    let reply = call(&app, &to, &PeerRequest::Gossip(digest), GOSSIP_TIMEOUT).await;
+    if let Ok(PeerReply::Gossip(digest)) = reply {
+        app.tell(Event::Fleet(FleetEvent::Answered { sent_at, digest }));
+    }
+}
+
+async fn pull(app: Arc<App>, from: VmRecord, pull: Pull) {
+    let sent_at = app.now();
+    app.counters.count(Counter::Pulls);
+    let reply = call(&app, &from, &PeerRequest::Pull(pull), PULL_TIMEOUT).await;
+    if let Ok(PeerReply::Pulled(pulled)) = reply {
+        app.tell(Event::Fleet(FleetEvent::Pulled { from, sent_at, pulled }));
+    }
+}
--- a/crates/jasminepassd/src/holder.rs
+++ b/crates/jasminepassd/src/holder.rs
@@ -5,7 +5,7 @@
 use board::{Board, DatabaseKey, RouteKey, SlotKey, WorkspaceKey};
 use config::RouteKind;
 use edge::client::SendError;
-use fleet::access::check_key;
+use fleet::access::{check_key, check_trust};
 use model::prelude::*;
 use proto::{
     caller::{CallerError, ErrorKind},
@@ -57,12 +57,12 @@
     let deadline = Instant::now() + Duration::from_micros(forward.time_left.0);
     let board = app.board();
     let target = find(&board, forward)?;
-    check(&board, forward)?;
+    check(app, &board, forward)?;
     check_database(app, &board, &target, forward)?;
     admit(app, &board, &target)?;
     let mut lease = connect(app, &board, &target, deadline).await?;
     // The key may have been withdrawn while the request waited.
-    if let Err(error) = check(&app.board(), forward) {
+    if let Err(error) = check(app, &app.board(), forward) {
         lease.give_back();
         return Err(error.into());
     }
@@ -101,11 +101,12 @@
     })
 }
 
-fn check(board: &Board, forward: &Forward) -> Result<(), CallerError> {
-    match &forward.key {
-        Some(key) => check_key(&board.catalog, key, &forward.workspace),
-        None => Ok(()),
-    }
+fn check(app: &App, board: &Board, forward: &Forward) -> Result<(), CallerError> {
+    let Some(key) = &forward.key else {
+        return Ok(());
+    };
+    check_trust(board, app.now())?;
+    check_key(&board.catalog, key, &forward.workspace)
 }
 
 fn check_database(
--- a/crates/jasminepassd/src/main.rs
+++ b/crates/jasminepassd/src/main.rs
@@ -8,6 +8,7 @@
 mod counters;
 mod effects;
 mod entry;
+mod fleet_io;
 mod holder;
 mod logging;
 mod monitor;
@@ -16,6 +17,7 @@
 mod pools;
 mod run;
 mod settings;
+mod stop;
 mod watch;
 
 use settings::Settings;
--- a/crates/jasminepassd/src/ops.rs
+++ b/crates/jasminepassd/src/ops.rs
@@ -9,7 +9,9 @@
 };
 
 use axum::{Json, Router, extract::State, http::StatusCode, routing::get};
+use fleet::access::check_trust;
 use model::prelude::*;
+use proto::platform::VmState;
 use serde::Serialize;
 
 use crate::app::App;
@@ -49,6 +51,12 @@
     dc: DcName,
     generation: Generation,
     vms: Vec<VmName>,
+    suspects: Vec<VmName>,
+    leaving: Vec<VmName>,
+    watches_platform: bool,
+    platform_age_ms: Option<u64>,
+    heard_age_ms: BTreeMap<String, u64>,
+    keys_trusted: bool,
     seats_in_force: usize,
     slots: Vec<SlotView>,
 }
@@ -91,12 +99,21 @@
             confirmed: state.confirmed,
         }
     });
+    let (fleet, now) = (&board.fleet, ops.app.now());
+    let leaving = fleet.vms.iter().filter(|vm| vm.state == VmState::Leaving);
+    let heard = fleet.heard.iter().map(|(dc, age)| (dc.to_string(), age.now(now).as_ms()));
     Json(StateView {
         vm: board.fleet.me.vm.clone(),
         incarnation: board.fleet.me.incarnation,
         dc: board.fleet.me.dc.clone(),
         generation: catalog.cfg.generation,
-        vms: board.fleet.vms.iter().map(|vm| vm.vm.clone()).collect(),
+        vms: fleet.vms.iter().map(|vm| vm.vm.clone()).collect(),
+        suspects: fleet.suspects.keys().cloned().collect(),
+        leaving: leaving.map(|vm| vm.vm.clone()).collect(),
+        watches_platform: *ops.app.watching.borrow(),
+        platform_age_ms: fleet.platform.map(|age| age.now(now).as_ms()),
+        heard_age_ms: heard.collect(),
+        keys_trusted: check_trust(&board, now).is_ok(),
         seats_in_force: board.seats_in_force,
         slots: slots.collect(),
     })
--- a/crates/jasminepassd/src/peer.rs
+++ b/crates/jasminepassd/src/peer.rs
@@ -4,48 +4,109 @@
 
 use axum::{
     Router,
-    body::Bytes,
+    body::{Body, Bytes, to_bytes},
     extract::State,
     http::{HeaderMap, StatusCode},
     response::{IntoResponse, Response},
     routing::post,
 };
-use edge::peer::{PEER_PATH, decode, encode, verify};
+use edge::peer::{
+    INTRODUCTION_PATH, PEER_PATH, PeerAuthError, Stamp, decode, encode, sign_reply, verify,
+    verify_introduction,
+};
 use proto::peer::{PeerReply, PeerRequest};
 
-use crate::{app::App, counters::Counter, holder};
+use crate::{app::App, counters::Counter, fleet_io, holder};
 
 /// Body of the answer to a client that does not speak HTTP.
 pub const NOT_HTTP: &str = "this listener is for the fleet's VMs";
 
+const MESSAGE_MAX_BYTES: usize = 1 << 20;
+
+/// Why a message is refused.
+#[derive(Debug, thiserror::Error)]
+enum Refusal {
+    #[error("the message is longer than {MESSAGE_MAX_BYTES} bytes or broke off: send less")]
+    TooLarge,
+    #[error(transparent)]
+    NotAuthentic(#[from] PeerAuthError),
+    #[error("the message can't be read: {0}; check that both VMs run the same version")]
+    Unreadable(String),
+}
+
+impl Refusal {
+    fn status(&self) -> StatusCode {
+        match self {
+            Refusal::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Refusal::NotAuthentic(_) => StatusCode::UNAUTHORIZED,
+            Refusal::Unreadable(_) => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
 /// The peers' listener.
 pub fn router(app: Arc<App>) -> Router {
-    Router::new().route(PEER_PATH, post(message)).with_state(app)
+    Router::new()
+        .route(PEER_PATH, post(message))
+        .route(INTRODUCTION_PATH, post(introduction))
+        .with_state(app)
 }
 
-async fn message(State(app): State<Arc<App>>, headers: HeaderMap, body: Bytes) -> Response {
-    if let Err(error) = verify(&app.settings.fleet_secret, &app.receiver(), &headers, &body) {
-        app.counters.count(Counter::PeerRefused);
-        return (StatusCode::UNAUTHORIZED, error.to_string()).into_response();
-    }
-    match decode::<PeerRequest>(&body) {
-        Ok(req) => encode(&handle(&app, req).await).into_response(),
-        Err(reason) => {
-            app.counters.count(Counter::PeerRefused);
-            (StatusCode::BAD_REQUEST, reason).into_response()
+async fn message(State(app): State<Arc<App>>, headers: HeaderMap, body: Body) -> Response {
+    match receive(&app, &headers, body).await {
+        Ok((stamp, req)) => {
+            let reply = handle(&app, &stamp, req).await;
+            respond(&app, &stamp, &reply)
         }
+        Err(refusal) => refuse(&app, &refusal),
+    }
+}
+
+async fn introduction(State(app): State<Arc<App>>, headers: HeaderMap, body: Body) -> Response {
+    let verified = match read(body).await {
+        Ok(body) => verify_introduction(&app.settings.fleet_secret, &headers, &body),
+        Err(refusal) => return refuse(&app, &refusal),
+    };
+    match verified {
+        Ok(stamp) => respond(&app, &stamp, &fleet_io::introduced(&app)),
+        Err(error) => refuse(&app, &error.into()),
+    }
+}
+
+async fn receive(
+    app: &App,
+    headers: &HeaderMap,
+    body: Body,
+) -> Result<(Stamp, PeerRequest), Refusal> {
+    let body = read(body).await?;
+    let stamp = verify(&app.settings.fleet_secret, &app.receiver(), headers, &body)?;
+    if !app.replay_guard().accept(&stamp.vm, stamp.incarnation, stamp.sequence) {
+        return Err(PeerAuthError::Replayed.into());
     }
+    let req = decode(&body).map_err(Refusal::Unreadable)?;
+    Ok((stamp, req))
+}
+
+async fn read(body: Body) -> Result<Bytes, Refusal> {
+    to_bytes(body, MESSAGE_MAX_BYTES).await.map_err(|_| Refusal::TooLarge)
 }
 
-async fn handle(app: &App, req: PeerRequest) -> PeerReply {
+async fn handle(app: &App, stamp: &Stamp, req: PeerRequest) -> PeerReply {
     match req {
         PeerRequest::Forward(forward) => holder::run(app, *forward).await,
-        PeerRequest::FetchConfiguration { have } => {
-            let board = app.board();
-            let cfg = &board.catalog.cfg;
-            let newer =
-                (cfg.generation > have).then(|| serde_json::to_string(cfg).unwrap_or_default());
-            PeerReply::Configuration(newer)
-        }
+        PeerRequest::Gossip(digest) => fleet_io::told(app, stamp, digest),
+        PeerRequest::Pull(pull) => fleet_io::pulled(app, &pull),
+        PeerRequest::Introduce => fleet_io::introduced(app),
     }
 }
+
+fn respond(app: &App, stamp: &Stamp, reply: &PeerReply) -> Response {
+    let body = encode(reply);
+    let header = sign_reply(&app.settings.fleet_secret, stamp, &body);
+    ([header], body).into_response()
+}
+
+fn refuse(app: &App, refusal: &Refusal) -> Response {
+    app.counters.count(Counter::PeerRefused);
+    (refusal.status(), refusal.to_string()).into_response()
+}
--- a/crates/jasminepassd/src/run.rs
+++ b/crates/jasminepassd/src/run.rs
@@ -1,10 +1,7 @@
 //! Starts a daemon's listeners and tasks, and stops them in order.
 
 use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, Mutex},
     thread,
     time::Duration,
 };
@@ -18,6 +15,7 @@
     server::{Limits, serve},
 };
 use eyre::WrapErr;
+use fleet::transfer::Outgoing;
 use serde_json::json;
 use tokio::{
     net::TcpListener,
@@ -31,9 +29,10 @@
     clock::Clock,
     control::{Control, Event},
     counters::{Counters, Reporter},
-    effects, logging, ops, peer,
+    effects, fleet_io, logging, ops, peer,
     pools::Pools,
     settings::Settings,
+    stop::Stop,
     watch as platform_watch,
 };
 
@@ -58,37 +57,25 @@
     tokio::spawn(effects::run(app.clone(), effects_rx));
     tokio::spawn(platform_watch::configuration(app.clone()));
     tokio::spawn(platform_watch::vms(app.clone()));
+    tokio::spawn(platform_watch::dc_object(app.clone()));
+    tokio::spawn(fleet_io::introduce(app.clone()));
     tokio::spawn(keep_house(app.clone()));
 
-    let (stop_tx, stop_rx) = watch::channel(false);
-    let ready = Arc::new(AtomicBool::new(true));
-    let limits = caller::limits(app.settings.max_connections);
-    let ops_app = ops::router(ops::Ops::new(app.clone(), ready.clone()));
-    tokio::spawn(serve(operators, ops_app, Limits::INTERNAL, ops::NOT_HTTP, stop_rx.clone()));
+    let stop = Stop::new(app.clone());
+    let ops_app = ops::router(ops::Ops::new(app.clone(), stop.ready()));
+    tokio::spawn(serve(operators, ops_app, Limits::INTERNAL, ops::NOT_HTTP, stop.never()));
+    let peer_app = peer::router(app.clone());
     let peer_server =
-        serve(peers, peer::router(app.clone()), Limits::INTERNAL, peer::NOT_HTTP, stop_rx.clone());
-    let peer_server = tokio::spawn(peer_server);
-    let caller_server = tokio::spawn(serve(
-        callers,
-        caller::router(app.clone()),
-        limits,
-        caller::NOT_HTTP,
-        stop_rx,
-    ));
+        tokio::spawn(serve(peers, peer_app, Limits::INTERNAL, peer::NOT_HTTP, stop.peers()));
+    let limits = caller::limits(app.settings.max_connections);
+    let caller_app = stop.closing_connections(caller::router(app.clone()));
+    let caller_server =
+        tokio::spawn(serve(callers, caller_app, limits, caller::NOT_HTTP, stop.callers()));
 
     println!("{addresses}");
     slog::info!(app.log, "started"; "addresses" => addresses.to_string());
     wait_for_stop().await?;
-    slog::info!(app.log, "stopping");
-    ready.store(false, Ordering::Relaxed);
-    app.tell(Event::Stopping);
-    stop_tx.send_replace(true);
-    let drained = async {
-        let _ = caller_server.await;
-        let _ = peer_server.await;
-    };
-    let finished = tokio::time::timeout(app.settings.drain_limit, drained).await.is_ok();
-    slog::info!(app.log, "stopped"; "finished" => finished);
+    stop.run(caller_server, peer_server).await;
     Ok(())
 }
 
@@ -111,6 +98,9 @@
         board: ArcSwap::from_pointee(Board::new(me)),
         buckets: Default::default(),
         pools: Pools::new(&settings.vm),
+        outgoing: ArcSwap::from_pointee(Outgoing::empty()),
+        watching: watch::Sender::new(false),
+        replay: Mutex::default(),
         peers: Peers::new(client.clone(), settings.fleet_secret.clone(), receiver),
         platform: Platform::new(client.clone(), settings.platform.to_string()),
         admin: client,
--- a/crates/jasminepassd/src/settings.rs
+++ b/crates/jasminepassd/src/settings.rs
@@ -44,6 +44,10 @@
     pub threads: usize,
     /// Callers' connections open at once.
     pub max_connections: usize,
+    /// Addresses of other VMs' peer listeners, for a start while the platform is down.
+    pub seeds: Vec<SocketAddr>,
+    /// How long a planned stop goes on taking requests, until nobody sends it any.
+    pub stop_notice: Duration,
     /// How long a planned stop waits for open work.
     pub drain_limit: Duration,
 }
@@ -72,6 +76,8 @@
             statsd: address("statsd"),
             threads: one::<u64>(matches, "threads")? as usize,
             max_connections: one::<u64>(matches, "max-connections")? as usize,
+            seeds: matches.get_many("seeds").unwrap_or_default().copied().collect(),
+            stop_notice: Duration::from_millis(one(matches, "stop-notice-ms")?),
             drain_limit: Duration::from_millis(one(matches, "drain-limit-ms")?),
         })
     }
@@ -150,6 +156,24 @@
             )
             .default_value("8192"),
         )
+        .arg(
+            setting(
+                "seeds",
+                "JASMINEPASS_SEEDS",
+                "Peer listeners of other VMs, asked when the platform can't be; separated by commas",
+                socket(),
+            )
+            .value_delimiter(','),
+        )
+        .arg(
+            setting(
+                "stop-notice-ms",
+                "JASMINEPASS_STOP_NOTICE_MS",
+                "How long a planned stop goes on taking requests, so that the balancer and the other VMs have sent the last one, in milliseconds",
+                range(0, 600_000),
+            )
+            .default_value("5000"),
+        )
         .arg(
             setting(
                 "drain-limit-ms",
--- a/crates/jasminepassd/src/watch.rs
+++ b/crates/jasminepassd/src/watch.rs
@@ -1,51 +1,76 @@
-//! Reads the configuration and the list of VMs from the platform.
+//! Reads configuration, list of VMs and the data centre's object from the platform, while this VM is
+//! one of those that watch it.
 
 use std::{sync::Arc, time::Duration};
 
+use edge::client::SendError;
+use fleet::distribution::FleetEvent;
 use proto::platform::{Object, Version};
+use serde_json::Value;
 
 use crate::{app::App, control::Event, counters::Counter};
 
 /// Name of the object that holds the configuration.
 pub const CONFIGURATION_OBJECT: &str = "configuration";
 
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// A watch is renewed this often, so that a platform that has gone silent is soon noticed.
+const WATCH_WAIT: Duration = Duration::from_secs(1);
+
 const LIST_INTERVAL: Duration = Duration::from_secs(1);
-const RETRY_INTERVAL: Duration = Duration::from_millis(500);
+const RETRY_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Watches the configuration for ever.
+/// Watches the configuration while this VM is to.
 pub async fn configuration(app: Arc<App>) {
-    let mut version = Version(0);
-    loop {
-        app.counters.count(Counter::PlatformCalls);
-        match app.platform.watch(CONFIGURATION_OBJECT, version, WATCH_WAIT).await {
-            Ok(object) if object.version > version => {
-                version = object.version;
-                take(&app, object);
-            }
-            Ok(_) => {}
-            Err(_) => tokio::time::sleep(RETRY_INTERVAL).await,
+    let take = |app: &App, object: Object| match serde_json::from_value(object.value) {
+        Ok(cfg) => app.tell(Event::Fleet(FleetEvent::ConfigurationRead(Box::new(cfg)))),
+        Err(e) => {
+            slog::warn!(app.log, "the configuration object can't be read: write it with jasminepassctl";
+                "version" => object.version.0, "error" => e.to_string());
         }
-    }
+    };
+    watch(app, CONFIGURATION_OBJECT, take).await;
 }
 
-/// Reads the list of VMs for ever.
+/// Watches the data centre's object while this VM is to.
+pub async fn dc_object(app: Arc<App>) {
+    let name = format!("dc/{}", app.settings.dc);
+    let take = |app: &App, object| app.tell(Event::Fleet(FleetEvent::DcObjectRead(object)));
+    watch(app, &name, take).await;
+}
+
+/// Reads the list of VMs while this VM is to.
 pub async fn vms(app: Arc<App>) {
-    loop {
+    let mut watching = app.watching.subscribe();
+    while watching.wait_for(|watching| *watching).await.is_ok() {
+        let sent_at = app.now();
         app.counters.count(Counter::PlatformCalls);
         if let Ok(list) = app.platform.vms().await {
-            app.tell(Event::Vms(list.vms));
+            app.tell(Event::Fleet(FleetEvent::PlatformAnswered(sent_at)));
+            app.tell(Event::Fleet(FleetEvent::ListRead(list.vms)));
         }
         tokio::time::sleep(LIST_INTERVAL).await;
     }
 }
 
-fn take(app: &App, object: Object) {
-    match serde_json::from_value(object.value) {
-        Ok(cfg) => app.tell(Event::Configuration(Box::new(cfg))),
-        Err(e) => {
-            slog::warn!(app.log, "the configuration object can't be read: write it with jasminepassctl";
-                "version" => object.version.0, "error" => e.to_string());
+async fn watch(app: Arc<App>, name: &str, take: impl Fn(&App, Object)) {
+    let mut watching = app.watching.subscribe();
+    let mut version = Version(0);
+    while watching.wait_for(|watching| *watching).await.is_ok() {
+        let sent_at = app.now();
+        match watch_once(&app, name, version).await {
+            Ok(object) => {
+                app.tell(Event::Fleet(FleetEvent::PlatformAnswered(sent_at)));
+                if object.version > version && object.value != Value::Null {
+                    version = object.version;
+                    take(&app, object);
+                }
+            }
+            Err(_) => tokio::time::sleep(RETRY_INTERVAL).await,
         }
     }
 }
+
+async fn watch_once(app: &App, name: &str, version: Version) -> Result<Object, SendError> {
+    app.counters.count(Counter::PlatformCalls);
+    app.platform.watch(name, version, WATCH_WAIT).await
+}
--- a/crates/model/src/key.rs
+++ b/crates/model/src/key.rs
@@ -14,6 +14,9 @@
 /// Fewest bytes accepted for the fleet's secret.
 pub const FLEET_SECRET_MIN_BYTES: usize = 16;
 
+/// Fewest bytes of a truncated authentication code.
+pub const TRUNCATED_MIN_BYTES: usize = 16;
+
 const PREFIX: &str = "jp.";
 
 /// The text is not a key.
@@ -85,42 +88,69 @@
     }
 }
 
-/// The secret that every VM of the fleet has in its settings.
+/// Most secrets of the fleet that are valid at a time.
+pub const FLEET_SECRETS_MAX: usize = 2;
+
+/// The secret that every VM of the fleet has in its settings. While it is replaced, two are valid: the
+/// first signs, both verify.
 #[derive(Clone)]
 pub struct FleetSecret {
-    mac_key: [u8; 32],
+    mac_keys: Vec<[u8; 32]>,
 }
 
-/// The fleet's secret is too short.
+/// The text holds no usable secret of the fleet.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("the fleet secret is too short: give at least 16 random bytes, the same on every VM")]
-pub struct FleetSecretError;
+pub enum FleetSecretError {
+    /// A secret is too short.
+    #[error("the fleet secret is too short: give at least 16 random bytes, the same on every VM")]
+    TooShort,
+    /// There are more than two.
+    #[error("there are more than 2 fleet secrets: give one a line, the one that signs first")]
+    TooMany,
+}
 
 impl FleetSecret {
-    /// Takes the secret from its text.
+    /// Takes the secrets from their text, one a line.
     pub fn new(text: &str) -> Result<FleetSecret, FleetSecretError> {
-        if text.len() < FLEET_SECRET_MIN_BYTES {
-            return Err(FleetSecretError);
+        let lines: Vec<&str> =
+            text.lines().map(str::trim).filter(|line| !line.is_empty()).collect();
+        if lines.len() > FLEET_SECRETS_MAX {
+            return Err(FleetSecretError::TooMany);
         }
-        Ok(FleetSecret {
-            mac_key: blake3::derive_key("jasminepass fleet secret v1", text.as_bytes()),
-        })
+        if lines.is_empty() || lines.iter().any(|line| line.len() < FLEET_SECRET_MIN_BYTES) {
+            return Err(FleetSecretError::TooShort);
+        }
+        let derive =
+            |line: &str| blake3::derive_key("jasminepass fleet secret v1", line.as_bytes());
+        Ok(FleetSecret { mac_keys: lines.into_iter().map(derive).collect() })
     }
 
     /// The authentication code of the parts, each taken with its length.
     pub fn mac(&self, parts: &[&[u8]]) -> [u8; 32] {
-        let mut hasher = blake3::Hasher::new_keyed(&self.mac_key);
-        for part in parts {
-            hasher.update(&(part.len() as u64).to_le_bytes());
-            hasher.update(part);
-        }
-        *hasher.finalize().as_bytes()
+        mac(&self.mac_keys[0], parts)
     }
 
-    /// Whether `mac` is the authentication code of the parts, in constant time.
-    pub fn verify(&self, parts: &[&[u8]], mac: &[u8]) -> bool {
-        self.mac(parts).ct_eq(mac).into()
+    /// Whether `code` is the authentication code of the parts by a valid secret, in constant time.
+    pub fn verify(&self, parts: &[&[u8]], code: &[u8]) -> bool {
+        self.mac_keys.iter().any(|key| mac(key, parts).ct_eq(code).into())
+    }
+
+    /// The same for a code of which only the first bytes were kept, at least
+    /// [`TRUNCATED_MIN_BYTES`].
+    pub fn verify_truncated(&self, parts: &[&[u8]], code: &[u8]) -> bool {
+        let is_long_enough = (TRUNCATED_MIN_BYTES..=32).contains(&code.len());
+        let matches = |key| mac(key, parts)[..code.len()].ct_eq(code).into();
+        is_long_enough && self.mac_keys.iter().any(matches)
+    }
+}
+
+fn mac(key: &[u8; 32], parts: &[&[u8]]) -> [u8; 32] {
+    let mut hasher = blake3::Hasher::new_keyed(key);
+    for part in parts {
+        hasher.update(&(part.len() as u64).to_le_bytes());
+        hasher.update(part);
     }
+    *hasher.finalize().as_bytes()
 }
 
 impl fmt::Debug for FleetSecret {
--- a/crates/model/src/session.rs
+++ b/crates/model/src/session.rs
@@ -93,8 +93,8 @@
         let buf = BASE64.decode(token).map_err(|_| SessionError::Invalid)?;
         let body_len = buf.len().checked_sub(MAC_BYTES).ok_or(SessionError::Invalid)?;
         let (body, mac) = buf.split_at(body_len);
-        let expected = secret.mac(&[MAC_CONTEXT, workspace.as_str().as_bytes(), body]);
-        let genuine: bool = subtle::ConstantTimeEq::ct_eq(&expected[..MAC_BYTES], mac).into();
+        let parts = [MAC_CONTEXT, workspace.as_str().as_bytes(), body];
+        let genuine = secret.verify_truncated(&parts, mac);
         let whole =
             body.len().is_multiple_of(ENTRY_BYTES) && body.len() / ENTRY_BYTES <= SESSION_MAX_SLOTS;
         if !genuine || !whole {
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -4,5 +4,6 @@
 
 pub mod caller;
 pub mod database;
+pub mod gossip;
 pub mod peer;
 pub mod platform;
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -4,18 +4,24 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::caller::CallerError;
+use crate::{
+    caller::CallerError,
+    gossip::{Digest, Pull, Pulled},
+    platform::VmRecord,
+};
 
 /// A message to another VM.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum PeerRequest {
     /// A caller's request, for a holder of the database.
     Forward(Box<Forward>),
-    /// Asks for the configuration, if its generation is higher than the one stated.
-    FetchConfiguration {
-        /// What the sender has.
-        have: Generation,
-    },
+    /// What the sender knows; the answer is what the receiver knows.
+    Gossip(Box<Digest>),
+    /// Asks for what the sender lacks.
+    Pull(Pull),
+    /// Asks any VM at the address who it is and which VMs it knows. The only message that is not
+    /// addressed to one run of one VM, and it changes nothing.
+    Introduce,
 }
 
 /// The answer to a [`PeerRequest`].
@@ -27,8 +33,12 @@
     Error(CallerError),
     /// Another database can serve the forwarded request. It did not run.
     Redirect(Redirect),
-    /// The configuration, as JSON; absent where the sender's is as new.
-    Configuration(Option<String>),
+    /// What the receiver of a digest knows.
+    Gossip(Box<Digest>),
+    /// What was asked for.
+    Pulled(Box<Pulled>),
+    /// The VMs that the receiver of an introduction knows, itself among them.
+    Introduced(Vec<VmRecord>),
 }
 
 /// A request on its way from the entry VM to a holder.
