--- a/crates/jasminepassd/src/counters.rs
+++ b/crates/jasminepassd/src/counters.rs
@@ -51,10 +51,16 @@
     TransactionsCommitted,
     /// Transactions rolled back because their caller, key or time was gone.
     TransactionsExpired,
+    /// Digests sent to other VMs.
+    GossipSent,
+    /// Digests received from other VMs.
+    GossipReceived,
+    /// Times that another VM was asked for what this one lacked.
+    Pulls,
 }
 
 impl Counter {
-    const ALL: [(Counter, &'static str); 20] = [
+    const ALL: [(Counter, &'static str); 23] = [
         (Counter::Requests, "requests"),
         (Counter::Answered, "answered"),
         (Counter::Refused, "refused"),
@@ -75,6 +81,9 @@
         (Counter::TransactionsBegun, "transactions_begun"),
         (Counter::TransactionsCommitted, "transactions_committed"),
         (Counter::TransactionsExpired, "transactions_expired"),
+        (Counter::GossipSent, "gossip_sent"),
+        (Counter::GossipReceived, "gossip_received"),
+        (Counter::Pulls, "pulls"),
     ];
 }
 
--- a/crates/jasminepassd/src/entry.rs
+++ b/crates/jasminepassd/src/entry.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use board::{Board, RouteKey, ServiceKey, SlotKey};
-use edge::{client::SendError, peer::Receiver};
+use edge::client::SendError;
 use fleet::access::{Identity, authenticate};
 use model::{
     prelude::*,
@@ -21,7 +21,7 @@
     caller::{CallerAnswer, CallerHead, session_error},
     control,
     counters::Counter,
-    holder, outcome, transactions,
+    fleet_io, holder, outcome, transactions,
 };
 
 const REPLY_MARGIN: Duration = Duration::from_millis(50);
@@ -83,7 +83,7 @@
     let catalog = &board.catalog;
     let service = find_service(board, &head.service)?;
     let route = catalog.route(service, route).ok_or_else(|| no_such("route", route))?;
-    let Identity { workspace, key } = authenticate(catalog, route, head.key.as_ref())?;
+    let Identity { workspace, key } = authenticate(board, route, head.key.as_ref(), app.now())?;
     let workspace = &catalog.workspaces[workspace].cfg.name;
     let slot = find_slot(board, service, &body.slot_key)?;
     let session = open_session(app, head, workspace, catalog.slots[slot].digest)?;
@@ -251,9 +251,8 @@
     let Some(holder) = board.fleet.vm(send.holder.as_str()) else {
         return Event::NotSent;
     };
-    let receiver = Receiver { vm: holder.vm.clone(), incarnation: holder.incarnation };
     let timeout = app.time_until(send.until) + REPLY_MARGIN;
-    match app.peers.call(&receiver, &holder.peer_address, &req, timeout).await {
+    match fleet_io::call(app, holder, &req, timeout).await {
         Ok(reply) => Event::Reply(reply),
         Err(SendError::NotSent { .. }) => Event::NotSent,
         Err(error) => Event::Lost(error.to_string()),
--- a/crates/jasminepassd/src/transaction_steps.rs
+++ b/crates/jasminepassd/src/transaction_steps.rs
@@ -30,7 +30,7 @@
 }
 
 async fn run_inner(app: &App, req: &TransactionStep) -> Result<PeerReply, CallerError> {
-    check_key(&app.board().catalog, &req.key, &req.workspace)?;
+    check_key(&app.board(), &req.key, &req.workspace, app.now())?;
     let slot = SlotDigest::new(req.service.as_str(), req.slot.as_str());
     let step = app.transactions.start_step(req.transaction, &req.workspace, slot, app.now())?;
     let deadline = app.now() + req.time_left;
@@ -106,7 +106,7 @@
         return Err(refusal::unavailable());
     };
     admit(app, &board, workspace, route, app.instant(deadline)).await?;
-    check_key(&app.board().catalog, &req.key, &req.workspace)?;
+    check_key(&app.board(), &req.key, &req.workspace, app.now())?;
     Ok(catalog.routes[route].cfg.kind)
 }
 
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -4,7 +4,11 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::caller::CallerError;
+use crate::{
+    caller::CallerError,
+    gossip::{Digest, Pull, Pulled},
+    platform::VmRecord,
+};
 
 /// A message to another VM.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -17,11 +21,13 @@
     Begin(Box<Begin>),
     /// A request inside a transaction, for the holder that opened it.
     Step(Box<TransactionStep>),
-    /// Asks for the configuration, if its generation is higher than the one stated.
-    FetchConfiguration {
-        /// What the sender has.
-        have: Generation,
-    },
+    /// What the sender knows; the answer is what the receiver knows.
+    Gossip(Box<Digest>),
+    /// Asks for what the sender lacks.
+    Pull(Pull),
+    /// Asks any VM at the address who it is and which VMs it knows. The only message that is not
+    /// addressed to one run of one VM, and it changes nothing.
+    Introduce,
 }
 
 /// The answer to a [`PeerRequest`].
@@ -39,8 +45,12 @@
     Begun(TransactionId),
     /// A transaction was rolled back.
     RolledBack,
-    /// The configuration, as JSON; absent where the sender's is as new.
-    Configuration(Option<String>),
+    /// What the receiver of a digest knows.
+    Gossip(Box<Digest>),
+    /// What was asked for.
+    Pulled(Box<Pulled>),
+    /// The VMs that the receiver of an introduction knows, itself among them.
+    Introduced(Vec<VmRecord>),
 }
 
 /// A request on its way from the entry VM to a holder.
--- a/crates/replay/src/requests/world.rs
+++ b/crates/replay/src/requests/world.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, sync::Arc};
 
-use board::{Board, Catalog, RouteKey, SlotKey, VmIdentity};
+use board::{Board, Catalog, RouteKey, SlotKey, VmIdentity, fleet::Age};
 use config::{Configuration, RouteKind, answers::generate};
 use failover::observe::{Observation, observe};
 use model::{prelude::*, request::stable_hash};
@@ -66,7 +66,8 @@
             peer_address: String::new(),
         });
         board.adopt(catalog);
-        board.fleet.vms = ["a-1", "a-2", "b-1", "b-2", "c-1", "c-2"].map(vm).into();
+        board.fleet.vms = Vec::from(["a-1", "a-2", "b-1", "b-2", "c-1", "c-2"].map(vm)).into();
+        board.place();
         let mut world = World {
             now: MonoTime::default() + World::START,
             board,
@@ -268,6 +269,8 @@
 
     /// Replicas copy their primary's log.
     fn tick(&mut self) {
+        // The platform is in reach throughout: what is under test here is not the trust in keys.
+        self.board.fleet.platform = Some(Age::zero(self.now));
         let primary = self.databases.iter().filter(|d| d.is_primary() && !d.cut);
         let Some(primary) = primary.max_by_key(|d| d.granted).cloned() else {
             return;
