--- a/crates/failover/src/diagnosis.rs
+++ b/crates/failover/src/diagnosis.rs
@@ -24,6 +24,8 @@
 pub enum Condition {
     /// Too few members answer: nothing can be promoted, and nothing is disturbed.
     NoMajority,
+    /// The primary has had too little time to answer.
+    TooEarly,
     /// The primary is in service.
     Healthy(DatabaseKey),
     /// The slot needs another primary.
@@ -67,6 +69,10 @@
         return Condition::Faulty { fault: Fault::NoPrimary, top, primary: None };
     };
     let reached = answers(primary, recent);
+    let asked_long_enough = now.since(since) >= limits.silent;
+    if !reached && !asked_long_enough {
+        return Condition::TooEarly;
+    }
     let in_touch = 1 + count_hearing(state, primary, recent, reached);
     let fault = match (reached, in_touch >= state.majority()) {
         (false, false) => Fault::Gone,
--- a/crates/failover/src/promotion.rs
+++ b/crates/failover/src/promotion.rs
@@ -166,7 +166,7 @@
             return;
         }
         match diagnose(board, slot, state.since, &limits, now) {
-            Condition::NoMajority => state.suspicion = None,
+            Condition::NoMajority | Condition::TooEarly => state.suspicion = None,
             Condition::Healthy(primary) => {
                 state.suspicion = None;
                 state.replaced = None;
--- a/crates/route/src/replica.rs
+++ b/crates/route/src/replica.rs
@@ -4,9 +4,6 @@
 use config::{Route, RouteKind};
 use model::prelude::*;
 
-/// Longest time between the moment at which a database stated its term and its answer's arrival.
-const STATUS_TIMEOUT: DurationUs = DurationUs::from_ms(400);
-
 /// How a database can serve a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Service {
@@ -81,16 +78,9 @@
     route.max_age_ms > 0 && verified_within(board, slot, max_age(route), now)
 }
 
-/// Whether a majority of the slot's members stated within that time that they know of no term later
-/// than the board's.
+/// Whether the primary was the current one at a moment no longer ago than that.
 pub fn verified_within(board: &Board, slot: SlotKey, age: DurationUs, now: MonoTime) -> bool {
-    let state = &board.slots[slot];
-    let agree = |m: &&board::Member| {
-        let answered_at = board.databases[m.database].answered_at;
-        let young = answered_at.is_some_and(|at| now.since(at - STATUS_TIMEOUT) <= age);
-        m.term <= state.term && young
-    };
-    state.members.iter().filter(agree).count() >= state.majority()
+    board.slots[slot].primary_verified_at.is_some_and(|at| now.since(at) <= age)
 }
 
 fn max_age(route: &Route) -> DurationUs {
