Replay failing primaries against the promotion controllers

A world in virtual time: VMs with the real board and controllers, databases with the stand-in's slot data, a network that delays and cuts. Traces state which member is primary, in which term, and whether service goes on; a ledger checks at each promotion, acknowledgement and dating of a member that no acknowledged write is missing, doubled or counted as seen where it is not. Random schedules of faults with stated seeds run against the same ledger and must end in service.

--- /dev/null
+++ b/crates/replay/src/failover/ledger.rs
@@ -0,0 +1,98 @@
+//! What was promised to callers, checked against what the databases hold.
+
+use model::prelude::*;
+use standin::database::SlotData;
+
+/// How many writes before a moment are looked up when a member is taken for fresh.
+const RECENT: usize = 50;
+
+/// A write that was acknowledged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Acknowledged {
+    /// The write.
+    pub id: RequestId,
+    /// When its caller was told.
+    pub at: MonoTime,
+}
+
+/// Every promotion and acknowledgement of a run, and the rules that were broken.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    acknowledged: Vec<Acknowledged>,
+    primaries: Vec<(Term, String)>,
+    faults: Vec<String>,
+}
+
+impl Ledger {
+    /// The highest term in which there was a primary, and that primary.
+    pub fn primary(&self) -> Option<(Term, &str)> {
+        self.primaries.iter().max().map(|(term, name)| (*term, name.as_str()))
+    }
+
+    /// When a write was last acknowledged.
+    pub fn last_acknowledged(&self) -> Option<MonoTime> {
+        self.acknowledged.last().map(|a| a.at)
+    }
+
+    /// How many writes were acknowledged.
+    pub fn count(&self) -> usize {
+        self.acknowledged.len()
+    }
+
+    /// A database became primary.
+    pub fn promoted(&mut self, term: Term, name: &str, data: &SlotData) {
+        let known = self.primaries.iter().find(|(known, _)| *known == term);
+        match known {
+            Some((_, other)) if other != name => {
+                self.faults.push(format!("{other} and {name} are primaries of term {term}"));
+            }
+            Some(_) => return,
+            None => self.primaries.push((term, name.to_owned())),
+        }
+        let missing = self.missing(data, MonoTime(u64::MAX), usize::MAX);
+        if let Some(id) = missing {
+            self.faults.push(format!("{name} became primary in term {term} without write {id}"));
+        }
+    }
+
+    /// A caller was told that its write is done, executed in `term`.
+    pub fn acknowledge(&mut self, id: RequestId, at: MonoTime, term: Term, newest: &SlotData) {
+        self.acknowledged.push(Acknowledged { id, at });
+        let replaced = self.primary().is_some_and(|(newer, _)| newer > term);
+        if replaced && count_of(newest, id) == 0 {
+            self.faults
+                .push(format!("write {id} was acknowledged by the replaced primary of {term}"));
+        }
+    }
+
+    /// A VM takes this data for holding all that was acknowledged until `until`.
+    pub fn taken_for_fresh(&mut self, name: &str, data: &SlotData, until: MonoTime) {
+        if let Some(id) = self.missing(data, until, RECENT) {
+            self.faults.push(format!("{name} was taken for fresh at {until:?} without write {id}"));
+        }
+    }
+
+    /// Checks that every acknowledged write is in the data exactly once.
+    pub fn check_final(&mut self, name: &str, data: &SlotData) {
+        for write in &self.acknowledged {
+            let count = count_of(data, write.id);
+            if count != 1 {
+                self.faults.push(format!("write {} is {count} times in {name}", write.id));
+            }
+        }
+    }
+
+    /// The first rule that was broken.
+    pub fn check(&self) -> Result<(), String> {
+        self.faults.first().map_or(Ok(()), |fault| Err(fault.clone()))
+    }
+
+    fn missing(&self, data: &SlotData, until: MonoTime, most: usize) -> Option<RequestId> {
+        let due = self.acknowledged.iter().rev().skip_while(|a| a.at > until);
+        due.take(most).find(|a| !data.has(a.id)).map(|a| a.id)
+    }
+}
+
+fn count_of(data: &SlotData, id: RequestId) -> usize {
+    data.log.iter().filter(|entry| entry.request_id == Some(id)).count()
+}
--- /dev/null
+++ b/crates/replay/src/failover/vm.rs
@@ -0,0 +1,155 @@
+//! A VM of a trace: its board, its controller and the writes that it has open.
+
+use std::sync::Arc;
+
+use board::{Board, Catalog, VmIdentity};
+use failover::{
+    limits::Limits,
+    observe::{self, Observation},
+    promotion::{Call, PromotionController, PromotionEffect, PromotionEvent},
+};
+use model::prelude::*;
+use proto::{
+    database::DatabaseError,
+    platform::{VmRecord, VmState},
+};
+
+use super::{database::Reply, dc, name};
+
+/// How often each database is asked for its status.
+pub const STATUS_INTERVAL: DurationUs = DurationUs::from_ms(100);
+/// How long a write may take.
+pub const WRITE_LIMIT: DurationUs = DurationUs::from_ms(2_000);
+
+/// A write that has no outcome yet.
+#[derive(Clone, Debug)]
+pub struct OpenWrite {
+    /// When its caller stops waiting.
+    pub deadline: MonoTime,
+    /// Where it was executed, once that is known.
+    pub executed: Option<(Position, Term)>,
+    /// The database that executes it.
+    pub primary: String,
+    /// Members known to hold it.
+    pub held_by: FxHashSet<String>,
+}
+
+/// A VM.
+#[derive(Debug)]
+pub struct VmNode {
+    /// Its name.
+    pub name: String,
+    /// What it knows.
+    pub board: Board,
+    /// Its writes without an outcome.
+    pub writes: FxHashMap<RequestId, OpenWrite>,
+    controller: PromotionController,
+}
+
+/// The list of VMs, spread over three data centres.
+pub fn vm_records(vms: usize) -> Vec<VmRecord> {
+    let record = |number: usize| VmRecord {
+        vm: name(VmName::new(format!("v{number}"))),
+        incarnation: Incarnation(number as u64),
+        dc: dc(number),
+        peer_address: format!("v{number}"),
+        state: VmState::Live,
+    };
+    (1..=vms).map(record).collect()
+}
+
+impl VmNode {
+    /// A VM that knows the list of VMs and the configuration.
+    pub fn new(record: &VmRecord, vms: &[VmRecord], catalog: Arc<Catalog>) -> VmNode {
+        let me = VmIdentity {
+            vm: record.vm.clone(),
+            incarnation: record.incarnation,
+            dc: record.dc.clone(),
+            peer_address: record.peer_address.clone(),
+        };
+        let mut board = Board::new(me.clone());
+        board.fleet.vms = vms.to_vec();
+        board.adopt(catalog);
+        VmNode {
+            name: record.vm.to_string(),
+            board,
+            writes: FxHashMap::default(),
+            controller: PromotionController::new(me, Limits::new(STATUS_INTERVAL)),
+        }
+    }
+
+    /// The name under which it proposes.
+    pub fn proposer(&self) -> String {
+        self.controller.proposer()
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, random: u64, now: MonoTime) -> Vec<Call> {
+        self.drive(PromotionEvent::Tick { random }, now)
+    }
+
+    /// Takes an event to the controller and returns the calls that it asks for.
+    pub fn drive(&mut self, event: PromotionEvent, now: MonoTime) -> Vec<Call> {
+        let effects = self.controller.handle(&mut self.board, event, now);
+        let call = |effect| match effect {
+            PromotionEffect::Call(call) => Some(call),
+            PromotionEffect::Promoted { .. } => None,
+        };
+        effects.into_iter().filter_map(call).collect()
+    }
+
+    /// Takes a database's answer; returns the calls that follow from it.
+    pub fn take(
+        &mut self,
+        reply: Reply,
+        from: &str,
+        asked_at: MonoTime,
+        now: MonoTime,
+    ) -> Vec<Call> {
+        match reply {
+            Reply::Status(status) => {
+                let database = status.database.clone();
+                let observation = Observation { database, asked_at, status: Some(status) };
+                observe::observe(&mut self.board, &observation, now);
+                Vec::new()
+            }
+            Reply::Promotion(call, answer) => {
+                self.drive(PromotionEvent::Answered(call, answer), now)
+            }
+            Reply::Executed(id, Ok(executed)) => {
+                if let Some(write) = self.writes.get_mut(&id) {
+                    write.executed = Some(executed);
+                }
+                Vec::new()
+            }
+            Reply::Executed(id, Err(error)) => {
+                self.writes.remove(&id);
+                self.learn(&error);
+                Vec::new()
+            }
+            Reply::Held(id, Ok(true)) => {
+                if let Some(write) = self.writes.get_mut(&id) {
+                    write.held_by.insert(from.to_owned());
+                }
+                Vec::new()
+            }
+            Reply::Held(_, Ok(false)) => Vec::new(),
+            Reply::Held(id, Err(error)) => {
+                // Its outcome stays unknown to the caller.
+                self.writes.remove(&id);
+                self.learn(&error);
+                Vec::new()
+            }
+        }
+    }
+
+    fn learn(&mut self, error: &DatabaseError) {
+        let (term, primary) = match error {
+            DatabaseError::NotPrimary { term, primary } => (*term, primary.as_ref()),
+            DatabaseError::StaleTerm { term } | DatabaseError::TermTaken { term } => (*term, None),
+            _ => return,
+        };
+        let primary = primary.and_then(|name| self.board.catalog.database(name.as_str()));
+        observe::learn_primary(&mut self.board, 0.into(), term, primary);
+    }
+}
--- /dev/null
+++ b/crates/replay/tests/failover.rs
@@ -0,0 +1,93 @@
+//! Traces and random schedules of primaries that fail.
+
+use model::prelude::*;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use replay::{
+    failover::{self, Event, world::World},
+    trace,
+};
+
+#[test]
+fn replay_failover_traces() {
+    let dir = concat!(env!("CARGO_MANIFEST_DIR"), "/../../traces/failover");
+    let mut names: Vec<String> = std::fs::read_dir(dir)
+        .expect("the traces")
+        .map(|entry| entry.expect("an entry").file_name().to_string_lossy().into_owned())
+        .collect();
+    names.sort();
+    let mut failures = Vec::new();
+    for name in &names {
+        let lines = trace::read::<Event>(&format!("failover/{name}")).expect("a sound trace");
+        if let Err(error) = failover::replay(&lines) {
+            failures.push(format!("{name}: {error}"));
+        }
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
+
+/// Lets faults happen at random for a while, then ends them and looks for service and for every
+/// acknowledged write. At most a minority of the databases is killed.
+fn run_schedule(seed: u64) -> Result<usize, String> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let databases = [3, 5][rng.random_range(0..2)];
+    let mut world = World::new(6, databases, seed);
+    let node = |rng: &mut StdRng| match rng.random_range(0..3) {
+        0 => format!("v{}", rng.random_range(1..=6)),
+        _ => format!("d{}", rng.random_range(1..=databases)),
+    };
+    let mut killed = 0;
+    let mut frozen: Vec<String> = Vec::new();
+    for _ in 0..24 {
+        let event = match rng.random_range(0..12) {
+            0 if killed < databases / 2 => {
+                killed += 1;
+                Event::Kill { node: format!("d{killed}") }
+            }
+            1 | 2 => {
+                let node = node(&mut rng);
+                frozen.push(node.clone());
+                Event::Freeze { node }
+            }
+            3 | 4 => Event::Thaw { node: frozen.pop().unwrap_or_else(|| "v1".to_owned()) },
+            5 => Event::Cut { node: node(&mut rng), from: vec![node(&mut rng), node(&mut rng)] },
+            6 => Event::Partition { side: vec![node(&mut rng)] },
+            7 => Event::Partition { side: vec![node(&mut rng), node(&mut rng), node(&mut rng)] },
+            8 => Event::Lag { node: node(&mut rng), ms: rng.random_range(0..1_500) },
+            _ => Event::Heal {},
+        };
+        // A killed database stays so.
+        let revives = matches!(&event, Event::Freeze { node } | Event::Thaw { node }
+            if (1..=killed).any(|n| *node == format!("d{n}")));
+        if !revives {
+            failover::apply(&mut world, &event)?;
+        }
+        world.run_until(world.now + DurationUs::from_ms(rng.random_range(50..1_500)));
+        world.ledger.check()?;
+    }
+    end_faults(&mut world, databases, killed);
+    world.run_until(world.now + DurationUs::from_ms(6_000));
+    failover::apply(&mut world, &Event::ExpectService { within_ms: 300 })?;
+    world.run_until(world.now + DurationUs::from_ms(2_500));
+    let primary = world.ledger.primary().map(|(_, name)| name.to_owned()).ok_or("no primary")?;
+    world.ledger.check_final(&primary, &world.databases[&primary].data);
+    world.ledger.check()?;
+    Ok(world.ledger.count())
+}
+
+fn end_faults(world: &mut World, databases: usize, killed: usize) {
+    world.network.heal();
+    let vms = (1..=6).map(|n| format!("v{n}"));
+    let alive = (killed + 1..=databases).map(|n| format!("d{n}"));
+    for node in vms.chain(alive) {
+        world.set_lag(&node, DurationUs::default());
+        world.thaw(&node);
+    }
+}
+
+#[test]
+fn random_schedules_lose_no_acknowledged_write_and_end_in_service() {
+    let failures: Vec<String> = (0..24)
+        .filter_map(|seed| run_schedule(seed).err().map(|error| format!("seed {seed}: {error}")))
+        .collect();
+    assert!(failures.is_empty(), "{}", failures.join("\n"));
+}
--- a/crates/standin/src/database/admin.rs
+++ b/crates/standin/src/database/admin.rs
@@ -79,10 +79,7 @@
         let changed = state.0.changed.notified();
         {
             let slot = state.slot(&req.service, &req.slot).map_err(refused)?;
-            if slot.granted > req.term {
-                return Err(refused(DatabaseError::StaleTerm { term: slot.granted }));
-            }
-            let held = slot.holds(req.position);
+            let held = slot.check_held(req.position, req.term).map_err(refused)?;
             if held || Instant::now() >= deadline {
                 return Ok(Json(Waited { held, status: slot.status(&settings) }));
             }
@@ -144,15 +141,9 @@
         {
             let slot = state.slot(&req.service, &req.slot).map_err(refused)?;
             slot.check_primary(req.term).map_err(refused)?;
-            let keep = slot.shared_with(&req.ends);
+            let (keep, entries) = slot.log_after(&req.ends, LogChunk::MOST_ENTRIES);
             let diverges = req.ends.last().is_some_and(|end| end.index > keep);
-            let behind = keep < slot.log.len() as u64;
-            if behind || diverges || Instant::now() >= deadline {
-                let entries = slot.log[keep as usize..]
-                    .iter()
-                    .take(LogChunk::MOST_ENTRIES)
-                    .cloned()
-                    .collect();
+            if !entries.is_empty() || diverges || Instant::now() >= deadline {
                 return Ok(Json(LogChunk { keep, entries }));
             }
         }
--- a/crates/standin/src/database/mod.rs
+++ b/crates/standin/src/database/mod.rs
@@ -26,7 +26,7 @@
 pub use heartbeat::send_heartbeats;
 pub use replication::replicate;
 pub use requests::serve_requests;
-pub use slot::{Entry, SlotData};
+pub use slot::{Entry, Leader, SlotData};
 pub use statement::Writes;
 
 /// Names a slot of a service.
--- a/crates/standin/src/database/slot.rs
+++ b/crates/standin/src/database/slot.rs
@@ -124,6 +124,25 @@
         Err(DatabaseError::NotPrimary { term: self.granted, primary })
     }
 
+    /// Whether the log holds the position, under a term no higher than the stated one.
+    pub fn check_held(&self, position: Position, term: Term) -> Result<bool, DatabaseError> {
+        if self.granted > term {
+            return Err(DatabaseError::StaleTerm { term: self.granted });
+        }
+        Ok(self.holds(position))
+    }
+
+    /// What a replica lacks whose terms end so: how many entries it keeps, and those after them.
+    pub fn log_after(&self, ends: &[Position], most: usize) -> (u64, Vec<Entry>) {
+        let keep = self.shared_with(ends);
+        (keep, self.log[keep as usize..].iter().take(most).cloned().collect())
+    }
+
+    /// Whether anything is recorded of the request.
+    pub fn has(&self, request_id: RequestId) -> bool {
+        self.recorded.contains_key(&request_id)
+    }
+
     /// What is recorded of the request.
     pub fn recorded(&self, request_id: RequestId) -> Recorded {
         let Some(&index) = self.recorded.get(&request_id) else {
