--- a/crates/jasminepassd/src/counters.rs
+++ b/crates/jasminepassd/src/counters.rs
@@ -37,6 +37,8 @@
     PlatformCalls,
     /// Changes of a slot's primary that were seen.
     PrimaryChanges,
+    /// Promotions that this VM brought to an end.
+    Promotions,
     /// Configurations put in force.
     Configurations,
     /// Times that a database was asked what became of a write.
@@ -52,7 +54,7 @@
 }
 
 impl Counter {
-    const ALL: [(Counter, &'static str); 19] = [
+    const ALL: [(Counter, &'static str); 20] = [
         (Counter::Requests, "requests"),
         (Counter::Answered, "answered"),
         (Counter::Refused, "refused"),
@@ -66,6 +68,7 @@
         (Counter::PeerRefused, "peer_refused"),
         (Counter::PlatformCalls, "platform_calls"),
         (Counter::PrimaryChanges, "primary_changes"),
+        (Counter::Promotions, "promotions"),
         (Counter::Configurations, "configurations"),
         (Counter::OutcomesAsked, "outcomes_asked"),
         (Counter::Retries, "retries"),
--- a/crates/jasminepassd/src/main.rs
+++ b/crates/jasminepassd/src/main.rs
@@ -10,6 +10,7 @@
 mod counters;
 mod effects;
 mod entry;
+mod failover_io;
 mod holder;
 mod logging;
 mod monitor;
--- a/crates/jasminepassd/src/settings.rs
+++ b/crates/jasminepassd/src/settings.rs
@@ -49,6 +49,8 @@
     pub drain_limit: Duration,
     /// When transactions are rolled back.
     pub transaction_limits: Limits,
+    /// How often each database is asked for its status.
+    pub status_interval: DurationUs,
 }
 
 impl Settings {
@@ -80,6 +82,7 @@
                 idle: DurationUs::from_ms(one(matches, "transaction-idle-ms")?),
                 total: DurationUs::from_ms(one(matches, "transaction-limit-ms")?),
             },
+            status_interval: DurationUs::from_ms(one(matches, "status-interval-ms")?),
         })
     }
 }
@@ -184,6 +187,15 @@
             )
             .default_value("30000"),
         )
+        .arg(
+            setting(
+                "status-interval-ms",
+                "JASMINEPASS_STATUS_INTERVAL_MS",
+                "How often each database is asked for its status, in milliseconds; a primary is taken for gone after four times that, at least 500",
+                range(20, 10_000),
+            )
+            .default_value("100"),
+        )
 }
 
 fn setting(name: &'static str, env: &'static str, help: &'static str, parser: ValueParser) -> Arg {
--- a/crates/replay/src/requests/database.rs
+++ b/crates/replay/src/requests/database.rs
@@ -174,6 +174,7 @@
             term: self.granted,
             primary: self.primary.clone(),
             position: self.position(),
+            primary_in_service_ms: None,
         }
     }
 }
--- a/crates/replay/tests/requests.rs
+++ b/crates/replay/tests/requests.rs
@@ -70,8 +70,8 @@
             12 => Step::Lag(u8::arbitrary(g) % 3),
             13 => Step::CatchUp(u8::arbitrary(g) % 3),
             14 => Step::Promote,
-            200 => Step::Split(u8::arbitrary(g) % 3),
-            201 => Step::Join,
+            15 | 16 => Step::Split(u8::arbitrary(g) % 3),
+            17 => Step::Join,
             _ => Step::Wait(u8::arbitrary(g)),
         }
     }
