--- a/crates/replay/src/requests/world.rs
+++ b/crates/replay/src/requests/world.rs
@@ -20,6 +20,8 @@
 
 const ANSWERS: &str = include_str!("answers.toml");
 const STEP: DurationUs = DurationUs::from_ms(10);
+/// Data centres look one after the other.
+const LOOK_OFFSET: DurationUs = DurationUs::from_ms(30);
 const STATUS_INTERVAL: DurationUs = DurationUs::from_ms(100);
 const CONNECT_TIMEOUT: DurationUs = DurationUs::from_ms(1_000);
 const HOP: DurationUs = DurationUs::from_ms(1);
@@ -80,8 +82,9 @@
             requests: 0,
         };
         world.tick();
-        world.look();
-        world.look();
+        for dc in [0, 1, 2, 0, 1, 2] {
+            world.look(dc);
+        }
         world
     }
 
@@ -101,8 +104,11 @@
             self.now = at.min(self.now + STEP);
             self.apply_due();
             self.tick();
-            if before.0 / STATUS_INTERVAL.0 != self.now.0 / STATUS_INTERVAL.0 {
-                self.look();
+            for dc in 0..self.boards.len() {
+                let looks = |at: MonoTime| (at.0 + LOOK_OFFSET.0 * dc as u64) / STATUS_INTERVAL.0;
+                if looks(before) != looks(self.now) {
+                    self.look(dc);
+                }
             }
         }
     }
@@ -309,21 +315,18 @@
         }
     }
 
-    /// The VMs ask every database for its status.
-    fn look(&mut self) {
+    /// The VMs of a data centre ask every database for its status.
+    fn look(&mut self, at_dc: usize) {
         let catalog = self.boards[0].catalog.clone();
         let slot = &catalog.slots[SlotKey::from(0)];
         let service = &catalog.services[slot.service].name;
-        for dc in ["a", "b", "c"] {
-            for (key, database) in catalog.databases.iter_enumerated() {
-                let reached = self.reaches(dc, key);
-                let at = &self.databases[usize::from(key)];
-                let status = reached.then(|| at.status(service, &slot.name));
-                let database = database.name.clone();
-                let observation = Observation { database, asked_at: self.now, status };
-                let board = &mut self.boards[usize::from(dc.as_bytes()[0] - b'a')];
-                observe(board, &observation, self.now);
-            }
+        for (key, database) in catalog.databases.iter_enumerated() {
+            let reached = self.reaches(["a", "b", "c"][at_dc], key);
+            let at = &self.databases[usize::from(key)];
+            let status = reached.then(|| at.status(service, &slot.name));
+            let database = database.name.clone();
+            let observation = Observation { database, asked_at: self.now, status };
+            observe(&mut self.boards[at_dc], &observation, self.now);
         }
     }
 
--- a/crates/replay/tests/requests.rs
+++ b/crates/replay/tests/requests.rs
@@ -39,6 +39,21 @@
     check("primary_lost");
 }
 
+#[test]
+fn replay_isolated_primary() {
+    check("isolated_primary");
+}
+
+#[test]
+fn replay_stale_primary() {
+    check("stale_primary");
+}
+
+#[test]
+fn replay_session() {
+    check("session");
+}
+
 /// A step of a random schedule.
 #[derive(Clone, Debug)]
 enum Step {
