--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod bench_memory;
+mod bench_replica_share;
 mod ci;
 mod demo;
 
@@ -19,12 +20,14 @@
         )
         .subcommand(bench::command())
         .subcommand(bench_memory::command())
+        .subcommand(bench_replica_share::command())
         .get_matches();
     match matches.subcommand() {
         Some(("ci", _)) => ci::run(),
         Some(("demo", _)) => runtime()?.block_on(demo::run()),
         Some(("bench", sub)) => runtime()?.block_on(bench::run(sub)),
         Some(("bench-memory", sub)) => runtime()?.block_on(bench_memory::run(sub)),
+        Some(("bench-replica-share", sub)) => runtime()?.block_on(bench_replica_share::run(sub)),
         _ => Err(eyre!("say what to do: see --help")),
     }
 }
