An open-loop load tool with faults

Cause: measurements of failover and fairness need requests at set times, several workspaces and a process that fails meanwhile; the closed loop hides stalls, since it sends less while it waits.

Ruled out: a closed loop with many connections (coordinated omission remains).

--- /dev/null
+++ b/crates/loadgen/src/http.rs
@@ -0,0 +1,123 @@
+//! Sends requests to callers' listeners.
+
+use std::{
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+
+use ::http::{HeaderName, HeaderValue, Method, StatusCode, header::AUTHORIZATION};
+use edge::client::{Client, Reply, SendError, encode_json, json_type};
+use proto::caller::{ErrorBody, RequestBody, SESSION_HEADER, TIMEOUT_HEADER};
+use serde_json::Value;
+
+use crate::{open::Target, recorder::ANSWERED};
+
+const PATIENCE_MARGIN: Duration = Duration::from_secs(2);
+
+/// A kind of request.
+#[derive(Clone, Debug)]
+pub struct RouteSpec {
+    /// `service/route`.
+    pub route: String,
+    /// What the upstream executes.
+    pub statement: String,
+    /// Its parameters.
+    pub params: Vec<Value>,
+    /// How many different slot keys the requests have.
+    pub slot_keys: u64,
+}
+
+/// A workspace that sends requests.
+#[derive(Clone, Debug)]
+pub struct Tenant {
+    /// Its key; absent on routes open to all.
+    pub key: Option<String>,
+    /// Sessions in use at once.
+    pub sessions: usize,
+    /// Its kinds of request.
+    pub routes: Vec<RouteSpec>,
+}
+
+/// The callers' listeners of a fleet, as a balancer spreads requests over them.
+pub struct Fleet {
+    client: Client,
+    entries: Vec<String>,
+    timeout: Duration,
+    tenants: Vec<(Tenant, Vec<Mutex<Option<HeaderValue>>>)>,
+}
+
+impl Fleet {
+    /// A fleet at these addresses, `ip:port` each.
+    pub fn new(entries: Vec<String>, tenants: Vec<Tenant>, timeout: Duration) -> Fleet {
+        let with_sessions = |tenant: Tenant| {
+            let sessions = (0..tenant.sessions.max(1)).map(|_| Mutex::new(None)).collect();
+            (tenant, sessions)
+        };
+        Fleet {
+            client: Client::new("jasminepass-load"),
+            entries,
+            timeout,
+            tenants: tenants.into_iter().map(with_sessions).collect(),
+        }
+    }
+
+    fn headers(
+        &self,
+        tenant: &Tenant,
+        session: &Mutex<Option<HeaderValue>>,
+    ) -> Vec<(HeaderName, HeaderValue)> {
+        let timeout = HeaderValue::from(self.timeout.as_millis() as u64);
+        let mut headers = vec![json_type(), (HeaderName::from_static(TIMEOUT_HEADER), timeout)];
+        let key = tenant.key.as_ref().and_then(|key| format!("Bearer {key}").try_into().ok());
+        headers.extend(key.map(|key| (AUTHORIZATION, key)));
+        let token = session.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        headers.extend(token.map(|token| (HeaderName::from_static(SESSION_HEADER), token)));
+        headers
+    }
+}
+
+impl Target for Fleet {
+    async fn send(&self, stream: usize, mix: usize, number: u64) -> String {
+        let (tenant, sessions) = &self.tenants[stream];
+        let session = &sessions[number as usize % sessions.len()];
+        let route = &tenant.routes[mix];
+        let entry = &self.entries[number as usize % self.entries.len()];
+        let body = RequestBody {
+            slot_key: format!("key-{}", number % route.slot_keys.max(1)),
+            statement: route.statement.clone(),
+            params: route.params.clone(),
+        };
+        let path = format!("/v1/{}", route.route);
+        let headers = self.headers(tenant, session);
+        let patience = self.timeout + PATIENCE_MARGIN;
+        let sent =
+            self.client.send(entry, Method::POST, &path, &headers, encode_json(&body), patience);
+        let reply = sent.await;
+        if let Some(token) = reply.as_ref().ok().and_then(|r| r.headers.get(SESSION_HEADER)) {
+            *session.lock().unwrap_or_else(PoisonError::into_inner) = Some(token.clone());
+        }
+        outcome(reply)
+    }
+}
+
+/// The name of a request's outcome: `answered`, `<kind>/<outcome>` of an error, or what failed on the
+/// way to the entry VM.
+pub fn outcome(reply: Result<Reply, SendError>) -> String {
+    let reply = match reply {
+        Ok(reply) => reply,
+        Err(SendError::NotSent { .. }) => return "entry/not_sent".to_owned(),
+        Err(SendError::Lost { .. }) => return "entry/lost".to_owned(),
+        Err(SendError::Unreadable { .. }) => return "entry/unreadable".to_owned(),
+    };
+    if reply.status == StatusCode::OK {
+        return ANSWERED.to_owned();
+    }
+    let Ok(body) = serde_json::from_slice::<ErrorBody>(&reply.body) else {
+        return format!("status_{}", reply.status.as_u16());
+    };
+    let name = |value: Result<Value, _>| {
+        value.ok().and_then(|v: Value| v.as_str().map(str::to_owned)).unwrap_or_default()
+    };
+    let kind = name(serde_json::to_value(body.error.kind));
+    format!("{kind}/{}", name(serde_json::to_value(body.error.outcome)))
+}
