--- /dev/null
+++ b/crates/config/src/document.rs
@@ -0,0 +1,258 @@
+//! The answers as a document: which settings stand on which line, and what is wrong with their types.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use model::prelude::*;
+use toml::{
+    Spanned, Table, Value,
+    de::{DeTable, DeValue},
+};
+
+use crate::{
+    check::Fault,
+    schema::{ANSWERS, Setting, Shape},
+};
+
+const MISSPELT_DISTANCE_MAX: usize = 2;
+
+/// A document whose faulty settings have been replaced, so that the rest can be checked as well.
+pub(crate) struct Document {
+    /// The settings.
+    pub(crate) table: Table,
+    /// Unknown, missing and wrongly typed settings.
+    pub(crate) faults: Vec<Fault>,
+    /// The last line of each place.
+    lines: BTreeMap<String, usize>,
+    replaced: BTreeSet<String>,
+}
+
+impl Document {
+    /// Reads a document; the error lists what breaks the rules of TOML.
+    pub(crate) fn parse(text: &str) -> Result<Document, Vec<Fault>> {
+        let (root, errors) = DeTable::parse_recoverable(text);
+        if !errors.is_empty() {
+            return Err(errors.iter().map(|e| syntax_fault(text, e)).collect());
+        }
+        let mut reader = Reader {
+            line_starts: line_starts(text),
+            document: Document {
+                table: Table::new(),
+                faults: Vec::new(),
+                lines: BTreeMap::new(),
+                replaced: BTreeSet::new(),
+            },
+        };
+        let table = reader.read_table(root.get_ref(), ANSWERS, "", 1);
+        reader.document.table = table;
+        Ok(reader.document)
+    }
+
+    /// The line of a place, or of the nearest thing around it that has one.
+    pub(crate) fn line_of(&self, place: &str) -> Option<usize> {
+        let mut place = place;
+        loop {
+            if let Some(line) = self.lines.get(place) {
+                return Some(*line);
+            }
+            place = place.rsplit_once('.')?.0;
+        }
+    }
+
+    /// Whether the place has a fault of its own already, so that what is found there means nothing.
+    pub(crate) fn is_replaced(&self, place: &str) -> bool {
+        self.replaced.contains(place)
+    }
+}
+
+struct Reader {
+    line_starts: Vec<usize>,
+    document: Document,
+}
+
+impl Reader {
+    fn read_table(
+        &mut self,
+        table: &DeTable<'_>,
+        settings: &[Setting],
+        place: &str,
+        line: usize,
+    ) -> Table {
+        let mut read = Table::new();
+        let mut missing: Vec<&Setting> = Vec::new();
+        for setting in settings {
+            let inner = join(place, setting.name);
+            match table.get(setting.name) {
+                Some(value) => {
+                    read.extend([(setting.name.to_owned(), self.read(value, setting, &inner))]);
+                }
+                None if setting.required => {
+                    read.insert(setting.name.to_owned(), stand_in(setting));
+                    self.document.replaced.insert(inner);
+                    missing.push(setting);
+                }
+                None => {}
+            }
+        }
+        for key in table.keys() {
+            if !settings.iter().any(|s| s.name == key.get_ref()) {
+                self.unknown(key, settings, &mut missing, place);
+            }
+        }
+        for setting in missing {
+            let problem = format!("{} is missing", setting.name);
+            let remedy = format!("add {}: {}", setting.name, setting.shape.remedy());
+            let place = if place.is_empty() { setting.name } else { place };
+            self.fault(line, place, problem, remedy);
+        }
+        read
+    }
+
+    fn unknown(
+        &mut self,
+        key: &Spanned<std::borrow::Cow<'_, str>>,
+        settings: &[Setting],
+        missing: &mut Vec<&Setting>,
+        place: &str,
+    ) {
+        let name = key.get_ref();
+        let close =
+            |s: &&&Setting| strsim::damerau_levenshtein(s.name, name) <= MISSPELT_DISTANCE_MAX;
+        let remedy = match missing.iter().find(close).map(|s| s.name) {
+            Some(meant) => {
+                missing.retain(|s| s.name != meant);
+                format!("write `{meant}`")
+            }
+            None => {
+                let names: Vec<&str> = settings.iter().map(|s| s.name).collect();
+                format!("take it out; there are {}", names.join(", "))
+            }
+        };
+        let line = self.line(key);
+        self.fault(line, &join(place, name), format!("`{name}` is not a setting"), remedy);
+    }
+
+    fn read(&mut self, value: &Spanned<DeValue<'_>>, setting: &Setting, place: &str) -> Value {
+        let line = self.line(value);
+        self.document.lines.insert(place.to_owned(), line);
+        let read = match (setting.shape, value.get_ref()) {
+            (Shape::Text, DeValue::String(text)) => Some(Value::String(text.to_string())),
+            (Shape::Name, DeValue::String(text)) if is_name(text) => {
+                Some(Value::String(text.to_string()))
+            }
+            (Shape::Word(words), DeValue::String(text)) if words.contains(&text.as_ref()) => {
+                Some(Value::String(text.to_string()))
+            }
+            (Shape::Flag, DeValue::Boolean(flag)) => Some(Value::Boolean(*flag)),
+            (Shape::Number { max }, DeValue::Integer(number)) => {
+                let parsed = i64::from_str_radix(number.as_str(), number.radix()).ok();
+                let fits = |number: &i64| u64::try_from(*number).is_ok_and(|n| n <= max);
+                parsed.filter(fits).map(Value::Integer)
+            }
+            (Shape::Names, DeValue::Array(items)) => {
+                let names = items.iter().filter_map(|item| self.read_name(item, place));
+                return Value::Array(names.collect());
+            }
+            (Shape::Tables(settings), DeValue::Array(items)) => {
+                let tables = items.iter().enumerate();
+                let tables =
+                    tables.filter_map(|(at, item)| self.read_item(item, at, settings, place));
+                return Value::Array(tables.collect());
+            }
+            _ => None,
+        };
+        read.unwrap_or_else(|| {
+            self.wrong_type(line, place, value.get_ref(), setting.shape);
+            self.document.replaced.insert(place.to_owned());
+            stand_in(setting)
+        })
+    }
+
+    fn read_name(&mut self, item: &Spanned<DeValue<'_>>, place: &str) -> Option<Value> {
+        let line = self.line(item);
+        match item.get_ref() {
+            DeValue::String(text) if is_name(text) => {
+                self.document.lines.insert(join(place, text), line);
+                Some(Value::String(text.to_string()))
+            }
+            other => {
+                self.wrong_type(line, place, other, Shape::Name);
+                None
+            }
+        }
+    }
+
+    fn read_item(
+        &mut self,
+        item: &Spanned<DeValue<'_>>,
+        at: usize,
+        settings: &[Setting],
+        place: &str,
+    ) -> Option<Value> {
+        let line = self.line(item);
+        let DeValue::Table(table) = item.get_ref() else {
+            self.wrong_type(line, place, item.get_ref(), Shape::Tables(&[]));
+            return None;
+        };
+        let name = table.get("name").and_then(|name| name.get_ref().as_str());
+        let unnamed = format!("unnamed-{}", at + 1);
+        let place = join(place, name.unwrap_or(&unnamed));
+        self.document.lines.insert(place.clone(), line);
+        let mut read = self.read_table(table, settings, &place, line);
+        if self.document.is_replaced(&join(&place, "name")) {
+            read.insert("name".to_owned(), Value::String(unnamed));
+        }
+        Some(Value::Table(read))
+    }
+
+    fn wrong_type(&mut self, line: usize, place: &str, found: &DeValue<'_>, shape: Shape) {
+        let problem = match found {
+            DeValue::String(text) => format!("`{text}` can't be used"),
+            DeValue::Integer(number) => format!("{number} can't be used"),
+            DeValue::Float(number) => format!("{number} is not a whole number"),
+            DeValue::Boolean(flag) => format!("{flag} can't be used"),
+            DeValue::Datetime(date) => format!("{date} can't be used"),
+            DeValue::Array(_) => "a list can't be used".to_owned(),
+            DeValue::Table(_) => "a table can't be used".to_owned(),
+        };
+        self.fault(line, place, problem, shape.remedy());
+    }
+
+    fn fault(&mut self, line: usize, place: &str, problem: String, remedy: String) {
+        self.document.faults.push(Fault::new(place, problem, remedy).with_line(Some(line)));
+    }
+
+    fn line<T>(&self, spanned: &Spanned<T>) -> usize {
+        line_at(&self.line_starts, spanned.span().start)
+    }
+}
+
+fn stand_in(setting: &Setting) -> Value {
+    let table: Table = toml::from_str(&format!("value = {}", setting.stand_in)).unwrap_or_default();
+    table.get("value").cloned().unwrap_or(Value::Boolean(false))
+}
+
+fn syntax_fault(text: &str, error: &toml::de::Error) -> Fault {
+    let line = error.span().map(|span| line_at(&line_starts(text), span.start));
+    let remedy = "correct the line: see https://toml.io for how TOML is written";
+    Fault::new("document", error.message(), remedy).with_line(line)
+}
+
+fn line_starts(text: &str) -> Vec<usize> {
+    let after_breaks = text.bytes().enumerate().filter(|(_, b)| *b == b'\n').map(|(at, _)| at + 1);
+    [0].into_iter().chain(after_breaks).collect()
+}
+
+fn line_at(starts: &[usize], offset: usize) -> usize {
+    starts.partition_point(|start| *start <= offset)
+}
+
+fn is_name(text: &str) -> bool {
+    ServiceName::new(text).is_ok()
+}
+
+fn join(place: &str, name: &str) -> String {
+    match place {
+        "" => name.to_owned(),
+        _ => format!("{place}.{name}"),
+    }
+}
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -5,9 +5,11 @@
 
 pub mod answers;
 pub mod check;
+mod document;
+mod schema;
 pub mod types;
 
 pub use types::{
-    Configuration, DataCentre, Database, KeyRecord, KeyState, Route, RouteKind, Service, Slot,
-    Workspace,
+    Configuration, DataCentre, Database, Drain, KeyRecord, KeyState, PUBLIC_WORKSPACE, Route,
+    RouteKind, Service, Slot, VALID_KEYS_MAX, Workspace,
 };
--- a/crates/config/src/types.rs
+++ b/crates/config/src/types.rs
@@ -3,6 +3,16 @@
 use model::{key::KeyHash, prelude::*};
 use serde::{Deserialize, Serialize};
 
+/// The workspace of requests that come without a key, on routes open to all.
+pub const PUBLIC_WORKSPACE: &str = "public";
+/// Most valid keys of a workspace: the one in use and the one that replaces it.
+pub const VALID_KEYS_MAX: usize = 2;
+
+/// The time zone where none is stated.
+pub(crate) fn utc() -> String {
+    "UTC".to_owned()
+}
+
 /// Everything that is the same on every VM of the fleet.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -17,12 +27,33 @@
     pub holders_per_database: u32,
     /// How long a data centre that is cut off from everything goes on trusting keys, in seconds.
     pub cut_off_trust_s: u64,
+    /// Time zone of the business days of workspaces that state none of their own, such as
+    /// `Europe/Helsinki`.
+    #[serde(default = "utc")]
+    pub time_zone: String,
     /// Services and their upstreams.
     pub services: Vec<Service>,
     /// Tenants.
     pub workspaces: Vec<Workspace>,
     /// Callers' keys, as hashes.
     pub keys: Vec<KeyRecord>,
+    /// VMs that are to finish their work and end.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub drains: Vec<Drain>,
+    /// The changes before this one, the latest first, so that a lost answer can be resolved after
+    /// somebody else's change as well.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub earlier_changes: Vec<u64>,
+}
+
+/// A VM that is to finish its work and end.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Drain {
+    /// The VM.
+    pub vm: VmName,
+    /// Which run of it: its successor is not meant.
+    pub incarnation: Incarnation,
 }
 
 impl Configuration {
@@ -34,9 +65,12 @@
             data_centres: Vec::new(),
             holders_per_database: 1,
             cut_off_trust_s: 0,
+            time_zone: utc(),
             services: Vec::new(),
             workspaces: Vec::new(),
             keys: Vec::new(),
+            drains: Vec::new(),
+            earlier_changes: Vec::new(),
         }
     }
 }
@@ -137,6 +171,9 @@
     pub services: Vec<ServiceName>,
     /// Share of requests that must succeed, in parts per million.
     pub objective_ppm: u32,
+    /// Time zone of its business days; that of the fleet where absent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub time_zone: Option<String>,
 }
 
 /// Whether a key works.
--- a/crates/config/tests/answers.rs
+++ b/crates/config/tests/answers.rs
@@ -1,9 +1,15 @@
 //! The questionnaire and the checks of a configuration.
 
 use config::{
-    Configuration,
-    answers::{AnswersError, generate},
+    Configuration, KeyRecord, KeyState,
+    answers::{AnswersError, TEMPLATE, generate},
+    check::check,
 };
+use model::{
+    key::KeyHash,
+    names::{KeyName, WorkspaceName},
+};
+use quickcheck::{Gen, QuickCheck};
 
 const ANSWERS: &str = r#"
 data_centres = ["north", "south"]
@@ -61,19 +67,101 @@
         (r#"services = ["quotes"]"#, r#"services = ["orders"]"#, "service `orders` is unknown"),
         (r#"name = "quotes-south""#, r#"name = "quotes-north""#, "`quotes-north` is there twice"),
         ("objective_ppm = 999000", "objective_ppm = 1000000", "objective_ppm is 1000000"),
+        ("weight = 3", "weight = 3\nopen = true", "there is no workspace `public`"),
+        ("weight = 3", "weight = 3\nmax_age_ms = 5", "max_age_ms is 5 on a write"),
+        (r#"name = "draft""#, r#"name = "transactions""#, "`transactions` is reserved"),
+        ("cut_off_trust_s = 60", "cut_off_trust_s = 60\ntime_zone = \"Mars\"", "`Mars` is not"),
     ] {
-        match generate(&ANSWERS.replace(find, replace), &Configuration::empty(), 1) {
-            Err(AnswersError::Faults(faults)) => {
-                assert!(
-                    faults.iter().any(|f| f.to_string().contains(expected)),
-                    "{expected}: {faults:?}"
-                );
-            }
-            other => panic!("{expected}: {other:?}"),
-        }
+        let faults = faults(&ANSWERS.replace(find, replace));
+        assert!(faults.iter().any(|f| f.contains(expected)), "{expected}: {faults:?}");
+    }
+}
+
+fn faults(text: &str) -> Vec<String> {
+    match generate(text, &Configuration::empty(), 1) {
+        Err(AnswersError::Faults(faults)) => faults.iter().map(ToString::to_string).collect(),
+        Ok(_) => Vec::new(),
     }
 }
 
+#[test]
+fn generate_names_every_fault_at_once_with_its_line() {
+    let text = ANSWERS
+        .replace("holders_per_database = 1", "holders_per_database = \"one\"")
+        .replace("connection_limit = 10\n\n[[services.routes]]", "[[services.routes]]")
+        .replace(r#"kind = "write""#, r#"kind = "wriet""#)
+        .replace("weight = 3", "wieght = 3")
+        .replace("rate_per_s = 100", "rate_per_s = -1")
+        .replace("burst = 200", "burst = 1.5")
+        .replace("objective_ppm = 999000", "objective_ppm = 1000000\ncolour = \"red\"");
+    let expected = [
+        "line 3: holders_per_database: `one` can't be used; write a whole number from 0 to 4294967295",
+        "line 17: services.quotes.databases.quotes-south: connection_limit is missing; add",
+        "line 24: services.quotes.routes.draft.kind: `wriet` can't be used; write one of read, write",
+        "line 25: services.quotes.routes.draft.wieght: `wieght` is not a setting; write `weight`",
+        "line 29: workspaces.calgary.rate_per_s: -1 can't be used",
+        "line 30: workspaces.calgary.burst: 1.5 is not a whole number",
+        "line 32: workspaces.calgary.objective_ppm: objective_ppm is 1000000",
+        "line 33: workspaces.calgary.colour: `colour` is not a setting; take it out",
+    ];
+    let faults = faults(&text);
+    assert_eq!(faults.len(), expected.len(), "{faults:#?}");
+    for (fault, expected) in faults.iter().zip(expected) {
+        assert!(fault.starts_with(expected), "{fault}\n{expected}");
+    }
+}
+
+#[test]
+fn generate_names_every_line_that_is_no_toml() {
+    let faults = faults("data_centres = [\nholders_per_database = = 1\n[[services]\n");
+    assert!(faults.iter().any(|f| f.starts_with("line 2: document: ")), "{faults:?}");
+    assert!(faults.iter().all(|f| f.contains("correct the line")), "{faults:?}");
+}
+
+#[test]
+fn generate_accepts_the_template() {
+    assert_eq!(faults(TEMPLATE), Vec::<String>::new());
+}
+
+#[test]
+fn generate_never_panics() {
+    // Damages one stretch of sound answers.
+    fn run(at: usize, length: usize, patch: String) -> bool {
+        let chars: Vec<char> = ANSWERS.chars().collect();
+        let at = at % chars.len();
+        let end = (at + length % 40).min(chars.len());
+        let damaged: String = chars[..at]
+            .iter()
+            .chain(patch.chars().collect::<Vec<_>>().iter())
+            .chain(&chars[end..])
+            .collect();
+        let _ = generate(&damaged, &Configuration::empty(), 1);
+        true
+    }
+    let seeded = || Gen::from_size_and_seed(30, 11);
+    QuickCheck::new()
+        .rng(seeded())
+        .tests(2_000)
+        .quickcheck(run as fn(usize, usize, String) -> bool);
+}
+
+#[test]
+fn check_limits_valid_keys() {
+    let key = |name: &str, state| KeyRecord {
+        name: KeyName::new(name).expect("a name"),
+        workspace: WorkspaceName::new("calgary").expect("a name"),
+        hash: KeyHash(String::new()),
+        state,
+    };
+    let mut cfg = generate(ANSWERS, &Configuration::empty(), 7).expect("sound answers");
+    cfg.keys =
+        vec![key("a", KeyState::Valid), key("b", KeyState::Valid), key("c", KeyState::Withdrawn)];
+    assert_eq!(check(&cfg), Vec::new());
+    cfg.keys[2].state = KeyState::Valid;
+    let faults = check(&cfg);
+    assert!(faults[0].to_string().contains("3 keys are valid"), "{faults:?}");
+}
+
 #[test]
 fn generate_refuses_unknown_settings() {
     let text = ANSWERS.replace("burst", "brust");
@@ -85,9 +173,14 @@
 fn generate_accepts_the_examples() {
     for file in ["dispatch.toml", "quoting.toml"] {
         let path = format!("{}/../../examples/{file}", env!("CARGO_MANIFEST_DIR"));
-        let text = std::fs::read_to_string(path).expect("an example");
+        let text = std::fs::read_to_string(&path).expect("an example");
         let cfg = generate(&text, &Configuration::empty(), 1).expect("sound answers");
         let databases: Vec<usize> = cfg.services.iter().map(|s| s.databases.len()).collect();
         assert_eq!((databases, cfg.workspaces.len()), (vec![3, 3, 3], 8), "{file}");
+        // Written by: jasminepassctl answers show examples/<name>.toml > examples/<name>.json
+        let committed =
+            std::fs::read_to_string(path.replace(".toml", ".json")).expect("a snapshot");
+        let committed: Configuration = serde_json::from_str(&committed).expect("a configuration");
+        assert_eq!(cfg, Configuration { change_id: 1, ..committed }, "{file}");
     }
 }
--- a/crates/jasminepassctl/src/apply.rs
+++ b/crates/jasminepassctl/src/apply.rs
@@ -1,23 +1,40 @@
 //! `apply`: puts the configuration of a team's answers in force.
 
-use config::answers::{AnswersError, generate};
 use edge::platform::Platform;
-use eyre::{WrapErr, eyre};
+use model::prelude::*;
+use serde_json::json;
 
-use crate::store::change;
+use crate::{
+    answers::configuration,
+    error::CtlError,
+    force::{self, Wait},
+    plan::differences,
+    reply::Reply,
+    store::{change, read},
+};
 
-/// Generates the configuration of the answers in `file` and puts it in force.
-pub async fn apply(platform: &Platform, file: &str) -> eyre::Result<()> {
-    let text = std::fs::read_to_string(file).wrap_err_with(|| format!("{file} can't be read"))?;
-    let generation = change(platform, |current, change_id| {
-        generate(&text, current, change_id).map_err(|error| match error {
-            AnswersError::Faults(faults) => {
-                let lines: Vec<String> = faults.iter().map(|f| format!("  {f}")).collect();
-                eyre!("{file} has {} faults:\n{}", faults.len(), lines.join("\n"))
-            }
-            other => eyre!("{file}: {other}"),
-        })
-    });
-    println!("generation {} is accepted", generation.await?.0);
-    Ok(())
+/// Puts the answers in the file in force. With `expected`, only on top of that generation.
+pub async fn apply(
+    platform: &Platform,
+    file: &str,
+    expected: Option<Generation>,
+    wait: Option<Wait>,
+) -> Result<Reply, CtlError> {
+    let (_, current) = read(platform).await?;
+    let is_first = current.generation == Generation(0);
+    let changes = differences(&current, &configuration(file, &current, 0)?).len();
+    if changes == 0 && !is_first && expected.is_none_or(|e| e == current.generation) {
+        let generation = current.generation.0;
+        let text = format!("{file} changes nothing: generation {generation} stays in force");
+        return Ok(Reply::new(text, json!({ "generation": generation, "changed": false })));
+    }
+    let expected = expected.or(Some(current.generation));
+    let changed =
+        change(platform, expected, |current, id| configuration(file, current, id)).await?;
+    let generation = changed.generation.0;
+    let reply = Reply::new(
+        format!("generation {generation} is accepted"),
+        json!({ "generation": generation, "changed": true }),
+    );
+    force::wait_if_asked(platform, reply, &changed, wait).await
 }
--- /dev/null
+++ b/crates/jasminepassctl/src/error.rs
@@ -0,0 +1,121 @@
+//! Why a command could not be carried out.
+
+use config::check::Fault;
+use edge::client::SendError;
+use model::prelude::*;
+use serde_json::json;
+
+/// The exit code of a reply that names what is not in force yet.
+pub const NOT_IN_FORCE_CODE: u8 = 8;
+
+/// Why a command could not be carried out.
+#[derive(Debug, thiserror::Error)]
+pub enum CtlError {
+    /// A file can't be read or written.
+    #[error("{path}: {error}; check the path and its permissions")]
+    File {
+        /// The file.
+        path: String,
+        /// What failed.
+        error: std::io::Error,
+    },
+    /// Something on the command line is wrong in a way that only shows when it is used.
+    #[error("{0}")]
+    Usage(String),
+    /// The answers have faults.
+    #[error("{file} has {} faults:\n{}", .faults.len(), list(.faults))]
+    Answers {
+        /// The file.
+        file: String,
+        /// Every fault.
+        faults: Vec<Fault>,
+    },
+    /// The changed configuration has faults.
+    #[error("the changed configuration has {} faults:\n{}", .0.len(), list(.0))]
+    Configuration(Vec<Fault>),
+    /// Somebody else changed the configuration meanwhile. Nothing was changed.
+    #[error(
+        "this change was made for generation {}, and generation {} is in force: look at it with `plan`, then do it again",
+        .expected.0, .found.0
+    )]
+    Conflict {
+        /// What the change was based on.
+        expected: Generation,
+        /// What is in force.
+        found: Generation,
+    },
+    /// The platform gave no answer. Nothing was changed.
+    #[error("the platform gave no answer, and nothing was changed: {0}")]
+    Platform(SendError),
+    /// The platform's answer to an update was lost and what became of it can't be found out.
+    #[error(
+        "whether generation {} came into force is unknown: {error}; once the platform answers, look with `plan` and do it again if need be",
+        .generation.0
+    )]
+    Unknown {
+        /// The generation that the change was to make.
+        generation: Generation,
+        /// What failed.
+        error: SendError,
+    },
+    /// An object on the platform can't be read.
+    #[error("the object {object} can't be read: {reason}; use a tool of the version that wrote it")]
+    Unreadable {
+        /// The object.
+        object: String,
+        /// What was found.
+        reason: String,
+    },
+    /// There is no such thing.
+    #[error("there is no {what} `{name}`: {remedy}")]
+    NotFound {
+        /// What was looked for.
+        what: &'static str,
+        /// Its name.
+        name: String,
+        /// How to see which there are.
+        remedy: &'static str,
+    },
+}
+
+impl CtlError {
+    /// The exit code. Code 2 is also used for a command line that can't be parsed.
+    pub fn code(&self) -> u8 {
+        match self {
+            CtlError::File { .. } => 1,
+            CtlError::Usage(_) => 2,
+            CtlError::Answers { .. } | CtlError::Configuration(_) => 3,
+            CtlError::Conflict { .. } => 4,
+            CtlError::Platform(_) | CtlError::Unreadable { .. } => 5,
+            CtlError::Unknown { .. } => 6,
+            CtlError::NotFound { .. } => 7,
+        }
+    }
+
+    /// What is printed.
+    pub fn render(&self, is_json: bool) -> String {
+        if !is_json {
+            return format!("jasminepassctl: {self}");
+        }
+        let faults: Vec<_> = self.faults().iter().map(fault_json).collect();
+        let error = json!({"code": self.code(), "message": self.to_string(), "faults": faults});
+        format!("{:#}", json!({ "error": error }))
+    }
+
+    fn faults(&self) -> &[Fault] {
+        match self {
+            CtlError::Answers { faults, .. } | CtlError::Configuration(faults) => faults,
+            _ => &[],
+        }
+    }
+}
+
+/// A fault for a program.
+pub fn fault_json(fault: &Fault) -> serde_json::Value {
+    let Fault { line, place, problem, remedy } = fault;
+    json!({"line": line, "place": place, "problem": problem, "remedy": remedy})
+}
+
+fn list(faults: &[Fault]) -> String {
+    faults.iter().map(|f| format!("  {f}")).collect::<Vec<_>>().join("\n")
+}
--- a/crates/jasminepassctl/src/main.rs
+++ b/crates/jasminepassctl/src/main.rs
@@ -1,45 +1,30 @@
 //! The operators' command-line tool.
 
-mod apply;
-mod command;
-mod key;
-mod store;
+use std::process::ExitCode;
 
-use clap::ArgMatches;
-use edge::{client::Client, platform::Platform};
-use eyre::eyre;
+use eyre::WrapErr;
+use jasminepassctl::{command, error::CtlError, reply::Reply, run};
 
-fn main() -> eyre::Result<()> {
+fn main() -> eyre::Result<ExitCode> {
     let matches = command::command().get_matches();
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    runtime.block_on(run(&matches))
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("the tool can't start its runtime")?;
+    let result = runtime.block_on(run::run(&matches));
+    let is_json = command::wants_json(&matches);
+    Ok(show(result, is_json))
 }
 
-async fn run(matches: &ArgMatches) -> eyre::Result<()> {
-    let platform = || {
-        let address = text(matches, "platform");
-        let address =
-            address.ok_or_else(|| eyre!("--platform is missing: give the platform's ip:port"))?;
-        Ok::<Platform, eyre::Report>(Platform::new(Client::new("jasminepassctl"), address))
-    };
-    match matches.subcommand() {
-        Some(("apply", sub)) => apply::apply(&platform()?, &required(sub, "file")?).await,
-        Some(("key", sub)) => match sub.subcommand() {
-            Some(("give", sub)) => {
-                key::give(&platform()?, &required(sub, "workspace")?, text(sub, "name").as_deref())
-                    .await
-            }
-            Some(("withdraw", sub)) => key::withdraw(&platform()?, &required(sub, "name")?).await,
-            _ => Err(eyre!("say what to do with a key: see --help")),
-        },
-        _ => Err(eyre!("say what to do: see --help")),
+fn show(result: Result<Reply, CtlError>, is_json: bool) -> ExitCode {
+    match result {
+        Ok(reply) => {
+            print!("{}", reply.render(is_json));
+            ExitCode::from(reply.code)
+        }
+        Err(error) => {
+            eprintln!("{}", error.render(is_json));
+            ExitCode::from(error.code())
+        }
     }
 }
-
-fn text(matches: &ArgMatches, name: &str) -> Option<String> {
-    matches.get_one::<String>(name).cloned()
-}
-
-fn required(matches: &ArgMatches, name: &str) -> eyre::Result<String> {
-    text(matches, name).ok_or_else(|| eyre!("{name} is missing"))
-}
--- /dev/null
+++ b/crates/jasminepassctl/src/plan.rs
@@ -0,0 +1,149 @@
+//! `plan`: the difference between two configurations, in words.
+
+use config::Configuration;
+use edge::platform::Platform;
+use serde::Serialize;
+use serde_json::{Map, Value, json};
+
+use crate::{answers::configuration, error::CtlError, reply::Reply, store::read};
+
+/// What is left out: it says which change it is, not what it changes.
+const BOOKKEEPING: [&str; 5] = ["generation", "change_id", "earlier_changes", "keys", "drains"];
+
+/// One thing that differs.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Difference {
+    /// Where, such as `workspace calgary-dealer`.
+    pub place: String,
+    /// What happens there, such as `rate_per_s changes from 100 to 200`.
+    pub change: String,
+}
+
+/// Says what applying the answers in the file would change.
+pub async fn plan(platform: &Platform, file: &str) -> Result<Reply, CtlError> {
+    let (_, current) = read(platform).await?;
+    let changed = configuration(file, &current, 0)?;
+    let differences = differences(&current, &changed);
+    let generation = current.generation.0;
+    let mut text = match differences.len() {
+        0 => format!("{file} changes nothing in generation {generation}\n"),
+        count => format!("{file} makes {count} changes to generation {generation}:\n"),
+    };
+    text.extend(differences.iter().map(Difference::line));
+    if !differences.is_empty() {
+        text += &format!(
+            "To put it in force only on top of this generation: apply {file} --expect {generation}\n"
+        );
+    }
+    Ok(Reply::new(text, json!({ "generation": generation, "differences": differences })))
+}
+
+impl Difference {
+    fn line(&self) -> String {
+        match self.place.as_str() {
+            "" => format!("  {}\n", self.change),
+            place => format!("  {place}: {}\n", self.change),
+        }
+    }
+}
+
+/// What differs between two configurations, apart from keys and drains, which answers don't change.
+pub fn differences(from: &Configuration, to: &Configuration) -> Vec<Difference> {
+    let mut found = Vec::new();
+    let (from, to) = (serde_json::to_value(from), serde_json::to_value(to));
+    if let (Ok(Value::Object(mut from)), Ok(Value::Object(mut to))) = (from, to) {
+        for name in BOOKKEEPING {
+            from.remove(name);
+            to.remove(name);
+        }
+        compare_settings("", &from, &to, &mut found);
+    }
+    found
+}
+
+fn compare_settings(
+    place: &str,
+    from: &Map<String, Value>,
+    to: &Map<String, Value>,
+    found: &mut Vec<Difference>,
+) {
+    let mut names: Vec<&String> = from.keys().chain(to.keys()).collect();
+    names.sort();
+    names.dedup();
+    for name in names {
+        let (old, new) = (from.get(name), to.get(name));
+        match (old, new) {
+            (Some(old), Some(new)) if old == new => {}
+            (Some(Value::Array(old)), Some(Value::Array(new))) => {
+                compare_lists(place, name, old, new, found);
+            }
+            _ => {
+                let change = format!("{name} changes from {} to {}", word(old), word(new));
+                found.push(Difference { place: place.to_owned(), change });
+            }
+        }
+    }
+}
+
+fn compare_lists(
+    place: &str,
+    list: &str,
+    old: &[Value],
+    new: &[Value],
+    found: &mut Vec<Difference>,
+) {
+    let kind = singular(list);
+    let mut add = |change: String| found.push(Difference { place: place.to_owned(), change });
+    for gone in old.iter().filter(|item| find(new, item).is_none()) {
+        add(format!("{kind} {} is taken out", label(gone)));
+    }
+    for come in new.iter().filter(|item| find(old, item).is_none()) {
+        add(format!("{kind} {} is added", label(come)));
+    }
+    let kept = |items: &[Value], other: &[Value]| -> Vec<String> {
+        items.iter().filter(|item| find(other, item).is_some()).map(label).collect()
+    };
+    if kept(old, new) != kept(new, old) {
+        add(format!("the order of {list} changes"));
+    }
+    for item in old {
+        if let (Value::Object(from), Some(Value::Object(to))) = (item, find(new, item)) {
+            let inner = format!("{kind} {}", label(item));
+            let inner = if place.is_empty() { inner } else { format!("{place}, {inner}") };
+            compare_settings(&inner, from, to, found);
+        }
+    }
+}
+
+/// The item of the same name.
+fn find<'a>(items: &'a [Value], like: &Value) -> Option<&'a Value> {
+    items.iter().find(|item| label(item) == label(like))
+}
+
+fn label(item: &Value) -> String {
+    match item {
+        Value::Object(map) => map.get("name").map(label).unwrap_or_default(),
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
+
+fn singular(list: &str) -> &str {
+    match list {
+        "data_centres" => "data centre",
+        "services" => "service",
+        "databases" => "database",
+        "slots" => "slot",
+        "members" => "member",
+        "routes" => "route",
+        "workspaces" => "workspace",
+        other => other,
+    }
+}
+
+fn word(value: Option<&Value>) -> String {
+    match value {
+        None | Some(Value::Null) => "nothing".to_owned(),
+        Some(value) => label(value),
+    }
+}
--- /dev/null
+++ b/crates/jasminepassctl/src/status.rs
@@ -0,0 +1,134 @@
+//! `status`: the fleet as its data centres last reported it.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use config::Configuration;
+use edge::{client::Client, platform::Platform};
+use http::Method;
+use model::prelude::*;
+use proto::report::{DcStatus, SlotReport};
+use report::text::table;
+use serde_json::{Value, json};
+
+use crate::{
+    error::CtlError,
+    force::{Force, dc_status, force, now_s, words},
+    reply::Reply,
+    store::read,
+};
+
+const OPS_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Shows the VMs, the slots with their primaries, and where the configuration is in force.
+pub async fn status(platform: &Platform) -> Result<Reply, CtlError> {
+    let (_, cfg) = read(platform).await?;
+    let mut statuses = Vec::new();
+    for dc in &cfg.data_centres {
+        statuses.push((dc.name.clone(), dc_status(platform, &dc.name).await?));
+    }
+    Ok(render(&cfg, &statuses, now_s()))
+}
+
+/// The status of the fleet, from that of its data centres.
+pub fn render(cfg: &Configuration, statuses: &[(DcName, Option<DcStatus>)], now_s: u64) -> Reply {
+    let generation = cfg.generation;
+    let mut text = format!("generation {} is accepted\n\n", generation.0);
+    let forces: Vec<(&DcName, Force)> =
+        statuses.iter().map(|(dc, s)| (dc, force(s.as_ref(), generation, now_s))).collect();
+    let rows: Vec<Vec<String>> =
+        forces.iter().map(|(dc, force)| vec![dc.to_string(), words(force)]).collect();
+    text += &table(&["data centre", "configuration"], &rows);
+    text += "\n";
+    let vm_rows: Vec<Vec<String>> = statuses
+        .iter()
+        .flat_map(|(dc, status)| status.iter().flat_map(|s| vm_rows(dc, s)))
+        .collect();
+    text +=
+        &table(&["VM", "data centre", "run", "generation", "seats", "heard", "state"], &vm_rows);
+    text += "\n";
+    let slots = slots(statuses);
+    text += &table(
+        &["slot", "term", "primary", "lag"],
+        &slots.iter().map(slot_row).collect::<Vec<_>>(),
+    );
+    let dcs: Vec<Value> = statuses
+        .iter()
+        .zip(&forces)
+        .map(|((dc, status), (_, force))| json!({"dc": dc, "force": force, "status": status}))
+        .collect();
+    let json = json!({ "generation": generation, "data_centres": dcs, "slots": slots });
+    Reply::new(text, json)
+}
+
+fn vm_rows(dc: &DcName, status: &DcStatus) -> Vec<Vec<String>> {
+    let row = |(name, vm): (&VmName, &proto::report::VmStatus)| {
+        let report = vm.report.as_ref();
+        let number = |n: Option<u64>| n.map_or("-".to_owned(), |n| n.to_string());
+        let heard = report.map(|_| status.written_at_s.saturating_sub(vm.heard_at_s));
+        let state = match (report, vm.listed) {
+            (Some(report), _) if report.stopping => "stopping".to_owned(),
+            (Some(_), false) => "not on the platform's list".to_owned(),
+            (Some(report), true) if !report.suspects.is_empty() => {
+                let names: Vec<&str> = report.suspects.iter().map(VmName::as_str).collect();
+                format!("does not reach {}", names.join(", "))
+            }
+            (Some(_), true) => "runs".to_owned(),
+            (None, _) => "not heard of".to_owned(),
+        };
+        vec![
+            name.to_string(),
+            dc.to_string(),
+            number(report.map(|r| r.incarnation.0)),
+            number(report.map(|r| r.generation.0)),
+            number(report.map(|r| r.seats)),
+            heard.map_or("-".to_owned(), |s| format!("{s} s ago")),
+            state,
+        ]
+    };
+    status.vms.iter().map(row).collect()
+}
+
+/// Each slot as the VM with the highest term saw it.
+fn slots(statuses: &[(DcName, Option<DcStatus>)]) -> Vec<SlotReport> {
+    let mut slots: BTreeMap<(&ServiceName, &SlotName), &SlotReport> = BTreeMap::new();
+    let statuses = statuses.iter().filter_map(|(_, status)| status.as_ref());
+    let reports = statuses.flat_map(|s| s.vms.values()).filter_map(|vm| vm.report.as_ref());
+    for slot in reports.flat_map(|report| &report.slots) {
+        let known = slots.entry((&slot.service, &slot.slot)).or_insert(slot);
+        if slot.term > known.term {
+            *known = slot;
+        }
+    }
+    slots.into_values().cloned().collect()
+}
+
+fn slot_row(slot: &SlotReport) -> Vec<String> {
+    let primary = slot.primary.as_ref().map_or("none".to_owned(), ToString::to_string);
+    let lag = slot.lag.iter().map(|(database, lag)| match lag {
+        Some(entries) => format!("{database} {entries}"),
+        None => format!("{database} unknown"),
+    });
+    vec![
+        format!("{}/{}", slot.service, slot.slot),
+        slot.term.0.to_string(),
+        primary,
+        lag.collect::<Vec<_>>().join(", "),
+    ]
+}
+
+/// Asks VMs directly, through their operators' listeners; for the time when the platform is down.
+pub async fn from_vms(addresses: &[String]) -> Reply {
+    let client = Client::new("jasminepassctl");
+    let mut states = Vec::new();
+    for address in addresses {
+        let sent =
+            client.send(address, Method::GET, "/state", &[], Default::default(), OPS_TIMEOUT);
+        let state = match sent.await {
+            Ok(reply) => serde_json::from_slice(&reply.body).unwrap_or(Value::Null),
+            Err(error) => json!({ "error": error.to_string() }),
+        };
+        states.push(json!({ "address": address, "state": state }));
+    }
+    let json = json!({ "vms": states });
+    Reply::new(format!("{json:#}\n"), json)
+}
--- a/crates/jasminepassctl/src/store.rs
+++ b/crates/jasminepassctl/src/store.rs
@@ -1,94 +1,110 @@
-//! Changes of the configuration object, by conditional update.
+//! Reads and changes the objects on the platform. Changes are conditional updates.
 
-use config::{
-    Configuration,
-    check::{Fault, check},
-};
+use std::time::Duration;
+
+use config::{Configuration, check::check};
 use edge::{client::SendError, platform::Platform};
-use model::prelude::*;
+use model::{prelude::*, request::random_u64};
 use proto::platform::{Updated, Version};
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-const OBJECT: &str = "configuration";
-const LOST_ANSWER_READS: usize = 10;
+use crate::error::CtlError;
 
-/// Why a change did not take effect.
-#[derive(Debug, thiserror::Error)]
-pub enum ChangeError {
-    /// Somebody else changed the configuration meanwhile.
-    #[error(
-        "generation {ours} was made by another change meanwhile: look at what is in force, then apply again"
-    )]
-    Conflict {
-        /// The generation that this change was to become.
-        ours: u64,
-    },
-    /// The changed configuration has faults.
-    #[error("the changed configuration has faults:\n{}", list(.0))]
-    Faults(Vec<Fault>),
-    /// The platform gave no answer.
-    #[error("the platform gave no answer, and whether the change took effect is unknown: {0}")]
-    Platform(#[from] SendError),
-    /// The object can't be read.
-    #[error(
-        "the configuration in force can't be read: {0}; use a tool of the version that wrote it"
-    )]
-    Unreadable(String),
-}
+const CONFIGURATION: &str = "configuration";
+const EARLIER_CHANGES_MAX: usize = 32;
+const LOST_ANSWER_READS: usize = 10;
+const LOST_ANSWER_INTERVAL: Duration = Duration::from_millis(200);
 
-fn list(faults: &[Fault]) -> String {
-    faults.iter().map(|f| format!("  {f}")).collect::<Vec<_>>().join("\n")
+/// Reads an object; absent where it does not exist.
+pub async fn read_object<T: DeserializeOwned>(
+    platform: &Platform,
+    name: &str,
+) -> Result<(Version, Option<T>), CtlError> {
+    let object = platform.get(name).await.map_err(CtlError::Platform)?;
+    if object.value == Value::Null {
+        return Ok((object.version, None));
+    }
+    let unreadable = |e: serde_json::Error| CtlError::Unreadable {
+        object: name.to_owned(),
+        reason: e.to_string(),
+    };
+    let value = serde_json::from_value(object.value).map_err(unreadable)?;
+    Ok((object.version, Some(value)))
 }
 
 /// The configuration in force and the version of its object.
-pub async fn read(platform: &Platform) -> Result<(Version, Configuration), ChangeError> {
-    let object = platform.get(OBJECT).await?;
-    if object.value == Value::Null {
-        return Ok((object.version, Configuration::empty()));
-    }
-    let cfg =
-        serde_json::from_value(object.value).map_err(|e| ChangeError::Unreadable(e.to_string()))?;
-    Ok((object.version, cfg))
+pub async fn read(platform: &Platform) -> Result<(Version, Configuration), CtlError> {
+    let (version, cfg) = read_object(platform, CONFIGURATION).await?;
+    Ok((version, cfg.unwrap_or_else(Configuration::empty)))
 }
 
-/// Changes the configuration in force, and returns the generation that the change made.
+/// Changes the configuration in force, and returns what the change made of it. With `expected`, only if
+/// that generation is in force.
 pub async fn change(
     platform: &Platform,
-    edit: impl FnOnce(&Configuration, u64) -> eyre::Result<Configuration>,
-) -> eyre::Result<Generation> {
+    expected: Option<Generation>,
+    edit: impl FnOnce(&Configuration, u64) -> Result<Configuration, CtlError>,
+) -> Result<Configuration, CtlError> {
     let (version, current) = read(platform).await?;
-    let change_id = model::request::random_u64();
+    if let Some(expected) = expected.filter(|expected| *expected != current.generation) {
+        return Err(CtlError::Conflict { expected, found: current.generation });
+    }
+    let change_id = random_u64();
     let mut changed = edit(&current, change_id)?;
     changed.generation = Generation(current.generation.0 + 1);
     changed.change_id = change_id;
+    changed.earlier_changes = earlier_changes(&current);
     let faults = check(&changed);
     if !faults.is_empty() {
-        return Err(ChangeError::Faults(faults).into());
+        return Err(CtlError::Configuration(faults));
     }
-    let generation = changed.generation;
-    let value = serde_json::to_value(&changed)?;
-    match platform.update(OBJECT, version, value).await {
-        Ok(Updated::Done { .. }) => Ok(generation),
-        Ok(Updated::Conflict { .. }) => Err(ChangeError::Conflict { ours: generation.0 }.into()),
-        Err(error) => Ok(resolve(platform, generation, change_id, error).await?),
+    update(platform, version, &current, changed).await
+}
+
+fn earlier_changes(current: &Configuration) -> Vec<u64> {
+    let changes = [current.change_id].into_iter().chain(current.earlier_changes.iter().copied());
+    changes.take(EARLIER_CHANGES_MAX).collect()
+}
+
+async fn update(
+    platform: &Platform,
+    version: Version,
+    current: &Configuration,
+    changed: Configuration,
+) -> Result<Configuration, CtlError> {
+    let value = serde_json::to_value(&changed).map_err(|e| CtlError::Usage(e.to_string()))?;
+    match platform.update(CONFIGURATION, version, value).await {
+        Ok(Updated::Done { .. }) => Ok(changed),
+        Ok(Updated::Conflict { .. }) => {
+            let (_, found) = read(platform).await?;
+            Err(CtlError::Conflict { expected: current.generation, found: found.generation })
+        }
+        Err(error @ SendError::NotSent { .. }) => Err(CtlError::Platform(error)),
+        Err(error) => resolve(platform, current, changed, error).await,
     }
 }
 
 /// Finds out by reading whether an update whose answer was lost took effect.
 async fn resolve(
     platform: &Platform,
-    generation: Generation,
-    change_id: u64,
+    current: &Configuration,
+    changed: Configuration,
     error: SendError,
-) -> Result<Generation, ChangeError> {
+) -> Result<Configuration, CtlError> {
     for _ in 0..LOST_ANSWER_READS {
-        match read(platform).await {
-            Ok((_, cfg)) if cfg.change_id == change_id => return Ok(generation),
-            Ok((_, cfg)) if cfg.generation >= generation => {
-                return Err(ChangeError::Conflict { ours: generation.0 });
+        if let Ok((_, found)) = read(platform).await {
+            let id = changed.change_id;
+            if found.change_id == id || found.earlier_changes.contains(&id) {
+                return Ok(changed);
+            }
+            if found.generation > current.generation {
+                let expected = current.generation;
+                return Err(CtlError::Conflict { expected, found: found.generation });
             }
-            _ => tokio::time::sleep(std::time::Duration::from_millis(200)).await,
         }
+        // The update may still be on its way: its version is still the expected one.
+        tokio::time::sleep(LOST_ANSWER_INTERVAL).await;
     }
-    Err(error.into())
+    Err(CtlError::Unknown { generation: changed.generation, error })
 }
--- /dev/null
+++ b/crates/report/src/text.rs
@@ -0,0 +1,92 @@
+//! Reports as tables of text.
+
+use crate::{
+    burn::{BurnReport, WINDOWS, WorkspaceBurn},
+    usage::UsageReport,
+};
+
+/// A table whose columns are as wide as their widest cell. The first column is aligned to the left, the
+/// others to the right.
+pub fn table(head: &[&str], rows: &[Vec<String>]) -> String {
+    let head: Vec<String> = head.iter().map(|cell| (*cell).to_owned()).collect();
+    let lines: Vec<&Vec<String>> = [&head].into_iter().chain(rows).collect();
+    let width = |column: usize| {
+        let cells = lines.iter().filter_map(|line| line.get(column));
+        cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+    };
+    let widths: Vec<usize> = (0..head.len()).map(width).collect();
+    let line = |cells: &Vec<String>| {
+        let padded = cells.iter().zip(&widths).enumerate().map(|(at, (cell, width))| match at {
+            0 => format!("{cell:<width$}"),
+            _ => format!("{cell:>width$}"),
+        });
+        padded.collect::<Vec<_>>().join("  ").trim_end().to_owned() + "\n"
+    };
+    lines.into_iter().map(line).collect()
+}
+
+/// Names of the pairs of windows, such as `5m/1h`.
+pub fn window_names() -> Vec<String> {
+    WINDOWS.iter().map(|w| format!("{}/{}", span(w.short_min), span(w.long_min))).collect()
+}
+
+fn span(minutes: u64) -> String {
+    match minutes {
+        m if m % (24 * 60) == 0 => format!("{}d", m / (24 * 60)),
+        m if m % 60 == 0 => format!("{}h", m / 60),
+        m => format!("{m}m"),
+    }
+}
+
+/// The burn of every workspace as a table. An alert is marked with `!`.
+pub fn burn(report: &BurnReport) -> String {
+    let names = window_names();
+    let mut head = vec!["workspace", "objective", "good", "bad", "budget left"];
+    head.extend(names.iter().map(String::as_str));
+    let rows: Vec<Vec<String>> = report.workspaces.iter().map(burn_row).collect();
+    table(&head, &rows)
+}
+
+fn burn_row(workspace: &WorkspaceBurn) -> Vec<String> {
+    let mut row = vec![
+        workspace.workspace.to_string(),
+        objective(workspace.objective_ppm),
+        workspace.good.to_string(),
+        workspace.bad.to_string(),
+        share(workspace.budget_left),
+    ];
+    let windows = workspace.windows.iter().map(|window| {
+        let mark = if window.alert { "!" } else { "" };
+        format!("{mark}{}/{}", rate(window.short), rate(window.long))
+    });
+    row.extend(windows);
+    row
+}
+
+/// An objective in percent.
+pub fn objective(ppm: u32) -> String {
+    format!("{}%", f64::from(ppm) / 10_000.0)
+}
+
+/// A share in percent.
+pub fn share(share: f64) -> String {
+    format!("{:.1}%", share * 100.0)
+}
+
+/// A burn rate.
+pub fn rate(rate: f64) -> String {
+    format!("{rate:.2}")
+}
+
+/// Usage as a table.
+pub fn usage(report: &UsageReport) -> String {
+    let rows: Vec<Vec<String>> = report
+        .rows
+        .iter()
+        .map(|row| {
+            let numbers = [row.requests, row.weight, row.good, row.bad].map(|n| n.to_string());
+            [row.workspace.to_string(), row.day.clone()].into_iter().chain(numbers).collect()
+        })
+        .collect();
+    table(&["workspace", "day", "requests", "weight", "good", "bad"], &rows)
+}
--- /dev/null
+++ b/crates/tally/src/collector.rs
@@ -0,0 +1,266 @@
+//! Merges the reports of a data centre's VMs into the platform's objects, by conditional updates.
+//!
+//! Any VM can collect at any time: two at once are harmless, since what they store merges by the greater
+//! value. A collector keeps nothing that a reporting VM does not keep as well until it is stored.
+
+use std::collections::BTreeMap;
+
+use model::prelude::*;
+use proto::{
+    platform::{Updated, Version},
+    report::{Counts, Day, Minute, Snapshot, TallyReport},
+};
+use serde_json::Value;
+
+use crate::ledger::{DayLedger, Source};
+
+const CONFLICTS_MAX: u32 = 3;
+const DAYS_CACHED: usize = 3;
+
+/// What a collector hears.
+#[derive(Clone, Debug)]
+pub enum CollectorEvent {
+    /// A VM reported.
+    Report {
+        /// Who counted.
+        source: Source,
+        /// What.
+        report: TallyReport,
+    },
+    /// It is time to store what was reported.
+    Tick,
+    /// The object of the day was read.
+    Read {
+        /// The day.
+        day: Day,
+        /// Its version.
+        version: Version,
+        /// Its value; null where it does not exist.
+        value: Value,
+    },
+    /// The object of the day was updated, or not.
+    Updated {
+        /// The day.
+        day: Day,
+        /// What the platform said.
+        updated: Updated,
+    },
+    /// The platform gave no answer. An update may have taken effect.
+    NoAnswer {
+        /// The day that was to be read or updated.
+        day: Day,
+    },
+}
+
+/// What a collector asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum CollectorEffect {
+    /// Read the object of the day.
+    Read {
+        /// The day.
+        day: Day,
+    },
+    /// Update the object of the day.
+    Update {
+        /// The day.
+        day: Day,
+        /// The version to be replaced.
+        expected: Version,
+        /// The new value.
+        value: Value,
+    },
+}
+
+type Minutes = BTreeMap<Minute, BTreeMap<WorkspaceName, Counts>>;
+type Reported = BTreeMap<Source, Minutes>;
+
+#[derive(Debug)]
+struct Write {
+    reported: Reported,
+    ledger: DayLedger,
+    conflicts: u32,
+}
+
+/// One pass of storing everything that was reported when it began.
+#[derive(Debug)]
+struct Round {
+    covers: FxHashMap<Source, u64>,
+    writes: BTreeMap<Day, Write>,
+    failed: bool,
+}
+
+/// Merges reports into the platform's objects.
+#[derive(Debug, Default)]
+pub struct Collector {
+    pending: BTreeMap<Day, Reported>,
+    taken: FxHashMap<Source, u64>,
+    stored: FxHashMap<Source, u64>,
+    known: BTreeMap<Day, (Version, DayLedger)>,
+    round: Option<Round>,
+}
+
+impl Collector {
+    /// The last report of the source of which everything is stored.
+    pub fn stored(&self, source: &Source) -> u64 {
+        self.stored.get(source).copied().unwrap_or(0)
+    }
+
+    /// Whether it has nothing left to store.
+    pub fn is_idle(&self) -> bool {
+        self.round.is_none() && self.pending.is_empty()
+    }
+
+    /// Handles an event.
+    pub fn handle(&mut self, event: CollectorEvent) -> Vec<CollectorEffect> {
+        match event {
+            CollectorEvent::Report { source, report } => {
+                self.take(source, report);
+                Vec::new()
+            }
+            CollectorEvent::Tick => self.begin(),
+            CollectorEvent::Read { day, version, value } => self.write(day, version, value),
+            CollectorEvent::Updated { day, updated: Updated::Done { version } } => {
+                self.finish(day, version)
+            }
+            CollectorEvent::Updated { day, updated: Updated::Conflict { .. } } => self.retry(day),
+            CollectorEvent::NoAnswer { day } => self.fail(day),
+        }
+    }
+
+    fn take(&mut self, source: Source, report: TallyReport) {
+        self.forget_older_runs(&source);
+        for snapshot in report.snapshots {
+            let reported = self.pending.entry(snapshot.day).or_default();
+            add(reported.entry(source.clone()).or_default(), snapshot);
+        }
+        let taken = self.taken.entry(source).or_default();
+        *taken = report.number.max(*taken);
+    }
+
+    fn forget_older_runs(&mut self, source: &Source) {
+        let is_older =
+            |other: &Source| other.vm == source.vm && other.incarnation < source.incarnation;
+        self.taken.retain(|other, _| !is_older(other));
+        self.stored.retain(|other, _| !is_older(other));
+    }
+
+    fn begin(&mut self) -> Vec<CollectorEffect> {
+        if self.round.is_some() || self.pending.is_empty() {
+            return Vec::new();
+        }
+        let pending = std::mem::take(&mut self.pending);
+        let days: Vec<Day> = pending.keys().copied().collect();
+        let new_write = |reported| Write { reported, ledger: DayLedger::default(), conflicts: 0 };
+        let writes = pending.into_iter().map(|(day, reported)| (day, new_write(reported)));
+        self.round =
+            Some(Round { covers: self.taken.clone(), writes: writes.collect(), failed: false });
+        days.into_iter().filter_map(|day| self.start(day)).collect()
+    }
+
+    fn start(&mut self, day: Day) -> Option<CollectorEffect> {
+        match self.known.remove(&day) {
+            Some((version, ledger)) => self.update(day, version, ledger),
+            None => Some(CollectorEffect::Read { day }),
+        }
+    }
+
+    fn update(
+        &mut self,
+        day: Day,
+        expected: Version,
+        mut ledger: DayLedger,
+    ) -> Option<CollectorEffect> {
+        let write = self.round.as_mut()?.writes.get_mut(&day)?;
+        for (source, minutes) in &write.reported {
+            for snapshot in snapshots(day, minutes) {
+                ledger.apply(source, &snapshot);
+            }
+        }
+        write.ledger = ledger;
+        let value = serde_json::to_value(&write.ledger).ok()?;
+        Some(CollectorEffect::Update { day, expected, value })
+    }
+
+    fn write(&mut self, day: Day, version: Version, value: Value) -> Vec<CollectorEffect> {
+        let ledger = match value {
+            Value::Null => Ok(DayLedger::default()),
+            value => serde_json::from_value(value),
+        };
+        match ledger {
+            Ok(ledger) => self.update(day, version, ledger).into_iter().collect(),
+            // Another version of the program wrote it: keep the counts until it can be read.
+            Err(_) => self.fail(day),
+        }
+    }
+
+    fn retry(&mut self, day: Day) -> Vec<CollectorEffect> {
+        let write = self.round.as_mut().and_then(|round| round.writes.get_mut(&day));
+        match write {
+            Some(write) if write.conflicts < CONFLICTS_MAX => {
+                write.conflicts += 1;
+                vec![CollectorEffect::Read { day }]
+            }
+            _ => self.fail(day),
+        }
+    }
+
+    fn finish(&mut self, day: Day, version: Version) -> Vec<CollectorEffect> {
+        let Some(write) = self.round.as_mut().and_then(|round| round.writes.remove(&day)) else {
+            return Vec::new();
+        };
+        self.known.insert(day, (version, write.ledger));
+        while self.known.len() > DAYS_CACHED {
+            self.known.pop_first();
+        }
+        self.end_round();
+        Vec::new()
+    }
+
+    fn fail(&mut self, day: Day) -> Vec<CollectorEffect> {
+        let Some(round) = &mut self.round else {
+            return Vec::new();
+        };
+        round.failed = true;
+        if let Some(write) = round.writes.remove(&day) {
+            let pending = self.pending.entry(day).or_default();
+            for (source, minutes) in write.reported {
+                let known = pending.entry(source).or_default();
+                for snapshot in snapshots(day, &minutes) {
+                    add(known, snapshot);
+                }
+            }
+        }
+        self.end_round();
+        Vec::new()
+    }
+
+    fn end_round(&mut self) {
+        let ended = self.round.as_ref().is_some_and(|round| round.writes.is_empty());
+        let Some(round) = self.round.take_if(|_| ended) else {
+            return;
+        };
+        if round.failed {
+            return;
+        }
+        for (source, number) in round.covers {
+            let stored = self.stored.entry(source).or_default();
+            *stored = number.max(*stored);
+        }
+    }
+}
+
+fn add(minutes: &mut Minutes, snapshot: Snapshot) {
+    let known = minutes.entry(snapshot.minute).or_default();
+    for (workspace, counts) in snapshot.totals {
+        let total = known.entry(workspace).or_default();
+        *total = total.max(counts);
+    }
+}
+
+fn snapshots(day: Day, minutes: &Minutes) -> impl Iterator<Item = Snapshot> {
+    minutes.iter().map(move |(minute, totals)| Snapshot {
+        day,
+        minute: *minute,
+        totals: totals.iter().map(|(workspace, counts)| (workspace.clone(), *counts)).collect(),
+    })
+}
