VMs report their state and counts; status, usage and burn are readable

Ways weighed for status: asking each VM's operators' listener (loopback by default, one call a VM); an object per VM (platform calls grow with the fleet); one object per data centre, written by the VM that the others report to, at most every 2 s.

A planned stop reports once more. `vm drain` names a VM's run in the configuration; the VM then stops as on SIGTERM.

Seen to fail: rig's usage test without the last report of a planned stop (the last request is missing for good).

--- a/crates/jasminepassctl/src/store.rs
+++ b/crates/jasminepassctl/src/store.rs
@@ -85,6 +85,28 @@
     }
 }
 
+/// What became of a change, as the configuration in force shows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Effect {
+    /// It is in the configuration in force, or was before somebody else's later change.
+    Taken,
+    /// Somebody else's change was made instead of it.
+    Overtaken,
+    /// The configuration is as before.
+    None,
+}
+
+/// What became of the change `change_id`, which was made for generation `based_on`.
+pub fn effect(found: &Configuration, based_on: Generation, change_id: u64) -> Effect {
+    if found.change_id == change_id || found.earlier_changes.contains(&change_id) {
+        return Effect::Taken;
+    }
+    match found.generation > based_on {
+        true => Effect::Overtaken,
+        false => Effect::None,
+    }
+}
+
 /// Finds out by reading whether an update whose answer was lost took effect.
 async fn resolve(
     platform: &Platform,
@@ -94,13 +116,13 @@
 ) -> Result<Configuration, CtlError> {
     for _ in 0..LOST_ANSWER_READS {
         if let Ok((_, found)) = read(platform).await {
-            let id = changed.change_id;
-            if found.change_id == id || found.earlier_changes.contains(&id) {
-                return Ok(changed);
-            }
-            if found.generation > current.generation {
-                let expected = current.generation;
-                return Err(CtlError::Conflict { expected, found: found.generation });
+            let expected = current.generation;
+            match effect(&found, expected, changed.change_id) {
+                Effect::Taken => return Ok(changed),
+                Effect::Overtaken => {
+                    return Err(CtlError::Conflict { expected, found: found.generation });
+                }
+                Effect::None => {}
             }
         }
         // The update may still be on its way: its version is still the expected one.
--- a/crates/jasminepassd/src/app.rs
+++ b/crates/jasminepassd/src/app.rs
@@ -14,7 +14,10 @@
 use quota::bucket::Bucket;
 use slog::Logger;
 
-use crate::{clock::Clock, control::Event, counters::Counters, pools::Pools, settings::Settings};
+use crate::{
+    clock::Clock, control::Event, counters::Counters, pools::Pools, report_io::StatusDesk,
+    settings::Settings, tally_io::Accounts,
+};
 
 /// One daemon.
 pub struct App {
@@ -36,6 +39,10 @@
     pub platform: Platform,
     /// Events for the control thread.
     pub events: Sender<Event>,
+    /// What this VM has counted for workspaces.
+    pub accounts: Accounts,
+    /// What VMs of the data centre reported to this one.
+    pub status_desk: StatusDesk,
     /// Counters.
     pub counters: Counters,
     /// The log.
--- a/crates/jasminepassd/src/caller.rs
+++ b/crates/jasminepassd/src/caller.rs
@@ -18,7 +18,7 @@
 };
 use serde::de::DeserializeOwned;
 
-use crate::{app::App, caller_error, counters::Counter, entry};
+use crate::{app::App, caller_error, counters::Counter, entry, tally_io::Ticket};
 
 /// Body of the answer to a client that does not speak HTTP.
 pub const NOT_HTTP: &str = r#"{"error":{"kind":"bad_request","outcome":"not_run","message":"this is not an HTTP/1.1 request: send one, such as POST /v1/<service>/<route>"}}"#;
@@ -83,7 +83,12 @@
 ) -> Response {
     app.counters.count(Counter::Requests);
     let result = match parse(&app, service, route, &headers, body).await {
-        Ok(req) => entry::serve(&app, req).await,
+        Ok(req) => {
+            let ticket = Ticket::new(&app, &req);
+            let result = entry::serve(&app, req).await;
+            ticket.finish(&result);
+            result
+        }
         Err(error) => Err(error),
     };
     match result {
--- a/crates/jasminepassd/src/clock.rs
+++ b/crates/jasminepassd/src/clock.rs
@@ -1,6 +1,6 @@
 //! The process's monotonic clock.
 
-use std::time::Instant;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use model::prelude::*;
 
@@ -21,3 +21,8 @@
         MonoTime(self.started.elapsed().as_micros() as u64)
     }
 }
+
+/// Seconds of the wall clock from 1 January 1970; for business days and reports alone.
+pub fn unix_s() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_secs())
+}
--- /dev/null
+++ b/crates/jasminepassd/src/drain.rs
@@ -0,0 +1,17 @@
+//! Whether the configuration asks this VM to finish its work and end.
+
+use std::time::Duration;
+
+use crate::app::App;
+
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Waits until the configuration in force asks this run of the VM to end.
+pub async fn asked_for(app: &App) {
+    let is_me = |drain: &config::Drain| {
+        drain.vm == app.settings.vm && drain.incarnation == app.settings.incarnation
+    };
+    while !app.board().catalog.cfg.drains.iter().any(is_me) {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+    }
+}
--- a/crates/jasminepassd/src/main.rs
+++ b/crates/jasminepassd/src/main.rs
@@ -6,6 +6,7 @@
 mod clock;
 mod control;
 mod counters;
+mod drain;
 mod effects;
 mod entry;
 mod holder;
@@ -14,8 +15,10 @@
 mod ops;
 mod peer;
 mod pools;
+mod report_io;
 mod run;
 mod settings;
+mod tally_io;
 mod watch;
 
 use settings::Settings;
--- a/crates/jasminepassd/src/peer.rs
+++ b/crates/jasminepassd/src/peer.rs
@@ -13,7 +13,7 @@
 use edge::peer::{PEER_PATH, decode, encode, verify};
 use proto::peer::{PeerReply, PeerRequest};
 
-use crate::{app::App, counters::Counter, holder};
+use crate::{app::App, counters::Counter, holder, report_io};
 
 /// Body of the answer to a client that does not speak HTTP.
 pub const NOT_HTTP: &str = "this listener is for the fleet's VMs";
@@ -40,6 +40,9 @@
 async fn handle(app: &App, req: PeerRequest) -> PeerReply {
     match req {
         PeerRequest::Forward(forward) => holder::run(app, *forward).await,
+        PeerRequest::Report(report, tally) => {
+            PeerReply::Reported { stored: report_io::take(app, *report, tally) }
+        }
         PeerRequest::FetchConfiguration { have } => {
             let board = app.board();
             let cfg = &board.catalog.cfg;
--- /dev/null
+++ b/crates/jasminepassd/src/report_io.rs
@@ -0,0 +1,203 @@
+//! Reports this VM's state and counts to one VM of its data centre, which writes them to the platform.
+
+use std::{
+    collections::BTreeMap,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use board::{Board, DatabaseKey, SlotKey};
+use edge::peer::Receiver;
+use fleet::placement::holders;
+use model::{prelude::*, request::stable_hash};
+use proto::{
+    peer::{PeerReply, PeerRequest},
+    platform::{Updated, Version, VmRecord, VmState},
+    report::{SlotReport, TallyReport, VmReport},
+};
+use tally::status::StatusBook;
+
+use crate::{app::App, clock::unix_s, counters::Counter, tally_io};
+
+/// Time between two reports if nothing changes, and between two rounds of storing counts.
+const REPORT_INTERVAL: Duration = Duration::from_secs(5);
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+const SEND_TIMEOUT: Duration = Duration::from_secs(2);
+const LAST_REPORT_LIMIT: Duration = Duration::from_secs(5);
+/// How many VMs are tried, the best-ranked first.
+const COLLECTORS_TRIED: usize = 2;
+
+/// What the VMs of the data centre reported to this one.
+#[derive(Default)]
+pub struct StatusDesk {
+    book: Mutex<StatusBook>,
+}
+
+/// What makes a VM report at once.
+type Mark = (Generation, bool, Vec<VmName>);
+
+/// Reports, collects and writes for ever.
+pub async fn run(app: Arc<App>) {
+    tokio::spawn(write_for_ever(app.clone()));
+    let mut last: Option<(Instant, Mark)> = None;
+    loop {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        let board = app.board();
+        let mark = mark(&board);
+        let due =
+            last.as_ref().is_none_or(|(at, old)| at.elapsed() >= REPORT_INTERVAL || *old != mark);
+        if due && board.catalog.cfg.generation > Generation(0) {
+            report(&app, &board).await;
+            last = Some((Instant::now(), mark));
+        }
+    }
+}
+
+/// Reports once more and, if this VM collects, stores; for a planned stop.
+pub async fn finish(app: &Arc<App>) {
+    let last = async {
+        report(app, &app.board()).await;
+        tally_io::store(app).await;
+    };
+    // What is not stored by then is lost with this VM.
+    let _ = tokio::time::timeout(LAST_REPORT_LIMIT, last).await;
+}
+
+/// Takes a VM's report, and says up to which of its reports all counts are stored.
+pub fn take(app: &App, report: VmReport, tally: TallyReport) -> u64 {
+    let stored = app.accounts.collect(&report, tally);
+    lock(&app.status_desk.book).take(report, unix_s());
+    stored
+}
+
+async fn report(app: &Arc<App>, board: &Board) {
+    let report = vm_report(board);
+    let tally = app.accounts.report();
+    for collector in collectors(board) {
+        if collector.vm == app.settings.vm {
+            let stored = take(app, report, tally);
+            return app.accounts.stored(stored);
+        }
+        let receiver = Receiver { vm: collector.vm.clone(), incarnation: collector.incarnation };
+        let req = PeerRequest::Report(Box::new(report.clone()), tally.clone());
+        let sent = app.peers.call(&receiver, &collector.peer_address, &req, SEND_TIMEOUT).await;
+        if let Ok(PeerReply::Reported { stored }) = sent {
+            return app.accounts.stored(stored);
+        }
+    }
+}
+
+/// The VMs that collect in this data centre, the best-ranked first. That two collect at once is
+/// harmless.
+fn collectors(board: &Board) -> Vec<&VmRecord> {
+    let fleet = &board.fleet;
+    let mut vms: Vec<&VmRecord> = fleet.vms.iter().filter(|vm| vm.dc == fleet.me.dc).collect();
+    vms.sort_by_key(|vm| {
+        let rank = stable_hash(&format!("collector {} {}", vm.vm, vm.incarnation.0));
+        (vm.state == VmState::Leaving, fleet.suspects.contains_key(&vm.vm), rank)
+    });
+    vms.truncate(COLLECTORS_TRIED);
+    vms
+}
+
+fn mark(board: &Board) -> Mark {
+    let mut suspects: Vec<VmName> = board.fleet.suspects.keys().cloned().collect();
+    suspects.sort();
+    (board.catalog.cfg.generation, board.fleet.stopping, suspects)
+}
+
+fn vm_report(board: &Board) -> VmReport {
+    let (generation, stopping, suspects) = mark(board);
+    let slots = board.slots.keys().filter(|slot| reports_slot(board, *slot));
+    VmReport {
+        vm: board.fleet.me.vm.clone(),
+        incarnation: board.fleet.me.incarnation,
+        generation,
+        stopping,
+        seats: board.seats_in_force as u64,
+        suspects,
+        slots: slots.map(|slot| slot_report(board, slot)).collect(),
+    }
+}
+
+/// Whether this VM is the first holder in its data centre of a database of the slot.
+fn reports_slot(board: &Board, slot: SlotKey) -> bool {
+    let me = &board.fleet.me;
+    let members = board.catalog.slots[slot].members.iter();
+    let mut in_dc = members.filter(|db| board.catalog.databases[**db].cfg.dc == me.dc);
+    in_dc.any(|db| holders(board, *db).first().is_some_and(|holder| holder.vm == me.vm))
+}
+
+fn slot_report(board: &Board, slot: SlotKey) -> SlotReport {
+    let (entry, state) = (&board.catalog.slots[slot], &board.slots[slot]);
+    let name = |database: DatabaseKey| board.catalog.databases[database].name.clone();
+    let lag: BTreeMap<DatabaseName, Option<u64>> = state
+        .members
+        .iter()
+        .map(|member| {
+            let silent = board.databases[member.database].silent_since.is_some();
+            let same_log = member.position.term == state.confirmed.term;
+            let behind = state.confirmed.index.saturating_sub(member.position.index);
+            (name(member.database), (!silent && same_log).then_some(behind))
+        })
+        .collect();
+    SlotReport {
+        service: board.catalog.services[entry.service].name.clone(),
+        slot: entry.name.clone(),
+        term: state.term,
+        primary: state.primary.map(name),
+        lag,
+    }
+}
+
+async fn write_for_ever(app: Arc<App>) {
+    let mut version = None;
+    let mut stored_at = Instant::now();
+    loop {
+        tokio::time::sleep(CHECK_INTERVAL).await;
+        if stored_at.elapsed() >= REPORT_INTERVAL {
+            tally_io::store(&app).await;
+            stored_at = Instant::now();
+        }
+        let board = app.board();
+        let collects = collectors(&board).first().is_some_and(|vm| vm.vm == app.settings.vm);
+        let configured = board.catalog.cfg.generation > Generation(0);
+        if collects && configured && lock(&app.status_desk.book).is_due(unix_s()) {
+            version = write_status(&app, &board, version).await;
+        }
+    }
+}
+
+/// Writes the status, and returns the version that it then has, if that is known.
+async fn write_status(app: &App, board: &Board, known: Option<Version>) -> Option<Version> {
+    let object = format!("status/{}", app.settings.dc);
+    let expected = match known {
+        Some(version) => Some(version),
+        None => {
+            app.counters.count(Counter::PlatformCalls);
+            app.platform.get(&object).await.ok().map(|object| object.version)
+        }
+    };
+    let in_dc = board.fleet.vms.iter().filter(|vm| vm.dc == app.settings.dc);
+    let listed: Vec<VmName> = in_dc.map(|vm| vm.vm.clone()).collect();
+    let now_s = unix_s();
+    let status = lock(&app.status_desk.book).status(&listed, &app.settings.vm, now_s);
+    let value = serde_json::to_value(&status).ok()?;
+    let updated = match expected {
+        Some(expected) => {
+            app.counters.count(Counter::PlatformCalls);
+            app.platform.update(&object, expected, value).await.ok()
+        }
+        None => None,
+    };
+    let version = match updated {
+        Some(Updated::Done { version }) => Some(version),
+        _ => None,
+    };
+    lock(&app.status_desk.book).written(now_s, version.is_some());
+    version
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/jasminepassd/src/run.rs
+++ b/crates/jasminepassd/src/run.rs
@@ -31,8 +31,9 @@
     clock::Clock,
     control::{Control, Event},
     counters::{Counters, Reporter},
-    effects, logging, ops, peer,
+    drain, effects, logging, ops, peer,
     pools::Pools,
+    report_io,
     settings::Settings,
     watch as platform_watch,
 };
@@ -59,6 +60,7 @@
     tokio::spawn(platform_watch::configuration(app.clone()));
     tokio::spawn(platform_watch::vms(app.clone()));
     tokio::spawn(keep_house(app.clone()));
+    tokio::spawn(report_io::run(app.clone()));
 
     let (stop_tx, stop_rx) = watch::channel(false);
     let ready = Arc::new(AtomicBool::new(true));
@@ -78,7 +80,7 @@
 
     println!("{addresses}");
     slog::info!(app.log, "started"; "addresses" => addresses.to_string());
-    wait_for_stop().await?;
+    wait_for_stop(&app).await?;
     slog::info!(app.log, "stopping");
     ready.store(false, Ordering::Relaxed);
     app.tell(Event::Stopping);
@@ -88,6 +90,7 @@
         let _ = peer_server.await;
     };
     let finished = tokio::time::timeout(app.settings.drain_limit, drained).await.is_ok();
+    report_io::finish(&app).await;
     slog::info!(app.log, "stopped"; "finished" => finished);
     Ok(())
 }
@@ -115,6 +118,8 @@
         platform: Platform::new(client.clone(), settings.platform.to_string()),
         admin: client,
         events,
+        accounts: Default::default(),
+        status_desk: Default::default(),
         counters: Counters::default(),
         log,
         settings,
@@ -137,12 +142,13 @@
     }
 }
 
-async fn wait_for_stop() -> eyre::Result<()> {
+async fn wait_for_stop(app: &App) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        _ = drain::asked_for(app) => {}
     }
     Ok(())
 }
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -4,7 +4,10 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::caller::CallerError;
+use crate::{
+    caller::CallerError,
+    report::{TallyReport, VmReport},
+};
 
 /// A message to another VM.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -16,6 +19,8 @@
         /// What the sender has.
         have: Generation,
     },
+    /// A VM's state and counts, for the VM that writes those of its data centre.
+    Report(Box<VmReport>, TallyReport),
 }
 
 /// The answer to a [`PeerRequest`].
@@ -29,6 +34,11 @@
     Redirect(Redirect),
     /// The configuration, as JSON; absent where the sender's is as new.
     Configuration(Option<String>),
+    /// The report was taken.
+    Reported {
+        /// All counts in the sender's reports up to this number are stored.
+        stored: u64,
+    },
 }
 
 /// A request on its way from the entry VM to a holder.
--- /dev/null
+++ b/crates/rig/tests/operators.rs
@@ -0,0 +1,108 @@
+//! What operators see and do: usage, burn, status, waiting for a change, draining a VM.
+
+use rig::{Caller, Fleet, FleetSpec, wait::until};
+use serde_json::{Value, json};
+
+const ANSWERS: &str = include_str!("../../../examples/quoting.toml");
+const WRITE: &str = "quote-ledger-1/draft-quote";
+const WRITE_WEIGHT: u64 = 3;
+const WORKSPACE: &str = "calgary-dealer";
+
+async fn fleet(vms_per_dc: usize) -> Fleet {
+    let spec = FleetSpec::new(ANSWERS).expect("sound answers").with_vms_per_dc(vms_per_dc);
+    Fleet::start(spec).await.expect("a fleet")
+}
+
+async fn ctl_json(fleet: &Fleet, args: &[&str]) -> Value {
+    let args: Vec<&str> = args.iter().copied().chain(["--output", "json"]).collect();
+    let text = fleet.ctl(&args).expect("a reply");
+    serde_json::from_str(&text).expect("JSON")
+}
+
+/// Requests, weight, good and bad of the workspace, over all days.
+async fn used(fleet: &Fleet) -> [u64; 4] {
+    let report = ctl_json(fleet, &["report", "usage", WORKSPACE]).await;
+    let rows = report["rows"].as_array().expect("rows");
+    ["requests", "weight", "good", "bad"]
+        .map(|column| rows.iter().map(|row| row[column].as_u64().expect("a number")).sum())
+}
+
+async fn wait_for_use(fleet: &Fleet, expected: [u64; 4]) {
+    let is_so = async || (used(fleet).await == expected).then_some(());
+    let outcome = until(&format!("use of {expected:?}"), is_so).await;
+    assert!(outcome.is_ok(), "{outcome:?}: {:?}", used(fleet).await);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn usage_counts_each_request_once_through_an_outage_and_a_planned_stop() {
+    let mut fleet = fleet(2).await;
+    let mut caller = Caller::new(fleet.give_key(WORKSPACE, "k1").await.expect("a key"));
+    let mut sent = 0;
+    for vm in &fleet.vms {
+        for number in 0..4 {
+            let params = [json!("quote"), json!(number)];
+            let reply = caller.call(&vm.address(), WRITE, "gym", "append", &params).await;
+            assert_eq!(reply.expect("an answer").status, 200);
+            sent += 1;
+        }
+    }
+    wait_for_use(&fleet, [sent, sent * WRITE_WEIGHT, sent, 0]).await;
+
+    // The answers of some updates are lost after they took effect, and the caller errs.
+    fleet.set_faults(&fleet.platform, &json!({"lose_answers": 3})).await.expect("faults");
+    let params = [json!("quote")];
+    for vm in &fleet.vms {
+        let reply = caller.call(&vm.address(), WRITE, "gym", "frobnicate", &params).await;
+        assert_eq!(reply.expect("an answer").status, 400);
+    }
+    let erred = fleet.vms.len() as u64;
+    let ran = sent * WRITE_WEIGHT + erred * WRITE_WEIGHT;
+    wait_for_use(&fleet, [sent + erred, ran, sent, 0]).await;
+
+    // A planned stop takes what was counted last to the platform.
+    let address = fleet.vms[0].address();
+    let reply = caller.call(&address, WRITE, "gym", "append", &[json!("quote"), json!(9)]).await;
+    assert_eq!(reply.expect("an answer").status, 200);
+    let stopped = fleet.vms[0].vm.to_string();
+    ctl_json(&fleet, &["vm", "drain", &stopped]).await;
+    let code = fleet.vms[0].process.wait().expect("it ends");
+    assert_eq!(code, Some(0));
+    wait_for_use(&fleet, [sent + erred + 1, ran + WRITE_WEIGHT, sent + 1, 0]).await;
+
+    let burn = ctl_json(&fleet, &["report", "burn"]).await;
+    let of_all = burn["workspaces"].as_array().expect("a list");
+    let of_one = of_all.iter().find(|w| w["workspace"] == WORKSPACE).expect("the workspace");
+    assert_eq!((&of_one["good"], &of_one["bad"]), (&json!(sent + 1), &json!(0)));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn withdrawal_waits_for_every_data_centre_and_names_the_one_that_is_cut_off() {
+    let fleet = fleet(1).await;
+    fleet.give_key(WORKSPACE, "k1").await.expect("a key");
+    let reply = ctl_json(&fleet, &["key", "withdraw", "k1", "--wait"]).await;
+    let states: Vec<&Value> = reply["in_force"]
+        .as_array()
+        .expect("a list")
+        .iter()
+        .map(|f| &f["force"]["state"])
+        .collect();
+    assert_eq!(states, [&json!("in_force"); 3]);
+
+    let status = ctl_json(&fleet, &["status"]).await;
+    let slots = status["slots"].as_array().expect("a list").iter();
+    let slots: Vec<&Value> = slots.filter(|slot| slot["service"] == "quote-ledger-1").collect();
+    assert_eq!(slots.len(), 3, "{status:#}");
+    assert!(
+        slots.iter().all(|slot| slot["primary"].is_string() && slot["term"].is_u64()),
+        "{status:#}"
+    );
+
+    fleet.give_key(WORKSPACE, "k2").await.expect("a key");
+    let cut_off = fleet.vms[2].vm.to_string();
+    let faults = json!({ "cut_off": [cut_off] });
+    fleet.set_faults(&fleet.platform, &faults).await.expect("faults");
+    // Only its status shows that it does not know the new generation.
+    let refused = fleet.ctl(&["key", "withdraw", "k2", "--wait", "--wait-limit-s", "4"]);
+    let message = format!("{:#}", refused.expect_err("not in force everywhere"));
+    assert!(message.contains("exit status: 8"), "{message}");
+}
--- a/crates/tally/src/lib.rs
+++ b/crates/tally/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod collector;
 pub mod day;
 pub mod ledger;
+pub mod status;
 pub mod verdict;
