--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -9,8 +9,8 @@
     VALID_KEYS_MAX, Workspace,
 };
 
-/// Names that no route may have, since the callers' interface uses them.
-pub const RESERVED_ROUTES: [&str; 1] = ["transactions"];
+/// Names that mean something else in a caller's path.
+pub const RESERVED_ROUTES: [&str; 3] = ["transactions", "commit", "rollback"];
 
 /// A fault in a configuration.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, thiserror::Error)]
@@ -145,8 +145,8 @@
 fn check_route(place: &str, route: &Route, faults: &mut Vec<Fault>) {
     let place = format!("{place}.routes.{}", route.name);
     if RESERVED_ROUTES.contains(&route.name.as_str()) {
-        let problem = format!("`{}` is reserved", route.name);
-        faults.push(Fault::new(format!("{place}.name"), problem, "choose another name"));
+        let remedy = "choose another name";
+        faults.push(Fault::new(format!("{place}.name"), "the name is reserved", remedy));
     }
     if route.weight == 0 {
         faults.push(Fault::new(format!("{place}.weight"), "weight is 0", "give 1 or more"));
--- a/crates/jasminepassd/src/counters.rs
+++ b/crates/jasminepassd/src/counters.rs
@@ -37,12 +37,24 @@
     PlatformCalls,
     /// Changes of a slot's primary that were seen.
     PrimaryChanges,
+    /// Promotions that this VM brought to an end.
+    Promotions,
     /// Configurations put in force.
     Configurations,
+    /// Times that a database was asked what became of a write.
+    OutcomesAsked,
+    /// Requests sent again.
+    Retries,
+    /// Transactions opened.
+    TransactionsBegun,
+    /// Transactions committed.
+    TransactionsCommitted,
+    /// Transactions rolled back because their caller, key or time was gone.
+    TransactionsExpired,
 }
 
 impl Counter {
-    const ALL: [(Counter, &'static str); 14] = [
+    const ALL: [(Counter, &'static str); 20] = [
         (Counter::Requests, "requests"),
         (Counter::Answered, "answered"),
         (Counter::Refused, "refused"),
@@ -56,7 +68,13 @@
         (Counter::PeerRefused, "peer_refused"),
         (Counter::PlatformCalls, "platform_calls"),
         (Counter::PrimaryChanges, "primary_changes"),
+        (Counter::Promotions, "promotions"),
         (Counter::Configurations, "configurations"),
+        (Counter::OutcomesAsked, "outcomes_asked"),
+        (Counter::Retries, "retries"),
+        (Counter::TransactionsBegun, "transactions_begun"),
+        (Counter::TransactionsCommitted, "transactions_committed"),
+        (Counter::TransactionsExpired, "transactions_expired"),
     ];
 }
 
--- a/crates/jasminepassd/src/main.rs
+++ b/crates/jasminepassd/src/main.rs
@@ -1,24 +1,31 @@
 //! The proxy daemon: one runs on every VM of the fleet.
 
+mod admission;
 mod app;
 mod caller;
 mod caller_error;
 mod clock;
+mod confirm;
 mod control;
 mod counters;
 mod drain;
 mod effects;
 mod entry;
+mod failover_io;
 mod holder;
 mod logging;
 mod monitor;
 mod ops;
+mod outcome;
 mod peer;
 mod pools;
 mod report_io;
 mod run;
 mod settings;
 mod tally_io;
+mod transaction_entry;
+mod transaction_steps;
+mod transactions;
 mod watch;
 
 use settings::Settings;
--- a/crates/jasminepassd/src/peer.rs
+++ b/crates/jasminepassd/src/peer.rs
@@ -13,7 +13,9 @@
 use edge::peer::{PEER_PATH, decode, encode, verify};
 use proto::peer::{PeerReply, PeerRequest};
 
-use crate::{app::App, counters::Counter, holder, report_io};
+use crate::{
+    app::App, counters::Counter, holder, outcome, report_io, transaction_steps, transactions,
+};
 
 /// Body of the answer to a client that does not speak HTTP.
 pub const NOT_HTTP: &str = "this listener is for the fleet's VMs";
@@ -39,7 +41,10 @@
 
 async fn handle(app: &App, req: PeerRequest) -> PeerReply {
     match req {
-        PeerRequest::Forward(forward) => holder::run(app, *forward).await,
+        PeerRequest::Forward(forward) => holder::run(app, &forward).await,
+        PeerRequest::Resolve(resolve) => outcome::resolve(app, &resolve).await,
+        PeerRequest::Begin(begin) => transactions::begin(app, &begin).await,
+        PeerRequest::Step(step) => transaction_steps::run(app, &step).await,
         PeerRequest::Report(report, tally) => {
             PeerReply::Reported { stored: report_io::take(app, *report, tally) }
         }
--- a/crates/jasminepassd/src/run.rs
+++ b/crates/jasminepassd/src/run.rs
@@ -35,6 +35,7 @@
     pools::Pools,
     report_io,
     settings::Settings,
+    transactions::{self, OpenTransactions},
     watch as platform_watch,
 };
 
@@ -61,6 +62,7 @@
     tokio::spawn(platform_watch::vms(app.clone()));
     tokio::spawn(keep_house(app.clone()));
     tokio::spawn(report_io::run(app.clone()));
+    tokio::spawn(transactions::keep_sweeping(app.clone()));
 
     let (stop_tx, stop_rx) = watch::channel(false);
     let ready = Arc::new(AtomicBool::new(true));
@@ -84,8 +86,9 @@
     slog::info!(app.log, "stopping");
     ready.store(false, Ordering::Relaxed);
     app.tell(Event::Stopping);
-    stop_tx.send_replace(true);
     let drained = async {
+        transactions::wait_until_none(&app).await;
+        stop_tx.send_replace(true);
         let _ = caller_server.await;
         let _ = peer_server.await;
     };
@@ -113,6 +116,8 @@
         clock: Clock::new(),
         board: ArcSwap::from_pointee(Board::new(me)),
         buckets: Default::default(),
+        retries: Default::default(),
+        transactions: OpenTransactions::new(settings.transaction_limits),
         pools: Pools::new(&settings.vm),
         peers: Peers::new(client.clone(), settings.fleet_secret.clone(), receiver),
         platform: Platform::new(client.clone(), settings.platform.to_string()),
--- a/crates/jasminepassd/src/tally_io.rs
+++ b/crates/jasminepassd/src/tally_io.rs
@@ -3,7 +3,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use board::Catalog;
-use fleet::access::authenticate;
+use fleet::access::{authenticate, authenticate_for_service};
 use model::prelude::*;
 use proto::{
     caller::CallerError,
@@ -19,7 +19,7 @@
 
 use crate::{
     app::App,
-    caller::{CallerAnswer, CallerRequest},
+    caller::{CallerAnswer, CallerHead},
     clock::unix_s,
     counters::Counter,
 };
@@ -46,22 +46,28 @@
 }
 
 impl<'a> Ticket<'a> {
-    /// A ticket for the request. One that no workspace can be found for is not counted.
-    pub fn new(app: &'a App, req: &CallerRequest) -> Ticket<'a> {
+    /// A ticket for a request on the route, or on a transaction where there is none. One that no
+    /// workspace can be found for is not counted.
+    pub fn new(app: &'a App, head: &CallerHead, route: Option<&str>) -> Ticket<'a> {
         let board = app.board();
-        Ticket { app, charge: charge(&board.catalog, req), deadline: req.deadline }
+        Ticket { app, charge: charge(&board.catalog, head, route), deadline: head.deadline }
     }
 
-    /// Counts the request by its outcome.
-    pub fn finish(mut self, result: &Result<CallerAnswer, CallerError>) {
+    /// Waits for the request's outcome and counts it.
+    pub async fn count<T>(
+        mut self,
+        work: impl Future<Output = Result<CallerAnswer<T>, CallerError>>,
+    ) -> Result<CallerAnswer<T>, CallerError> {
+        let result = work.await;
         let late = self.app.now() > self.deadline;
-        self.count(match result {
+        self.end(match &result {
             Ok(_) => End::Answered { late },
             Err(error) => End::Error(error),
         });
+        result
     }
 
-    fn count(&mut self, end: End<'_>) {
+    fn end(&mut self, end: End<'_>) {
         if let Some((workspace, weight)) = self.charge.take() {
             self.app.accounts.count(self.app, &workspace, weight, end);
         }
@@ -70,16 +76,27 @@
 
 impl Drop for Ticket<'_> {
     fn drop(&mut self) {
-        self.count(End::Abandoned);
+        self.end(End::Abandoned);
     }
 }
 
-fn charge(catalog: &Catalog, req: &CallerRequest) -> Option<(WorkspaceName, u32)> {
-    let service = catalog.service(&req.service)?;
-    let route = catalog.route(service, &req.route)?;
-    let identity = authenticate(catalog, route, req.key.as_ref()).ok()?;
+/// Whose request it is and what it weighs. Opening and ending a transaction weighs nothing.
+fn charge(
+    catalog: &Catalog,
+    head: &CallerHead,
+    route: Option<&str>,
+) -> Option<(WorkspaceName, u32)> {
+    let service = catalog.service(&head.service)?;
+    let (identity, weight) = match route {
+        Some(name) => {
+            let route = catalog.route(service, name)?;
+            let identity = authenticate(catalog, route, head.key.as_ref()).ok()?;
+            (identity, catalog.routes[route].cfg.weight)
+        }
+        None => (authenticate_for_service(catalog, service, head.key.as_ref()).ok()?, 0),
+    };
     let workspace = &catalog.workspaces[identity.workspace].cfg.name;
-    Some((workspace.clone(), catalog.routes[route].cfg.weight))
+    Some((workspace.clone(), weight))
 }
 
 impl Accounts {
--- a/crates/tally/src/verdict.rs
+++ b/crates/tally/src/verdict.rs
@@ -46,6 +46,7 @@
         | ErrorKind::TooLarge
         | ErrorKind::RateLimited
         | ErrorKind::TransactionEnded
+        | ErrorKind::KeyReused
         | ErrorKind::Statement => Verdict::Excluded,
     }
 }
