--- a/crates/jasminepassd/src/run.rs
+++ b/crates/jasminepassd/src/run.rs
@@ -29,8 +29,9 @@
     clock::Clock,
     control::{Control, Event},
     counters::{Counters, Reporter},
-    effects, fleet_io, logging, ops, peer,
+    drain, effects, fleet_io, logging, ops, peer,
     pools::Pools,
+    report_io,
     settings::Settings,
     stop::Stop,
     transactions::{self, OpenTransactions},
@@ -61,6 +62,7 @@
     tokio::spawn(platform_watch::dc_object(app.clone()));
     tokio::spawn(fleet_io::introduce(app.clone()));
     tokio::spawn(keep_house(app.clone()));
+    tokio::spawn(report_io::run(app.clone()));
     tokio::spawn(transactions::keep_sweeping(app.clone()));
 
     let stop = Stop::new(app.clone());
@@ -76,7 +78,7 @@
 
     println!("{addresses}");
     slog::info!(app.log, "started"; "addresses" => addresses.to_string());
-    wait_for_stop().await?;
+    wait_for_stop(&app).await?;
     stop.run(caller_server, peer_server).await;
     Ok(())
 }
@@ -109,6 +111,8 @@
         platform: Platform::new(client.clone(), settings.platform.to_string()),
         admin: client,
         events,
+        accounts: Default::default(),
+        status_desk: Default::default(),
         counters: Counters::default(),
         log,
         settings,
@@ -131,12 +135,13 @@
     }
 }
 
-async fn wait_for_stop() -> eyre::Result<()> {
+async fn wait_for_stop(app: &App) -> eyre::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::select! {
         _ = terminate.recv() => {}
         _ = interrupt.recv() => {}
+        _ = drain::asked_for(app) => {}
     }
     Ok(())
 }
