Divide rates and connections by portions in agreed objects, and transfer tokens

Cause: sixty equal seats a data centre refuse under any skew, and sparse ones at 400 VMs hold no token at all.

Change: `shares` divides each workspace's parts among data centres, `dc/<name>` among runs of VMs (at most four home owners a workspace, others borrow), and each database's connections among its holders. Donors lower in memory first, then in the object once every loan from the portion has ended. Spot transfers debit the lender first; lent tokens count as present until they have expired at the borrower or are settled. A VM that has had no answer from the platform or from a VM of its data centre for 8 s (age of the *question*, so that an answer that lay in a socket during a pause counts as old) spends nothing. Connections: a share per holder, a weighted deficit round robin queue.

--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod catalog;
 pub mod fleet;
 pub mod freshness;
+pub mod quota;
 pub mod slots;
 
 use std::sync::Arc;
@@ -15,6 +16,7 @@
 
 pub use catalog::{Catalog, DatabaseKey, RouteKey, ServiceKey, SlotKey, WorkspaceKey};
 pub use fleet::{Fleet, VmIdentity};
+pub use quota::QuotaView;
 pub use slots::{DatabaseState, Member, SlotState};
 
 /// What a VM knows.
@@ -28,8 +30,8 @@
     pub slots: TiVec<SlotKey, SlotState>,
     /// Each database as last seen.
     pub databases: TiVec<DatabaseKey, DatabaseState>,
-    /// How many seats of its data centre's rates this VM holds.
-    pub seats_in_force: usize,
+    /// What this VM owns of rates and connections.
+    pub quota: Arc<QuotaView>,
 }
 
 impl Board {
@@ -40,7 +42,7 @@
             fleet: Fleet::new(me),
             slots: TiVec::new(),
             databases: TiVec::new(),
-            seats_in_force: 0,
+            quota: Arc::default(),
         }
     }
 
--- a/crates/jasminepassd/src/app.rs
+++ b/crates/jasminepassd/src/app.rs
@@ -14,14 +14,13 @@
     platform::Platform,
 };
 use model::prelude::*;
-use quota::bucket::Bucket;
 use route::budget::RetryBudget;
 use slog::Logger;
 use tokio::time::Instant;
 
 use crate::{
-    clock::Clock, control::Event, counters::Counters, pools::Pools, settings::Settings,
-    transactions::OpenTransactions,
+    clock::Clock, control::Event, counters::Counters, pools::Pools, quota_io::QuotaState,
+    settings::Settings, transactions::OpenTransactions,
 };
 
 /// One daemon.
@@ -32,8 +31,8 @@
     pub clock: Clock,
     /// The board as the control thread last published it.
     pub board: ArcSwap<Board>,
-    /// Each workspace's bucket on this VM.
-    pub buckets: Mutex<FxHashMap<WorkspaceName, Bucket>>,
+    /// Each workspace's tokens on this VM.
+    pub quota: QuotaState,
     /// Retries that this VM may still make.
     pub retries: Mutex<RetryBudget>,
     /// The transactions that are open here.
@@ -81,11 +80,6 @@
         let _ = self.events.send(event);
     }
 
-    /// The buckets, for this thread alone.
-    pub fn buckets(&self) -> MutexGuard<'_, FxHashMap<WorkspaceName, Bucket>> {
-        self.buckets.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// The retry budget, for this thread alone.
     pub fn retries(&self) -> MutexGuard<'_, RetryBudget> {
         self.retries.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/jasminepassd/src/control.rs
+++ b/crates/jasminepassd/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use board::{Board, Catalog, DatabaseKey, SlotKey};
+use board::{Board, Catalog, DatabaseKey, QuotaView, SlotKey};
 use config::Configuration;
 use crossbeam_channel::{Receiver, RecvTimeoutError};
 use failover::{
@@ -12,14 +12,16 @@
 };
 use fleet::placement::holds_any;
 use model::{prelude::*, request::random_u64, session::SlotDigest};
-use proto::platform::VmRecord;
+use proto::platform::{Version, VmRecord};
 use quota::{
-    bucket::{Bucket, Portion},
-    seats::{Owner, SEATS, SeatController, SeatEffect, SeatEvent},
+    apply::put_in_force,
+    events::{PortionEffect, PortionEvent},
+    objects::Owner,
+    portions::PortionController,
 };
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::{app::App, counters::Counter};
+use crate::{app::App, counters::Counter, quota_io};
 
 const TICK: Duration = Duration::from_millis(50);
 
@@ -42,7 +44,7 @@
         primary: Option<DatabaseName>,
     },
     /// For the controller of the rates.
-    Seats(SeatEvent),
+    Portions(PortionEvent),
     /// For the controller of promotions.
     Promotion(PromotionEvent),
     /// A planned stop has begun.
@@ -55,7 +57,7 @@
     /// Watch these databases, and no others.
     Monitor(Vec<config::Database>),
     /// From the controller of the rates.
-    Seats(SeatEffect),
+    Portions(PortionEffect),
     /// From the controller of promotions.
     Promotion(PromotionEffect),
 }
@@ -64,7 +66,7 @@
 pub struct Control {
     app: Arc<App>,
     board: Board,
-    seats: SeatController,
+    portions: PortionController,
     promotions: PromotionController,
     next_tick: MonoTime,
     effects: UnboundedSender<Effect>,
@@ -81,7 +83,7 @@
         Control {
             app,
             board,
-            seats: SeatController::new(me),
+            portions: PortionController::new(me),
             promotions,
             next_tick: MonoTime::default(),
             effects,
@@ -94,13 +96,13 @@
         loop {
             match events.recv_timeout(TICK) {
                 Ok(event) => self.handle(event),
-                Err(RecvTimeoutError::Timeout) => self.handle_seats(SeatEvent::Tick),
+                Err(RecvTimeoutError::Timeout) => {}
                 Err(RecvTimeoutError::Disconnected) => return,
             }
             while let Ok(event) = events.try_recv() {
                 self.handle(event);
             }
-            self.tick_promotions();
+            self.tick();
             self.app.board.store(Arc::new(self.board.clone()));
         }
     }
@@ -113,7 +115,7 @@
             Event::PrimarySeen { slot, term, primary } => {
                 self.learn_primary(slot, term, primary.as_ref())
             }
-            Event::Seats(event) => self.handle_seats(event),
+            Event::Portions(event) => self.handle_portions(event),
             Event::Promotion(event) => self.handle_promotion(event),
             Event::Stopping => self.board.fleet.stopping = true,
         }
@@ -136,12 +138,16 @@
 
     fn set_vms(&mut self, mut vms: Vec<VmRecord>) {
         vms.sort_by(|a, b| a.vm.cmp(&b.vm));
-        if vms.is_empty() || vms == self.board.fleet.vms {
+        if vms.is_empty() {
             return;
         }
-        slog::info!(self.app.log, "list of VMs changed"; "vms" => vms.len());
-        self.board.fleet.vms = vms;
-        self.monitor();
+        if vms != self.board.fleet.vms {
+            slog::info!(self.app.log, "list of VMs changed"; "vms" => vms.len());
+            self.board.fleet.vms = vms;
+            self.set_portions();
+            self.monitor();
+        }
+        self.handle_portions(PortionEvent::Listed);
     }
 
     fn observe(&mut self, observation: &Observation) {
@@ -150,11 +156,12 @@
         self.log_primary_changes(&before);
     }
 
-    fn tick_promotions(&mut self) {
+    fn tick(&mut self) {
         let now = self.app.now();
         if now >= self.next_tick {
             self.next_tick = now + DurationUs::from_ms(TICK.as_millis() as u64);
             self.handle_promotion(PromotionEvent::Tick { random: random_u64() });
+            self.tick_portions();
         }
     }
 
@@ -194,32 +201,33 @@
         observe::learn_primary(&mut self.board, slot, term, primary);
     }
 
-    fn handle_seats(&mut self, event: SeatEvent) {
-        for effect in self.seats.handle(&self.board, event, self.app.now()) {
+    fn handle_portions(&mut self, event: PortionEvent) {
+        for effect in self.portions.handle(&self.board, event, self.app.now()) {
             match effect {
-                SeatEffect::SeatsChanged => {
-                    self.board.seats_in_force = self.seats.in_force();
-                    self.set_portions();
-                }
-                effect => self.ask(Effect::Seats(effect)),
+                PortionEffect::Changed => self.set_portions(),
+                effect => self.ask(Effect::Portions(effect)),
             }
         }
     }
 
-    /// Gives each workspace's bucket the portion that this VM's seats stand for.
+    fn tick_portions(&mut self) {
+        let mut effects = Vec::new();
+        let mut rates = self.app.quota.rates();
+        rates.tick(self.app.now(), &mut effects);
+        let lent = rates.take_lent();
+        drop(rates);
+        quota_io::carry_out(&self.app, effects);
+        self.handle_portions(PortionEvent::Tick { open: self.app.pools.open(), lent });
+    }
+
+    /// Puts this VM's portions and connections in force.
     fn set_portions(&mut self) {
-        let catalog = &self.board.catalog;
+        let in_force = self.portions.in_force();
+        let connections = in_force.connections.iter().map(|(name, count)| (name.clone(), *count));
+        self.app.pools.set_limits(connections.collect());
+        self.board.quota = Arc::new(in_force_view(&self.portions));
         let now = self.app.now();
-        let whole = (catalog.cfg.data_centres.len() * SEATS) as u64;
-        let mut buckets = self.app.buckets();
-        buckets.retain(|name, _| catalog.workspace(name.as_str()).is_some());
-        for workspace in &catalog.workspaces {
-            let cfg = &workspace.cfg;
-            let portion =
-                Portion::new(cfg.rate_per_s, cfg.burst, self.seats.in_force() as u64, whole);
-            let bucket = buckets.entry(cfg.name.clone()).or_insert_with(|| Bucket::new(now));
-            bucket.set_portion(portion, now);
-        }
+        put_in_force(&self.board, &self.portions, &mut self.app.quota.rates(), now);
     }
 
     /// Watches the databases of each service of which this VM is a holder.
@@ -239,3 +247,13 @@
         let _ = self.effects.send(effect);
     }
 }
+
+fn in_force_view(portions: &PortionController) -> QuotaView {
+    let in_force = portions.in_force();
+    QuotaView {
+        version: portions.object().map_or(Version(0), |(version, _)| version),
+        parts: in_force.parts.clone(),
+        owns_any: portions.owns_any(),
+        connections: in_force.connections.clone(),
+    }
+}
--- a/crates/jasminepassd/src/counters.rs
+++ b/crates/jasminepassd/src/counters.rs
@@ -41,6 +41,8 @@
     Promotions,
     /// Configurations put in force.
     Configurations,
+    /// Messages to other VMs that ask for tokens.
+    TokenAsks,
     /// Times that a database was asked what became of a write.
     OutcomesAsked,
     /// Requests sent again.
@@ -54,7 +56,7 @@
 }
 
 impl Counter {
-    const ALL: [(Counter, &'static str); 20] = [
+    const ALL: [(Counter, &'static str); 21] = [
         (Counter::Requests, "requests"),
         (Counter::Answered, "answered"),
         (Counter::Refused, "refused"),
@@ -70,6 +72,7 @@
         (Counter::PrimaryChanges, "primary_changes"),
         (Counter::Promotions, "promotions"),
         (Counter::Configurations, "configurations"),
+        (Counter::TokenAsks, "token_asks"),
         (Counter::OutcomesAsked, "outcomes_asked"),
         (Counter::Retries, "retries"),
         (Counter::TransactionsBegun, "transactions_begun"),
--- a/crates/jasminepassd/src/effects.rs
+++ b/crates/jasminepassd/src/effects.rs
@@ -2,16 +2,9 @@
 
 use std::sync::Arc;
 
-use quota::seats::{SeatEffect, SeatEvent};
 use tokio::sync::mpsc::UnboundedReceiver;
 
-use crate::{
-    app::App,
-    control::{Effect, Event},
-    counters::Counter,
-    failover_io,
-    monitor::Monitors,
-};
+use crate::{app::App, control::Effect, failover_io, monitor::Monitors, quota_io};
 
 /// Carries out effects until there can be no more.
 pub async fn run(app: Arc<App>, mut effects: UnboundedReceiver<Effect>) {
@@ -20,28 +13,9 @@
         match effect {
             Effect::Monitor(databases) => monitors.set(&databases),
             Effect::Promotion(effect) => failover_io::carry_out(&app, effect),
-            Effect::Seats(effect) => {
-                tokio::spawn(call_platform(app.clone(), effect));
+            Effect::Portions(effect) => {
+                tokio::spawn(quota_io::call_platform(app.clone(), effect));
             }
         }
     }
 }
-
-async fn call_platform(app: Arc<App>, effect: SeatEffect) {
-    let name = format!("dc/{}", app.settings.dc);
-    let event = match effect {
-        SeatEffect::Read => match app.platform.get(&name).await {
-            Ok(object) => SeatEvent::Read { version: object.version, value: object.value },
-            Err(_) => SeatEvent::NoAnswer,
-        },
-        SeatEffect::Update { expected, value } => {
-            match app.platform.update(&name, expected, value).await {
-                Ok(updated) => SeatEvent::Updated(updated),
-                Err(_) => SeatEvent::NoAnswer,
-            }
-        }
-        SeatEffect::SeatsChanged => return,
-    };
-    app.counters.count(Counter::PlatformCalls);
-    app.tell(Event::Seats(event));
-}
--- a/crates/jasminepassd/src/main.rs
+++ b/crates/jasminepassd/src/main.rs
@@ -18,6 +18,7 @@
 mod outcome;
 mod peer;
 mod pools;
+mod quota_io;
 mod run;
 mod settings;
 mod transaction_entry;
--- a/crates/jasminepassd/src/ops.rs
+++ b/crates/jasminepassd/src/ops.rs
@@ -9,8 +9,10 @@
 };
 
 use axum::{Json, Router, extract::State, http::StatusCode, routing::get};
+use board::Board;
 use fleet::placement::holds_any;
 use model::prelude::*;
+use proto::platform::Version;
 use serde::Serialize;
 
 use crate::app::App;
@@ -54,7 +56,12 @@
     dc: DcName,
     generation: Generation,
     vms: Vec<VmName>,
-    seats_in_force: usize,
+    /// Version of the data centre's object that is in force here.
+    portions_version: Version,
+    /// Millionths of each workspace's rate and burst that this VM owns.
+    portions: BTreeMap<WorkspaceName, u32>,
+    /// This VM's connections to each database of which it is a holder.
+    connections: BTreeMap<DatabaseName, u32>,
     slots: Vec<SlotView>,
 }
 
@@ -104,11 +111,24 @@
         dc: board.fleet.me.dc.clone(),
         generation: catalog.cfg.generation,
         vms: board.fleet.vms.iter().map(|vm| vm.vm.clone()).collect(),
-        seats_in_force: board.seats_in_force,
+        portions_version: board.quota.version,
+        portions: board.quota.parts.clone(),
+        connections: connections(&board),
         slots: slots.collect(),
     })
 }
 
+/// Connections that are in force, and none where this VM should have some.
+fn connections(board: &Board) -> BTreeMap<DatabaseName, u32> {
+    let mut connections = board.quota.connections.clone();
+    for (key, entry) in board.catalog.databases.iter_enumerated() {
+        if holds_any(board, &[key]) {
+            connections.entry(entry.name.clone()).or_insert(0);
+        }
+    }
+    connections
+}
+
 async fn counters(State(ops): State<Ops>) -> Json<BTreeMap<&'static str, u64>> {
     Json(ops.app.counters.snapshot())
 }
--- a/crates/jasminepassd/src/peer.rs
+++ b/crates/jasminepassd/src/peer.rs
@@ -13,7 +13,9 @@
 use edge::peer::{PEER_PATH, decode, encode, verify};
 use proto::peer::{PeerReply, PeerRequest};
 
-use crate::{app::App, counters::Counter, holder, outcome, transaction_steps, transactions};
+use crate::{
+    app::App, counters::Counter, holder, outcome, quota_io, transaction_steps, transactions,
+};
 
 /// Body of the answer to a client that does not speak HTTP.
 pub const NOT_HTTP: &str = "this listener is for the fleet's VMs";
@@ -43,6 +45,7 @@
         PeerRequest::Resolve(resolve) => outcome::resolve(app, &resolve).await,
         PeerRequest::Begin(begin) => transactions::begin(app, &begin).await,
         PeerRequest::Step(step) => transaction_steps::run(app, &step).await,
+        PeerRequest::Tokens(req) => PeerReply::Tokens(quota_io::answer(app, &req)),
         PeerRequest::FetchConfiguration { have } => {
             let board = app.board();
             let cfg = &board.catalog.cfg;
--- a/crates/jasminepassd/src/pools.rs
+++ b/crates/jasminepassd/src/pools.rs
@@ -1,4 +1,4 @@
-//! Connections to upstreams: a bounded number for each database, opened on demand.
+//! Connections to upstreams: this VM's share of each database's, opened on demand.
 
 use std::{
     sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -7,9 +7,16 @@
 
 use edge::{client::SendError, connection::Connection};
 use model::prelude::*;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use pool::{
+    queue::Ticket,
+    share::{Next, Refused, Share, Taken},
+};
+use tokio::sync::oneshot;
+
+use crate::clock::Clock;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+const CLOSE_TIME: Duration = Duration::from_millis(50);
 const IDLE_LIMIT: Duration = Duration::from_secs(30);
 
 struct Idle {
@@ -17,12 +24,22 @@
     since: Instant,
 }
 
+/// What a waiting request is given: a connection, or the right to open one.
+type Handed = Option<Connection>;
+
+#[derive(Default)]
+struct Inner {
+    share: Share,
+    idle: Vec<Idle>,
+    waiting: FxHashMap<Ticket, oneshot::Sender<Handed>>,
+}
+
 /// The connections of this VM to one database.
 pub struct Pool {
     address: String,
     sender: String,
-    permits: Arc<Semaphore>,
-    idle: Mutex<Vec<Idle>>,
+    clock: Clock,
+    inner: Mutex<Inner>,
 }
 
 /// Why no connection was had. Nothing was sent.
@@ -30,115 +47,261 @@
 pub enum TakeError {
     /// The database can't be reached.
     Unreachable(SendError),
+    /// This VM gives none.
+    Refused(Refused),
     /// None came free before the deadline.
     Timeout,
 }
 
+/// A place among the connections in use; freed when dropped.
+struct Place {
+    pool: Arc<Pool>,
+    taken_at: MonoTime,
+    freed: bool,
+}
+
 /// A connection taken from a pool; put back by [`Lease::give_back`], closed when dropped.
 pub struct Lease {
     /// The connection.
     pub connection: Connection,
     /// Whether it was opened for this lease.
     pub opened: bool,
+    place: Place,
+}
+
+/// A request that waits; leaves the queue when dropped.
+struct Waiting {
     pool: Arc<Pool>,
-    _permit: OwnedSemaphorePermit,
+    ticket: Ticket,
+    handed: oneshot::Receiver<Handed>,
 }
 
 impl Pool {
-    fn new(address: String, sender: String, share: usize) -> Pool {
-        Pool { address, sender, permits: Arc::new(Semaphore::new(share)), idle: Mutex::default() }
+    fn new(address: String, sender: String, clock: Clock, limit: u32) -> Pool {
+        let pool = Pool { address, sender, clock, inner: Mutex::default() };
+        pool.set_limit(limit);
+        pool
     }
 
-    async fn take(self: &Arc<Pool>) -> Result<Lease, SendError> {
-        let closed = |_| SendError::NotSent {
-            address: self.address.clone(),
-            reason: "the pool is closed".to_owned(),
+    async fn take(
+        self: &Arc<Pool>,
+        workspace: &WorkspaceName,
+        quantum: u32,
+        deadline: MonoTime,
+    ) -> Result<Lease, TakeError> {
+        let connection = match self.ask(workspace, quantum, deadline)? {
+            Ok(connection) => connection,
+            Err(mut waiting) => {
+                let left = Duration::from_micros(deadline.since(self.clock.now()).0);
+                let handed = tokio::time::timeout(left, &mut waiting.handed).await;
+                handed.ok().and_then(Result::ok).ok_or(TakeError::Timeout)?
+            }
         };
-        let permit = self.permits.clone().acquire_owned().await.map_err(closed)?;
-        let (connection, opened) = match self.take_idle() {
-            Some(connection) => (connection, false),
-            None => (Connection::open(&self.address, &self.sender, CONNECT_TIMEOUT).await?, true),
+        let place = Place { pool: self.clone(), taken_at: self.clock.now(), freed: false };
+        let opened = connection.is_none();
+        let connection = match connection {
+            Some(connection) => connection,
+            None => Connection::open(&self.address, &self.sender, CONNECT_TIMEOUT)
+                .await
+                .map_err(TakeError::Unreachable)?,
         };
-        Ok(Lease { connection, opened, pool: self.clone(), _permit: permit })
+        Ok(Lease { connection, opened, place })
     }
 
-    fn take_idle(&self) -> Option<Connection> {
-        let mut idle = self.idle();
-        while let Some(entry) = idle.pop() {
-            if entry.connection.is_open() {
-                return Some(entry.connection);
+    fn ask(
+        self: &Arc<Pool>,
+        workspace: &WorkspaceName,
+        quantum: u32,
+        deadline: MonoTime,
+    ) -> Result<Result<Handed, Waiting>, TakeError> {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        inner.drop_broken();
+        let taken = inner.share.take(workspace, quantum, deadline, now);
+        match taken.map_err(TakeError::Refused)? {
+            Taken::Open => Ok(Ok(None)),
+            Taken::Idle => Ok(Ok(inner.idle.pop().map(|idle| idle.connection))),
+            Taken::Waits(ticket) => {
+                let (sender, handed) = oneshot::channel();
+                inner.waiting.insert(ticket, sender);
+                Ok(Err(Waiting { pool: self.clone(), ticket, handed }))
             }
         }
-        None
+    }
+
+    fn give_back(&self, connection: Connection, taken_at: MonoTime) {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        if !connection.is_open() {
+            inner.close_used(now);
+            return;
+        }
+        match inner.share.give_back(now.since(taken_at), now) {
+            Next::Handed(ticket) => inner.hand(ticket, Some(connection), now),
+            Next::Idle => inner.idle.push(Idle { connection, since: Instant::now() }),
+            Next::Close => {}
+        }
+    }
+
+    /// Sets how many connections there may be, and returns how many there are.
+    fn set_limit(&self, limit: u32) -> u32 {
+        let now = self.clock.now();
+        let mut inner = self.lock();
+        inner.share.set_limit(limit);
+        let surplus = inner.share.surplus_idle();
+        inner.close_oldest(surplus as usize);
+        while let Some(ticket) = inner.share.open_for_next(now) {
+            inner.hand(ticket, None, now);
+        }
+        inner.share.open()
     }
 
     /// Closes connections that nobody has used for a while, but for the one used last.
     fn close_idle(&self) {
-        let mut idle = self.idle();
-        let newest = idle.pop();
-        idle.retain(|entry| entry.since.elapsed() < IDLE_LIMIT);
-        idle.extend(newest);
+        let mut inner = self.lock();
+        let newest = inner.idle.len().saturating_sub(1);
+        let old = inner.idle[..newest].iter().filter(|idle| idle.since.elapsed() >= IDLE_LIMIT);
+        let count = old.count();
+        inner.close_oldest(count);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Inner {
+    /// Gives a place in use, with its connection or without, to a waiting request.
+    fn hand(&mut self, ticket: Ticket, connection: Handed, now: MonoTime) {
+        let sender = self.waiting.remove(&ticket);
+        let handed = sender.is_some_and(|sender| sender.send(connection).is_ok());
+        if !handed {
+            // It has just given up: the next one gets the place.
+            self.close_used(now);
+        }
+    }
+
+    fn close_used(&mut self, now: MonoTime) {
+        if let Some(ticket) = self.share.close_used(now) {
+            self.hand(ticket, None, now);
+        }
     }
 
-    fn idle(&self) -> MutexGuard<'_, Vec<Idle>> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    fn close_oldest(&mut self, count: usize) {
+        let closed = self.idle.drain(..count).count();
+        self.share.close_idle(closed as u32);
+    }
+
+    fn drop_broken(&mut self) {
+        let before = self.idle.len();
+        self.idle.retain(|idle| idle.connection.is_open());
+        self.share.close_idle((before - self.idle.len()) as u32);
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let mut inner = self.pool.lock();
+        inner.waiting.remove(&self.ticket);
+        inner.share.cancel(self.ticket);
+        if let Ok(handed) = self.handed.try_recv() {
+            // It was handed a place at the last moment.
+            drop(handed);
+            inner.close_used(self.pool.clock.now());
+        }
+    }
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if self.freed {
+            return;
+        }
+        // The database must have seen the end of the connection before another is opened for it.
+        let pool = self.pool.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(CLOSE_TIME).await;
+            let now = pool.clock.now();
+            pool.lock().close_used(now);
+        });
     }
 }
 
 impl Lease {
     /// Puts the connection back for the next request. Only after a whole answer.
     pub fn give_back(self) {
-        self.pool.idle().push(Idle { connection: self.connection, since: Instant::now() });
+        let Lease { connection, mut place, .. } = self;
+        place.freed = true;
+        place.pool.give_back(connection, place.taken_at);
     }
 }
 
 /// Every pool of this VM.
 pub struct Pools {
     sender: String,
+    clock: Clock,
     by_database: Mutex<FxHashMap<DatabaseName, Arc<Pool>>>,
+    limits: Mutex<FxHashMap<DatabaseName, u32>>,
 }
 
 impl Pools {
     /// No pools yet; `sender` names this VM to upstreams.
-    pub fn new(sender: &VmName) -> Pools {
-        Pools { sender: sender.to_string(), by_database: Mutex::default() }
+    pub fn new(sender: &VmName, clock: Clock) -> Pools {
+        Pools {
+            sender: sender.to_string(),
+            clock,
+            by_database: Mutex::default(),
+            limits: Mutex::default(),
+        }
     }
 
     /// Takes a connection to a database for a request of the workspace, waiting until the deadline.
     pub async fn take(
         &self,
         database: &config::Database,
-        share: usize,
-        _workspace: &WorkspaceName,
-        deadline: tokio::time::Instant,
+        workspace: &WorkspaceName,
+        quantum: u32,
+        deadline: MonoTime,
     ) -> Result<Lease, TakeError> {
-        let pool = self.pool(database, share);
-        match tokio::time::timeout_at(deadline, pool.take()).await {
-            Ok(taken) => taken.map_err(TakeError::Unreachable),
-            Err(_) => Err(TakeError::Timeout),
+        self.pool(database).take(workspace, quantum, deadline).await
+    }
+
+    /// Sets this VM's share of each database's connections.
+    pub fn set_limits(&self, limits: FxHashMap<DatabaseName, u32>) {
+        let pools = lock(&self.by_database);
+        for (database, pool) in pools.iter() {
+            pool.set_limit(limits.get(database).copied().unwrap_or(0));
         }
+        *lock(&self.limits) = limits;
+    }
+
+    /// Connections open now, by database.
+    pub fn open(&self) -> FxHashMap<DatabaseName, u32> {
+        let pools = lock(&self.by_database);
+        pools.iter().map(|(name, pool)| (name.clone(), pool.lock().share.open())).collect()
     }
 
-    fn pool(&self, database: &config::Database, share: usize) -> Arc<Pool> {
-        let mut pools = self.lock();
-        if let Some(pool) =
-            pools.get(&database.name).filter(|pool| pool.address == database.address)
-        {
+    fn pool(&self, database: &config::Database) -> Arc<Pool> {
+        let mut pools = lock(&self.by_database);
+        let known = pools.get(&database.name);
+        if let Some(pool) = known.filter(|pool| pool.address == database.address) {
             return pool.clone();
         }
-        let pool = Arc::new(Pool::new(database.address.clone(), self.sender.clone(), share));
+        let limit = lock(&self.limits).get(&database.name).copied().unwrap_or(0);
+        let pool = Pool::new(database.address.clone(), self.sender.clone(), self.clock, limit);
+        let pool = Arc::new(pool);
         pools.insert(database.name.clone(), pool.clone());
         pool
     }
 
     /// Closes connections that nobody has used for a while.
     pub fn close_idle(&self) {
-        for pool in self.lock().values() {
+        for pool in lock(&self.by_database).values() {
             pool.close_idle();
         }
     }
+}
 
-    fn lock(&self) -> MutexGuard<'_, FxHashMap<DatabaseName, Arc<Pool>>> {
-        self.by_database.lock().unwrap_or_else(PoisonError::into_inner)
-    }
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- /dev/null
+++ b/crates/jasminepassd/src/quota_io.rs
@@ -0,0 +1,205 @@
+//! Carries out what the controllers of rates and connections ask for: calls to the platform, messages
+//! to other VMs, and decisions for waiting requests.
+
+use std::{
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak},
+    time::Duration,
+};
+
+use edge::peer::Receiver;
+use model::prelude::*;
+use proto::{
+    peer::{PeerReply, PeerRequest},
+    tokens::{TokenAsk, TokenLoan, TokenReply, TokenRequest},
+};
+use quota::{
+    account::Ticket,
+    events::{ObjectKind, PortionEffect, PortionEvent},
+    objects::Owner,
+    rates::{Admission, RateEffect, Rates},
+};
+use tokio::{runtime::Handle, sync::oneshot};
+
+use crate::{app::App, control::Event, counters::Counter};
+
+const GIVE_UP_LIMIT: Duration = Duration::from_secs(3);
+const GIVE_UP_INTERVAL: Duration = Duration::from_millis(20);
+const TELL_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Whether a waiting request may run, or when to come back.
+pub type Decision = Result<(), DurationUs>;
+
+/// The accounts of this VM, and the requests that wait for their decision.
+pub struct QuotaState {
+    rates: Mutex<Rates>,
+    waiting: Mutex<FxHashMap<Ticket, oneshot::Sender<Decision>>>,
+    runtime: Handle,
+    app: OnceLock<Weak<App>>,
+}
+
+impl QuotaState {
+    /// Accounts without tokens.
+    pub fn new(me: Owner, runtime: Handle) -> QuotaState {
+        QuotaState {
+            rates: Mutex::new(Rates::new(me)),
+            waiting: Mutex::default(),
+            runtime,
+            app: OnceLock::new(),
+        }
+    }
+
+    /// Names the daemon that it belongs to. To be called once, before any request.
+    pub fn bind(&self, app: &Arc<App>) {
+        // A second call changes nothing.
+        let _ = self.app.set(Arc::downgrade(app));
+    }
+
+    /// The accounts, for this thread alone.
+    pub fn rates(&self) -> MutexGuard<'_, Rates> {
+        lock(&self.rates)
+    }
+}
+
+/// Asks for the tokens of a request; the receiver gives the decision if it has to wait.
+pub fn admit(
+    app: &App,
+    workspace: &WorkspaceName,
+    weight: u32,
+) -> (Admission, oneshot::Receiver<Decision>) {
+    let (sender, decision) = oneshot::channel();
+    let mut effects = Vec::new();
+    let mut rates = app.quota.rates();
+    let admission = rates.admit(workspace, weight, app.now(), &mut effects);
+    if let Admission::Waiting(ticket) = admission {
+        // Before anybody else can decide it.
+        lock(&app.quota.waiting).insert(ticket, sender);
+    }
+    drop(rates);
+    carry_out(app, effects);
+    (admission, decision)
+}
+
+/// Forgets a request that no longer waits.
+pub fn cancel(app: &App, workspace: &WorkspaceName, ticket: Ticket) {
+    app.quota.rates().cancel(workspace, ticket);
+    lock(&app.quota.waiting).remove(&ticket);
+}
+
+/// Answers another VM.
+pub fn answer(app: &App, req: &TokenRequest) -> TokenReply {
+    app.quota.rates().take(req, app.now())
+}
+
+/// Carries out effects of the accounts.
+pub fn carry_out(app: &App, effects: Vec<RateEffect>) {
+    for effect in effects {
+        match effect {
+            RateEffect::Grant(ticket) => decide(app, ticket, Ok(())),
+            RateEffect::Refuse(ticket, wait) => decide(app, ticket, Err(wait)),
+            RateEffect::Ask { to, ask, timeout } => spawn(app, async move |app| {
+                ask_for_tokens(&app, &to, ask, timeout).await;
+            }),
+            RateEffect::Tell { to, message } => spawn(app, async move |app| {
+                // A lost message costs tokens for as long as the loan would have lasted.
+                send(&app, &to, message, TELL_TIMEOUT).await;
+            }),
+            RateEffect::Probe(to) => spawn(app, async move |app| {
+                let sent_at = app.now();
+                if send(&app, &to, TokenRequest::Probe, TELL_TIMEOUT).await.is_some() {
+                    app.quota.rates().note_contact(sent_at);
+                }
+            }),
+            RateEffect::Wake(workspace, at) => spawn(app, async move |app| {
+                tokio::time::sleep(app.time_until(at)).await;
+                let mut effects = Vec::new();
+                app.quota.rates().wake(&workspace, app.now(), &mut effects);
+                carry_out(&app, effects);
+            }),
+        }
+    }
+}
+
+/// Carries out an effect of the controller of the portions.
+pub async fn call_platform(app: Arc<App>, effect: PortionEffect) {
+    let sent_at = app.now();
+    let event = match effect {
+        PortionEffect::Read(object) => match app.platform.get(&name(&app, object)).await {
+            Ok(read) => PortionEvent::Read { object, version: read.version, value: read.value },
+            Err(_) => PortionEvent::ReadFailed(object),
+        },
+        PortionEffect::Update { object, expected, value } => {
+            match app.platform.update(&name(&app, object), expected, value).await {
+                Ok(updated) => PortionEvent::Updated { object, updated },
+                Err(_) => PortionEvent::UpdateFailed(object),
+            }
+        }
+        PortionEffect::Changed => return,
+    };
+    app.counters.count(Counter::PlatformCalls);
+    let failed = matches!(event, PortionEvent::ReadFailed(_) | PortionEvent::UpdateFailed(_));
+    if !failed {
+        app.quota.rates().note_contact(sent_at);
+    }
+    app.tell(Event::Portions(event));
+}
+
+/// Waits until this VM owns nothing in its data centre's object, so that the others have it at once.
+pub async fn wait_until_given_up(app: &App) {
+    let deadline = tokio::time::Instant::now() + GIVE_UP_LIMIT;
+    while app.board().quota.owns_any && tokio::time::Instant::now() < deadline {
+        tokio::time::sleep(GIVE_UP_INTERVAL).await;
+    }
+}
+
+fn name(app: &App, object: ObjectKind) -> String {
+    match object {
+        ObjectKind::Dc => format!("dc/{}", app.settings.dc),
+        ObjectKind::Shares => "shares".to_owned(),
+    }
+}
+
+async fn ask_for_tokens(app: &App, to: &Owner, ask: TokenAsk, timeout: DurationUs) {
+    let (workspace, id) = (ask.workspace.clone(), ask.id);
+    app.counters.count(Counter::TokenAsks);
+    let timeout = Duration::from_micros(timeout.0);
+    let reply = send(app, to, TokenRequest::Ask(ask), timeout).await;
+    let loan: Option<TokenLoan> = match reply {
+        Some(TokenReply::Loan(loan)) => Some(loan),
+        _ => None,
+    };
+    let mut effects = Vec::new();
+    app.quota.rates().answered(&workspace, id, loan, app.now(), &mut effects);
+    carry_out(app, effects);
+}
+
+async fn send(app: &App, to: &Owner, req: TokenRequest, timeout: Duration) -> Option<TokenReply> {
+    let board = app.board();
+    let vm = board.fleet.vm(to.vm.as_str()).filter(|vm| vm.incarnation == to.incarnation)?;
+    let receiver = Receiver { vm: to.vm.clone(), incarnation: to.incarnation };
+    let req = PeerRequest::Tokens(req);
+    match app.peers.call(&receiver, &vm.peer_address, &req, timeout).await {
+        Ok(PeerReply::Tokens(reply)) => Some(reply),
+        _ => None,
+    }
+}
+
+fn decide(app: &App, ticket: Ticket, decision: Decision) {
+    let waiting = lock(&app.quota.waiting).remove(&ticket);
+    if let Some(waiting) = waiting {
+        // The request may have given up: its tokens are lost then.
+        let _ = waiting.send(decision);
+    }
+}
+
+fn spawn<F>(app: &App, f: impl FnOnce(Arc<App>) -> F)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    if let Some(app) = app.quota.app.get().and_then(Weak::upgrade) {
+        app.quota.runtime.clone().spawn(f(app));
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/jasminepassd/src/run.rs
+++ b/crates/jasminepassd/src/run.rs
@@ -18,6 +18,7 @@
     server::{Limits, serve},
 };
 use eyre::WrapErr;
+use quota::objects::Owner;
 use serde_json::json;
 use tokio::{
     net::TcpListener,
@@ -33,6 +34,7 @@
     counters::{Counters, Reporter},
     effects, logging, ops, peer,
     pools::Pools,
+    quota_io::{self, QuotaState},
     settings::Settings,
     transactions::{self, OpenTransactions},
     watch as platform_watch,
@@ -54,6 +56,7 @@
     let (effects_tx, effects_rx) = mpsc::unbounded_channel();
     let app = Arc::new(new_app(settings, &peer_address.to_string(), events_tx, log)?);
 
+    app.quota.bind(&app);
     let control = Control::new(app.clone(), effects_tx);
     thread::Builder::new().name("control".to_owned()).spawn(move || control.run(&events_rx))?;
     tokio::spawn(effects::run(app.clone(), effects_rx));
@@ -88,6 +91,7 @@
         transactions::wait_until_none(&app).await;
         stop_tx.send_replace(true);
         let _ = caller_server.await;
+        quota_io::wait_until_given_up(&app).await;
         let _ = peer_server.await;
     };
     let finished = tokio::time::timeout(app.settings.drain_limit, drained).await.is_ok();
@@ -109,13 +113,15 @@
         dc: settings.dc.clone(),
         peer_address: peer_address.to_owned(),
     };
+    let owner = Owner { vm: settings.vm.clone(), incarnation: settings.incarnation };
+    let clock = Clock::new();
     Ok(App {
-        clock: Clock::new(),
+        clock,
         board: ArcSwap::from_pointee(Board::new(me)),
-        buckets: Default::default(),
+        quota: QuotaState::new(owner, tokio::runtime::Handle::current()),
         retries: Default::default(),
         transactions: OpenTransactions::new(settings.transaction_limits),
-        pools: Pools::new(&settings.vm),
+        pools: Pools::new(&settings.vm, clock),
         peers: Peers::new(client.clone(), settings.fleet_secret.clone(), receiver),
         platform: Platform::new(client.clone(), settings.platform.to_string()),
         admin: client,
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod database;
 pub mod peer;
 pub mod platform;
+pub mod tokens;
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -4,7 +4,10 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::caller::CallerError;
+use crate::{
+    caller::CallerError,
+    tokens::{TokenReply, TokenRequest},
+};
 
 /// A message to another VM.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -22,6 +25,8 @@
         /// What the sender has.
         have: Generation,
     },
+    /// About rate tokens.
+    Tokens(TokenRequest),
 }
 
 /// The answer to a [`PeerRequest`].
@@ -41,6 +46,8 @@
     RolledBack,
     /// The configuration, as JSON; absent where the sender's is as new.
     Configuration(Option<String>),
+    /// About rate tokens.
+    Tokens(TokenReply),
 }
 
 /// A request on its way from the entry VM to a holder.
--- a/crates/quota/src/bucket.rs
+++ b/crates/quota/src/bucket.rs
@@ -1,4 +1,6 @@
-//! A token bucket on the process's own clock, in integers.
+//! A token bucket on the process's own clock, in integers, that can lend tokens.
+
+use std::collections::VecDeque;
 
 use model::prelude::*;
 
@@ -25,49 +27,132 @@
     }
 }
 
+/// Tokens that another VM may still spend.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Loan {
+    number: u64,
+    micro: u64,
+    until: MonoTime,
+}
+
 /// A token bucket. It starts empty, so that a portion that moves brings no burst with it.
+///
+/// Lent tokens count as present until the borrower can't spend them any more: what is held and what
+/// is lent never pass the burst together.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Bucket {
     portion: Portion,
     level_micro: u64,
+    /// Millionths of a millionth that a refill left over.
+    remainder: u64,
     refilled_at: MonoTime,
+    /// Sorted by the time of their end.
+    loans: VecDeque<Loan>,
+    lent_micro: u64,
+    last_loan: u64,
 }
 
 impl Bucket {
     /// An empty bucket without a portion.
     pub fn new(now: MonoTime) -> Bucket {
-        Bucket { portion: Portion::default(), level_micro: 0, refilled_at: now }
+        Bucket {
+            portion: Portion::default(),
+            level_micro: 0,
+            remainder: 0,
+            refilled_at: now,
+            loans: VecDeque::new(),
+            lent_micro: 0,
+            last_loan: 0,
+        }
     }
 
     /// Changes the portion; what the new burst does not cover is dropped.
     pub fn set_portion(&mut self, portion: Portion, now: MonoTime) {
         self.refill(now);
         self.portion = portion;
-        self.level_micro = self.level_micro.min(portion.burst_micro);
+        self.level_micro = self.level_micro.min(self.room());
+    }
+
+    /// The portion.
+    pub fn portion(&self) -> Portion {
+        self.portion
+    }
+
+    /// Millionths of a token that can be spent now.
+    pub fn level_micro(&mut self, now: MonoTime) -> u64 {
+        self.refill(now);
+        self.level_micro
     }
 
     /// Takes the tokens of a request of the weight, or says how long they will take to come.
     pub fn try_spend(&mut self, weight: u32, now: MonoTime) -> Result<(), DurationUs> {
-        self.refill(now);
         let need = u64::from(weight) * MICRO;
-        if need <= self.level_micro {
-            self.level_micro -= need;
+        let taken = self.take_up_to(need, now);
+        if taken == need {
             return Ok(());
         }
-        Err(self.time_to_gain(need - self.level_micro))
+        self.level_micro += taken;
+        Err(self.time_to_gain(need - taken))
     }
 
-    fn refill(&mut self, now: MonoTime) {
-        let elapsed = now.since(self.refilled_at).0;
-        let gained =
-            u128::from(elapsed) * u128::from(self.portion.rate_micro_per_s) / u128::from(MICRO);
-        if gained == 0 {
-            // Too little time for a millionth of a token: let it add up.
+    /// Takes as much as there is, at most `want_micro`.
+    pub fn take_up_to(&mut self, want_micro: u64, now: MonoTime) -> u64 {
+        self.refill(now);
+        let taken = want_micro.min(self.level_micro);
+        self.level_micro -= taken;
+        taken
+    }
+
+    /// Takes tokens for another VM, which may spend them until `until` and not after. Returns the
+    /// number of the loan and what it comes to.
+    pub fn lend(&mut self, want_micro: u64, now: MonoTime, until: MonoTime) -> (u64, u64) {
+        let micro = self.take_up_to(want_micro, now);
+        if micro == 0 {
+            return (0, 0);
+        }
+        self.last_loan += 1;
+        let loan = Loan { number: self.last_loan, micro, until };
+        let at = self.loans.partition_point(|other| other.until <= until);
+        self.loans.insert(at, loan);
+        self.lent_micro += micro;
+        (loan.number, micro)
+    }
+
+    /// The borrower can't spend a loan any more, and has not spent `unused_micro` of it.
+    pub fn settle(&mut self, number: u64, unused_micro: u64, now: MonoTime) {
+        self.refill(now);
+        let Some(at) = self.loans.iter().position(|loan| loan.number == number) else {
             return;
+        };
+        let Some(loan) = self.loans.remove(at) else {
+            return;
+        };
+        self.lent_micro -= loan.micro;
+        let returned = unused_micro.min(loan.micro);
+        self.level_micro += returned.min(self.room().saturating_sub(self.level_micro));
+    }
+
+    fn refill(&mut self, now: MonoTime) {
+        while let Some(loan) = self.loans.front().copied().filter(|loan| loan.until <= now) {
+            self.refill_until(loan.until);
+            self.lent_micro -= loan.micro;
+            self.loans.pop_front();
         }
-        let level = u128::from(self.level_micro) + gained;
-        self.level_micro = level.min(u128::from(self.portion.burst_micro)) as u64;
-        self.refilled_at = now;
+        self.refill_until(now);
+    }
+
+    fn refill_until(&mut self, now: MonoTime) {
+        let elapsed = now.since(self.refilled_at).0;
+        let gained = u128::from(elapsed) * u128::from(self.portion.rate_micro_per_s)
+            + u128::from(self.remainder);
+        let level = u128::from(self.level_micro) + gained / u128::from(MICRO);
+        self.level_micro = level.min(u128::from(self.room())) as u64;
+        self.remainder = (gained % u128::from(MICRO)) as u64;
+        self.refilled_at = self.refilled_at.max(now);
+    }
+
+    fn room(&self) -> u64 {
+        self.portion.burst_micro.saturating_sub(self.lent_micro)
     }
 
     fn time_to_gain(&self, micro: u64) -> DurationUs {
--- /dev/null
+++ b/crates/quota/src/events.rs
@@ -0,0 +1,79 @@
+//! What the controller of the portions hears and asks for.
+
+use std::collections::BTreeMap;
+
+use model::prelude::*;
+use proto::platform::{Updated, Version};
+use serde_json::Value;
+
+use crate::rates::Lent;
+
+/// An object of the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum ObjectKind {
+    /// `dc/<name>` of this VM's data centre.
+    Dc,
+    /// `shares`.
+    Shares,
+}
+
+/// What the controller hears.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PortionEvent {
+    /// Time passed.
+    Tick {
+        /// Connections open now, by database.
+        open: FxHashMap<DatabaseName, u32>,
+        /// Tokens lent since the last tick.
+        lent: Vec<Lent>,
+    },
+    /// The platform's list of VMs was read; it is on the board.
+    Listed,
+    /// An object was read, from the platform or from another VM.
+    Read {
+        /// Which.
+        object: ObjectKind,
+        /// Its version.
+        version: Version,
+        /// Its value; null where it does not exist.
+        value: Value,
+    },
+    /// The update was answered.
+    Updated {
+        /// The object.
+        object: ObjectKind,
+        /// The answer.
+        updated: Updated,
+    },
+    /// A read got no answer.
+    ReadFailed(ObjectKind),
+    /// An update got no answer: it may have taken effect, or may still.
+    UpdateFailed(ObjectKind),
+}
+
+/// What the controller asks for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PortionEffect {
+    /// Read the object.
+    Read(ObjectKind),
+    /// Replace the object.
+    Update {
+        /// The object.
+        object: ObjectKind,
+        /// The version to be replaced.
+        expected: Version,
+        /// The new value.
+        value: Value,
+    },
+    /// What is in force has changed.
+    Changed,
+}
+
+/// What this VM may use now.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct InForce {
+    /// Parts of workspaces' rates and bursts.
+    pub parts: BTreeMap<WorkspaceName, u32>,
+    /// Connections to databases.
+    pub connections: BTreeMap<DatabaseName, u32>,
+}
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -1,7 +1,17 @@
-//! Keeps each workspace inside its rate and burst across the fleet.
+//! Keeps each workspace inside its rate and burst, and each database inside its connection limit,
+//! across the fleet.
 //!
-//! A [`bucket::Bucket`] admits requests on one VM; [`seats::SeatController`] divides each data centre's
-//! share of the rates among its VMs, by conditional updates of one object.
+//! A [`portions::PortionController`] agrees on who owns which portion; [`rates::Rates`] spends and
+//! transfers the tokens of those portions. Both know no clock, socket or thread.
 
+pub mod account;
+pub mod apply;
 pub mod bucket;
-pub mod seats;
+pub mod drift;
+pub mod events;
+pub mod gone;
+pub mod lenders;
+pub mod objects;
+pub mod portions;
+pub mod rates;
+pub mod tidy;
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -4,5 +4,6 @@
 //! is either fed to the controllers under test or states what they must have done by then. Each area
 //! has a module with its events and its world; nothing here uses a real clock, socket or thread.
 
+pub mod quota;
 pub mod requests;
 pub mod trace;
--- /dev/null
+++ b/crates/replay/src/quota/vm.rs
@@ -0,0 +1,135 @@
+//! One VM of the world: the real controllers on a clock of their own.
+
+use std::sync::Arc;
+
+use board::{Board, Catalog, VmIdentity};
+use model::prelude::*;
+use proto::platform::{VmRecord, VmState};
+use quota::{
+    apply::put_in_force,
+    events::{PortionEffect, PortionEvent},
+    objects::Owner,
+    portions::PortionController,
+    rates::{RateEffect, Rates},
+};
+
+use super::world::Event;
+
+/// One run of a VM.
+#[derive(Debug)]
+pub struct Vm {
+    /// Who it is.
+    pub owner: Owner,
+    /// Its data centre.
+    pub dc: DcName,
+    /// What it knows.
+    pub board: Board,
+    /// Its portions.
+    pub portions: PortionController,
+    /// Its accounts.
+    pub rates: Rates,
+    /// Connections that it has open.
+    pub open: FxHashMap<DatabaseName, u32>,
+    /// What happened while it was paused; absent while it runs.
+    pub paused: Option<Vec<Event>>,
+    /// Messages to other VMs that it sent.
+    pub messages: u64,
+    started_at: MonoTime,
+}
+
+impl Vm {
+    /// A VM that has just started.
+    pub fn new(owner: Owner, dc: DcName, catalog: Arc<Catalog>, now: MonoTime) -> Vm {
+        let me = VmIdentity {
+            vm: owner.vm.clone(),
+            incarnation: owner.incarnation,
+            dc: dc.clone(),
+            peer_address: String::new(),
+        };
+        let mut board = Board::new(me);
+        board.adopt(catalog);
+        Vm {
+            portions: PortionController::new(owner.clone()),
+            rates: Rates::new(owner.clone()),
+            owner,
+            dc,
+            board,
+            open: FxHashMap::default(),
+            paused: None,
+            messages: 0,
+            started_at: now,
+        }
+    }
+
+    /// Its own clock, which nobody shares.
+    pub fn clock(&self, now: MonoTime) -> MonoTime {
+        MonoTime(now.since(self.started_at).0)
+    }
+
+    /// Its record in the platform's list.
+    pub fn record(&self, state: VmState) -> VmRecord {
+        VmRecord {
+            vm: self.owner.vm.clone(),
+            incarnation: self.owner.incarnation,
+            dc: self.dc.clone(),
+            peer_address: String::new(),
+            state,
+        }
+    }
+
+    /// Runs the controller of the portions.
+    pub fn handle(&mut self, event: PortionEvent, now: MonoTime) -> Vec<PortionEffect> {
+        let local = self.clock(now);
+        let effects = self.portions.handle(&self.board, event, local);
+        if effects.contains(&PortionEffect::Changed) {
+            put_in_force(&self.board, &self.portions, &mut self.rates, local);
+        }
+        effects
+    }
+
+    /// A tick of the control thread.
+    pub fn tick(&mut self, now: MonoTime) -> (Vec<PortionEffect>, Vec<RateEffect>) {
+        let ((), rate_effects) =
+            self.with_rates(now, |rates, now, effects| rates.tick(now, effects));
+        let event = PortionEvent::Tick { open: self.open.clone(), lent: self.rates.take_lent() };
+        (self.handle(event, now), rate_effects)
+    }
+
+    /// The list of VMs was read.
+    pub fn set_list(&mut self, list: Vec<VmRecord>, now: MonoTime) -> Vec<PortionEffect> {
+        if !list.is_empty() && list != self.board.fleet.vms {
+            self.board.fleet.vms = list;
+            let local = self.clock(now);
+            put_in_force(&self.board, &self.portions, &mut self.rates, local);
+        }
+        self.handle(PortionEvent::Listed, now)
+    }
+
+    /// Runs the accounts.
+    pub fn with_rates<T>(
+        &mut self,
+        now: MonoTime,
+        f: impl FnOnce(&mut Rates, MonoTime, &mut Vec<RateEffect>) -> T,
+    ) -> (T, Vec<RateEffect>) {
+        let mut effects = Vec::new();
+        let local = self.clock(now);
+        let result = f(&mut self.rates, local, &mut effects);
+        (result, effects)
+    }
+
+    /// Opens connections as far as it may.
+    pub fn open_connections(&mut self) {
+        for (database, limit) in &self.portions.in_force().connections {
+            let open = self.open.entry(database.clone()).or_default();
+            *open = (*open).max(*limit);
+        }
+    }
+
+    /// Closes connections that it may not have any more.
+    pub fn close_connections(&mut self) {
+        let in_force = &self.portions.in_force().connections;
+        for (database, open) in &mut self.open {
+            *open = (*open).min(in_force.get(database).copied().unwrap_or(0));
+        }
+    }
+}
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -257,7 +257,9 @@
             let ready = async || {
                 let state = self.ops(vm, "/state").await?;
                 let knows_all = state["vms"].as_array()?.len() == self.vms.len();
-                let has_rates = state["seats_in_force"].as_u64()? > 0;
+                let has_rates = !state["portions"].as_object()?.is_empty();
+                let connections = state["connections"].as_object()?;
+                let has_rates = has_rates && connections.values().all(|c| c.as_u64() > Some(0));
                 let configured = state["generation"].as_u64()? > 0;
                 let promoted = self.knows_primaries(&state);
                 (knows_all && has_rates && configured && promoted).then_some(())
