--- /dev/null
+++ b/crates/rig/tests/quota.rs
@@ -0,0 +1,131 @@
+//! Rates and connection limits across separate processes.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::Instant,
+};
+
+use edge::client::SendError;
+use proto::caller::{ErrorKind, Outcome};
+use rig::{Caller, Fleet, FleetSpec, wait::until};
+use serde_json::json;
+use tokio::task::JoinSet;
+
+const ANSWERS: &str = include_str!("../../../examples/quoting.toml");
+const READ: &str = "quote-ledger-1/quote";
+const WRITE: &str = "quote-ledger-1/annotate-quote";
+const WORKSPACE: &str = "saskatoon-dealer";
+const RATE_PER_S: u64 = 300;
+const BURST: u64 = 600;
+const CONNECTION_LIMIT: u32 = 6;
+const CALLERS_PER_VM: usize = 3;
+
+#[derive(Default)]
+struct Tally {
+    /// Requests that were admitted, or may have been.
+    admitted: AtomicU64,
+    rate_limited: AtomicU64,
+    stop: AtomicBool,
+}
+
+/// Sends one request after the other until it is told to stop.
+async fn hammer(key: String, address: String, number: usize, tally: Arc<Tally>) {
+    let mut caller = Caller::new(key);
+    while !tally.stop.load(Ordering::Relaxed) {
+        let (route, statement) = if number == 0 { (WRITE, "put") } else { (READ, "get") };
+        let params = [json!("quote"), json!(1)];
+        let slot_key = format!("site-{number}");
+        let params = if number == 0 { &params[..] } else { &params[..1] };
+        let reply = caller.call(&address, route, &slot_key, statement, params).await;
+        let reply = match reply {
+            Ok(reply) => reply,
+            // Its VM is gone.
+            Err(SendError::NotSent { .. }) => return,
+            Err(_) => {
+                tally.admitted.fetch_add(1, Ordering::Relaxed);
+                continue;
+            }
+        };
+        match reply.error() {
+            Some(error) if error.kind == ErrorKind::RateLimited => {
+                assert_eq!(error.outcome, Outcome::NotRun);
+                assert!(error.retry_after_ms.is_some(), "a refusal says when to come back");
+                tally.rate_limited.fetch_add(1, Ordering::Relaxed);
+            }
+            Some(error) if error.outcome == Outcome::NotRun => {}
+            _ => {
+                tally.admitted.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn rate_and_connection_limits_hold_while_vms_are_killed_and_replaced() {
+    let mut spec = FleetSpec::new(ANSWERS).expect("sound answers").with_vms_per_dc(2);
+    for database in spec.answers.services.iter_mut().flat_map(|s| &mut s.databases) {
+        database.connection_limit = CONNECTION_LIMIT;
+    }
+    let mut fleet = Fleet::start(spec).await.expect("a fleet");
+    let key = fleet.give_key(WORKSPACE, "k1").await.expect("a key");
+    let tally = Arc::new(Tally::default());
+    let mut callers = JoinSet::new();
+    let started = Instant::now();
+    for vm in &fleet.vms {
+        for number in 0..CALLERS_PER_VM {
+            callers.spawn(hammer(key.clone(), vm.address(), number, tally.clone()));
+        }
+    }
+    let reached = |count: u64| {
+        let tally = tally.clone();
+        until("requests admitted", async move || {
+            (tally.admitted.load(Ordering::Relaxed) >= count).then_some(())
+        })
+    };
+    reached(BURST / 2).await.expect("a load");
+
+    // One VM is killed, taken off the list and replaced by another run of it.
+    let (vm, dc) = (fleet.vms[1].vm.clone(), fleet.vms[1].dc.clone());
+    fleet.vms[1].process.kill().expect("killed");
+    fleet.vms.remove(1);
+    fleet.unlist_vm(&vm).await.expect("off the list");
+    let at = fleet.start_vm(vm, dc).await.expect("a new run");
+    let replacement = &fleet.vms[at];
+    until("the new run owns connections and portions", async || {
+        let state = fleet.ops(replacement, "/state").await?;
+        let connections = state["connections"].as_object()?;
+        let connected = connections.values().all(|count| count.as_u64() > Some(0));
+        (connected && !connections.is_empty() && !state["portions"].as_object()?.is_empty())
+            .then_some(())
+    })
+    .await
+    .expect("portions");
+    for number in 0..CALLERS_PER_VM {
+        callers.spawn(hammer(key.clone(), replacement.address(), number, tally.clone()));
+    }
+    // Another VM is stopped as planned.
+    let last = fleet.vms.len() - 2;
+    fleet.vms[last].process.terminate().expect("a signal");
+    fleet.vms[last].process.wait().expect("its end");
+
+    let before = tally.admitted.load(Ordering::Relaxed);
+    reached(before + BURST).await.expect("a load");
+    tally.stop.store(true, Ordering::Relaxed);
+    while let Some(done) = callers.join_next().await {
+        done.expect("a sound caller");
+    }
+    let seconds = started.elapsed().as_secs() + 1;
+    let admitted = tally.admitted.load(Ordering::Relaxed);
+    let allowed = RATE_PER_S * seconds + BURST;
+    assert!(admitted <= allowed, "{admitted} admitted in {seconds} s, {allowed} allowed");
+    assert!(tally.rate_limited.load(Ordering::Relaxed) > 0, "the load was past the rate");
+    for database in &fleet.databases {
+        let counts = fleet.counts(&database.process).await.expect("counts");
+        assert_eq!(counts["refused_connections"], json!(0), "{}", database.name);
+        let most = counts["most_connections"].as_u64();
+        assert!(most <= Some(CONNECTION_LIMIT.into()), "{}: {most:?}", database.name);
+    }
+}
