--- a/crates/quota/src/portions.rs
+++ b/crates/quota/src/portions.rs
@@ -183,6 +183,10 @@
 
     fn read(&mut self, object: ObjectKind, version: Version, value: Value) {
         self.reading.remove(&object);
+        let known = self.known.as_ref().map(|(known, _)| *known);
+        if object == ObjectKind::Dc && known.is_some_and(|known| version <= known) {
+            return;
+        }
         match object {
             // An object that can't be read changes nothing here: what is in force stays.
             ObjectKind::Dc => {
--- /dev/null
+++ b/crates/quota/tests/portions.rs
@@ -0,0 +1,199 @@
+//! Agreement on portions, one controller at a time.
+
+use std::sync::Arc;
+
+use board::{Board, Catalog, VmIdentity};
+use config::{Configuration, DataCentre, Workspace};
+use model::prelude::*;
+use proto::platform::{Updated, Version, VmRecord, VmState};
+use quota::{
+    account::LOAN_HELD_MAX,
+    events::{ObjectKind, PortionEffect, PortionEvent},
+    objects::{DcObject, Owner, PARTS, SharesObject},
+    portions::PortionController,
+};
+use serde_json::{Value, json};
+
+fn at_ms(ms: u64) -> MonoTime {
+    MonoTime(ms * 1_000)
+}
+
+fn workspace() -> WorkspaceName {
+    WorkspaceName::new("w").expect("a name")
+}
+
+fn owner(name: &str) -> Owner {
+    Owner { vm: VmName::new(name).expect("a name"), incarnation: Incarnation(1) }
+}
+
+fn record(name: &str) -> VmRecord {
+    VmRecord {
+        vm: owner(name).vm,
+        incarnation: Incarnation(1),
+        dc: DcName::new("d").expect("a name"),
+        peer_address: String::new(),
+        state: VmState::Live,
+    }
+}
+
+fn board(me: &str, listed: &[&str]) -> Board {
+    let dc = DcName::new("d").expect("a name");
+    let mut board = Board::new(VmIdentity {
+        vm: owner(me).vm,
+        incarnation: Incarnation(1),
+        dc: dc.clone(),
+        peer_address: String::new(),
+    });
+    board.adopt(Arc::new(Catalog::new(Configuration {
+        generation: Generation(1),
+        data_centres: vec![DataCentre { name: dc }],
+        workspaces: vec![Workspace {
+            name: workspace(),
+            rate_per_s: 100,
+            burst: 100,
+            services: Vec::new(),
+            objective_ppm: 999_000,
+        }],
+        ..Configuration::empty()
+    })));
+    board.fleet.vms = listed.iter().map(|name| record(name)).collect();
+    board
+}
+
+fn object(owned: &[(&str, u32)]) -> Value {
+    let mut object = DcObject::default();
+    object.parts.insert(workspace(), PARTS);
+    for (name, parts) in owned {
+        object.holding_mut(&owner(name)).portions.insert(workspace(), *parts);
+    }
+    json!(object)
+}
+
+fn read(version: u64, value: Value) -> PortionEvent {
+    PortionEvent::Read { object: ObjectKind::Dc, version: Version(version), value }
+}
+
+fn tick() -> PortionEvent {
+    PortionEvent::Tick { open: FxHashMap::default(), lent: Vec::new() }
+}
+
+fn updates(effects: &[PortionEffect]) -> Vec<(Version, DcObject)> {
+    let update = |effect: &PortionEffect| match effect {
+        PortionEffect::Update { object: ObjectKind::Dc, expected, value } => {
+            Some((*expected, serde_json::from_value(value.clone()).expect("an object")))
+        }
+        _ => None,
+    };
+    effects.iter().filter_map(update).collect()
+}
+
+fn in_force(controller: &PortionController) -> u32 {
+    controller.in_force().parts.get(&workspace()).copied().unwrap_or(0)
+}
+
+#[test]
+fn handle_lowers_in_memory_long_before_the_object() {
+    let mut board = board("b", &["a", "b"]);
+    let mut controller = PortionController::new(owner("b"));
+    controller.handle(&board, read(3, object(&[("a", 500_000), ("b", 500_000)])), at_ms(0));
+    assert_eq!(in_force(&controller), 500_000);
+    board.fleet.stopping = true;
+    let mut lowered_at = None;
+    let mut updated_at = None;
+    for ms in (0..3_000).step_by(10) {
+        let effects = controller.handle(&board, tick(), at_ms(ms));
+        lowered_at = lowered_at.or((in_force(&controller) == 0).then_some(ms));
+        updated_at = updated_at.or((!updates(&effects).is_empty()).then_some(ms));
+    }
+    let (lowered_at, updated_at) = (lowered_at.expect("lowered"), updated_at.expect("updated"));
+    assert!(updated_at - lowered_at > LOAN_HELD_MAX.as_ms(), "{lowered_at} {updated_at}");
+}
+
+#[test]
+fn handle_keeps_out_of_force_what_an_unanswered_update_gave_up() {
+    let mut board = board("b", &["a", "b"]);
+    let mut controller = PortionController::new(owner("b"));
+    let before = object(&[("a", 500_000), ("b", 500_000)]);
+    controller.handle(&board, read(3, before.clone()), at_ms(0));
+    board.fleet.stopping = true;
+    controller.handle(&board, tick(), at_ms(10));
+    let effects = controller.handle(&board, tick(), at_ms(2_000));
+    assert_eq!(updates(&effects).len(), 1);
+    controller.handle(&board, PortionEvent::UpdateFailed(ObjectKind::Dc), at_ms(4_000));
+    // The stop is called off, and the object still shows the old portion: the update may yet land.
+    board.fleet.stopping = false;
+    for ms in [4_001, 4_100] {
+        controller.handle(&board, read(3, before.clone()), at_ms(ms));
+        controller.handle(&board, tick(), at_ms(ms));
+        assert_eq!(in_force(&controller), 0, "at {ms} ms");
+    }
+}
+
+#[test]
+fn handle_reclaims_only_after_the_set_while_and_on_a_list() {
+    let mut board = board("a", &["a", "b"]);
+    let mut controller = PortionController::new(owner("a"));
+    let shares: SharesObject =
+        serde_json::from_value(json!({"workspaces": {"w": {"d": PARTS}}})).expect("shares");
+    let shares = PortionEvent::Read {
+        object: ObjectKind::Shares,
+        version: Version(1),
+        value: json!(shares),
+    };
+    controller.handle(&board, shares, at_ms(0));
+    controller.handle(&board, PortionEvent::Listed, at_ms(0));
+    let both = object(&[("a", 500_000), ("b", 500_000)]);
+    controller.handle(&board, read(3, both), at_ms(1));
+    board.fleet.vms = vec![record("a")];
+    for (ms, event, reclaims) in [
+        (1_000, PortionEvent::Listed, false),
+        (10_999, PortionEvent::Listed, false),
+        // Time alone proves nothing: the list may have become unreadable.
+        (12_000, tick(), false),
+        (12_100, PortionEvent::Listed, true),
+    ] {
+        let found = updates(&controller.handle(&board, event, at_ms(ms)));
+        let takes = found.iter().any(|(_, object)| object.holding(&owner("b")).is_none());
+        assert_eq!(takes, reclaims, "at {ms} ms");
+        assert!(found.iter().all(|(expected, _)| *expected == Version(3)));
+    }
+}
+
+#[test]
+fn handle_takes_effect_only_of_newer_versions() {
+    let board = board("b", &["a", "b"]);
+    let mut controller = PortionController::new(owner("b"));
+    for (version, parts, expected) in [
+        (5, json!(object(&[("b", 300_000)])), 300_000),
+        (4, json!(object(&[("b", 900_000)])), 300_000),
+        (6, json!("nonsense"), 300_000),
+        (7, json!(object(&[("a", 1)])), 0),
+    ] {
+        controller.handle(&board, read(version, parts), at_ms(1));
+        assert_eq!(in_force(&controller), expected, "version {version}");
+    }
+}
+
+#[test]
+fn handle_takes_effect_of_its_own_update_only_once_done() {
+    let board = board("a", &["a"]);
+    for (answer, expected) in [
+        (Updated::Done { version: Version(4) }, PARTS),
+        (Updated::Conflict { version: Version(9) }, 0),
+    ] {
+        let mut controller = PortionController::new(owner("a"));
+        controller.handle(&board, read(3, object(&[])), at_ms(1));
+        let sent = updates(&controller.handle(&board, PortionEvent::Listed, at_ms(1)));
+        // The parts are in the object already, so no shares are needed to give them out.
+        let sent = if sent.is_empty() {
+            updates(&controller.handle(&board, tick(), at_ms(2)))
+        } else {
+            sent
+        };
+        assert!(sent.len() <= 1);
+        assert_eq!(in_force(&controller), 0);
+        let event = PortionEvent::Updated { object: ObjectKind::Dc, updated: answer.clone() };
+        controller.handle(&board, event, at_ms(10));
+        assert_eq!(in_force(&controller), expected, "{answer:?}");
+    }
+}
--- /dev/null
+++ b/crates/quota/tests/transfers.rs
@@ -0,0 +1,191 @@
+//! Loans of tokens between VMs.
+
+use model::prelude::*;
+use proto::tokens::{TokenAsk, TokenLoan, TokenReply, TokenRequest, TokenSettlement};
+use quickcheck::{Gen, QuickCheck};
+use quota::{
+    account::{Account, Lender, Ticket},
+    bucket::{Bucket, MICRO, Portion},
+    objects::Owner,
+    rates::{Admission, CONTACT_LIMIT, RateEffect, Rates},
+};
+
+fn at_ms(ms: u64) -> MonoTime {
+    MonoTime(ms * 1_000)
+}
+
+fn owner(name: &str) -> Owner {
+    Owner { vm: VmName::new(name).expect("a name"), incarnation: Incarnation(1) }
+}
+
+fn workspace() -> WorkspaceName {
+    WorkspaceName::new("w").expect("a name")
+}
+
+fn bucket(rate_per_s: u32, burst: u32) -> Bucket {
+    let mut bucket = Bucket::new(MonoTime(0));
+    bucket.set_portion(Portion::new(rate_per_s, burst, 1, 1), MonoTime(0));
+    bucket
+}
+
+#[test]
+fn lend_keeps_the_room_until_the_loan_ends() {
+    let mut bucket = bucket(10, 20);
+    let (_, lent) = bucket.lend(20 * MICRO, at_ms(5_000), at_ms(5_500));
+    assert_eq!(lent, 20 * MICRO);
+    for (ms, level) in [(5_000, 0), (5_499, 0), (5_500, 0), (5_600, 1), (9_000, 20)] {
+        assert_eq!(bucket.level_micro(at_ms(ms)), level * MICRO, "at {ms} ms");
+    }
+}
+
+#[test]
+fn settle_frees_the_room_once_and_returns_what_was_not_spent() {
+    let mut bucket = bucket(10, 20);
+    let (first, _) = bucket.lend(20 * MICRO, at_ms(5_000), at_ms(5_500));
+    for _ in 0..2 {
+        bucket.settle(first, 5 * MICRO, at_ms(5_000));
+        assert_eq!(bucket.level_micro(at_ms(5_000)), 5 * MICRO);
+    }
+    let (second, _) = bucket.lend(MICRO, at_ms(5_000), at_ms(5_500));
+    bucket.settle(second, 99 * MICRO, at_ms(5_000));
+    assert_eq!(bucket.level_micro(at_ms(5_000)), 5 * MICRO, "no more comes back than was lent");
+    bucket.settle(second + 1, 5 * MICRO, at_ms(5_000));
+    assert_eq!(bucket.level_micro(at_ms(5_000)), 5 * MICRO);
+}
+
+#[test]
+fn lend_and_spend_never_pass_rate_and_burst_in_any_window() {
+    // Each step waits, lends a little or much, and lets the borrower spend it up to its end.
+    fn holds(steps: Vec<(u16, u8, u16, bool)>) -> bool {
+        let (rate, burst) = (50_u64, 40_u64);
+        let mut bucket = bucket(rate as u32, burst as u32);
+        let mut now = MonoTime(0);
+        let mut spent: Vec<(MonoTime, u64)> = Vec::new();
+        for (wait, amount, delay, lends) in steps {
+            now = now + DurationUs::from_ms(u64::from(wait % 700));
+            let want = u64::from(amount % 50) * MICRO;
+            if !lends {
+                spent.push((now, bucket.take_up_to(want, now)));
+                continue;
+            }
+            let (_, micro) = bucket.lend(want, now, now + DurationUs::from_ms(500));
+            let spent_at = now + DurationUs(u64::from(delay) * 500_000 / 65_536);
+            spent.push((spent_at, micro));
+        }
+        spent.sort();
+        (0..spent.len()).all(|from| {
+            let mut sum = 0;
+            spent[from..].iter().all(|(at, micro)| {
+                sum += micro;
+                sum <= rate * at.since(spent[from].0).0 + burst * MICRO
+            })
+        })
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(100, 13))
+        .tests(3_000)
+        .quickcheck(holds as fn(_) -> _);
+}
+
+/// An account without a portion, with one request that waits for 5 tokens, and its message.
+fn short_account(now: MonoTime) -> (Account, u64) {
+    let mut account = Account::new(now);
+    account.set_portion(Portion::new(100, 100, 1, 1), Portion::default(), now);
+    assert_eq!(account.admit(Ticket(1), 5, now), Ok(false));
+    account.set_lenders([Lender { owner: owner("b"), near: true }].into_iter());
+    let mut id = 0;
+    assert!(account.step(&mut id, now).is_some());
+    (account, id)
+}
+
+#[test]
+fn take_loan_drops_what_is_late_or_a_copy() {
+    let loan = |id| TokenLoan { id, loan: 1, amount_micro: 7 * MICRO };
+    for (first_ms, second_ms, level_ms, level) in [
+        (1, None, 1, 7),
+        (1, Some(2), 2, 7),
+        (1, None, 249, 7),
+        (1, None, 250, 0),
+        (250, None, 250, 0),
+        (251, Some(252), 252, 0),
+    ] {
+        let (mut account, id) = short_account(at_ms(0));
+        account.take_loan(&loan(id), at_ms(first_ms));
+        if let Some(ms) = second_ms {
+            account.take_loan(&loan(id), at_ms(ms));
+        }
+        account.take_loan(&loan(id + 1), at_ms(level_ms));
+        let case = format!("{first_ms} {second_ms:?} {level_ms}");
+        assert_eq!(account.level_micro(at_ms(level_ms)), level * MICRO, "{case}");
+    }
+}
+
+fn rates(name: &str, portion: Portion) -> Rates {
+    let mut rates = Rates::new(owner(name));
+    rates.set_portion(&workspace(), Portion::new(100, 100, 1, 1), portion, at_ms(0));
+    rates
+}
+
+#[test]
+fn admit_and_take_stop_without_contact() {
+    let limit_ms = CONTACT_LIMIT.as_ms();
+    for (contact_ms, now_ms, spends) in [
+        (None, 1_000, false),
+        (Some(1_000), 1_000, true),
+        (Some(1_000), 999 + limit_ms, true),
+        (Some(1_000), 1_000 + limit_ms, false),
+    ] {
+        let mut rates = rates("a", Portion::new(100, 100, 1, 1));
+        if let Some(ms) = contact_ms {
+            rates.note_contact(at_ms(ms));
+        }
+        let mut effects = Vec::new();
+        let admission = rates.admit(&workspace(), 1, at_ms(now_ms), &mut effects);
+        assert_eq!(admission == Admission::Granted, spends, "{contact_ms:?} {now_ms}");
+        let ask = TokenAsk {
+            vm: owner("b").vm,
+            incarnation: Incarnation(1),
+            workspace: workspace(),
+            id: 1,
+            want_micro: MICRO,
+            lifetime: DurationUs::from_ms(250),
+        };
+        let reply = rates.take(&TokenRequest::Ask(ask), at_ms(now_ms));
+        let lent = matches!(reply, TokenReply::Loan(loan) if loan.amount_micro > 0);
+        assert_eq!(lent, spends, "{contact_ms:?} {now_ms}");
+    }
+}
+
+#[test]
+fn take_lends_once_for_each_message() {
+    let mut rates = rates("a", Portion::new(100, 100, 1, 1));
+    rates.note_contact(at_ms(2_000));
+    let ask = |id| TokenAsk {
+        vm: owner("b").vm,
+        incarnation: Incarnation(1),
+        workspace: workspace(),
+        id,
+        want_micro: 10 * MICRO,
+        lifetime: DurationUs::from_ms(250),
+    };
+    for (id, left) in [(2, 90), (2, 90), (1, 90), (3, 80)] {
+        rates.take(&TokenRequest::Ask(ask(id)), at_ms(2_000));
+        assert_eq!(rates.level_micro(&workspace(), at_ms(2_000)), left * MICRO, "message {id}");
+    }
+    let settlement = TokenSettlement { workspace: workspace(), loan: 1, unused_micro: 4 * MICRO };
+    for _ in 0..2 {
+        rates.take(&TokenRequest::Settle(settlement.clone()), at_ms(2_000));
+        assert_eq!(rates.level_micro(&workspace(), at_ms(2_000)), 84 * MICRO);
+    }
+}
+
+#[test]
+fn admit_refuses_at_once_where_nobody_lends() {
+    let mut rates = rates("a", Portion::default());
+    rates.note_contact(at_ms(1));
+    let mut effects = Vec::new();
+    let Admission::Waiting(ticket) = rates.admit(&workspace(), 5, at_ms(1), &mut effects) else {
+        panic!("it waits for the decision");
+    };
+    assert_eq!(effects, [RateEffect::Refuse(ticket, DurationUs(50_001))]);
+}
--- a/crates/replay/src/quota/world.rs
+++ b/crates/replay/src/quota/world.rs
@@ -100,6 +100,8 @@
     pub arrivals: BTreeMap<WorkspaceName, Vec<Arrival>>,
     /// Most connections ever open at once, by database.
     pub most_connections: BTreeMap<DatabaseName, u32>,
+    /// Events handled so far.
+    pub handled: u64,
     catalog: Arc<Catalog>,
     queue: BinaryHeap<Reverse<Scheduled>>,
     scheduled: u64,
@@ -121,6 +123,7 @@
             vms: BTreeMap::new(),
             arrivals: BTreeMap::new(),
             most_connections: BTreeMap::new(),
+            handled: 0,
             queue: BinaryHeap::new(),
             scheduled: 0,
             waiting: FxHashMap::default(),
@@ -212,6 +215,7 @@
                 break;
             };
             self.now = next.at;
+            self.handled += 1;
             self.handle(next.event);
         }
         self.now = at;
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod bench_memory;
+mod bench_quota;
 mod ci;
 mod demo;
 
@@ -18,11 +19,13 @@
                 .about("Starts a small fleet of each example, uses it and prints what happened"),
         )
         .subcommand(bench::command())
+        .subcommand(bench_quota::command())
         .subcommand(bench_memory::command())
         .get_matches();
     match matches.subcommand() {
         Some(("ci", _)) => ci::run(),
         Some(("demo", _)) => runtime()?.block_on(demo::run()),
+        Some(("bench-quota", sub)) => bench_quota::run(sub),
         Some(("bench", sub)) => runtime()?.block_on(bench::run(sub)),
         Some(("bench-memory", sub)) => runtime()?.block_on(bench_memory::run(sub)),
         _ => Err(eyre!("say what to do: see --help")),
