--- a/crates/jasminepassd/src/app.rs
+++ b/crates/jasminepassd/src/app.rs
@@ -16,14 +16,13 @@
 };
 use fleet::transfer::Outgoing;
 use model::prelude::*;
-use quota::bucket::Bucket;
 use route::budget::RetryBudget;
 use slog::Logger;
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
-    clock::Clock, control::Event, counters::Counters, pools::Pools, report_io::StatusDesk,
-    settings::Settings, tally_io::Accounts, transactions::OpenTransactions,
+    clock::Clock, control::Event, counters::Counters, pools::Pools, quota_io::QuotaState,
+    report_io::StatusDesk, settings::Settings, tally_io::Accounts, transactions::OpenTransactions,
 };
 
 /// One daemon.
@@ -34,8 +33,8 @@
     pub clock: Clock,
     /// The board as the control thread last published it.
     pub board: ArcSwap<Board>,
-    /// Each workspace's bucket on this VM.
-    pub buckets: Mutex<FxHashMap<WorkspaceName, Bucket>>,
+    /// Each workspace's tokens on this VM.
+    pub quota: QuotaState,
     /// Retries that this VM may still make.
     pub retries: Mutex<RetryBudget>,
     /// The transactions that are open here.
@@ -93,11 +92,6 @@
         let _ = self.events.send(event);
     }
 
-    /// The buckets, for this thread alone.
-    pub fn buckets(&self) -> MutexGuard<'_, FxHashMap<WorkspaceName, Bucket>> {
-        self.buckets.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// The retry budget, for this thread alone.
     pub fn retries(&self) -> MutexGuard<'_, RetryBudget> {
         self.retries.lock().unwrap_or_else(PoisonError::into_inner)
--- a/crates/jasminepassd/src/control.rs
+++ b/crates/jasminepassd/src/control.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use board::{Board, Catalog, DatabaseKey, SlotKey};
+use board::{Board, Catalog, DatabaseKey, QuotaView, SlotKey};
 use config::Configuration;
 use crossbeam_channel::{Receiver, select, tick};
 use failover::{
@@ -15,14 +15,17 @@
     placement::holds_any,
 };
 use model::{prelude::*, request::random_u64, session::SlotDigest};
-use proto::platform::Object;
+use proto::platform::{Object, Version};
 use quota::{
-    bucket::{Bucket, Portion},
-    seats::{Owner, SEATS, SeatController, SeatEffect, SeatEvent},
+    apply::put_in_force,
+    events::{ObjectKind, PortionEffect, PortionEvent},
+    lenders::owner,
+    objects::Owner,
+    portions::PortionController,
 };
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::{app::App, counters::Counter};
+use crate::{app::App, counters::Counter, quota_io};
 
 const TICK: Duration = Duration::from_millis(50);
 
@@ -43,7 +46,7 @@
         primary: Option<DatabaseName>,
     },
     /// For the controller of the rates.
-    Seats(SeatEvent),
+    Portions(PortionEvent),
     /// For the controller of promotions.
     Promotion(PromotionEvent),
 }
@@ -56,7 +59,7 @@
     /// From the controller of the fleet.
     Fleet(FleetEffect),
     /// From the controller of the rates.
-    Seats(SeatEffect),
+    Portions(PortionEffect),
     /// From the controller of promotions.
     Promotion(PromotionEffect),
 }
@@ -66,7 +69,8 @@
     app: Arc<App>,
     board: Board,
     distribution: Distribution,
-    seats: SeatController,
+    portions: PortionController,
+    listed_at: Option<MonoTime>,
     promotions: PromotionController,
     next_tick: MonoTime,
     effects: UnboundedSender<Effect>,
@@ -84,7 +88,8 @@
             distribution: Distribution::new(board.fleet.my_record()),
             app,
             board,
-            seats: SeatController::new(me),
+            portions: PortionController::new(me),
+            listed_at: None,
             promotions,
             next_tick: MonoTime::default(),
             effects,
@@ -113,7 +118,7 @@
 
     fn tick(&mut self) {
         self.handle_fleet(FleetEvent::Tick);
-        self.handle_seats(SeatEvent::Tick);
+        self.tick_portions();
     }
 
     fn handle(&mut self, event: Event) {
@@ -123,7 +128,7 @@
             Event::PrimarySeen { slot, term, primary } => {
                 self.learn_primary(slot, term, primary.as_ref())
             }
-            Event::Seats(event) => self.handle_seats(event),
+            Event::Portions(event) => self.handle_portions(event),
             Event::Promotion(event) => self.handle_promotion(event),
         }
     }
@@ -136,7 +141,7 @@
                 FleetEffect::Adopt(cfg) => self.adopt(*cfg),
                 FleetEffect::MembersChanged => self.members_changed(),
                 FleetEffect::DcObject(Object { version, value }) => {
-                    self.handle_seats(SeatEvent::Read { version, value })
+                    self.handle_portions(dc_object_read(version, value))
                 }
                 effect => self.ask(Effect::Fleet(effect)),
             }
@@ -151,6 +156,8 @@
         self.app.counters.count(Counter::Configurations);
         self.app.outgoing.store(Arc::new(self.app.outgoing.load().with_next(cfg.clone())));
         self.board.adopt(Arc::new(Catalog::new(cfg)));
+        // Requests must be refused for the key before they can find their transaction gone.
+        self.app.board.store(Arc::new(self.board.clone()));
         // Transactions of withdrawn keys are rolled back at once.
         for _ in 0..self.app.transactions.sweep(&self.board, self.app.now()) {
             self.app.counters.count(Counter::TransactionsExpired);
@@ -163,6 +170,7 @@
     fn members_changed(&mut self) {
         slog::info!(self.app.log, "VMs changed"; "vms" => self.board.fleet.vms.len());
         self.board.place();
+        self.set_portions();
         self.monitor();
     }
 
@@ -216,32 +224,60 @@
         observe::learn_primary(&mut self.board, slot, term, primary);
     }
 
-    fn handle_seats(&mut self, event: SeatEvent) {
-        for effect in self.seats.handle(&self.board, event, self.app.now()) {
+    fn handle_portions(&mut self, event: PortionEvent) {
+        for effect in self.portions.handle(&self.board, event, self.app.now()) {
             match effect {
-                SeatEffect::SeatsChanged => {
-                    self.board.seats_in_force = self.seats.in_force();
-                    self.set_portions();
-                }
-                effect => self.ask(Effect::Seats(effect)),
+                PortionEffect::Changed => self.set_portions(),
+                PortionEffect::Read(ObjectKind::Dc) => self.read_dc_object(),
+                effect => self.ask(Effect::Portions(effect)),
             }
         }
     }
 
-    /// Gives each workspace's bucket the portion that this VM's seats stand for.
-    fn set_portions(&mut self) {
-        let catalog = &self.board.catalog;
+    /// Takes the object as the watchers brought it, or asks the platform while there is none.
+    fn read_dc_object(&mut self) {
+        match self.board.fleet.dc_object.clone() {
+            Some(object) => {
+                self.handle_portions(dc_object_read(object.version, object.value.clone()));
+            }
+            None => self.ask(Effect::Portions(PortionEffect::Read(ObjectKind::Dc))),
+        }
+    }
+
+    fn tick_portions(&mut self) {
         let now = self.app.now();
-        let whole = (catalog.cfg.data_centres.len() * SEATS) as u64;
-        let mut buckets = self.app.buckets();
-        buckets.retain(|name, _| catalog.workspace(name.as_str()).is_some());
-        for workspace in &catalog.workspaces {
-            let cfg = &workspace.cfg;
-            let portion =
-                Portion::new(cfg.rate_per_s, cfg.burst, self.seats.in_force() as u64, whole);
-            let bucket = buckets.entry(cfg.name.clone()).or_insert_with(|| Bucket::new(now));
-            bucket.set_portion(portion, now);
+        let mut effects = Vec::new();
+        let mut rates = self.app.quota.rates();
+        rates.tick(now, &mut effects);
+        let lent = rates.take_lent();
+        drop(rates);
+        quota_io::carry_out(&self.app, effects);
+        self.pass_on_list(now);
+        self.handle_portions(PortionEvent::Tick { open: self.app.pools.open(), lent });
+    }
+
+    /// Tells the controller of the portions of a younger reading of the platform's list.
+    fn pass_on_list(&mut self, now: MonoTime) {
+        let Some(listed) = &self.board.fleet.listed else {
+            return;
+        };
+        let read_at = now - listed.read.now(now);
+        if self.listed_at.is_some_and(|at| read_at <= at) {
+            return;
         }
+        self.listed_at = Some(read_at);
+        let runs = listed.vms.iter().map(owner).collect();
+        self.handle_portions(PortionEvent::Listed { runs, read_at });
+    }
+
+    /// Puts this VM's portions and connections in force.
+    fn set_portions(&mut self) {
+        let in_force = self.portions.in_force();
+        let connections = in_force.connections.iter().map(|(name, count)| (name.clone(), *count));
+        self.app.pools.set_limits(connections.collect());
+        self.board.quota = Arc::new(in_force_view(&self.portions));
+        let now = self.app.now();
+        put_in_force(&self.board, &self.portions, &mut self.app.quota.rates(), now);
     }
 
     /// Watches the databases of each service of which this VM is a holder.
@@ -261,3 +297,17 @@
         let _ = self.effects.send(effect);
     }
 }
+
+fn dc_object_read(version: Version, value: serde_json::Value) -> PortionEvent {
+    PortionEvent::Read { object: ObjectKind::Dc, version, value }
+}
+
+fn in_force_view(portions: &PortionController) -> QuotaView {
+    let in_force = portions.in_force();
+    QuotaView {
+        version: portions.object().map_or(Version(0), |(version, _)| version),
+        parts: in_force.parts.clone(),
+        owns_any: portions.owns_any(),
+        connections: in_force.connections.clone(),
+    }
+}
--- a/crates/jasminepassd/src/main.rs
+++ b/crates/jasminepassd/src/main.rs
@@ -20,6 +20,7 @@
 mod outcome;
 mod peer;
 mod pools;
+mod quota_io;
 mod report_io;
 mod run;
 mod settings;
--- a/crates/jasminepassd/src/peer.rs
+++ b/crates/jasminepassd/src/peer.rs
@@ -17,7 +17,7 @@
 use proto::peer::{PeerReply, PeerRequest};
 
 use crate::{
-    app::App, counters::Counter, fleet_io, holder, outcome, report_io, transaction_steps,
+    app::App, counters::Counter, fleet_io, holder, outcome, quota_io, report_io, transaction_steps,
     transactions,
 };
 
@@ -106,6 +106,7 @@
         PeerRequest::Report(report, tally) => {
             PeerReply::Reported { stored: report_io::take(app, *report, tally) }
         }
+        PeerRequest::Tokens(req) => PeerReply::Tokens(quota_io::answer(app, &req)),
     }
 }
 
--- a/crates/jasminepassd/src/run.rs
+++ b/crates/jasminepassd/src/run.rs
@@ -16,6 +16,7 @@
 };
 use eyre::WrapErr;
 use fleet::transfer::Outgoing;
+use quota::objects::Owner;
 use serde_json::json;
 use tokio::{
     net::TcpListener,
@@ -31,6 +32,7 @@
     counters::{Counters, Reporter},
     drain, effects, fleet_io, logging, ops, peer,
     pools::Pools,
+    quota_io::QuotaState,
     report_io,
     settings::Settings,
     stop::Stop,
@@ -54,6 +56,7 @@
     let (effects_tx, effects_rx) = mpsc::unbounded_channel();
     let app = Arc::new(new_app(settings, &peer_address.to_string(), events_tx, log)?);
 
+    app.quota.bind(&app);
     let control = Control::new(app.clone(), effects_tx);
     thread::Builder::new().name("control".to_owned()).spawn(move || control.run(&events_rx))?;
     tokio::spawn(effects::run(app.clone(), effects_rx));
@@ -97,13 +100,15 @@
         dc: settings.dc.clone(),
         peer_address: peer_address.to_owned(),
     };
+    let owner = Owner { vm: settings.vm.clone(), incarnation: settings.incarnation };
+    let clock = Clock::new();
     Ok(App {
-        clock: Clock::new(),
+        clock,
         board: ArcSwap::from_pointee(Board::new(me)),
-        buckets: Default::default(),
+        quota: QuotaState::new(owner, tokio::runtime::Handle::current()),
         retries: Default::default(),
         transactions: OpenTransactions::new(settings.transaction_limits),
-        pools: Pools::new(&settings.vm),
+        pools: Pools::new(&settings.vm, clock),
         outgoing: ArcSwap::from_pointee(Outgoing::empty()),
         watching: watch::Sender::new(false),
         replay: Mutex::default(),
--- a/crates/jasminepassd/src/stop.rs
+++ b/crates/jasminepassd/src/stop.rs
@@ -22,7 +22,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{app::App, control::Event, report_io, transactions};
+use crate::{app::App, control::Event, quota_io, report_io, transactions};
 
 /// The signals of a planned stop.
 pub struct Stop {
@@ -91,6 +91,7 @@
             transactions::wait_until_none(&self.app).await;
             self.callers.send_replace(true);
             let _ = caller_server.await;
+            quota_io::wait_until_given_up(&self.app).await;
             self.peers.send_replace(true);
             let _ = peer_server.await;
         };
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod peer;
 pub mod platform;
 pub mod report;
+pub mod tokens;
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -9,6 +9,7 @@
     gossip::{Digest, Pull, Pulled},
     platform::VmRecord,
     report::{TallyReport, VmReport},
+    tokens::{TokenReply, TokenRequest},
 };
 
 /// A message to another VM.
@@ -31,6 +32,8 @@
     Introduce,
     /// A VM's state and counts, for the VM that writes those of its data centre.
     Report(Box<VmReport>, TallyReport),
+    /// About rate tokens.
+    Tokens(TokenRequest),
 }
 
 /// The answer to a [`PeerRequest`].
@@ -59,6 +62,8 @@
         /// All counts in the sender's reports up to this number are stored.
         stored: u64,
     },
+    /// About rate tokens.
+    Tokens(TokenReply),
 }
 
 /// A request on its way from the entry VM to a holder.
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -6,5 +6,6 @@
 
 pub mod failover;
 pub mod fleet;
+pub mod quota;
 pub mod requests;
 pub mod trace;
