--- a/crates/jasminepassd/src/control.rs
+++ b/crates/jasminepassd/src/control.rs
@@ -4,15 +4,18 @@
 
 use board::{Board, Catalog, DatabaseKey, SlotKey};
 use config::Configuration;
-use crossbeam_channel::{Receiver, RecvTimeoutError};
+use crossbeam_channel::{Receiver, select, tick};
 use failover::{
     limits::Limits,
     observe::{self, Observation},
     promotion::{PromotionController, PromotionEffect, PromotionEvent},
 };
-use fleet::placement::holds_any;
+use fleet::{
+    distribution::{Distribution, FleetEffect, FleetEvent},
+    placement::holds_any,
+};
 use model::{prelude::*, request::random_u64, session::SlotDigest};
-use proto::platform::VmRecord;
+use proto::platform::Object;
 use quota::{
     bucket::{Bucket, Portion},
     seats::{Owner, SEATS, SeatController, SeatEffect, SeatEvent},
@@ -26,10 +29,8 @@
 /// What the control thread hears.
 #[derive(Debug)]
 pub enum Event {
-    /// A configuration was read.
-    Configuration(Box<Configuration>),
-    /// The list of VMs was read.
-    Vms(Vec<VmRecord>),
+    /// For the controller of the fleet.
+    Fleet(FleetEvent),
     /// A database was asked for its status.
     Observed(Observation),
     /// Somebody said who a slot's primary is.
@@ -45,8 +46,6 @@
     Seats(SeatEvent),
     /// For the controller of promotions.
     Promotion(PromotionEvent),
-    /// A planned stop has begun.
-    Stopping,
 }
 
 /// What the control thread asks for.
@@ -54,6 +53,8 @@
 pub enum Effect {
     /// Watch these databases, and no others.
     Monitor(Vec<config::Database>),
+    /// From the controller of the fleet.
+    Fleet(FleetEffect),
     /// From the controller of the rates.
     Seats(SeatEffect),
     /// From the controller of promotions.
@@ -64,6 +65,7 @@
 pub struct Control {
     app: Arc<App>,
     board: Board,
+    distribution: Distribution,
     seats: SeatController,
     promotions: PromotionController,
     next_tick: MonoTime,
@@ -79,6 +81,7 @@
         let limits = Limits::new(app.settings.status_interval);
         let promotions = PromotionController::new(board.fleet.me.clone(), limits);
         Control {
+            distribution: Distribution::new(board.fleet.my_record()),
             app,
             board,
             seats: SeatController::new(me),
@@ -91,11 +94,14 @@
 
     /// Handles events until nobody can send any.
     pub fn run(mut self, events: &Receiver<Event>) {
+        let ticker = tick(TICK);
         loop {
-            match events.recv_timeout(TICK) {
-                Ok(event) => self.handle(event),
-                Err(RecvTimeoutError::Timeout) => self.handle_seats(SeatEvent::Tick),
-                Err(RecvTimeoutError::Disconnected) => return,
+            select! {
+                recv(events) -> event => match event {
+                    Ok(event) => self.handle(event),
+                    Err(_) => return,
+                },
+                recv(ticker) -> _ => self.tick(),
             }
             while let Ok(event) = events.try_recv() {
                 self.handle(event);
@@ -105,17 +111,35 @@
         }
     }
 
+    fn tick(&mut self) {
+        self.handle_fleet(FleetEvent::Tick);
+        self.handle_seats(SeatEvent::Tick);
+    }
+
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Configuration(cfg) => self.adopt(*cfg),
-            Event::Vms(vms) => self.set_vms(vms),
+            Event::Fleet(event) => self.handle_fleet(event),
             Event::Observed(observation) => self.observe(&observation),
             Event::PrimarySeen { slot, term, primary } => {
                 self.learn_primary(slot, term, primary.as_ref())
             }
             Event::Seats(event) => self.handle_seats(event),
             Event::Promotion(event) => self.handle_promotion(event),
-            Event::Stopping => self.board.fleet.stopping = true,
+        }
+    }
+
+    fn handle_fleet(&mut self, event: FleetEvent) {
+        let now = self.app.now();
+        let effects = self.distribution.handle(&mut self.board, event, now, random_u64());
+        for effect in effects {
+            match effect {
+                FleetEffect::Adopt(cfg) => self.adopt(*cfg),
+                FleetEffect::MembersChanged => self.members_changed(),
+                FleetEffect::DcObject(Object { version, value }) => {
+                    self.handle_seats(SeatEvent::Read { version, value })
+                }
+                effect => self.ask(Effect::Fleet(effect)),
+            }
         }
     }
 
@@ -125,18 +149,20 @@
         }
         slog::info!(self.app.log, "configuration in force"; "generation" => cfg.generation.0);
         self.app.counters.count(Counter::Configurations);
+        self.app.outgoing.store(Arc::new(self.app.outgoing.load().with_next(cfg.clone())));
         self.board.adopt(Arc::new(Catalog::new(cfg)));
+        // Transactions of withdrawn keys are rolled back at once.
+        for _ in 0..self.app.transactions.sweep(&self.board, self.app.now()) {
+            self.app.counters.count(Counter::TransactionsExpired);
+        }
+        self.board.place();
         self.set_portions();
         self.monitor();
     }
 
-    fn set_vms(&mut self, mut vms: Vec<VmRecord>) {
-        vms.sort_by(|a, b| a.vm.cmp(&b.vm));
-        if vms.is_empty() || vms == self.board.fleet.vms {
-            return;
-        }
-        slog::info!(self.app.log, "list of VMs changed"; "vms" => vms.len());
-        self.board.fleet.vms = vms;
+    fn members_changed(&mut self) {
+        slog::info!(self.app.log, "VMs changed"; "vms" => self.board.fleet.vms.len());
+        self.board.place();
         self.monitor();
     }
 
--- a/crates/jasminepassd/src/counters.rs
+++ b/crates/jasminepassd/src/counters.rs
@@ -41,10 +41,26 @@
     Promotions,
     /// Configurations put in force.
     Configurations,
+    /// Times that a database was asked what became of a write.
+    OutcomesAsked,
+    /// Requests sent again.
+    Retries,
+    /// Transactions opened.
+    TransactionsBegun,
+    /// Transactions committed.
+    TransactionsCommitted,
+    /// Transactions rolled back because their caller, key or time was gone.
+    TransactionsExpired,
+    /// Digests sent to other VMs.
+    GossipSent,
+    /// Digests received from other VMs.
+    GossipReceived,
+    /// Times that another VM was asked for what this one lacked.
+    Pulls,
 }
 
 impl Counter {
-    const ALL: [(Counter, &'static str); 15] = [
+    const ALL: [(Counter, &'static str); 23] = [
         (Counter::Requests, "requests"),
         (Counter::Answered, "answered"),
         (Counter::Refused, "refused"),
@@ -60,6 +76,14 @@
         (Counter::PrimaryChanges, "primary_changes"),
         (Counter::Promotions, "promotions"),
         (Counter::Configurations, "configurations"),
+        (Counter::OutcomesAsked, "outcomes_asked"),
+        (Counter::Retries, "retries"),
+        (Counter::TransactionsBegun, "transactions_begun"),
+        (Counter::TransactionsCommitted, "transactions_committed"),
+        (Counter::TransactionsExpired, "transactions_expired"),
+        (Counter::GossipSent, "gossip_sent"),
+        (Counter::GossipReceived, "gossip_received"),
+        (Counter::Pulls, "pulls"),
     ];
 }
 
--- a/crates/jasminepassd/src/main.rs
+++ b/crates/jasminepassd/src/main.rs
@@ -1,5 +1,6 @@
 //! The proxy daemon: one runs on every VM of the fleet.
 
+mod admission;
 mod app;
 mod caller;
 mod caller_error;
@@ -10,14 +11,20 @@
 mod effects;
 mod entry;
 mod failover_io;
+mod fleet_io;
 mod holder;
 mod logging;
 mod monitor;
 mod ops;
+mod outcome;
 mod peer;
 mod pools;
 mod run;
 mod settings;
+mod stop;
+mod transaction_entry;
+mod transaction_steps;
+mod transactions;
 mod watch;
 
 use settings::Settings;
--- a/crates/jasminepassd/src/settings.rs
+++ b/crates/jasminepassd/src/settings.rs
@@ -5,6 +5,7 @@
 use clap::{Arg, ArgMatches, Command, builder::ValueParser, value_parser};
 use eyre::WrapErr;
 use model::{key::FleetSecret, prelude::*};
+use route::transaction::Limits;
 
 /// How log lines look.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -44,10 +45,16 @@
     pub threads: usize,
     /// Callers' connections open at once.
     pub max_connections: usize,
+    /// Addresses of other VMs' peer listeners, for a start while the platform is down.
+    pub seeds: Vec<SocketAddr>,
+    /// How long a planned stop goes on taking requests, until nobody sends it any.
+    pub stop_notice: Duration,
     /// How long a planned stop waits for open work.
     pub drain_limit: Duration,
     /// How often each database is asked for its status.
     pub status_interval: DurationUs,
+    /// When transactions are rolled back.
+    pub transaction_limits: Limits,
 }
 
 impl Settings {
@@ -74,8 +81,14 @@
             statsd: address("statsd"),
             threads: one::<u64>(matches, "threads")? as usize,
             max_connections: one::<u64>(matches, "max-connections")? as usize,
+            seeds: matches.get_many("seeds").unwrap_or_default().copied().collect(),
+            stop_notice: Duration::from_millis(one(matches, "stop-notice-ms")?),
             drain_limit: Duration::from_millis(one(matches, "drain-limit-ms")?),
             status_interval: DurationUs::from_ms(one(matches, "status-interval-ms")?),
+            transaction_limits: Limits {
+                idle: DurationUs::from_ms(one(matches, "transaction-idle-ms")?),
+                total: DurationUs::from_ms(one(matches, "transaction-limit-ms")?),
+            },
         })
     }
 }
@@ -153,6 +166,24 @@
             )
             .default_value("8192"),
         )
+        .arg(
+            setting(
+                "seeds",
+                "JASMINEPASS_SEEDS",
+                "Peer listeners of other VMs, asked when the platform can't be; separated by commas",
+                socket(),
+            )
+            .value_delimiter(','),
+        )
+        .arg(
+            setting(
+                "stop-notice-ms",
+                "JASMINEPASS_STOP_NOTICE_MS",
+                "How long a planned stop goes on taking requests, so that the balancer and the other VMs have sent the last one, in milliseconds",
+                range(0, 600_000),
+            )
+            .default_value("5000"),
+        )
         .arg(
             setting(
                 "drain-limit-ms",
@@ -171,6 +202,24 @@
             )
             .default_value("100"),
         )
+        .arg(
+            setting(
+                "transaction-idle-ms",
+                "JASMINEPASS_TRANSACTION_IDLE_MS",
+                "Time without a request after which a transaction is rolled back, in milliseconds",
+                range(10, 600_000),
+            )
+            .default_value("5000"),
+        )
+        .arg(
+            setting(
+                "transaction-limit-ms",
+                "JASMINEPASS_TRANSACTION_LIMIT_MS",
+                "Time in all after which a transaction is rolled back, in milliseconds",
+                range(10, 600_000),
+            )
+            .default_value("30000"),
+        )
 }
 
 fn setting(name: &'static str, env: &'static str, help: &'static str, parser: ValueParser) -> Arg {
--- a/crates/model/src/session.rs
+++ b/crates/model/src/session.rs
@@ -71,6 +71,13 @@
         Ok(())
     }
 
+    /// Forgets a position that the slot's history no longer has, in favour of the one stated.
+    pub fn reset(&mut self, slot: SlotDigest, position: Position) {
+        if let Ok(at) = self.seen.binary_search_by_key(&slot, |(s, _)| *s) {
+            self.seen[at].1 = position;
+        }
+    }
+
     /// The token for the caller, bound to the workspace by the fleet's secret.
     pub fn seal(&self, secret: &FleetSecret, workspace: &WorkspaceName) -> String {
         let mut buf = Vec::with_capacity(self.seen.len() * ENTRY_BYTES + MAC_BYTES);
@@ -93,8 +100,8 @@
         let buf = BASE64.decode(token).map_err(|_| SessionError::Invalid)?;
         let body_len = buf.len().checked_sub(MAC_BYTES).ok_or(SessionError::Invalid)?;
         let (body, mac) = buf.split_at(body_len);
-        let expected = secret.mac(&[MAC_CONTEXT, workspace.as_str().as_bytes(), body]);
-        let genuine: bool = subtle::ConstantTimeEq::ct_eq(&expected[..MAC_BYTES], mac).into();
+        let parts = [MAC_CONTEXT, workspace.as_str().as_bytes(), body];
+        let genuine = secret.verify_truncated(&parts, mac);
         let whole =
             body.len().is_multiple_of(ENTRY_BYTES) && body.len() / ENTRY_BYTES <= SESSION_MAX_SLOTS;
         if !genuine || !whole {
--- a/crates/replay/src/failover/vm.rs
+++ b/crates/replay/src/failover/vm.rs
@@ -68,7 +68,7 @@
             peer_address: record.peer_address.clone(),
         };
         let mut board = Board::new(me.clone());
-        board.fleet.vms = vms.to_vec();
+        board.fleet.vms = vms.to_vec().into();
         board.adopt(catalog);
         VmNode {
             name: record.vm.to_string(),
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -5,4 +5,6 @@
 //! has a module with its events and its world; nothing here uses a real clock, socket or thread.
 
 pub mod failover;
+pub mod fleet;
+pub mod requests;
 pub mod trace;
