Primaries that fail, with real processes and the platform down; a bench of the gap

Writes with idempotency keys go on while the primary is killed, stopped and continued, or isolated, with the platform down; every acknowledged one must be in the list once afterwards. Traces with slow networks let several VMs propose at once.

--- a/crates/jasminepassd/src/ops.rs
+++ b/crates/jasminepassd/src/ops.rs
@@ -9,6 +9,7 @@
 };
 
 use axum::{Json, Router, extract::State, http::StatusCode, routing::get};
+use board::{Member, SlotState};
 use fleet::access::check_trust;
 use fleet::placement::holds_any;
 use model::prelude::*;
@@ -46,6 +47,8 @@
     held: bool,
     /// Whether a majority has shown that the primary is the one of the running term.
     primary_verified: bool,
+    /// Whether every member follows the primary in its term.
+    in_step: bool,
 }
 
 /// What this VM knows.
@@ -104,6 +107,7 @@
             confirmed: state.confirmed,
             held: holds_any(&board, &catalog.services[entry.service].databases),
             primary_verified: state.primary_verified_at.is_some(),
+            in_step: in_step(state),
         }
     });
     let (fleet, now) = (&board.fleet, ops.app.now());
@@ -126,6 +130,12 @@
     })
 }
 
+fn in_step(state: &SlotState) -> bool {
+    let follows = |m: &Member| m.term == state.term && m.position.term == state.term;
+    let told = |m: &Member| m.follows == state.primary && m.follows.is_some();
+    state.members.iter().all(|m| follows(m) && told(m))
+}
+
 async fn counters(State(ops): State<Ops>) -> Json<BTreeMap<&'static str, u64>> {
     Json(ops.app.counters.snapshot())
 }
--- a/crates/replay/src/failover.rs
+++ b/crates/replay/src/failover.rs
@@ -53,7 +53,12 @@
         /// One side.
         side: Vec<String>,
     },
-    /// Everything passes again.
+    /// Messages take up to this long, and overtake each other.
+    Slow {
+        /// The time, in milliseconds.
+        ms: u64,
+    },
+    /// Everything passes again, and fast.
     Heal {},
     /// A database's log is copied from its primary only after this time.
     Lag {
@@ -141,6 +146,7 @@
         Event::Thaw { node } => world.thaw(node),
         Event::Cut { node, from } => from.iter().for_each(|other| world.network.cut(node, other)),
         Event::Partition { side } => world.partition(side),
+        Event::Slow { ms } => world.network.slow_down(DurationUs::from_ms(*ms)),
         Event::Heal {} => world.network.heal(),
         Event::Lag { node, ms } => world.set_lag(node, DurationUs::from_ms(*ms)),
         Event::Leave { node } => world.leave(node),
--- a/crates/replay/src/failover/network.rs
+++ b/crates/replay/src/failover/network.rs
@@ -6,7 +6,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 const DELAY_LEAST_US: u64 = 300;
-const DELAY_MOST_US: u64 = 3_000;
+const DELAY_MOST: DurationUs = DurationUs(3_000);
 
 /// Messages and timers, in the order in which they come.
 #[derive(Debug)]
@@ -14,6 +14,7 @@
     queue: BTreeMap<(MonoTime, u64), M>,
     sequence: u64,
     cuts: BTreeSet<(String, String)>,
+    delay_most: DurationUs,
     /// Source of delays and of the controllers' random numbers.
     pub rng: StdRng,
 }
@@ -25,13 +26,14 @@
             queue: BTreeMap::new(),
             sequence: 0,
             cuts: BTreeSet::new(),
+            delay_most: DELAY_MOST,
             rng: StdRng::seed_from_u64(seed),
         }
     }
 
     /// A message that arrives after a random delay.
     pub fn send(&mut self, message: M, now: MonoTime) {
-        let delay = self.rng.random_range(DELAY_LEAST_US..DELAY_MOST_US);
+        let delay = self.rng.random_range(DELAY_LEAST_US..self.delay_most.0);
         self.at(now + DurationUs(delay), message);
     }
 
@@ -54,9 +56,15 @@
         self.cuts.insert((b.to_owned(), a.to_owned()));
     }
 
-    /// Ends every cut.
+    /// Messages take up to this long, so that they overtake each other.
+    pub fn slow_down(&mut self, delay_most: DurationUs) {
+        self.delay_most = delay_most.max(DELAY_MOST);
+    }
+
+    /// Ends every cut and slowness.
     pub fn heal(&mut self) {
         self.cuts.clear();
+        self.delay_most = DELAY_MOST;
     }
 
     /// Whether two nodes are cut off from each other.
--- a/crates/replay/tests/failover.rs
+++ b/crates/replay/tests/failover.rs
@@ -38,7 +38,7 @@
     let mut killed = 0;
     let mut frozen: Vec<String> = Vec::new();
     for _ in 0..24 {
-        let event = match rng.random_range(0..12) {
+        let event = match rng.random_range(0..13) {
             0 if killed < databases / 2 => {
                 killed += 1;
                 Event::Kill { node: format!("d{killed}") }
@@ -53,6 +53,7 @@
             6 => Event::Partition { side: vec![node(&mut rng)] },
             7 => Event::Partition { side: vec![node(&mut rng), node(&mut rng), node(&mut rng)] },
             8 => Event::Lag { node: node(&mut rng), ms: rng.random_range(0..1_500) },
+            9 | 10 => Event::Slow { ms: rng.random_range(20..400) },
             _ => Event::Heal {},
         };
         // A killed database stays so.
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -21,6 +21,7 @@
 };
 
 const TIMEOUT: Duration = Duration::from_secs(5);
+const RATE_UNLIMITED: u32 = 100_000_000;
 const FLEET_SECRET: &str = "a fleet secret for tests and demos";
 
 /// What to start.
@@ -58,6 +59,15 @@
         self
     }
 
+    /// The same with rates so high that no request is refused for them.
+    pub fn with_rates_unlimited(mut self) -> FleetSpec {
+        for workspace in &mut self.answers.workspaces {
+            workspace.rate_per_s = RATE_UNLIMITED;
+            workspace.burst = RATE_UNLIMITED;
+        }
+        self
+    }
+
     /// The same with a further flag for each database.
     pub fn with_database_arg(mut self, name: &str, value: impl ToString) -> FleetSpec {
         self.database_args.extend([format!("--{name}"), value.to_string()]);
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every process that it starts is one of this workspace, and ends with the value that started it.
 
 pub mod caller;
+pub mod faults;
 pub mod fleet;
 pub mod process;
 pub mod scratch;
@@ -10,5 +11,6 @@
 pub mod wait;
 
 pub use caller::{Caller, Reply};
+pub use faults::Fault;
 pub use fleet::{Fleet, FleetSpec};
 pub use process::Process;
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! Developer tasks: `ci`, `demo` and `bench`.
 
 mod bench;
+mod bench_failover;
 mod bench_memory;
 mod ci;
 mod demo;
@@ -18,12 +19,14 @@
                 .about("Starts a small fleet of each example, uses it and prints what happened"),
         )
         .subcommand(bench::command())
+        .subcommand(bench_failover::command())
         .subcommand(bench_memory::command())
         .get_matches();
     match matches.subcommand() {
         Some(("ci", _)) => ci::run(),
         Some(("demo", _)) => runtime()?.block_on(demo::run()),
         Some(("bench", sub)) => runtime()?.block_on(bench::run(sub)),
+        Some(("bench-failover", sub)) => runtime()?.block_on(bench_failover::run(sub)),
         Some(("bench-memory", sub)) => runtime()?.block_on(bench_memory::run(sub)),
         _ => Err(eyre!("say what to do: see --help")),
     }
