Tests of attempts and observations; an old term's log is never taken for fresh

A member whose log ended in an entry of an older term kept the date from before the change of primary. Seen in observe_never_takes_a_divergent_tail_for_fresh, which failed with Some(10) for the old primary.

--- a/crates/failover/src/observe.rs
+++ b/crates/failover/src/observe.rs
@@ -139,9 +139,11 @@
     let running = slot.term;
     for member in &mut slot.members {
         let in_lineage = member.term == running && member.position.term == running;
-        if in_lineage {
-            member.fresh_at = member.fresh_at.max(slot.bounds.covered_until(member.position));
-        }
+        // A log that ends in an older term may hold entries that were never confirmed.
+        member.fresh_at = match in_lineage {
+            true => member.fresh_at.max(slot.bounds.covered_until(member.position)),
+            false => None,
+        };
     }
 }
 
