Serve reads that accept an age from replicas first

Cause: an entry VM tried the nearest database first, also where that was the primary, and a holder that could not serve sent the read to the primary.

Change: order leaving, silent, primary, far; redirects name another replica that covers position and age. A first try without the silent databases last failed traces/requests/isolated_primary: on the cut-off side a read waited for far databases until its time was over.

--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -164,4 +164,6 @@
     pub term: Term,
     /// The slot's primary, where it is known.
     pub primary: Option<DatabaseName>,
+    /// A replica that is expected to serve the request, where there is one.
+    pub replica: Option<DatabaseName>,
 }
--- a/crates/route/src/attempt.rs
+++ b/crates/route/src/attempt.rs
@@ -239,16 +239,18 @@
         }
     }
 
-    /// Goes on with the primary that a holder named, unless it was tried in that term.
+    /// Goes on with the replica or the primary that a holder named, unless it was tried in that term.
     fn follow(&mut self, board: &Board, redirect: &Redirect) {
-        let primary = redirect.primary.as_ref().and_then(|p| board.catalog.database(p.as_str()));
-        let known = |p: &DatabaseKey| self.tried.iter().any(|t| t.0 == *p && t.1 >= redirect.term);
-        let Some(primary) = primary.filter(|p| self.redirects_left > 0 && !known(p)) else {
+        let named = [&redirect.replica, &redirect.primary].into_iter().flatten();
+        let mut known = named.filter_map(|name| board.catalog.database(name.as_str()));
+        let tried = |d: &DatabaseKey| self.tried.iter().any(|t| t.0 == *d && t.1 >= redirect.term);
+        let next = known.find(|database| !tried(database));
+        let Some(next) = next.filter(|_| self.redirects_left > 0) else {
             return;
         };
         self.redirects_left -= 1;
-        self.databases.retain(|d| *d != primary);
-        self.turn_to(board, primary, redirect.term);
+        self.databases.retain(|database| *database != next);
+        self.turn_to(board, next, redirect.term);
     }
 
     /// Goes on under the id of the next try: an earlier one under the same idempotency key was
--- a/crates/route/src/execution.rs
+++ b/crates/route/src/execution.rs
@@ -155,7 +155,7 @@
         let mut execution =
             Execution { forward, target, generation, route, service, deadline, stage };
         let step = match service {
-            Service::Never => return Err(execution.redirect(board)),
+            Service::Never => return Err(execution.redirect(board, now)),
             Service::LateReplica => execution.catch_up(board),
             Service::Replica => execution.admit(),
             Service::Primary => execution.precheck(board, now),
@@ -182,7 +182,7 @@
             (Stage::Precheck, Event::Confirmed(true)) => self.admit(),
             (Stage::Precheck, Event::Confirmed(false)) => self.fail(refusal::unavailable()),
             (Stage::CatchUp, Event::Confirmed(true)) => self.admit(),
-            (Stage::CatchUp, Event::Confirmed(false)) => Step::Done(self.redirect(board)),
+            (Stage::CatchUp, Event::Confirmed(false)) => Step::Done(self.redirect(board, now)),
             (Stage::Admit, Event::Admitted(admitted)) => self.connect(admitted),
             (Stage::Connect, Event::Connected(connected)) => self.execute(board, connected, now),
             (Stage::Execute, Event::Executed(Ok(executed))) => self.executed(board, executed, now),
@@ -297,7 +297,7 @@
         if self.service != Service::Primary {
             return match covers {
                 true => self.answer(executed),
-                false => Step::Done(self.redirect(board)),
+                false => Step::Done(self.redirect(board, now)),
             };
         }
         if covers && replica::is_verified(board, self.target.slot, &self.route, now) {
@@ -362,8 +362,17 @@
         Step::Done(PeerReply::Error(error))
     }
 
-    fn redirect(&self, board: &Board) -> PeerReply {
-        PeerReply::Redirect(redirect(board, self.target.slot))
+    fn redirect(&self, board: &Board, now: MonoTime) -> PeerReply {
+        let better = replica::better_replica(
+            board,
+            self.target.slot,
+            self.target.database,
+            &self.route,
+            self.forward.min_position,
+            now,
+        );
+        let replica = better.map(|database| board.catalog.databases[database].name.clone());
+        PeerReply::Redirect(Redirect { replica, ..redirect(board, self.target.slot) })
     }
 }
 
@@ -371,7 +380,7 @@
 pub fn redirect(board: &Board, slot: SlotKey) -> Redirect {
     let state = &board.slots[slot];
     let primary = state.primary.map(|database| board.catalog.databases[database].name.clone());
-    Redirect { term: state.term, primary }
+    Redirect { term: state.term, primary, replica: None }
 }
 
 fn find(board: &Board, forward: &Forward) -> Result<Target, CallerError> {
--- a/crates/route/src/refusal.rs
+++ b/crates/route/src/refusal.rs
@@ -55,10 +55,10 @@
 pub fn learned(error: &DatabaseError) -> Option<Redirect> {
     match error {
         DatabaseError::NotPrimary { term, primary } => {
-            Some(Redirect { term: *term, primary: primary.clone() })
+            Some(Redirect { term: *term, primary: primary.clone(), replica: None })
         }
         DatabaseError::StaleTerm { term } | DatabaseError::TermTaken { term } => {
-            Some(Redirect { term: *term, primary: None })
+            Some(Redirect { term: *term, primary: None, replica: None })
         }
         _ => None,
     }
--- a/crates/route/src/replica.rs
+++ b/crates/route/src/replica.rs
@@ -28,7 +28,9 @@
     let members = state.members.iter().map(|m| m.database);
     let mut databases: Vec<DatabaseKey> =
         members.filter(|&d| is_primary(d) || !cfg(d).leaving).collect();
-    databases.sort_by_key(|&d| (cfg(d).leaving, cfg(d).dc != board.fleet.me.dc, is_primary(d)));
+    let is_silent = |database: DatabaseKey| board.databases[database].silent_since.is_some();
+    let is_far = |database: DatabaseKey| cfg(database).dc != board.fleet.me.dc;
+    databases.sort_by_key(|&d| (cfg(d).leaving, is_silent(d), is_primary(d), is_far(d)));
     databases
 }
 
@@ -42,6 +44,20 @@
     databases
 }
 
+/// Another replica that can serve the request, as far as is known.
+pub fn better_replica(
+    board: &Board,
+    slot: SlotKey,
+    database: DatabaseKey,
+    route: &Route,
+    min_position: Position,
+    now: MonoTime,
+) -> Option<DatabaseKey> {
+    let can_serve =
+        |d: &DatabaseKey| service(board, slot, *d, route, min_position, now) == Service::Replica;
+    board.slots[slot].members.iter().map(|m| m.database).filter(|d| *d != database).find(can_serve)
+}
+
 /// How the database can serve the request, as far as is known before asking it.
 pub fn service(
     board: &Board,
--- a/crates/route/tests/transaction.rs
+++ b/crates/route/tests/transaction.rs
@@ -57,7 +57,7 @@
 #[test]
 fn start_step_refuses_a_second_one_meanwhile() {
     let mut book = book();
-    let mut start = |book: &mut Transactions| {
+    let start = |book: &mut Transactions| {
         book.start_step(ID, &workspace("calgary"), SLOT, at(10)).err().map(|e| e.kind)
     };
     assert_eq!(start(&mut book), None);
