--- a/crates/jasminepassd/src/effects.rs
+++ b/crates/jasminepassd/src/effects.rs
@@ -9,7 +9,7 @@
     app::App,
     control::{Effect, Event},
     counters::Counter,
-    failover_io,
+    failover_io, fleet_io,
     monitor::Monitors,
 };
 
@@ -20,6 +20,7 @@
         match effect {
             Effect::Monitor(databases) => monitors.set(&databases),
             Effect::Promotion(effect) => failover_io::carry_out(&app, effect),
+            Effect::Fleet(effect) => fleet_io::perform(&app, effect),
             Effect::Seats(effect) => {
                 tokio::spawn(call_platform(app.clone(), effect));
             }
--- a/crates/jasminepassd/src/settings.rs
+++ b/crates/jasminepassd/src/settings.rs
@@ -45,12 +45,16 @@
     pub threads: usize,
     /// Callers' connections open at once.
     pub max_connections: usize,
+    /// Addresses of other VMs' peer listeners, for a start while the platform is down.
+    pub seeds: Vec<SocketAddr>,
+    /// How long a planned stop goes on taking requests, until nobody sends it any.
+    pub stop_notice: Duration,
     /// How long a planned stop waits for open work.
     pub drain_limit: Duration,
-    /// When transactions are rolled back.
-    pub transaction_limits: Limits,
     /// How often each database is asked for its status.
     pub status_interval: DurationUs,
+    /// When transactions are rolled back.
+    pub transaction_limits: Limits,
 }
 
 impl Settings {
@@ -77,12 +81,14 @@
             statsd: address("statsd"),
             threads: one::<u64>(matches, "threads")? as usize,
             max_connections: one::<u64>(matches, "max-connections")? as usize,
+            seeds: matches.get_many("seeds").unwrap_or_default().copied().collect(),
+            stop_notice: Duration::from_millis(one(matches, "stop-notice-ms")?),
             drain_limit: Duration::from_millis(one(matches, "drain-limit-ms")?),
+            status_interval: DurationUs::from_ms(one(matches, "status-interval-ms")?),
             transaction_limits: Limits {
                 idle: DurationUs::from_ms(one(matches, "transaction-idle-ms")?),
                 total: DurationUs::from_ms(one(matches, "transaction-limit-ms")?),
             },
-            status_interval: DurationUs::from_ms(one(matches, "status-interval-ms")?),
         })
     }
 }
@@ -160,6 +166,24 @@
             )
             .default_value("8192"),
         )
+        .arg(
+            setting(
+                "seeds",
+                "JASMINEPASS_SEEDS",
+                "Peer listeners of other VMs, asked when the platform can't be; separated by commas",
+                socket(),
+            )
+            .value_delimiter(','),
+        )
+        .arg(
+            setting(
+                "stop-notice-ms",
+                "JASMINEPASS_STOP_NOTICE_MS",
+                "How long a planned stop goes on taking requests, so that the balancer and the other VMs have sent the last one, in milliseconds",
+                range(0, 600_000),
+            )
+            .default_value("5000"),
+        )
         .arg(
             setting(
                 "drain-limit-ms",
@@ -169,6 +193,15 @@
             )
             .default_value("30000"),
         )
+        .arg(
+            setting(
+                "status-interval-ms",
+                "JASMINEPASS_STATUS_INTERVAL_MS",
+                "How often each database is asked for its status, in milliseconds; a primary is taken for gone after four times that, at least 500",
+                range(20, 10_000),
+            )
+            .default_value("100"),
+        )
         .arg(
             setting(
                 "transaction-idle-ms",
@@ -187,15 +220,6 @@
             )
             .default_value("30000"),
         )
-        .arg(
-            setting(
-                "status-interval-ms",
-                "JASMINEPASS_STATUS_INTERVAL_MS",
-                "How often each database is asked for its status, in milliseconds; a primary is taken for gone after four times that, at least 500",
-                range(20, 10_000),
-            )
-            .default_value("100"),
-        )
 }
 
 fn setting(name: &'static str, env: &'static str, help: &'static str, parser: ValueParser) -> Arg {
--- a/crates/jasminepassd/src/transaction_entry.rs
+++ b/crates/jasminepassd/src/transaction_entry.rs
@@ -42,7 +42,7 @@
     let board = app.board();
     let catalog = &board.catalog;
     let service = find_service(&board, &head.service)?;
-    let (workspace, key) = authenticate(&board, service, &head)?;
+    let (workspace, key) = authenticate(&board, service, &head, app.now())?;
     let slot = find_slot(&board, service, &body.slot_key)?;
     let entry = &catalog.slots[slot];
     let session = open_session(app, &head, &workspace, entry.digest)?;
@@ -169,7 +169,7 @@
     transaction: &str,
 ) -> Result<Plan, CallerError> {
     let service = find_service(board, &head.service)?;
-    let (workspace, key) = authenticate(board, service, head)?;
+    let (workspace, key) = authenticate(board, service, head, app.now())?;
     let missing = || {
         CallerError::not_run(
             ErrorKind::NotFound,
@@ -187,8 +187,9 @@
     board: &Board,
     service: ServiceKey,
     head: &CallerHead,
+    now: MonoTime,
 ) -> Result<(WorkspaceName, KeyName), CallerError> {
-    let identity = authenticate_for_service(&board.catalog, service, head.key.as_ref())?;
+    let identity = authenticate_for_service(board, service, head.key.as_ref(), now)?;
     let workspace = board.catalog.workspaces[identity.workspace].cfg.name.clone();
     let key = identity.key.ok_or_else(refusal::unavailable)?;
     Ok((workspace, key))
--- a/crates/replay/src/requests/world.rs
+++ b/crates/replay/src/requests/world.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, sync::Arc};
 
-use board::{Board, Catalog, DatabaseKey, RouteKey, SlotKey, VmIdentity};
+use board::{Board, Catalog, DatabaseKey, RouteKey, SlotKey, VmIdentity, fleet::Age};
 use config::{Configuration, RouteKind, answers::generate};
 use failover::observe::{Observation, observe};
 use model::{prelude::*, request::stable_hash};
@@ -301,6 +301,10 @@
 
     /// Replicas copy their primary's log.
     fn tick(&mut self) {
+        // The platform is in reach throughout: what is under test here is not the trust in keys.
+        for board in &mut self.boards {
+            board.fleet.platform = Some(Age::zero(self.now));
+        }
         let primaries = self.databases.iter().filter(|d| d.is_primary() && !d.cut).cloned();
         for primary in primaries.collect::<Vec<_>>() {
             for at in 0..self.databases.len() {
@@ -414,7 +418,8 @@
     let VmRecord { vm: name, incarnation, dc, peer_address, .. } = vm(me);
     let mut board = Board::new(VmIdentity { vm: name, incarnation, dc, peer_address });
     board.adopt(catalog.clone());
-    board.fleet.vms = ["a-1", "a-2", "b-1", "b-2", "c-1", "c-2"].map(vm).into();
+    board.fleet.vms = Vec::from(["a-1", "a-2", "b-1", "b-2", "c-1", "c-2"].map(vm)).into();
+    board.place();
     board
 }
 
--- a/crates/route/src/execution.rs
+++ b/crates/route/src/execution.rs
@@ -139,7 +139,7 @@
         now: MonoTime,
     ) -> Result<(Execution<'a>, Step), PeerReply> {
         let target = find(board, forward).map_err(PeerReply::Error)?;
-        check(board, forward).map_err(PeerReply::Error)?;
+        check(board, forward, now).map_err(PeerReply::Error)?;
         let route = board.catalog.routes[target.route].cfg.clone();
         let service = replica::service(
             board,
@@ -260,7 +260,7 @@
         now: MonoTime,
     ) -> Step {
         // The key may have been withdrawn while the request waited.
-        if let Err(error) = connected.and_then(|()| check(board, self.forward)) {
+        if let Err(error) = connected.and_then(|()| check(board, self.forward, now)) {
             return self.fail(error);
         }
         if now >= self.deadline {
@@ -400,9 +400,9 @@
     })
 }
 
-fn check(board: &Board, forward: &Forward) -> Result<(), CallerError> {
+fn check(board: &Board, forward: &Forward, now: MonoTime) -> Result<(), CallerError> {
     match &forward.key {
-        Some(key) => check_key(&board.catalog, key, &forward.workspace),
+        Some(key) => check_key(board, key, &forward.workspace, now),
         None => Ok(()),
     }
 }
