--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -191,6 +191,22 @@
         self.exchange(address, INTRODUCTION_PATH, context, stamp, body, timeout).await
     }
 
+    /// The headers that authenticate a body as this VM's next message to the receiver.
+    pub fn sign(&self, to: &Receiver, body: &[u8]) -> [(HeaderName, HeaderValue); 2] {
+        self.headers(REQUEST_CONTEXT, &to.text(), &self.next_stamp(to).text(), body)
+    }
+
+    fn headers(
+        &self,
+        context: &[u8],
+        receiver: &str,
+        stamp: &str,
+        body: &[u8],
+    ) -> [(HeaderName, HeaderValue); 2] {
+        let mac = self.secret.mac(&[context, stamp.as_bytes(), receiver.as_bytes(), body]);
+        [(STAMP, plain(stamp.to_owned())), (MAC, plain(hex(&mac)))]
+    }
+
     async fn exchange(
         &self,
         address: &str,
@@ -201,8 +217,7 @@
         timeout: Duration,
     ) -> Result<PeerReply, SendError> {
         let text = stamp.text();
-        let mac = self.secret.mac(&[context, text.as_bytes(), receiver.as_bytes(), &body]);
-        let headers = [(STAMP, plain(text.clone())), (MAC, plain(hex(&mac)))];
+        let headers = self.headers(context, &receiver, &text, &body);
         let reply = self.client.send(address, Method::POST, path, &headers, body, timeout).await?;
         let unreadable =
             |reason: String| SendError::Unreadable { address: address.to_owned(), reason };
--- a/crates/edge/src/replay.rs
+++ b/crates/edge/src/replay.rs
@@ -57,7 +57,7 @@
 
 impl Window {
     fn accept(&mut self, sequence: u64) -> bool {
-        if sequence == 0 || sequence + WINDOW <= self.highest {
+        if sequence == 0 || self.highest.saturating_sub(sequence) >= WINDOW {
             return false;
         }
         if sequence > self.highest {
--- a/crates/fleet/src/distribution.rs
+++ b/crates/fleet/src/distribution.rs
@@ -38,8 +38,8 @@
 pub enum FleetEvent {
     /// Time passed.
     Tick,
-    /// The platform's list was read.
-    ListRead(Vec<VmRecord>),
+    /// The platform's list was read, by a call that was made at that moment.
+    ListRead(MonoTime, Vec<VmRecord>),
     /// The configuration was read from the platform.
     ConfigurationRead(Box<Configuration>),
     /// The data centre's object was read from the platform.
@@ -131,8 +131,8 @@
         let before = board.fleet.vms.clone();
         match event {
             FleetEvent::Tick => self.tick(board, now, random, &mut effects),
-            FleetEvent::ListRead(vms) => {
-                self.members.take_list(board, vms, Age::zero(now));
+            FleetEvent::ListRead(sent_at, vms) => {
+                self.members.take_list(board, vms, Age::zero(sent_at));
             }
             FleetEvent::ConfigurationRead(cfg) => self.adopt(board, cfg, &mut effects),
             FleetEvent::DcObjectRead(object) => self.take_object(board, object, &mut effects),
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -82,13 +82,12 @@
 
     fn note_listed(&mut self, board: &Board, vms: &[VmRecord]) {
         for record in vms {
-            self.once_listed.insert(run_of(record));
             let known = board.fleet.vm(record.vm.as_str());
-            let other = known.filter(|known| known.incarnation != record.incarnation);
-            // A late list may still name the run that the known one has replaced.
-            if let Some(known) = other.filter(|_| !self.replaced.contains(&run_of(record))) {
-                self.replace(run_of(known));
+            if let Some(other) = known.filter(|known| known.incarnation != record.incarnation) {
+                let older = self.older(record, other);
+                self.replace(older);
             }
+            self.once_listed.insert(run_of(record));
         }
         let named: FxHashSet<&VmName> = vms.iter().map(|r| &r.vm).collect();
         self.heard.retain(|vm, record| {
@@ -98,6 +97,14 @@
         });
     }
 
+    /// Which of two runs of a VM was replaced by the other, given that a list names the first. The list
+    /// may be late: it tells of a new run only if the other was listed before and this one was not.
+    fn older(&self, listed: &VmRecord, known: &VmRecord) -> Run {
+        let (listed, known) = (run_of(listed), run_of(known));
+        let is_new = !self.once_listed.contains(&listed) && self.once_listed.contains(&known);
+        if is_new { known } else { listed }
+    }
+
     fn replace(&mut self, run: Run) {
         if self.replaced.insert(run.clone()) {
             self.replaced_order.push_back(run);
@@ -122,14 +129,16 @@
             if self.replaced.contains(&run_of(heard)) {
                 continue;
             }
-            let listed = members.get(vm).filter(|listed| listed.incarnation == heard.incarnation);
-            let leaving = listed.is_some_and(|listed| listed.state == VmState::Leaving);
-            let was_listed = self.once_listed.contains(&run_of(heard));
-            if listed.is_none() && was_listed && *vm != board.fleet.me.vm {
+            let is_listed = |listed: &&mut VmRecord| listed.incarnation == heard.incarnation;
+            if let Some(listed) = members.get_mut(vm).filter(is_listed) {
+                let leaves = heard.state == VmState::Leaving;
+                listed.state = if leaves { VmState::Leaving } else { listed.state };
                 continue;
             }
-            let state = if leaving { VmState::Leaving } else { heard.state };
-            members.insert(vm, VmRecord { state, ..heard.clone() });
+            let was_listed = self.once_listed.contains(&run_of(heard));
+            if !was_listed || *vm == board.fleet.me.vm {
+                members.insert(vm, heard.clone());
+            }
         }
         let members = Members::from(members.into_values().collect::<Vec<_>>());
         if members == board.fleet.vms {
--- a/crates/jasminepassd/src/run.rs
+++ b/crates/jasminepassd/src/run.rs
@@ -46,7 +46,8 @@
     let operators = bind("--ops-listen", settings.ops_listen).await?;
     let peer_address = settings.peer_address.unwrap_or(peers.local_addr()?);
     let addresses = json!({
-        "listen": callers.local_addr()?, "peer": peer_address, "ops": operators.local_addr()?,
+        "listen": callers.local_addr()?, "peer": peer_address,
+        "peer_listen": peers.local_addr()?, "ops": operators.local_addr()?,
     });
     let (events_tx, events_rx) = crossbeam_channel::unbounded();
     let (effects_tx, effects_rx) = mpsc::unbounded_channel();
--- a/crates/jasminepassd/src/watch.rs
+++ b/crates/jasminepassd/src/watch.rs
@@ -46,7 +46,7 @@
         app.counters.count(Counter::PlatformCalls);
         if let Ok(list) = app.platform.vms().await {
             app.tell(Event::Fleet(FleetEvent::PlatformAnswered(sent_at)));
-            app.tell(Event::Fleet(FleetEvent::ListRead(list.vms)));
+            app.tell(Event::Fleet(FleetEvent::ListRead(sent_at, list.vms)));
         }
         tokio::time::sleep(LIST_INTERVAL).await;
     }
--- a/crates/replay/src/fleet/world.rs
+++ b/crates/replay/src/fleet/world.rs
@@ -325,7 +325,7 @@
             }
             Message::List { sent_at, vms } => {
                 self.handle(to, FleetEvent::PlatformAnswered(sent_at))?;
-                self.handle(to, FleetEvent::ListRead(vms))
+                self.handle(to, FleetEvent::ListRead(sent_at, vms))
             }
         }
     }
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -17,6 +17,7 @@
 use crate::{
     bootstrap::bootstrap,
     process::{Process, run},
+    relay::Relay,
     scratch::Scratch,
     wait::until,
 };
@@ -37,6 +38,8 @@
     pub database_args: Vec<String>,
     /// Further flags of each daemon.
     pub daemon_args: Vec<String>,
+    /// Whether everything that goes to VMs, databases and the platform passes relays.
+    pub relayed: bool,
 }
 
 impl FleetSpec {
@@ -50,6 +53,7 @@
             vms_per_dc: 1,
             database_args: Vec::new(),
             daemon_args: Vec::new(),
+            relayed: false,
         })
     }
 
@@ -65,6 +69,12 @@
         self
     }
 
+    /// The same with relays, which record what passes and can cut data centres from each other.
+    pub fn with_relays(mut self) -> FleetSpec {
+        self.relayed = true;
+        self
+    }
+
     /// The same with a further flag for each daemon.
     pub fn with_daemon_arg(mut self, name: &str, value: impl ToString) -> FleetSpec {
         self.daemon_args.extend([format!("--{name}"), value.to_string()]);
@@ -120,6 +130,8 @@
     pub vms: Vec<VmProcess>,
     /// The configuration that was applied first.
     pub cfg: Configuration,
+    /// The relays, where there are any.
+    pub relays: Vec<Relay>,
     spec: FleetSpec,
     scratch: Scratch,
     client: Client,
@@ -138,12 +150,13 @@
             databases: Vec::new(),
             vms: Vec::new(),
             cfg: Configuration::empty(),
+            relays: Vec::new(),
             spec,
             scratch,
             client: Client::new("rig"),
             next_incarnation: 1,
         };
-        fleet.start_databases()?;
+        fleet.start_databases().await?;
         fleet.apply()?;
         let running: Vec<DatabaseName> = fleet.databases.iter().map(|d| d.name.clone()).collect();
         bootstrap(&fleet.cfg, &running).await?;
@@ -161,24 +174,55 @@
     pub async fn start_vm(&mut self, vm: VmName, dc: DcName) -> eyre::Result<usize> {
         let incarnation = Incarnation(self.next_incarnation);
         self.next_incarnation += 1;
-        let flags = [
+        let relay = Relay::new(dc.as_str()).await?;
+        let platform = self.platform.address("listen");
+        let mut flags = vec![
             ("vm", vm.to_string()),
             ("incarnation", incarnation.0.to_string()),
             ("dc", dc.to_string()),
-            ("platform", self.platform.address("listen")),
+            ("platform", self.relay_to(&platform, "").await?),
             ("fleet-secret-file", self.scratch.file("fleet-secret").display().to_string()),
         ];
+        let seeds: Vec<String> = self.vms.iter().map(|vm| vm.process.address("peer")).collect();
+        if !seeds.is_empty() {
+            flags.push(("seeds", seeds.join(",")));
+        }
+        if self.spec.relayed {
+            flags.push(("peer-address", relay.address()));
+        }
         let mut args: Vec<String> =
             flags.into_iter().flat_map(|(name, value)| [format!("--{name}"), value]).collect();
         args.extend(self.spec.daemon_args.iter().cloned());
         let log = self.log_file(&format!("{vm}.{}", incarnation.0));
         let process = Process::start("jasminepassd", vm.as_str(), &args, &log)?;
+        if self.spec.relayed {
+            relay.set_target(&process.address("peer_listen"));
+            self.relays.push(relay);
+        }
         let vm = VmProcess { vm, incarnation, dc, process };
         self.list_vm(&vm.record(VmState::Live)).await?;
         self.vms.push(vm);
         Ok(self.vms.len() - 1)
     }
 
+    /// Cuts two data centres' VMs off from each other, or no longer. The fleet must have relays.
+    pub fn cut(&self, dc: &str, other: &str, cut: bool) {
+        for (from, to) in [(dc, other), (other, dc)] {
+            let senders = self.vms.iter().filter(|vm| vm.dc.as_str() == from);
+            let senders: Vec<String> = senders.map(|vm| vm.vm.to_string()).collect();
+            for relay in self.relays.iter().filter(|relay| relay.dc == to) {
+                relay.cut(&senders, cut);
+            }
+        }
+    }
+
+    async fn relay_to(&mut self, address: &str, dc: &str) -> eyre::Result<String> {
+        match self.spec.relayed {
+            true => relay_to(&mut self.relays, address, dc).await,
+            false => Ok(address.to_owned()),
+        }
+    }
+
     /// Puts a VM on the platform's list.
     pub async fn list_vm(&self, record: &VmRecord) -> eyre::Result<()> {
         self.control(&self.platform, Method::POST, "/vms", record).await?;
@@ -291,7 +335,7 @@
         Ok(all)
     }
 
-    fn start_databases(&mut self) -> eyre::Result<()> {
+    async fn start_databases(&mut self) -> eyre::Result<()> {
         let wanted = self.spec.services.clone();
         for service in self.spec.answers.services.iter_mut().filter(|s| wanted.contains(&s.name)) {
             for database in &mut service.databases {
@@ -311,6 +355,11 @@
                     Process::start("standin-database", database.name.as_str(), &args, &log)?;
                 database.address = process.address("listen");
                 database.admin_address = process.address("admin");
+                if self.spec.relayed {
+                    let relays = &mut self.relays;
+                    database.address = relay_to(relays, &database.address, "").await?;
+                    database.admin_address = relay_to(relays, &database.admin_address, "").await?;
+                }
                 self.databases.push(DatabaseProcess { name: database.name.clone(), process });
             }
         }
@@ -346,3 +395,12 @@
         }
     }
 }
+
+/// Starts a relay to the address and returns its own.
+async fn relay_to(relays: &mut Vec<Relay>, address: &str, dc: &str) -> eyre::Result<String> {
+    let relay = Relay::new(dc).await?;
+    relay.set_target(address);
+    let own = relay.address();
+    relays.push(relay);
+    Ok(own)
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod caller;
 pub mod fleet;
 pub mod process;
+pub mod relay;
 pub mod scratch;
 pub mod wait;
 
