--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod catalog;
 pub mod fleet;
+pub mod freshness;
 pub mod placement;
 pub mod slots;
 
@@ -83,7 +84,11 @@
             let known = old.members.iter().find(|m| rename(m.database) == Some(member.database));
             known.map_or_else(
                 || member.clone(),
-                |m| Member { database: member.database, ..m.clone() },
+                |m| Member {
+                    database: member.database,
+                    follows: m.follows.and_then(rename),
+                    ..m.clone()
+                },
             )
         });
         SlotState {
@@ -91,6 +96,8 @@
             primary: old.primary.and_then(rename).or(fresh.primary),
             members: members.collect(),
             confirmed: old.confirmed,
+            primary_verified_at: old.primary_verified_at,
+            bounds: old.bounds.clone(),
         }
     }
 }
--- a/crates/fleet/src/access.rs
+++ b/crates/fleet/src/access.rs
@@ -1,6 +1,6 @@
 //! Who may run what: keys, workspaces and open routes.
 
-use board::{Board, Catalog, RouteKey, WorkspaceKey, fleet::Age};
+use board::{Board, Catalog, RouteKey, ServiceKey, WorkspaceKey, fleet::Age};
 use config::KeyState;
 use model::{key::PresentedKey, prelude::*};
 use proto::caller::{CallerError, ErrorKind};
@@ -21,27 +21,45 @@
 
 /// Finds out whose request it is, and whether it may use the route.
 pub fn authenticate(
-    catalog: &Catalog,
+    board: &Board,
     route: RouteKey,
     presented: Option<&PresentedKey>,
+    now: MonoTime,
 ) -> Result<Identity, CallerError> {
+    let catalog = &board.catalog;
     let identity = match presented {
-        Some(key) => by_key(catalog, key)?,
+        Some(key) => by_key(board, key, now)?,
         None if catalog.routes[route].cfg.open => public(catalog)?,
-        None => {
-            return Err(unauthorized("the request has no key: send `Authorization: Bearer <key>`"));
-        }
+        None => return Err(no_key()),
     };
     check_service(catalog, route, identity.workspace)?;
     Ok(identity)
 }
 
-/// Checks again, by name, that a key works and stands for the workspace.
+/// Finds out whose request it is, where the service and not a route decides: a key is needed.
+pub fn authenticate_for_service(
+    board: &Board,
+    service: ServiceKey,
+    presented: Option<&PresentedKey>,
+    now: MonoTime,
+) -> Result<Identity, CallerError> {
+    let catalog = &board.catalog;
+    let identity = by_key(board, presented.ok_or_else(no_key)?, now)?;
+    if catalog.workspaces[identity.workspace].services.contains(&service) {
+        return Ok(identity);
+    }
+    Err(not_allowed(catalog, service))
+}
+
+/// Checks again, by name, that a key works, stands for the workspace and is still trusted here.
 pub fn check_key(
-    catalog: &Catalog,
+    board: &Board,
     key: &KeyName,
     workspace: &WorkspaceName,
+    now: MonoTime,
 ) -> Result<(), CallerError> {
+    check_trust(board, now)?;
+    let catalog = &board.catalog;
     let record = catalog.key(key.as_str()).filter(|record| record.workspace == *workspace);
     match record.map(|record| record.state) {
         Some(KeyState::Valid) => Ok(()),
@@ -77,7 +95,9 @@
     Err(CallerError::not_run(ErrorKind::Unavailable, message).with_retry_after(CUT_OFF_RETRY_AFTER))
 }
 
-fn by_key(catalog: &Catalog, presented: &PresentedKey) -> Result<Identity, CallerError> {
+fn by_key(board: &Board, presented: &PresentedKey, now: MonoTime) -> Result<Identity, CallerError> {
+    check_trust(board, now)?;
+    let catalog = &board.catalog;
     let record = catalog
         .key(presented.name.as_str())
         .filter(|record| record.hash.matches(&presented.hash()));
@@ -106,10 +126,18 @@
     if allowed {
         return Ok(());
     }
-    let service = &catalog.services[route.service].name;
+    Err(not_allowed(catalog, route.service))
+}
+
+fn not_allowed(catalog: &Catalog, service: ServiceKey) -> CallerError {
+    let service = &catalog.services[service].name;
     let message =
         format!("the key's workspace may not use service `{service}`: ask the operators to add it");
-    Err(CallerError::not_run(ErrorKind::Forbidden, message))
+    CallerError::not_run(ErrorKind::Forbidden, message)
+}
+
+fn no_key() -> CallerError {
+    unauthorized("the request has no key: send `Authorization: Bearer <key>`")
 }
 
 fn unknown() -> CallerError {
--- a/crates/jasminepassd/src/control.rs
+++ b/crates/jasminepassd/src/control.rs
@@ -5,12 +5,16 @@
 use board::{Board, Catalog, DatabaseKey, SlotKey};
 use config::Configuration;
 use crossbeam_channel::{Receiver, select, tick};
-use failover::observe::{self, Observation};
+use failover::{
+    limits::Limits,
+    observe::{self, Observation},
+    promotion::{PromotionController, PromotionEffect, PromotionEvent},
+};
 use fleet::{
     distribution::{Distribution, FleetEffect, FleetEvent},
     placement::holds_any,
 };
-use model::{prelude::*, session::SlotDigest};
+use model::{prelude::*, request::random_u64, session::SlotDigest};
 use proto::platform::Object;
 use quota::{
     bucket::{Bucket, Portion},
@@ -40,6 +44,8 @@
     },
     /// For the controller of the rates.
     Seats(SeatEvent),
+    /// For the controller of promotions.
+    Promotion(PromotionEvent),
 }
 
 /// What the control thread asks for.
@@ -51,6 +57,8 @@
     Fleet(FleetEffect),
     /// From the controller of the rates.
     Seats(SeatEffect),
+    /// From the controller of promotions.
+    Promotion(PromotionEffect),
 }
 
 /// The controllers and the board they share.
@@ -59,6 +67,8 @@
     board: Board,
     distribution: Distribution,
     seats: SeatController,
+    promotions: PromotionController,
+    next_tick: MonoTime,
     effects: UnboundedSender<Effect>,
     monitored: Vec<config::Database>,
 }
@@ -68,11 +78,15 @@
     pub fn new(app: Arc<App>, effects: UnboundedSender<Effect>) -> Control {
         let board = (*app.board()).clone();
         let me = Owner { vm: app.settings.vm.clone(), incarnation: app.settings.incarnation };
+        let limits = Limits::new(app.settings.status_interval);
+        let promotions = PromotionController::new(board.fleet.me.clone(), limits);
         Control {
             distribution: Distribution::new(board.fleet.my_record()),
             app,
             board,
             seats: SeatController::new(me),
+            promotions,
+            next_tick: MonoTime::default(),
             effects,
             monitored: Vec::new(),
         }
@@ -92,6 +106,7 @@
             while let Ok(event) = events.try_recv() {
                 self.handle(event);
             }
+            self.tick_promotions();
             self.app.board.store(Arc::new(self.board.clone()));
         }
     }
@@ -109,12 +124,13 @@
                 self.learn_primary(slot, term, primary.as_ref())
             }
             Event::Seats(event) => self.handle_seats(event),
+            Event::Promotion(event) => self.handle_promotion(event),
         }
     }
 
     fn handle_fleet(&mut self, event: FleetEvent) {
         let now = self.app.now();
-        let effects = self.distribution.handle(&mut self.board, event, now, rand::random());
+        let effects = self.distribution.handle(&mut self.board, event, now, random_u64());
         for effect in effects {
             match effect {
                 FleetEffect::Adopt(cfg) => self.adopt(*cfg),
@@ -135,6 +151,10 @@
         self.app.counters.count(Counter::Configurations);
         self.app.outgoing.store(Arc::new(self.app.outgoing.load().with_next(cfg.clone())));
         self.board.adopt(Arc::new(Catalog::new(cfg)));
+        // Transactions of withdrawn keys are rolled back at once.
+        for _ in 0..self.app.transactions.sweep(&self.board, self.app.now()) {
+            self.app.counters.count(Counter::TransactionsExpired);
+        }
         self.board.place();
         self.set_portions();
         self.monitor();
@@ -147,19 +167,43 @@
     }
 
     fn observe(&mut self, observation: &Observation) {
-        let terms: Vec<(Term, Option<DatabaseKey>)> =
-            self.board.slots.iter().map(|s| (s.term, s.primary)).collect();
+        let before = self.primaries();
         observe::observe(&mut self.board, observation, self.app.now());
-        for (slot, before) in terms.iter().enumerate() {
+        self.log_primary_changes(&before);
+    }
+
+    fn tick_promotions(&mut self) {
+        let now = self.app.now();
+        if now >= self.next_tick {
+            self.next_tick = now + DurationUs::from_ms(TICK.as_millis() as u64);
+            self.handle_promotion(PromotionEvent::Tick { random: random_u64() });
+        }
+    }
+
+    fn handle_promotion(&mut self, event: PromotionEvent) {
+        let before = self.primaries();
+        for effect in self.promotions.handle(&mut self.board, event, self.app.now()) {
+            self.ask(Effect::Promotion(effect));
+        }
+        self.log_primary_changes(&before);
+    }
+
+    fn primaries(&self) -> Vec<(Term, Option<DatabaseKey>)> {
+        self.board.slots.iter().map(|s| (s.term, s.primary)).collect()
+    }
+
+    fn log_primary_changes(&self, before: &[(Term, Option<DatabaseKey>)]) {
+        for (slot, before) in before.iter().enumerate() {
             let slot = SlotKey::from(slot);
             let state = &self.board.slots[slot];
-            if (state.term, state.primary) != *before {
-                self.app.counters.count(Counter::PrimaryChanges);
-                let primary =
-                    state.primary.map(|key| self.board.catalog.databases[key].name.to_string());
-                let name = self.board.catalog.slots[slot].name.to_string();
-                slog::info!(self.app.log, "primary changed"; "slot" => name, "term" => state.term.0, "primary" => primary);
+            if (state.term, state.primary) == *before {
+                continue;
             }
+            self.app.counters.count(Counter::PrimaryChanges);
+            let primary =
+                state.primary.map(|key| self.board.catalog.databases[key].name.to_string());
+            let name = self.board.catalog.slots[slot].name.to_string();
+            slog::info!(self.app.log, "primary changed"; "slot" => name, "term" => state.term.0, "primary" => primary);
         }
     }
 
--- a/crates/jasminepassd/src/counters.rs
+++ b/crates/jasminepassd/src/counters.rs
@@ -37,8 +37,20 @@
     PlatformCalls,
     /// Changes of a slot's primary that were seen.
     PrimaryChanges,
+    /// Promotions that this VM brought to an end.
+    Promotions,
     /// Configurations put in force.
     Configurations,
+    /// Times that a database was asked what became of a write.
+    OutcomesAsked,
+    /// Requests sent again.
+    Retries,
+    /// Transactions opened.
+    TransactionsBegun,
+    /// Transactions committed.
+    TransactionsCommitted,
+    /// Transactions rolled back because their caller, key or time was gone.
+    TransactionsExpired,
     /// Digests sent to other VMs.
     GossipSent,
     /// Digests received from other VMs.
@@ -48,7 +60,7 @@
 }
 
 impl Counter {
-    const ALL: [(Counter, &'static str); 17] = [
+    const ALL: [(Counter, &'static str); 23] = [
         (Counter::Requests, "requests"),
         (Counter::Answered, "answered"),
         (Counter::Refused, "refused"),
@@ -62,7 +74,13 @@
         (Counter::PeerRefused, "peer_refused"),
         (Counter::PlatformCalls, "platform_calls"),
         (Counter::PrimaryChanges, "primary_changes"),
+        (Counter::Promotions, "promotions"),
         (Counter::Configurations, "configurations"),
+        (Counter::OutcomesAsked, "outcomes_asked"),
+        (Counter::Retries, "retries"),
+        (Counter::TransactionsBegun, "transactions_begun"),
+        (Counter::TransactionsCommitted, "transactions_committed"),
+        (Counter::TransactionsExpired, "transactions_expired"),
         (Counter::GossipSent, "gossip_sent"),
         (Counter::GossipReceived, "gossip_received"),
         (Counter::Pulls, "pulls"),
--- a/crates/jasminepassd/src/peer.rs
+++ b/crates/jasminepassd/src/peer.rs
@@ -16,7 +16,9 @@
 };
 use proto::peer::{PeerReply, PeerRequest};
 
-use crate::{app::App, counters::Counter, fleet_io, holder};
+use crate::{
+    app::App, counters::Counter, fleet_io, holder, outcome, transaction_steps, transactions,
+};
 
 /// Body of the answer to a client that does not speak HTTP.
 pub const NOT_HTTP: &str = "this listener is for the fleet's VMs";
@@ -93,7 +95,10 @@
 
 async fn handle(app: &App, stamp: &Stamp, req: PeerRequest) -> PeerReply {
     match req {
-        PeerRequest::Forward(forward) => holder::run(app, *forward).await,
+        PeerRequest::Forward(forward) => holder::run(app, &forward).await,
+        PeerRequest::Resolve(resolve) => outcome::resolve(app, &resolve).await,
+        PeerRequest::Begin(begin) => transactions::begin(app, &begin).await,
+        PeerRequest::Step(step) => transaction_steps::run(app, &step).await,
         PeerRequest::Gossip(digest) => fleet_io::told(app, stamp, digest),
         PeerRequest::Pull(pull) => fleet_io::pulled(app, &pull),
         PeerRequest::Introduce => fleet_io::introduced(app),
--- a/crates/jasminepassd/src/run.rs
+++ b/crates/jasminepassd/src/run.rs
@@ -33,6 +33,7 @@
     pools::Pools,
     settings::Settings,
     stop::Stop,
+    transactions::{self, OpenTransactions},
     watch as platform_watch,
 };
 
@@ -61,6 +62,7 @@
     tokio::spawn(platform_watch::dc_object(app.clone()));
     tokio::spawn(fleet_io::introduce(app.clone()));
     tokio::spawn(keep_house(app.clone()));
+    tokio::spawn(transactions::keep_sweeping(app.clone()));
 
     let stop = Stop::new(app.clone());
     let ops_app = ops::router(ops::Ops::new(app.clone(), stop.ready()));
@@ -98,6 +100,8 @@
         clock: Clock::new(),
         board: ArcSwap::from_pointee(Board::new(me)),
         buckets: Default::default(),
+        retries: Default::default(),
+        transactions: OpenTransactions::new(settings.transaction_limits),
         pools: Pools::new(&settings.vm),
         outgoing: ArcSwap::from_pointee(Outgoing::empty()),
         watching: watch::Sender::new(false),
--- a/crates/jasminepassd/src/stop.rs
+++ b/crates/jasminepassd/src/stop.rs
@@ -22,7 +22,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{app::App, control::Event};
+use crate::{app::App, control::Event, transactions};
 
 /// The signals of a planned stop.
 pub struct Stop {
@@ -88,6 +88,7 @@
         self.app.tell(Event::Fleet(FleetEvent::Stopping));
         sleep(self.app.settings.stop_notice).await;
         let drained = async {
+            transactions::wait_until_none(&self.app).await;
             self.callers.send_replace(true);
             let _ = caller_server.await;
             self.peers.send_replace(true);
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -2,12 +2,12 @@
 //!
 //! Every process that it starts is one of this workspace, and ends with the value that started it.
 
-pub mod bootstrap;
 pub mod caller;
 pub mod fleet;
 pub mod process;
 pub mod relay;
 pub mod scratch;
+pub mod usage;
 pub mod wait;
 
 pub use caller::{Caller, Reply};
--- a/crates/standin/src/database/slot.rs
+++ b/crates/standin/src/database/slot.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use model::prelude::*;
-use proto::database::{DatabaseError, Executed, Recorded, Role, SlotStatus};
+use proto::database::{DatabaseError, Execute, Executed, Recorded, Role, SlotStatus};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -16,6 +16,9 @@
     pub term: Term,
     /// The request that it records; absent in the first entry of a term.
     pub request_id: Option<RequestId>,
+    /// Fingerprint of that request.
+    #[serde(default)]
+    pub fingerprint: u64,
     /// Whether it records that the request was cancelled.
     pub cancelled: bool,
     /// Values written, by name.
@@ -108,6 +111,7 @@
             term: self.granted,
             primary: self.leader.as_ref().map(|l| l.name.clone()),
             position: self.position(),
+            primary_in_service_ms: None,
         }
     }
 
@@ -123,6 +127,25 @@
         Err(DatabaseError::NotPrimary { term: self.granted, primary })
     }
 
+    /// Whether the log holds the position, under a term no higher than the stated one.
+    pub fn check_held(&self, position: Position, term: Term) -> Result<bool, DatabaseError> {
+        if self.granted > term {
+            return Err(DatabaseError::StaleTerm { term: self.granted });
+        }
+        Ok(self.holds(position))
+    }
+
+    /// What a replica lacks whose terms end so: how many entries it keeps, and those after them.
+    pub fn log_after(&self, ends: &[Position], most: usize) -> (u64, Vec<Entry>) {
+        let keep = self.shared_with(ends);
+        (keep, self.log[keep as usize..].iter().take(most).cloned().collect())
+    }
+
+    /// Whether anything is recorded of the request.
+    pub fn has(&self, request_id: RequestId) -> bool {
+        self.recorded.contains_key(&request_id)
+    }
+
     /// What is recorded of the request.
     pub fn recorded(&self, request_id: RequestId) -> Recorded {
         let Some(&index) = self.recorded.get(&request_id) else {
@@ -141,6 +164,25 @@
         }
     }
 
+    /// Appends the entry of a write in the granted term.
+    pub fn append_write(&mut self, req: &Execute, writes: Writes, result: Value) -> Position {
+        self.apply(Entry {
+            term: self.granted,
+            request_id: Some(req.request_id),
+            fingerprint: req.fingerprint,
+            cancelled: false,
+            writes,
+            result,
+        });
+        self.position()
+    }
+
+    /// Whether the entry of the request was written with another fingerprint.
+    pub fn is_other_request(&self, req: &Execute) -> bool {
+        let entry = self.recorded.get(&req.request_id).map(|&i| &self.log[i as usize - 1]);
+        entry.is_some_and(|entry| !entry.cancelled && entry.fingerprint != req.fingerprint)
+    }
+
     /// Appends an entry in the granted term.
     pub fn append(
         &mut self,
@@ -149,7 +191,15 @@
         writes: Writes,
         result: Value,
     ) -> Position {
-        self.apply(Entry { term: self.granted, request_id, cancelled, writes, result });
+        let fingerprint = 0;
+        self.apply(Entry {
+            term: self.granted,
+            request_id,
+            fingerprint,
+            cancelled,
+            writes,
+            result,
+        });
         self.position()
     }
 
