Stop in order: leave first, give portions up last; process tests of the fleet half

Now the stop has two steps: Leaving tells the others, Stopping gives portions up once the listeners are closed. An open transaction's step failed with 429 for the same reason and commits now.

--- a/crates/board/src/fleet.rs
+++ b/crates/board/src/fleet.rs
@@ -106,7 +106,10 @@
 pub struct Fleet {
     /// This VM.
     pub me: VmIdentity,
-    /// Whether this VM is being stopped.
+    /// Whether a planned stop of this VM has begun: other VMs send it nothing new. It goes on with
+    /// its portions until [`Fleet::stopping`].
+    pub leaving: bool,
+    /// Whether this VM has finished its work and gives up its portions.
     pub stopping: bool,
     /// The VMs: the platform's list, corrected by what the VMs said themselves.
     pub vms: Members,
@@ -130,6 +133,7 @@
         let record = me.record(VmState::Live);
         Fleet {
             me,
+            leaving: false,
             stopping: false,
             vms: vec![record].into(),
             listed: None,
@@ -149,7 +153,7 @@
 
     /// The record under which this VM tells others of itself.
     pub fn my_record(&self) -> VmRecord {
-        let state = if self.stopping { VmState::Leaving } else { VmState::Live };
+        let state = if self.leaving { VmState::Leaving } else { VmState::Live };
         self.me.record(state)
     }
 }
--- a/crates/fleet/src/distribution.rs
+++ b/crates/fleet/src/distribution.rs
@@ -71,6 +71,8 @@
     /// A run of a VM answered.
     Reached(VmName, Incarnation),
     /// A planned stop has begun.
+    Leaving,
+    /// All open work of a planned stop is finished.
     Stopping,
 }
 
@@ -155,7 +157,14 @@
             }
             FleetEvent::Failed(vm, incarnation) => self.failed(board, vm, incarnation, now),
             FleetEvent::Reached(vm, incarnation) => self.reached(board, &vm, incarnation),
-            FleetEvent::Stopping => self.stop(board),
+            FleetEvent::Leaving => {
+                board.fleet.leaving = true;
+                self.news = true;
+            }
+            FleetEvent::Stopping => {
+                board.fleet.stopping = true;
+                self.members.stop_me(board);
+            }
         }
         if !before.is_same(&board.fleet.vms) {
             effects.push(FleetEffect::MembersChanged);
@@ -437,12 +446,6 @@
         }
     }
 
-    fn stop(&mut self, board: &mut Board) {
-        board.fleet.stopping = true;
-        self.members.set_me(board);
-        self.news = true;
-    }
-
     fn spread(&mut self, board: &mut Board, rumour: Rumour, now: MonoTime) {
         self.news = true;
         board.fleet.rumours.push(HeardRumour { rumour, at: now });
--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -73,9 +73,10 @@
         self.rebuild(board)
     }
 
-    /// Takes this VM's own record, which changes when it leaves.
-    pub fn set_me(&mut self, board: &mut Board) {
-        let me = board.fleet.my_record();
+    /// Takes this VM out of the members that are live, as it sees them itself. Until then it goes on
+    /// as a holder for the requests that it takes.
+    pub fn stop_me(&mut self, board: &mut Board) {
+        let me = board.fleet.me.record(VmState::Leaving);
         self.heard.insert(me.vm.clone(), me);
         self.rebuild(board);
     }
--- a/crates/jasminepassd/src/stop.rs
+++ b/crates/jasminepassd/src/stop.rs
@@ -2,11 +2,15 @@
 //!
 //! Readiness goes first, and the other VMs hear that this one leaves. For the time of the notice
 //! everything is served as before, but each answer closes its connection, so that the balancer and the
-//! other VMs have sent their last request when the listeners close. What is open then is finished.
+//! other VMs have sent their last request when the listeners close. What is open then is finished, and
+//! only then are the portions given up.
 
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
 
 use axum::{
@@ -24,6 +28,9 @@
 
 use crate::{app::App, control::Event, transactions};
 
+const GIVE_UP_LIMIT: Duration = Duration::from_secs(3);
+const GIVE_UP_POLL: Duration = Duration::from_millis(20);
+
 /// The signals of a planned stop.
 pub struct Stop {
     app: Arc<App>,
@@ -85,7 +92,7 @@
     pub async fn run(self, caller_server: JoinHandle<()>, peer_server: JoinHandle<()>) {
         slog::info!(self.app.log, "stopping");
         self.ready.store(false, Ordering::Relaxed);
-        self.app.tell(Event::Fleet(FleetEvent::Stopping));
+        self.app.tell(Event::Fleet(FleetEvent::Leaving));
         sleep(self.app.settings.stop_notice).await;
         let drained = async {
             transactions::wait_until_none(&self.app).await;
@@ -95,6 +102,15 @@
             let _ = peer_server.await;
         };
         let finished = timeout(self.app.settings.drain_limit, drained).await.is_ok();
+        self.app.tell(Event::Fleet(FleetEvent::Stopping));
+        // What is not given up in time is taken back once the VM is off the list.
+        let _ = timeout(GIVE_UP_LIMIT, self.portions_given_up()).await;
         slog::info!(self.app.log, "stopped"; "finished" => finished);
     }
+
+    async fn portions_given_up(&self) {
+        while self.app.board().seats_in_force > 0 {
+            sleep(GIVE_UP_POLL).await;
+        }
+    }
 }
--- a/crates/jasminepassd/src/transactions.rs
+++ b/crates/jasminepassd/src/transactions.rs
@@ -176,7 +176,7 @@
     let board = app.board();
     let (workspace, slot, database) = find(&board, req).ok_or_else(refused)?;
     check_key(&board, &req.key, &req.workspace, app.now()).map_err(PeerReply::Error)?;
-    if board.fleet.stopping {
+    if board.fleet.leaving {
         return Err(refused());
     }
     if board.slots[slot].primary != Some(database) {
--- a/crates/replay/src/fleet/world.rs
+++ b/crates/replay/src/fleet/world.rs
@@ -139,7 +139,7 @@
             FleetTraceEvent::Thaw { vm } => self.thaw(vm)?,
             FleetTraceEvent::Stop { vm } => {
                 let address = self.node(vm)?.address();
-                self.handle(&address, FleetEvent::Stopping)?;
+                self.handle(&address, FleetEvent::Leaving)?;
             }
             FleetTraceEvent::Introduce { vm } => self.introduce(vm)?,
             FleetTraceEvent::Apply => self.change(),
--- a/crates/rig/src/fleet.rs
+++ b/crates/rig/src/fleet.rs
@@ -213,6 +213,11 @@
         }
     }
 
+    /// Bytes that VMs sent each other and the answers, as far as relays record them.
+    pub fn passed_between_vms(&self) -> usize {
+        self.relays.iter().filter(|r| !r.dc.is_empty()).map(Relay::passed_bytes).sum()
+    }
+
     async fn relay_to(&mut self, address: &str, dc: &str) -> eyre::Result<String> {
         match self.spec.relayed {
             true => relay_to(&mut self.relays, address, dc).await,
--- a/crates/rig/tests/fleet.rs
+++ b/crates/rig/tests/fleet.rs
@@ -338,3 +338,41 @@
     assert_eq!(vm.process.wait().expect("its end"), Some(0));
     let _: Value = fleet.objects().await.expect("objects");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn stop_lets_an_open_transaction_commit() {
+    const SERVICE: &str = "/v1/quote-ledger-1";
+    let spec = spec().with_vms_per_dc(2).with_daemon_arg("stop-notice-ms", 200);
+    let mut fleet = start(spec).await;
+    let mut caller = Caller::new(fleet.give_key(WORKSPACE, "k1").await.expect("a key"));
+    let entry = fleet.vms[0].address();
+    let body = json!({"slot_key": "gym"}).to_string();
+    let begun = caller.post(&entry, &format!("{SERVICE}/transactions"), body, None).await;
+    let begun = begun.expect("an answer");
+    let transaction = begun.body["transaction"].as_str().expect("its name").to_owned();
+
+    let mut holder = None;
+    for (at, vm) in fleet.vms.iter().enumerate() {
+        holder = holder.or((counter(&fleet, vm, "transactions_begun").await > 0).then_some(at));
+    }
+    let mut holder = fleet.vms.remove(holder.expect("the VM where it is open"));
+    holder.process.terminate().expect("a signal");
+    let leaving = async || {
+        let mut known = 0;
+        for vm in &fleet.vms {
+            let state = fleet.ops(vm, "/state").await?;
+            known += usize::from(state["leaving"].as_array()?.len() == 1);
+        }
+        (known == fleet.vms.len()).then_some(())
+    };
+    until("every VM knows that it leaves", leaving).await.expect("in time");
+
+    let entry = fleet.vms[0].address();
+    let path = format!("{SERVICE}/transactions/{transaction}");
+    let body = json!({"statement": "put", "params": ["quote", "kept"]}).to_string();
+    let reply = caller.post(&entry, &format!("{path}/draft-quote"), body, None).await;
+    assert_eq!(reply.expect("an answer").status, 200);
+    let reply = caller.post(&entry, &format!("{path}/commit"), "null", None).await;
+    assert_eq!(reply.expect("an answer").status, 200);
+    assert_eq!(holder.process.wait().expect("its end"), Some(0));
+}
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! Developer tasks: `ci`, `demo` and `bench`.
 
 mod bench;
+mod bench_fleet;
 mod bench_memory;
 mod bench_replica_share;
 mod ci;
@@ -19,6 +20,7 @@
                 .about("Starts a small fleet of each example, uses it and prints what happened"),
         )
         .subcommand(bench::command())
+        .subcommand(bench_fleet::command())
         .subcommand(bench_memory::command())
         .subcommand(bench_replica_share::command())
         .get_matches();
@@ -26,6 +28,7 @@
         Some(("ci", _)) => ci::run(),
         Some(("demo", _)) => runtime()?.block_on(demo::run()),
         Some(("bench", sub)) => runtime()?.block_on(bench::run(sub)),
+        Some(("bench-fleet", sub)) => runtime()?.block_on(bench_fleet::run(sub)),
         Some(("bench-memory", sub)) => runtime()?.block_on(bench_memory::run(sub)),
         Some(("bench-replica-share", sub)) => runtime()?.block_on(bench_replica_share::run(sub)),
         _ => Err(eyre!("say what to do: see --help")),
