--- a/crates/jasminepassd/src/app.rs
+++ b/crates/jasminepassd/src/app.rs
@@ -22,8 +22,8 @@
 use tokio::{sync::watch, time::Instant};
 
 use crate::{
-    clock::Clock, control::Event, counters::Counters, pools::Pools, settings::Settings,
-    transactions::OpenTransactions,
+    clock::Clock, control::Event, counters::Counters, pools::Pools, report_io::StatusDesk,
+    settings::Settings, tally_io::Accounts, transactions::OpenTransactions,
 };
 
 /// One daemon.
@@ -56,6 +56,10 @@
     pub platform: Platform,
     /// Events for the control thread.
     pub events: Sender<Event>,
+    /// What this VM has counted for workspaces.
+    pub accounts: Accounts,
+    /// What VMs of the data centre reported to this one.
+    pub status_desk: StatusDesk,
     /// Counters.
     pub counters: Counters,
     /// The log.
--- a/crates/jasminepassd/src/stop.rs
+++ b/crates/jasminepassd/src/stop.rs
@@ -26,7 +26,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{app::App, control::Event, transactions};
+use crate::{app::App, control::Event, report_io, transactions};
 
 const GIVE_UP_LIMIT: Duration = Duration::from_secs(3);
 const GIVE_UP_POLL: Duration = Duration::from_millis(20);
@@ -105,6 +105,7 @@
         self.app.tell(Event::Fleet(FleetEvent::Stopping));
         // What is not given up in time is taken back once the VM is off the list.
         let _ = timeout(GIVE_UP_LIMIT, self.portions_given_up()).await;
+        report_io::finish(&self.app).await;
         slog::info!(self.app.log, "stopped"; "finished" => finished);
     }
 
