--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod bench;
 mod bench_failover;
+mod bench_fleet;
 mod bench_memory;
 mod bench_quota;
 mod bench_replica_share;
@@ -23,6 +24,7 @@
         .subcommand(bench::command())
         .subcommand(bench_quota::command())
         .subcommand(bench_failover::command())
+        .subcommand(bench_fleet::command())
         .subcommand(bench_memory::command())
         .subcommand(bench_replica_share::command())
         .get_matches();
@@ -32,6 +34,7 @@
         Some(("bench-quota", sub)) => bench_quota::run(sub),
         Some(("bench", sub)) => runtime()?.block_on(bench::run(sub)),
         Some(("bench-failover", sub)) => runtime()?.block_on(bench_failover::run(sub)),
+        Some(("bench-fleet", sub)) => runtime()?.block_on(bench_fleet::run(sub)),
         Some(("bench-memory", sub)) => runtime()?.block_on(bench_memory::run(sub)),
         Some(("bench-replica-share", sub)) => runtime()?.block_on(bench_replica_share::run(sub)),
         _ => Err(eyre!("say what to do: see --help")),
