--- a/crates/rig/tests/operators.rs
+++ b/crates/rig/tests/operators.rs
@@ -1,6 +1,6 @@
 //! What operators see and do: usage, burn, status, waiting for a change, draining a VM.
 
-use rig::{Caller, Fleet, FleetSpec, wait::until};
+use rig::{Caller, Fleet, FleetSpec, process::run, wait::until};
 use serde_json::{Value, json};
 
 const ANSWERS: &str = include_str!("../../../examples/quoting.toml");
@@ -106,3 +106,31 @@
     let message = format!("{:#}", refused.expect_err("not in force everywhere"));
     assert!(message.contains("exit status: 8"), "{message}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn load_shows_the_gap_of_a_frozen_vm() {
+    let fleet = fleet(1).await;
+    let key_file = fleet.log_file("key");
+    std::fs::write(&key_file, fleet.give_key(WORKSPACE, "k1").await.expect("a key"))
+        .expect("a file");
+    let (vm, pid) = (fleet.vms[0].address(), fleet.vms[0].process.id());
+    let plan = format!(
+        r#"
+entries = ["{vm}"]
+span_ms = 1500
+workspaces = [{{ name = "w", key_file = {key_file:?}, per_second = 50.0, routes = [
+    {{ route = "{WRITE}", share = 1, statement = "append", params = ["quote", 1] }},
+] }}]
+faults = [{{ at_ms = 300, action = "freeze", pid = {pid}, for_ms = 600 }}]
+"#
+    );
+    let plan_file = fleet.log_file("plan");
+    std::fs::write(&plan_file, plan).expect("a file");
+    let report = run("jasminepass-load", &[plan_file.display().to_string()]).expect("a report");
+    let report: Value = serde_json::from_str(&report).expect("JSON");
+    let stream = &report["streams"][0];
+    // A frozen process answers nothing, however loaded the machine is.
+    let gap_ms = stream["longest_gap"]["length_ms"].as_u64().expect("a number");
+    assert!(gap_ms >= 600, "{stream:#}");
+    assert!(stream["outcomes"]["answered"].as_u64() > Some(0), "{stream:#}");
+}
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,6 +1,8 @@
 //! Developer tasks: `ci`, `demo` and `bench`.
 
 mod bench;
+mod bench_accounting;
+mod bench_load;
 mod bench_memory;
 mod ci;
 mod demo;
@@ -19,11 +21,17 @@
         )
         .subcommand(bench::command())
         .subcommand(bench_memory::command())
+        .subcommand(bench_load::command())
+        .subcommand(
+            Command::new("bench-accounting").about("Measures sizes and times of usage accounting"),
+        )
         .get_matches();
     match matches.subcommand() {
         Some(("ci", _)) => ci::run(),
         Some(("demo", _)) => runtime()?.block_on(demo::run()),
         Some(("bench", sub)) => runtime()?.block_on(bench::run(sub)),
+        Some(("bench-load", sub)) => runtime()?.block_on(bench_load::run(sub)),
+        Some(("bench-accounting", _)) => bench_accounting::run(),
         Some(("bench-memory", sub)) => runtime()?.block_on(bench_memory::run(sub)),
         _ => Err(eyre!("say what to do: see --help")),
     }
