--- a/crates/jasminepassd/src/tally_io.rs
+++ b/crates/jasminepassd/src/tally_io.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use board::Catalog;
+use board::{Board, Catalog};
 use fleet::access::{authenticate, authenticate_for_service};
 use model::prelude::*;
 use proto::{
@@ -49,8 +49,8 @@
     /// A ticket for a request on the route, or on a transaction where there is none. One that no
     /// workspace can be found for is not counted.
     pub fn new(app: &'a App, head: &CallerHead, route: Option<&str>) -> Ticket<'a> {
-        let board = app.board();
-        Ticket { app, charge: charge(&board.catalog, head, route), deadline: head.deadline }
+        let charge = charge(&app.board(), head, route, app.now());
+        Ticket { app, charge, deadline: head.deadline }
     }
 
     /// Waits for the request's outcome and counts it.
@@ -82,18 +82,20 @@
 
 /// Whose request it is and what it weighs. Opening and ending a transaction weighs nothing.
 fn charge(
-    catalog: &Catalog,
+    board: &Board,
     head: &CallerHead,
     route: Option<&str>,
+    now: MonoTime,
 ) -> Option<(WorkspaceName, u32)> {
+    let (catalog, key) = (&board.catalog, head.key.as_ref());
     let service = catalog.service(&head.service)?;
     let (identity, weight) = match route {
         Some(name) => {
             let route = catalog.route(service, name)?;
-            let identity = authenticate(catalog, route, head.key.as_ref()).ok()?;
+            let identity = authenticate(board, route, key, now).ok()?;
             (identity, catalog.routes[route].cfg.weight)
         }
-        None => (authenticate_for_service(catalog, service, head.key.as_ref()).ok()?, 0),
+        None => (authenticate_for_service(board, service, key, now).ok()?, 0),
     };
     let workspace = &catalog.workspaces[identity.workspace].cfg.name;
     Some((workspace.clone(), weight))
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -4,6 +4,7 @@
 mod bench_accounting;
 mod bench_load;
 mod bench_memory;
+mod bench_replica_share;
 mod ci;
 mod demo;
 
@@ -25,6 +26,7 @@
         .subcommand(
             Command::new("bench-accounting").about("Measures sizes and times of usage accounting"),
         )
+        .subcommand(bench_replica_share::command())
         .get_matches();
     match matches.subcommand() {
         Some(("ci", _)) => ci::run(),
@@ -33,6 +35,7 @@
         Some(("bench-load", sub)) => runtime()?.block_on(bench_load::run(sub)),
         Some(("bench-accounting", _)) => bench_accounting::run(),
         Some(("bench-memory", sub)) => runtime()?.block_on(bench_memory::run(sub)),
+        Some(("bench-replica-share", sub)) => runtime()?.block_on(bench_replica_share::run(sub)),
         _ => Err(eyre!("say what to do: see --help")),
     }
 }
