--- a/crates/jasminepassd/src/tally_io.rs
+++ b/crates/jasminepassd/src/tally_io.rs
@@ -2,9 +2,9 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use board::{Board, Catalog};
-use fleet::access::{authenticate, authenticate_for_service};
-use model::prelude::*;
+use board::{Catalog, WorkspaceKey};
+use config::{KeyState, PUBLIC_WORKSPACE};
+use model::{key::PresentedKey, prelude::*};
 use proto::{
     caller::CallerError,
     report::{TallyReport, VmReport},
@@ -49,7 +49,7 @@
     /// A ticket for a request on the route, or on a transaction where there is none. One that no
     /// workspace can be found for is not counted.
     pub fn new(app: &'a App, head: &CallerHead, route: Option<&str>) -> Ticket<'a> {
-        let charge = charge(&app.board(), head, route, app.now());
+        let charge = charge(&app.board().catalog, head, route);
         Ticket { app, charge, deadline: head.deadline }
     }
 
@@ -82,23 +82,30 @@
 
 /// Whose request it is and what it weighs. Opening and ending a transaction weighs nothing.
 fn charge(
-    board: &Board,
+    catalog: &Catalog,
     head: &CallerHead,
     route: Option<&str>,
-    now: MonoTime,
 ) -> Option<(WorkspaceName, u32)> {
-    let (catalog, key) = (&board.catalog, head.key.as_ref());
     let service = catalog.service(&head.service)?;
-    let (identity, weight) = match route {
-        Some(name) => {
-            let route = catalog.route(service, name)?;
-            let identity = authenticate(board, route, key, now).ok()?;
-            (identity, catalog.routes[route].cfg.weight)
-        }
-        None => (authenticate_for_service(board, service, key, now).ok()?, 0),
+    let route = match route {
+        Some(name) => Some(&catalog.routes[catalog.route(service, name)?].cfg),
+        None => None,
+    };
+    let workspace = match &head.key {
+        Some(key) => holder_of(catalog, key)?,
+        None if route.is_some_and(|route| route.open) => catalog.workspace(PUBLIC_WORKSPACE)?,
+        None => return None,
     };
-    let workspace = &catalog.workspaces[identity.workspace].cfg.name;
-    Some((workspace.clone(), weight))
+    let name = catalog.workspaces[workspace].cfg.name.clone();
+    Some((name, route.map_or(0, |route| route.weight)))
+}
+
+/// The workspace of a key that is known and valid. Whether it is still trusted where the data centre is
+/// cut off is left out: a request that is refused for that is the system's failure.
+fn holder_of(catalog: &Catalog, key: &PresentedKey) -> Option<WorkspaceKey> {
+    let record = catalog.key(key.name.as_str())?;
+    let is_genuine = record.state == KeyState::Valid && record.hash.matches(&key.hash());
+    catalog.workspace(record.workspace.as_str()).filter(|_| is_genuine)
 }
 
 impl Accounts {
