Traces of usage accounting, replayed with the generated schedules

The world of tally's property test moves to replay::tally unchanged in what it demands, so that traces and generated schedules share it; the two directed tests become traces (answer_lost, outage_and_crash).

--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod failover;
 pub mod fleet;
 pub mod requests;
+pub mod tally;
 pub mod trace;
