--- a/crates/jasminepassd/src/stop.rs
+++ b/crates/jasminepassd/src/stop.rs
@@ -5,12 +5,9 @@
 //! other VMs have sent their last request when the listeners close. What is open then is finished, and
 //! only then are the portions given up.
 
-use std::{
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
-    time::Duration,
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
 };
 
 use axum::{
@@ -28,9 +25,6 @@
 
 use crate::{app::App, control::Event, quota_io, report_io, transactions};
 
-const GIVE_UP_LIMIT: Duration = Duration::from_secs(3);
-const GIVE_UP_POLL: Duration = Duration::from_millis(20);
-
 /// The signals of a planned stop.
 pub struct Stop {
     app: Arc<App>,
@@ -98,21 +92,14 @@
             transactions::wait_until_none(&self.app).await;
             self.callers.send_replace(true);
             let _ = caller_server.await;
-            quota_io::wait_until_given_up(&self.app).await;
             self.peers.send_replace(true);
             let _ = peer_server.await;
         };
         let finished = timeout(self.app.settings.drain_limit, drained).await.is_ok();
         self.app.tell(Event::Fleet(FleetEvent::Stopping));
         // What is not given up in time is taken back once the VM is off the list.
-        let _ = timeout(GIVE_UP_LIMIT, self.portions_given_up()).await;
+        quota_io::wait_until_given_up(&self.app).await;
         report_io::finish(&self.app).await;
         slog::info!(self.app.log, "stopped"; "finished" => finished);
     }
-
-    async fn portions_given_up(&self) {
-        while self.app.board().seats_in_force > 0 {
-            sleep(GIVE_UP_POLL).await;
-        }
-    }
 }
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -8,4 +8,5 @@
 pub mod fleet;
 pub mod quota;
 pub mod requests;
+pub mod tally;
 pub mod trace;
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,8 +1,10 @@
 //! Developer tasks: `ci`, `demo` and `bench`.
 
 mod bench;
+mod bench_accounting;
 mod bench_failover;
 mod bench_fleet;
+mod bench_load;
 mod bench_memory;
 mod bench_quota;
 mod bench_replica_share;
@@ -26,6 +28,10 @@
         .subcommand(bench_failover::command())
         .subcommand(bench_fleet::command())
         .subcommand(bench_memory::command())
+        .subcommand(bench_load::command())
+        .subcommand(
+            Command::new("bench-accounting").about("Measures sizes and times of usage accounting"),
+        )
         .subcommand(bench_replica_share::command())
         .get_matches();
     match matches.subcommand() {
@@ -35,6 +41,8 @@
         Some(("bench", sub)) => runtime()?.block_on(bench::run(sub)),
         Some(("bench-failover", sub)) => runtime()?.block_on(bench_failover::run(sub)),
         Some(("bench-fleet", sub)) => runtime()?.block_on(bench_fleet::run(sub)),
+        Some(("bench-load", sub)) => runtime()?.block_on(bench_load::run(sub)),
+        Some(("bench-accounting", _)) => bench_accounting::run(),
         Some(("bench-memory", sub)) => runtime()?.block_on(bench_memory::run(sub)),
         Some(("bench-replica-share", sub)) => runtime()?.block_on(bench_replica_share::run(sub)),
         _ => Err(eyre!("say what to do: see --help")),
