Name the portions in VMs' reports as what they are

Ruled out: keeping the old name for readers of older objects; none is in use. Change: the field counts the workspaces of whose rate the VM owns a part.

--- a/crates/xtask/src/bench_accounting.rs
+++ b/crates/xtask/src/bench_accounting.rs
@@ -69,7 +69,7 @@
         incarnation: Incarnation(1_700_000_000),
         generation: Generation(4_711),
         stopping: false,
-        seats: 4,
+        portions: 4,
         suspects: Vec::new(),
         slots: Vec::new(),
     };
