--- a/crates/failover/src/observe.rs
+++ b/crates/failover/src/observe.rs
@@ -61,6 +61,7 @@
     member.position = status.position;
     member.asked_at = Some(asked_at);
     member.primary_in_service_at = in_service_at;
+    member.open_transactions = status.open_transactions;
     take_over(state, database, status);
     update_confirmed(state);
     update_verified(state);
--- a/crates/failover/tests/observe.rs
+++ b/crates/failover/tests/observe.rs
@@ -63,6 +63,7 @@
             primary: None,
             position: Position::new(Term(log_term), index),
             primary_in_service_ms: None,
+            open_transactions: 0,
         };
         let status = Some(Status { database: name(database), slots: vec![slot] });
         let asked_at = MonoTime(at_ms * 1_000);
--- a/crates/jasminepassd/src/caller.rs
+++ b/crates/jasminepassd/src/caller.rs
@@ -17,7 +17,9 @@
 };
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::{app::App, caller_error, counters::Counter, entry, transaction_entry};
+use crate::{
+    app::App, caller_error, counters::Counter, entry, tally_io::Ticket, transaction_entry,
+};
 
 /// Body of the answer to a client that does not speak HTTP.
 pub const NOT_HTTP: &str = r#"{"error":{"kind":"bad_request","outcome":"not_run","message":"this is not an HTTP/1.1 request: send one, such as POST /v1/<service>/<route>"}}"#;
@@ -82,7 +84,9 @@
 ) -> Response {
     let served = async {
         let head = parse_head(&app, service, &headers)?;
-        entry::serve(&app, head, &route, parse_body(body).await?).await
+        let ticket = Ticket::new(&app, &head, Some(&route));
+        let work = async { entry::serve(&app, head, &route, parse_body(body).await?).await };
+        ticket.count(work).await
     };
     finish(&app, served.await)
 }
@@ -95,7 +99,9 @@
 ) -> Response {
     let served = async {
         let head = parse_head(&app, service, &headers)?;
-        transaction_entry::begin(&app, head, parse_body(body).await?).await
+        let ticket = Ticket::new(&app, &head, None);
+        let work = async { transaction_entry::begin(&app, head, parse_body(body).await?).await };
+        ticket.count(work).await
     };
     finish(&app, served.await)
 }
@@ -108,8 +114,12 @@
 ) -> Response {
     let served = async {
         let head = parse_head(&app, service, &headers)?;
-        let body = parse_body(body).await?;
-        transaction_entry::step(&app, head, &transaction, &route, body).await
+        let ticket = Ticket::new(&app, &head, Some(&route));
+        let work = async {
+            let body = parse_body(body).await?;
+            transaction_entry::step(&app, head, &transaction, &route, body).await
+        };
+        ticket.count(work).await
     };
     finish(&app, served.await)
 }
@@ -121,7 +131,8 @@
 ) -> Response {
     let served = async {
         let head = parse_head(&app, service, &headers)?;
-        transaction_entry::commit(&app, head, &transaction).await
+        let ticket = Ticket::new(&app, &head, None);
+        ticket.count(transaction_entry::commit(&app, head, &transaction)).await
     };
     finish(&app, served.await)
 }
@@ -133,7 +144,8 @@
 ) -> Response {
     let served = async {
         let head = parse_head(&app, service, &headers)?;
-        transaction_entry::rollback(&app, head, &transaction).await
+        let ticket = Ticket::new(&app, &head, None);
+        ticket.count(transaction_entry::rollback(&app, head, &transaction)).await
     };
     finish(&app, served.await)
 }
--- a/crates/jasminepassd/src/peer.rs
+++ b/crates/jasminepassd/src/peer.rs
@@ -17,7 +17,8 @@
 use proto::peer::{PeerReply, PeerRequest};
 
 use crate::{
-    app::App, counters::Counter, fleet_io, holder, outcome, transaction_steps, transactions,
+    app::App, counters::Counter, fleet_io, holder, outcome, report_io, transaction_steps,
+    transactions,
 };
 
 /// Body of the answer to a client that does not speak HTTP.
@@ -102,6 +103,9 @@
         PeerRequest::Gossip(digest) => fleet_io::told(app, stamp, digest),
         PeerRequest::Pull(pull) => fleet_io::pulled(app, &pull),
         PeerRequest::Introduce => fleet_io::introduced(app),
+        PeerRequest::Report(report, tally) => {
+            PeerReply::Reported { stored: report_io::take(app, *report, tally) }
+        }
     }
 }
 
--- a/crates/jasminepassd/src/stop.rs
+++ b/crates/jasminepassd/src/stop.rs
@@ -22,7 +22,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{app::App, control::Event, transactions};
+use crate::{app::App, control::Event, report_io, transactions};
 
 /// The signals of a planned stop.
 pub struct Stop {
@@ -95,6 +95,7 @@
             let _ = peer_server.await;
         };
         let finished = timeout(self.app.settings.drain_limit, drained).await.is_ok();
+        report_io::finish(&self.app).await;
         slog::info!(self.app.log, "stopped"; "finished" => finished);
     }
 }
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod gossip;
 pub mod peer;
 pub mod platform;
+pub mod report;
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -8,6 +8,7 @@
     caller::CallerError,
     gossip::{Digest, Pull, Pulled},
     platform::VmRecord,
+    report::{TallyReport, VmReport},
 };
 
 /// A message to another VM.
@@ -28,6 +29,8 @@
     /// Asks any VM at the address who it is and which VMs it knows. The only message that is not
     /// addressed to one run of one VM, and it changes nothing.
     Introduce,
+    /// A VM's state and counts, for the VM that writes those of its data centre.
+    Report(Box<VmReport>, TallyReport),
 }
 
 /// The answer to a [`PeerRequest`].
@@ -51,6 +54,11 @@
     Pulled(Box<Pulled>),
     /// The VMs that the receiver of an introduction knows, itself among them.
     Introduced(Vec<VmRecord>),
+    /// The report was taken.
+    Reported {
+        /// All counts in the sender's reports up to this number are stored.
+        stored: u64,
+    },
 }
 
 /// A request on its way from the entry VM to a holder.
--- a/crates/standin/src/database/replication.rs
+++ b/crates/standin/src/database/replication.rs
@@ -63,8 +63,12 @@
         return false;
     };
     let timeout = Duration::from_millis(LOG_WAIT_MS + 1_000);
-    let reply =
-        client.post_json::<LogChunk, DatabaseError>(&address, "/log", &query, timeout).await;
+    let reply = client.post_json::<LogChunk, DatabaseError>(&address, "/log", &query, timeout);
+    let reply = tokio::select! {
+        reply = reply => reply,
+        // A primary that was replaced may never answer.
+        () = left_term(state, settings, query.term) => return true,
+    };
     let Ok(Ok(chunk)) = reply else {
         return false;
     };
@@ -87,6 +91,20 @@
     true
 }
 
+/// Ends once the slot has left the term here.
+async fn left_term(state: &DatabaseState, settings: &SlotSettings, term: Term) {
+    loop {
+        let changed = state.0.changed.notified();
+        let left = state
+            .slot(&settings.service, &settings.slot)
+            .is_ok_and(|slot| slot.granted != term || slot.role == Role::Primary);
+        if left {
+            return;
+        }
+        changed.await;
+    }
+}
+
 fn next_query(state: &DatabaseState, settings: &SlotSettings) -> Option<(String, LogQuery)> {
     if state.is_cut_from("") {
         return None;
