--- a/crates/rig/src/faults.rs
+++ b/crates/rig/src/faults.rs
@@ -45,8 +45,7 @@
         until(&format!("a primary other than {old}"), other).await
     }
 
-    /// Waits until every VM that watches the first slot has the same verified primary and holds every
-    /// member's data for fresh.
+    /// Waits until every VM that watches the first slot has seen every member follow its primary.
     pub async fn wait_until_healed(&self) -> eyre::Result<()> {
         for vm in &self.vms {
             let healed = async || {
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -3,6 +3,7 @@
 mod bench;
 mod bench_failover;
 mod bench_memory;
+mod bench_promotion;
 mod bench_replica_share;
 mod ci;
 mod demo;
@@ -22,6 +23,7 @@
         .subcommand(bench::command())
         .subcommand(bench_failover::command())
         .subcommand(bench_memory::command())
+        .subcommand(bench_promotion::command())
         .subcommand(bench_replica_share::command())
         .get_matches();
     match matches.subcommand() {
@@ -29,6 +31,7 @@
         Some(("demo", _)) => runtime()?.block_on(demo::run()),
         Some(("bench", sub)) => runtime()?.block_on(bench::run(sub)),
         Some(("bench-failover", sub)) => runtime()?.block_on(bench_failover::run(sub)),
+        Some(("bench-promotion", sub)) => runtime()?.block_on(bench_promotion::run(sub)),
         Some(("bench-memory", sub)) => runtime()?.block_on(bench_memory::run(sub)),
         Some(("bench-replica-share", sub)) => runtime()?.block_on(bench_replica_share::run(sub)),
         _ => Err(eyre!("say what to do: see --help")),
