--- a/crates/replay/src/requests/world.rs
+++ b/crates/replay/src/requests/world.rs
@@ -91,6 +91,11 @@
     /// The virtual time at which a trace begins.
     pub const START: DurationUs = DurationUs::from_ms(1_000);
 
+    /// Gives a session a position that it has seen.
+    pub fn set_session(&mut self, name: &str, position: Position) {
+        self.sessions.insert(name.to_owned(), position);
+    }
+
     /// Changes the world at that time, or as soon as a request that is running lets time pass so far.
     pub fn schedule(&mut self, at: MonoTime, event: Event) {
         self.scheduled.push_back((at, event));
--- a/crates/replay/tests/requests.rs
+++ b/crates/replay/tests/requests.rs
@@ -3,7 +3,7 @@
 use model::prelude::*;
 use quickcheck::{Arbitrary, Gen, QuickCheck, TestResult};
 use replay::{
-    requests::{Event, Fault, Request, World, replay},
+    requests::{Event, Expected, Fault, Request, World, replay},
     trace::read,
 };
 
@@ -54,6 +54,37 @@
     check("session");
 }
 
+#[test]
+fn request_whose_session_saw_what_is_gone_is_served() {
+    let read = |name: &str, route: &str| Request {
+        name: name.to_owned(),
+        route: route.to_owned(),
+        entry: "b-1".to_owned(),
+        key: None,
+        body: None,
+        session: Some("s".to_owned()),
+        timeout_ms: 1_000,
+        outcome: None,
+    };
+    for (position, promoted, expected) in [
+        // Lost with the old primary: all of the new term covers it.
+        (Position::new(Term(1), 500), true, Expected::AnsweredByReplica),
+        // The group was rebuilt, its terms began anew: the verified primary resets the session.
+        (Position::new(Term(9), 500), false, Expected::Answered),
+    ] {
+        let mut world = World::new();
+        world.set_session("s", position);
+        if promoted {
+            world.apply(Event::Promote {});
+        }
+        world.advance_to(MonoTime::default() + World::START + DurationUs::from_ms(500));
+        assert_eq!(world.request(&read("first", "read-old")), expected, "{position}");
+        let second = world.request(&read("second", "read-old"));
+        assert_eq!(second, Expected::AnsweredByReplica, "{position}: the session goes on");
+        assert_eq!(world.healed().violations(), Vec::<String>::new());
+    }
+}
+
 /// A step of a random schedule.
 #[derive(Clone, Debug)]
 enum Step {
