--- a/crates/jasminepassd/src/app.rs
+++ b/crates/jasminepassd/src/app.rs
@@ -23,6 +23,7 @@
 use crate::{
     clock::Clock, control::Event, counters::Counters, pools::Pools, quota_io::QuotaState,
     report_io::StatusDesk, settings::Settings, tally_io::Accounts, transactions::OpenTransactions,
+    verifier::Verifier,
 };
 
 /// One daemon.
@@ -37,6 +38,8 @@
     pub quota: QuotaState,
     /// Retries that this VM may still make.
     pub retries: Mutex<RetryBudget>,
+    /// Asks whether primaries are still the current ones.
+    pub verifier: Verifier,
     /// The transactions that are open here.
     pub transactions: OpenTransactions,
     /// Connections to upstreams.
