--- a/crates/loadgen/src/closed.rs
+++ b/crates/loadgen/src/closed.rs
@@ -29,6 +29,11 @@
 pub trait Load: Send + 'static {
     /// Sends the next request and says whether it was answered.
     fn request(&mut self) -> impl Future<Output = bool> + Send;
+
+    /// Waits until the next request is due.
+    fn pause(&mut self) -> impl Future<Output = ()> + Send {
+        std::future::ready(())
+    }
 }
 
 /// Runs a loop on every connection for `span`.
@@ -41,6 +46,7 @@
             let mut latencies = histogram();
             let mut failed = 0;
             while started.elapsed() < span {
+                connection.pause().await;
                 let sent = Instant::now();
                 match connection.request().await {
                     true => latencies.saturating_record(sent.elapsed().as_micros() as u64),
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,6 +1,7 @@
 //! Developer tasks: `ci`, `demo` and `bench`.
 
 mod bench;
+mod bench_fairness;
 mod bench_memory;
 mod bench_quota;
 mod ci;
@@ -19,12 +20,14 @@
                 .about("Starts a small fleet of each example, uses it and prints what happened"),
         )
         .subcommand(bench::command())
+        .subcommand(bench_fairness::command())
         .subcommand(bench_quota::command())
         .subcommand(bench_memory::command())
         .get_matches();
     match matches.subcommand() {
         Some(("ci", _)) => ci::run(),
         Some(("demo", _)) => runtime()?.block_on(demo::run()),
+        Some(("bench-fairness", sub)) => runtime()?.block_on(bench_fairness::run(sub)),
         Some(("bench-quota", sub)) => bench_quota::run(sub),
         Some(("bench", sub)) => runtime()?.block_on(bench::run(sub)),
         Some(("bench-memory", sub)) => runtime()?.block_on(bench_memory::run(sub)),
