--- a/crates/jasminepassd/src/control.rs
+++ b/crates/jasminepassd/src/control.rs
@@ -4,18 +4,21 @@
 
 use board::{Board, Catalog, DatabaseKey, QuotaView, SlotKey};
 use config::Configuration;
-use crossbeam_channel::{Receiver, RecvTimeoutError};
+use crossbeam_channel::{Receiver, select, tick};
 use failover::{
     limits::Limits,
     observe::{self, Observation},
     promotion::{PromotionController, PromotionEffect, PromotionEvent},
 };
-use fleet::placement::holds_any;
+use fleet::{
+    distribution::{Distribution, FleetEffect, FleetEvent},
+    placement::holds_any,
+};
 use model::{prelude::*, request::random_u64, session::SlotDigest};
-use proto::platform::{Version, VmRecord};
+use proto::platform::{Object, Version};
 use quota::{
     apply::put_in_force,
-    events::{PortionEffect, PortionEvent},
+    events::{ObjectKind, PortionEffect, PortionEvent},
     objects::Owner,
     portions::PortionController,
 };
@@ -28,10 +31,8 @@
 /// What the control thread hears.
 #[derive(Debug)]
 pub enum Event {
-    /// A configuration was read.
-    Configuration(Box<Configuration>),
-    /// The list of VMs was read.
-    Vms(Vec<VmRecord>),
+    /// For the controller of the fleet.
+    Fleet(FleetEvent),
     /// A database was asked for its status.
     Observed(Observation),
     /// Somebody said who a slot's primary is.
@@ -47,8 +48,6 @@
     Portions(PortionEvent),
     /// For the controller of promotions.
     Promotion(PromotionEvent),
-    /// A planned stop has begun.
-    Stopping,
 }
 
 /// What the control thread asks for.
@@ -56,6 +55,8 @@
 pub enum Effect {
     /// Watch these databases, and no others.
     Monitor(Vec<config::Database>),
+    /// From the controller of the fleet.
+    Fleet(FleetEffect),
     /// From the controller of the rates.
     Portions(PortionEffect),
     /// From the controller of promotions.
@@ -66,7 +67,9 @@
 pub struct Control {
     app: Arc<App>,
     board: Board,
+    distribution: Distribution,
     portions: PortionController,
+    listed_at: MonoTime,
     promotions: PromotionController,
     next_tick: MonoTime,
     effects: UnboundedSender<Effect>,
@@ -81,9 +84,11 @@
         let limits = Limits::new(app.settings.status_interval);
         let promotions = PromotionController::new(board.fleet.me.clone(), limits);
         Control {
+            distribution: Distribution::new(board.fleet.my_record()),
             app,
             board,
             portions: PortionController::new(me),
+            listed_at: MonoTime::default(),
             promotions,
             next_tick: MonoTime::default(),
             effects,
@@ -93,31 +98,79 @@
 
     /// Handles events until nobody can send any.
     pub fn run(mut self, events: &Receiver<Event>) {
+        let ticker = tick(TICK);
         loop {
-            match events.recv_timeout(TICK) {
-                Ok(event) => self.handle(event),
-                Err(RecvTimeoutError::Timeout) => {}
-                Err(RecvTimeoutError::Disconnected) => return,
+            select! {
+                recv(events) -> event => match event {
+                    Ok(event) => self.handle(event),
+                    Err(_) => return,
+                },
+                recv(ticker) -> _ => self.tick(),
             }
             while let Ok(event) = events.try_recv() {
                 self.handle(event);
             }
-            self.tick();
+            self.tick_promotions();
             self.app.board.store(Arc::new(self.board.clone()));
         }
     }
 
+    fn tick(&mut self) {
+        self.handle_fleet(FleetEvent::Tick);
+        self.tick_portions();
+    }
+
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Configuration(cfg) => self.adopt(*cfg),
-            Event::Vms(vms) => self.set_vms(vms),
+            Event::Fleet(event) => self.handle_fleet(event),
             Event::Observed(observation) => self.observe(&observation),
             Event::PrimarySeen { slot, term, primary } => {
                 self.learn_primary(slot, term, primary.as_ref())
             }
             Event::Portions(event) => self.handle_portions(event),
             Event::Promotion(event) => self.handle_promotion(event),
-            Event::Stopping => self.board.fleet.stopping = true,
+        }
+    }
+
+    fn handle_fleet(&mut self, event: FleetEvent) {
+        let now = self.app.now();
+        self.note_contact(&event);
+        let effects = self.distribution.handle(&mut self.board, event, now, random_u64());
+        for effect in effects {
+            match effect {
+                FleetEffect::Adopt(cfg) => self.adopt(*cfg),
+                FleetEffect::MembersChanged => self.members_changed(),
+                FleetEffect::DcObject(Object { version, value }) => {
+                    let object = ObjectKind::Dc;
+                    self.handle_portions(PortionEvent::Read { object, version, value });
+                }
+                effect => self.ask(Effect::Fleet(effect)),
+            }
+        }
+        self.note_list(now);
+    }
+
+    /// Tells the accounts when the platform or a VM of this data centre was last asked and answered.
+    fn note_contact(&self, event: &FleetEvent) {
+        let contact_at = match event {
+            FleetEvent::PlatformAnswered(sent_at) => *sent_at,
+            FleetEvent::Answered { sent_at, digest } if digest.from.dc == self.app.settings.dc => {
+                *sent_at
+            }
+            _ => return,
+        };
+        self.app.quota.rates().note_contact(contact_at);
+    }
+
+    /// Tells the controller of the portions of each newer reading of the platform's list.
+    fn note_list(&mut self, now: MonoTime) {
+        let Some(listed) = &self.board.fleet.listed else {
+            return;
+        };
+        let read_at = now - listed.read.now(now);
+        if read_at > self.listed_at {
+            self.listed_at = read_at;
+            self.handle_portions(PortionEvent::Listed);
         }
     }
 
@@ -127,27 +180,24 @@
         }
         slog::info!(self.app.log, "configuration in force"; "generation" => cfg.generation.0);
         self.app.counters.count(Counter::Configurations);
+        self.app.outgoing.store(Arc::new(self.app.outgoing.load().with_next(cfg.clone())));
         self.board.adopt(Arc::new(Catalog::new(cfg)));
+        self.board.place();
+        self.set_portions();
+        self.monitor();
+        // Handlers must know of a withdrawn key before its transactions end for that reason.
+        self.app.board.store(Arc::new(self.board.clone()));
         // Transactions of withdrawn keys are rolled back at once.
         for _ in 0..self.app.transactions.sweep(&self.board, self.app.now()) {
             self.app.counters.count(Counter::TransactionsExpired);
         }
-        self.set_portions();
-        self.monitor();
     }
 
-    fn set_vms(&mut self, mut vms: Vec<VmRecord>) {
-        vms.sort_by(|a, b| a.vm.cmp(&b.vm));
-        if vms.is_empty() {
-            return;
-        }
-        if vms != self.board.fleet.vms {
-            slog::info!(self.app.log, "list of VMs changed"; "vms" => vms.len());
-            self.board.fleet.vms = vms;
-            self.set_portions();
-            self.monitor();
-        }
-        self.handle_portions(PortionEvent::Listed);
+    fn members_changed(&mut self) {
+        slog::info!(self.app.log, "VMs changed"; "vms" => self.board.fleet.vms.len());
+        self.board.place();
+        self.set_portions();
+        self.monitor();
     }
 
     fn observe(&mut self, observation: &Observation) {
@@ -156,12 +206,11 @@
         self.log_primary_changes(&before);
     }
 
-    fn tick(&mut self) {
+    fn tick_promotions(&mut self) {
         let now = self.app.now();
         if now >= self.next_tick {
             self.next_tick = now + DurationUs::from_ms(TICK.as_millis() as u64);
             self.handle_promotion(PromotionEvent::Tick { random: random_u64() });
-            self.tick_portions();
         }
     }
 
@@ -253,7 +302,7 @@
     QuotaView {
         version: portions.object().map_or(Version(0), |(version, _)| version),
         parts: in_force.parts.clone(),
-        owns_any: portions.owns_any(),
+        gives_up: portions.gives_up(),
         connections: in_force.connections.clone(),
     }
 }
--- a/crates/jasminepassd/src/effects.rs
+++ b/crates/jasminepassd/src/effects.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::mpsc::UnboundedReceiver;
 
-use crate::{app::App, control::Effect, failover_io, monitor::Monitors, quota_io};
+use crate::{app::App, control::Effect, failover_io, fleet_io, monitor::Monitors, quota_io};
 
 /// Carries out effects until there can be no more.
 pub async fn run(app: Arc<App>, mut effects: UnboundedReceiver<Effect>) {
@@ -13,6 +13,7 @@
         match effect {
             Effect::Monitor(databases) => monitors.set(&databases),
             Effect::Promotion(effect) => failover_io::carry_out(&app, effect),
+            Effect::Fleet(effect) => fleet_io::perform(&app, effect),
             Effect::Portions(effect) => {
                 tokio::spawn(quota_io::call_platform(app.clone(), effect));
             }
--- a/crates/jasminepassd/src/ops.rs
+++ b/crates/jasminepassd/src/ops.rs
@@ -10,9 +10,9 @@
 
 use axum::{Json, Router, extract::State, http::StatusCode, routing::get};
 use board::Board;
-use fleet::placement::holds_any;
+use fleet::{access::check_trust, placement::holds_any};
 use model::prelude::*;
-use proto::platform::Version;
+use proto::platform::{Version, VmState};
 use serde::Serialize;
 
 use crate::app::App;
@@ -56,6 +56,12 @@
     dc: DcName,
     generation: Generation,
     vms: Vec<VmName>,
+    suspects: Vec<VmName>,
+    leaving: Vec<VmName>,
+    watches_platform: bool,
+    platform_age_ms: Option<u64>,
+    heard_age_ms: BTreeMap<String, u64>,
+    keys_trusted: bool,
     /// Version of the data centre's object that is in force here.
     portions_version: Version,
     /// Millionths of each workspace's rate and burst that this VM owns.
@@ -105,12 +111,21 @@
             primary_verified: state.primary_verified_at.is_some(),
         }
     });
+    let (fleet, now) = (&board.fleet, ops.app.now());
+    let leaving = fleet.vms.iter().filter(|vm| vm.state == VmState::Leaving);
+    let heard = fleet.heard.iter().map(|(dc, age)| (dc.to_string(), age.now(now).as_ms()));
     Json(StateView {
         vm: board.fleet.me.vm.clone(),
         incarnation: board.fleet.me.incarnation,
         dc: board.fleet.me.dc.clone(),
         generation: catalog.cfg.generation,
-        vms: board.fleet.vms.iter().map(|vm| vm.vm.clone()).collect(),
+        vms: fleet.vms.iter().map(|vm| vm.vm.clone()).collect(),
+        suspects: fleet.suspects.keys().cloned().collect(),
+        leaving: leaving.map(|vm| vm.vm.clone()).collect(),
+        watches_platform: *ops.app.watching.borrow(),
+        platform_age_ms: fleet.platform.map(|age| age.now(now).as_ms()),
+        heard_age_ms: heard.collect(),
+        keys_trusted: check_trust(&board, now).is_ok(),
         portions_version: board.quota.version,
         portions: board.quota.parts.clone(),
         connections: connections(&board),
--- a/crates/jasminepassd/src/transactions.rs
+++ b/crates/jasminepassd/src/transactions.rs
@@ -80,7 +80,7 @@
     /// Rolls back what is over: those past their limits, and those whose key was withdrawn.
     pub fn sweep(&self, board: &Board, now: MonoTime) -> usize {
         let allowed = |key: &KeyName, workspace: &WorkspaceName| {
-            check_key(&board.catalog, key, workspace).is_ok()
+            check_key(board, key, workspace, now).is_ok()
         };
         let mut inner = self.lock();
         let over = inner.book.sweep(allowed, now);
@@ -175,7 +175,7 @@
 async fn begin_inner(app: &App, req: &Begin) -> Result<TransactionId, PeerReply> {
     let board = app.board();
     let (workspace, slot, database) = find(&board, req).ok_or_else(refused)?;
-    check_key(&board.catalog, &req.key, &req.workspace).map_err(PeerReply::Error)?;
+    check_key(&board, &req.key, &req.workspace, app.now()).map_err(PeerReply::Error)?;
     if board.fleet.stopping {
         return Err(refused());
     }
--- a/crates/proto/src/lib.rs
+++ b/crates/proto/src/lib.rs
@@ -4,6 +4,8 @@
 
 pub mod caller;
 pub mod database;
+pub mod gossip;
 pub mod peer;
 pub mod platform;
+pub mod report;
 pub mod tokens;
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -6,6 +6,9 @@
 
 use crate::{
     caller::CallerError,
+    gossip::{Digest, Pull, Pulled},
+    platform::VmRecord,
+    report::{TallyReport, VmReport},
     tokens::{TokenReply, TokenRequest},
 };
 
@@ -20,11 +23,15 @@
     Begin(Box<Begin>),
     /// A request inside a transaction, for the holder that opened it.
     Step(Box<TransactionStep>),
-    /// Asks for the configuration, if its generation is higher than the one stated.
-    FetchConfiguration {
-        /// What the sender has.
-        have: Generation,
-    },
+    /// What the sender knows; the answer is what the receiver knows.
+    Gossip(Box<Digest>),
+    /// Asks for what the sender lacks.
+    Pull(Pull),
+    /// Asks any VM at the address who it is and which VMs it knows. The only message that is not
+    /// addressed to one run of one VM, and it changes nothing.
+    Introduce,
+    /// A VM's state and counts, for the VM that writes those of its data centre.
+    Report(Box<VmReport>, TallyReport),
     /// About rate tokens.
     Tokens(TokenRequest),
 }
@@ -44,8 +51,17 @@
     Begun(TransactionId),
     /// A transaction was rolled back.
     RolledBack,
-    /// The configuration, as JSON; absent where the sender's is as new.
-    Configuration(Option<String>),
+    /// What the receiver of a digest knows.
+    Gossip(Box<Digest>),
+    /// What was asked for.
+    Pulled(Box<Pulled>),
+    /// The VMs that the receiver of an introduction knows, itself among them.
+    Introduced(Vec<VmRecord>),
+    /// The report was taken.
+    Reported {
+        /// All counts in the sender's reports up to this number are stored.
+        stored: u64,
+    },
     /// About rate tokens.
     Tokens(TokenReply),
 }
--- a/crates/quota/src/events.rs
+++ b/crates/quota/src/events.rs
@@ -29,6 +29,8 @@
     },
     /// The platform's list of VMs was read; it is on the board.
     Listed,
+    /// All work of this VM is finished before a planned stop.
+    Drained,
     /// An object was read, from the platform or from another VM.
     Read {
         /// Which.
--- a/crates/replay/src/quota/lines.rs
+++ b/crates/replay/src/quota/lines.rs
@@ -246,6 +246,7 @@
         burst: w.burst,
         services: vec![service.clone()],
         objective_ppm: 999_000,
+        time_zone: None,
     });
     Configuration {
         generation: Generation(1),
--- a/crates/replay/src/quota/vm.rs
+++ b/crates/replay/src/quota/vm.rs
@@ -2,7 +2,10 @@
 
 use std::sync::Arc;
 
-use board::{Board, Catalog, VmIdentity};
+use board::{
+    Board, Catalog, Members, VmIdentity,
+    fleet::{Age, ListReading},
+};
 use model::prelude::*;
 use proto::platform::{VmRecord, VmState};
 use quota::{
@@ -97,11 +100,13 @@
 
     /// The list of VMs was read.
     pub fn set_list(&mut self, list: Vec<VmRecord>, now: MonoTime) -> Vec<PortionEffect> {
-        if !list.is_empty() && list != self.board.fleet.vms {
-            self.board.fleet.vms = list;
-            let local = self.clock(now);
+        let local = self.clock(now);
+        let vms = Members::from(list);
+        if !vms.is_empty() && vms != self.board.fleet.vms {
+            self.board.fleet.vms = vms.clone();
             put_in_force(&self.board, &self.portions, &mut self.rates, local);
         }
+        self.board.fleet.listed = Some(ListReading { vms, hash: 0, read: Age::zero(local) });
         self.handle(PortionEvent::Listed, now)
     }
 
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -4,6 +4,7 @@
 mod bench_fairness;
 mod bench_memory;
 mod bench_quota;
+mod bench_replica_share;
 mod ci;
 mod demo;
 
@@ -23,6 +24,7 @@
         .subcommand(bench_fairness::command())
         .subcommand(bench_quota::command())
         .subcommand(bench_memory::command())
+        .subcommand(bench_replica_share::command())
         .get_matches();
     match matches.subcommand() {
         Some(("ci", _)) => ci::run(),
@@ -31,6 +33,7 @@
         Some(("bench-quota", sub)) => bench_quota::run(sub),
         Some(("bench", sub)) => runtime()?.block_on(bench::run(sub)),
         Some(("bench-memory", sub)) => runtime()?.block_on(bench_memory::run(sub)),
+        Some(("bench-replica-share", sub)) => runtime()?.block_on(bench_replica_share::run(sub)),
         _ => Err(eyre!("say what to do: see --help")),
     }
 }
