--- a/crates/jasminepassd/src/stop.rs
+++ b/crates/jasminepassd/src/stop.rs
@@ -94,11 +94,12 @@
             let _ = caller_server.await;
             self.peers.send_replace(true);
             let _ = peer_server.await;
+            quota_io::give_up(&self.app).await;
         };
         let finished = timeout(self.app.settings.drain_limit, drained).await.is_ok();
         self.app.tell(Event::Fleet(FleetEvent::Stopping));
         // What is not given up in time is taken back once the VM is off the list.
-        quota_io::wait_until_given_up(&self.app).await;
+        quota_io::give_up(&self.app).await;
         report_io::finish(&self.app).await;
         slog::info!(self.app.log, "stopped"; "finished" => finished);
     }
--- a/crates/quota/src/events.rs
+++ b/crates/quota/src/events.rs
@@ -34,6 +34,8 @@
         /// When it was read from the platform.
         read_at: MonoTime,
     },
+    /// All work of this VM is finished before a planned stop.
+    Drained,
     /// An object was read, from the platform or from another VM.
     Read {
         /// Which.
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -3,6 +3,7 @@
 mod bench;
 mod bench_accounting;
 mod bench_failover;
+mod bench_fairness;
 mod bench_fleet;
 mod bench_load;
 mod bench_memory;
@@ -25,6 +26,7 @@
                 .about("Starts a small fleet of each example, uses it and prints what happened"),
         )
         .subcommand(bench::command())
+        .subcommand(bench_fairness::command())
         .subcommand(bench_quota::command())
         .subcommand(bench_failover::command())
         .subcommand(bench_fleet::command())
@@ -39,6 +41,7 @@
     match matches.subcommand() {
         Some(("ci", _)) => ci::run(),
         Some(("demo", _)) => runtime()?.block_on(demo::run()),
+        Some(("bench-fairness", sub)) => runtime()?.block_on(bench_fairness::run(sub)),
         Some(("bench-quota", sub)) => bench_quota::run(sub),
         Some(("bench", sub)) => runtime()?.block_on(bench::run(sub)),
         Some(("bench-failover", sub)) => runtime()?.block_on(bench_failover::run(sub)),
