--- a/crates/jasminepassd/src/peer.rs
+++ b/crates/jasminepassd/src/peer.rs
@@ -100,12 +100,12 @@
         PeerRequest::Resolve(resolve) => outcome::resolve(app, &resolve).await,
         PeerRequest::Begin(begin) => transactions::begin(app, &begin).await,
         PeerRequest::Step(step) => transaction_steps::run(app, &step).await,
-        PeerRequest::Report(report, tally) => {
-            PeerReply::Reported { stored: report_io::take(app, *report, tally) }
-        }
         PeerRequest::Gossip(digest) => fleet_io::told(app, stamp, digest),
         PeerRequest::Pull(pull) => fleet_io::pulled(app, &pull),
         PeerRequest::Introduce => fleet_io::introduced(app),
+        PeerRequest::Report(report, tally) => {
+            PeerReply::Reported { stored: report_io::take(app, *report, tally) }
+        }
     }
 }
 
--- a/crates/jasminepassd/src/run.rs
+++ b/crates/jasminepassd/src/run.rs
@@ -80,7 +80,6 @@
     slog::info!(app.log, "started"; "addresses" => addresses.to_string());
     wait_for_stop(&app).await?;
     stop.run(caller_server, peer_server).await;
-    report_io::finish(&app).await;
     Ok(())
 }
 
--- a/crates/proto/src/peer.rs
+++ b/crates/proto/src/peer.rs
@@ -22,8 +22,6 @@
     Begin(Box<Begin>),
     /// A request inside a transaction, for the holder that opened it.
     Step(Box<TransactionStep>),
-    /// A VM's state and counts, for the VM that writes those of its data centre.
-    Report(Box<VmReport>, TallyReport),
     /// What the sender knows; the answer is what the receiver knows.
     Gossip(Box<Digest>),
     /// Asks for what the sender lacks.
@@ -31,6 +29,8 @@
     /// Asks any VM at the address who it is and which VMs it knows. The only message that is not
     /// addressed to one run of one VM, and it changes nothing.
     Introduce,
+    /// A VM's state and counts, for the VM that writes those of its data centre.
+    Report(Box<VmReport>, TallyReport),
 }
 
 /// The answer to a [`PeerRequest`].
@@ -48,17 +48,17 @@
     Begun(TransactionId),
     /// A transaction was rolled back.
     RolledBack,
-    /// The report was taken.
-    Reported {
-        /// All counts in the sender's reports up to this number are stored.
-        stored: u64,
-    },
     /// What the receiver of a digest knows.
     Gossip(Box<Digest>),
     /// What was asked for.
     Pulled(Box<Pulled>),
     /// The VMs that the receiver of an introduction knows, itself among them.
     Introduced(Vec<VmRecord>),
+    /// The report was taken.
+    Reported {
+        /// All counts in the sender's reports up to this number are stored.
+        stored: u64,
+    },
 }
 
 /// A request on its way from the entry VM to a holder.
