--- a/crates/jasminepassctl/tests/decisions.rs
+++ b/crates/jasminepassctl/tests/decisions.rs
@@ -11,6 +11,7 @@
     force::{STALE_AFTER_S, force, words},
     plan::differences,
     reply::Reply,
+    run::run,
     status::render,
     store::{Effect, effect},
 };
@@ -154,6 +155,22 @@
     check("ctl frobnicate", Some(ErrorKind::InvalidSubcommand));
 }
 
+#[tokio::test]
+async fn completion_is_written_for_every_shell() {
+    for shell in ["bash", "elvish", "fish", "powershell", "zsh"] {
+        let matches = command().get_matches_from(["jasminepassctl", "completion", shell]);
+        let script = run(&matches).await.expect("a script").text;
+        assert!(script.contains("withdraw") && script.contains("key-file"), "{shell}");
+    }
+}
+
+#[tokio::test]
+async fn command_without_an_answer_of_the_platform_has_its_code() {
+    let matches =
+        command().get_matches_from(["jasminepassctl", "--platform", "127.0.0.1:1", "status"]);
+    assert_eq!(run(&matches).await.expect_err("nothing listens there").code(), 5);
+}
+
 #[test]
 fn help_of_every_command_has_an_example() {
     fn leaves(command: &clap::Command, path: &str) -> Vec<(String, String)> {
