A hand-over that waited for open transactions keeps its delays

Found by the trace upstream_leaves_with_open_transaction: once the transaction had ended, every VM proposed in the same tick, and the refusals cost over a second. The delays now begin anew while the primary is busy.

--- a/crates/failover/src/promotion.rs
+++ b/crates/failover/src/promotion.rs
@@ -86,6 +86,8 @@
 struct Suspicion {
     fault: Fault,
     top: Term,
+    seen_at: MonoTime,
+    delay: DurationUs,
     due_at: MonoTime,
 }
 
@@ -182,13 +184,12 @@
                     state.replaced = Some(database_name(board, primary));
                 }
                 if !known {
-                    let due_at = now + delay(board, slot, &me, fault, &limits, random);
-                    state.suspicion = Some(Suspicion { fault, top, due_at });
+                    let delay = delay(board, slot, &me, fault, &limits, random);
+                    let due_at = now + delay;
+                    state.suspicion = Some(Suspicion { fault, top, seen_at: now, delay, due_at });
                 }
                 let busy = fault == Fault::Leaving && has_open_transactions(board, slot, primary);
-                let patience = if busy { limits.drain } else { DurationUs::default() };
-                let due = state.suspicion.as_ref().is_some_and(|s| now >= s.due_at + patience);
-                if due {
+                if state.is_due(busy, &limits, now) {
                     state.propose(board, slot, top, &limits, now, effects);
                 }
             }
@@ -243,6 +244,18 @@
 }
 
 impl SlotPromotion {
+    /// Whether this VM acts on the fault now. While the primary is busy and may be so, the delays
+    /// begin anew, so that VMs still act one after the other.
+    fn is_due(&mut self, busy: bool, limits: &Limits, now: MonoTime) -> bool {
+        let Some(suspicion) = &mut self.suspicion else {
+            return false;
+        };
+        if busy && now < suspicion.seen_at + limits.drain {
+            suspicion.due_at = now + suspicion.delay;
+        }
+        now >= suspicion.due_at
+    }
+
     /// Fences the members at a term that nobody has been seen to use.
     fn propose(
         &mut self,
--- a/crates/replay/src/failover.rs
+++ b/crates/replay/src/failover.rs
@@ -72,6 +72,16 @@
         /// The database.
         node: String,
     },
+    /// A transaction is opened on the database.
+    OpenTransaction {
+        /// The database.
+        node: String,
+    },
+    /// The transactions that are open on the database end.
+    EndTransactions {
+        /// The database.
+        node: String,
+    },
     /// The next VM that calls a database so is killed when the call has left.
     KillNextCaller {
         /// `fence`, `promote` or `follow`.
@@ -150,6 +160,8 @@
         Event::Heal {} => world.network.heal(),
         Event::Lag { node, ms } => world.set_lag(node, DurationUs::from_ms(*ms)),
         Event::Leave { node } => world.leave(node),
+        Event::OpenTransaction { node } => world.open_transaction(node),
+        Event::EndTransactions { node } => world.end_transactions(node),
         Event::KillNextCaller { action } => world.kill_next_caller = Some(action.clone()),
         Event::KillNextPromoted {} => world.kill_next_promoted = true,
         expectation => return expect(world, expectation),
--- a/crates/replay/src/failover/database.rs
+++ b/crates/replay/src/failover/database.rs
@@ -1,5 +1,7 @@
 //! A database of a trace: the stand-in's slot data, with heartbeats and copying in virtual time.
 
+use std::sync::Arc;
+
 use failover::promotion::{Action, Answer, Call};
 use model::prelude::*;
 use proto::database::{DatabaseError, Role, SlotStatus, Status};
@@ -57,6 +59,8 @@
     pub data: SlotData,
     /// Time by which it copies its primary's log late.
     pub lag: DurationUs,
+    /// Open transactions.
+    pub transactions: Vec<Arc<()>>,
     asked_at: Option<MonoTime>,
     in_service: Option<(Term, MonoTime)>,
 }
@@ -68,6 +72,7 @@
             name,
             data: SlotData::new(),
             lag: DurationUs::default(),
+            transactions: Vec::new(),
             asked_at: None,
             in_service: None,
         }
--- a/crates/replay/src/failover/world.rs
+++ b/crates/replay/src/failover/world.rs
@@ -166,6 +166,17 @@
         }
     }
 
+    /// A transaction is opened on the database.
+    pub fn open_transaction(&mut self, node: &str) {
+        let database = self.database(node);
+        database.transactions.push(database.data.open.clone());
+    }
+
+    /// The transactions that are open on the database end.
+    pub fn end_transactions(&mut self, node: &str) {
+        self.database(node).transactions.clear();
+    }
+
     /// A configuration comes into force in which the database is leaving.
     pub fn leave(&mut self, node: &str) {
         self.leaving.push(node.to_owned());
