--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 pub mod freshness;
 pub mod placement;
+pub mod quota;
 pub mod slots;
 
 use std::sync::Arc;
@@ -17,6 +18,7 @@
 pub use catalog::{Catalog, DatabaseKey, RouteKey, ServiceKey, SlotKey, WorkspaceKey};
 pub use fleet::{Fleet, Members, VmIdentity};
 pub use placement::Placement;
+pub use quota::QuotaView;
 pub use slots::{DatabaseState, Member, SlotState};
 
 /// What a VM knows.
@@ -30,10 +32,10 @@
     pub slots: TiVec<SlotKey, SlotState>,
     /// Each database as last seen.
     pub databases: TiVec<DatabaseKey, DatabaseState>,
-    /// How many seats of its data centre's rates this VM holds.
-    pub seats_in_force: usize,
     /// Holders of the databases, for the catalog and VMs of the last call of [`Board::place`].
     pub placement: Arc<Placement>,
+    /// What this VM owns of rates and connections.
+    pub quota: Arc<QuotaView>,
 }
 
 impl Board {
@@ -47,7 +49,7 @@
             fleet,
             slots: TiVec::new(),
             databases: TiVec::new(),
-            seats_in_force: 0,
+            quota: Arc::default(),
         }
     }
 
--- a/crates/jasminepassctl/src/status.rs
+++ b/crates/jasminepassctl/src/status.rs
@@ -44,7 +44,7 @@
         .flat_map(|(dc, status)| status.iter().flat_map(|s| vm_rows(dc, s)))
         .collect();
     text +=
-        &table(&["VM", "data centre", "run", "generation", "seats", "heard", "state"], &vm_rows);
+        &table(&["VM", "data centre", "run", "generation", "portions", "heard", "state"], &vm_rows);
     text += "\n";
     let slots = slots(statuses);
     text += &table(
@@ -80,7 +80,7 @@
             dc.to_string(),
             number(report.map(|r| r.incarnation.0)),
             number(report.map(|r| r.generation.0)),
-            number(report.map(|r| r.seats)),
+            number(report.map(|r| r.portions)),
             heard.map_or("-".to_owned(), |s| format!("{s} s ago")),
             state,
         ]
--- a/crates/jasminepassctl/tests/decisions.rs
+++ b/crates/jasminepassctl/tests/decisions.rs
@@ -89,7 +89,7 @@
         incarnation: Incarnation(7),
         generation: Generation(generation),
         stopping: false,
-        seats: 4,
+        portions: 4,
         suspects: Vec::new(),
         slots: vec![SlotReport {
             service: ServiceName::new("quotes").expect("a name"),
--- a/crates/jasminepassd/src/ops.rs
+++ b/crates/jasminepassd/src/ops.rs
@@ -9,11 +9,10 @@
 };
 
 use axum::{Json, Router, extract::State, http::StatusCode, routing::get};
-use board::{Member, SlotState};
-use fleet::access::check_trust;
-use fleet::placement::holds_any;
+use board::{Board, Member, SlotState};
+use fleet::{access::check_trust, placement::holds_any};
 use model::prelude::*;
-use proto::platform::VmState;
+use proto::platform::{Version, VmState};
 use serde::Serialize;
 
 use crate::app::App;
@@ -65,7 +64,12 @@
     platform_age_ms: Option<u64>,
     heard_age_ms: BTreeMap<String, u64>,
     keys_trusted: bool,
-    seats_in_force: usize,
+    /// Version of the data centre's object that is in force here.
+    portions_version: Version,
+    /// Millionths of each workspace's rate and burst that this VM owns.
+    portions: BTreeMap<WorkspaceName, u32>,
+    /// This VM's connections to each database of which it is a holder.
+    connections: BTreeMap<DatabaseName, u32>,
     slots: Vec<SlotView>,
 }
 
@@ -125,11 +129,24 @@
         platform_age_ms: fleet.platform.map(|age| age.now(now).as_ms()),
         heard_age_ms: heard.collect(),
         keys_trusted: check_trust(&board, now).is_ok(),
-        seats_in_force: board.seats_in_force,
+        portions_version: board.quota.version,
+        portions: board.quota.parts.clone(),
+        connections: connections(&board),
         slots: slots.collect(),
     })
 }
 
+/// Connections that are in force, and none where this VM should have some.
+fn connections(board: &Board) -> BTreeMap<DatabaseName, u32> {
+    let mut connections = board.quota.connections.clone();
+    for (key, entry) in board.catalog.databases.iter_enumerated() {
+        if holds_any(board, &[key]) {
+            connections.entry(entry.name.clone()).or_insert(0);
+        }
+    }
+    connections
+}
+
 fn in_step(state: &SlotState) -> bool {
     let follows = |m: &Member| m.term == state.term && m.position.term == state.term;
     let told = |m: &Member| m.follows == state.primary && m.follows.is_some();
--- a/crates/jasminepassd/src/report_io.rs
+++ b/crates/jasminepassd/src/report_io.rs
@@ -7,7 +7,6 @@
 };
 
 use board::{Board, DatabaseKey, SlotKey};
-use edge::peer::Receiver;
 use fleet::placement::holders;
 use model::{prelude::*, request::stable_hash};
 use proto::{
@@ -17,7 +16,7 @@
 };
 use tally::status::StatusBook;
 
-use crate::{app::App, clock::unix_s, counters::Counter, tally_io};
+use crate::{app::App, clock::unix_s, counters::Counter, fleet_io, tally_io};
 
 /// Time between two reports if nothing changes, and between two rounds of storing counts.
 const REPORT_INTERVAL: Duration = Duration::from_secs(5);
@@ -78,9 +77,8 @@
             let stored = take(app, report, tally);
             return app.accounts.stored(stored);
         }
-        let receiver = Receiver { vm: collector.vm.clone(), incarnation: collector.incarnation };
         let req = PeerRequest::Report(Box::new(report.clone()), tally.clone());
-        let sent = app.peers.call(&receiver, &collector.peer_address, &req, SEND_TIMEOUT).await;
+        let sent = fleet_io::call(app, collector, &req, SEND_TIMEOUT).await;
         if let Ok(PeerReply::Reported { stored }) = sent {
             return app.accounts.stored(stored);
         }
@@ -114,7 +112,7 @@
         incarnation: board.fleet.me.incarnation,
         generation,
         stopping,
-        seats: board.seats_in_force as u64,
+        portions: board.quota.parts.len() as u64,
         suspects,
         slots: slots.map(|slot| slot_report(board, slot)).collect(),
     }
--- a/crates/proto/src/report.rs
+++ b/crates/proto/src/report.rs
@@ -119,8 +119,8 @@
     pub generation: Generation,
     /// Whether it is being stopped.
     pub stopping: bool,
-    /// Seats of its data centre's rates that it holds.
-    pub seats: u64,
+    /// Workspaces of which it owns a part of the rate.
+    pub portions: u64,
     /// VMs that don't answer it.
     pub suspects: Vec<VmName>,
     /// The slots of which it is the first holder in its data centre.
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod faults;
 pub mod fleet;
 pub mod process;
+pub mod relay;
 pub mod scratch;
 pub mod usage;
 pub mod wait;
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,9 +1,13 @@
 //! Developer tasks: `ci`, `demo` and `bench`.
 
 mod bench;
+mod bench_accounting;
 mod bench_failover;
+mod bench_fleet;
+mod bench_load;
 mod bench_memory;
 mod bench_promotion;
+mod bench_quota;
 mod bench_replica_share;
 mod ci;
 mod demo;
@@ -21,16 +25,26 @@
                 .about("Starts a small fleet of each example, uses it and prints what happened"),
         )
         .subcommand(bench::command())
+        .subcommand(bench_quota::command())
         .subcommand(bench_failover::command())
+        .subcommand(bench_fleet::command())
         .subcommand(bench_memory::command())
+        .subcommand(bench_load::command())
+        .subcommand(
+            Command::new("bench-accounting").about("Measures sizes and times of usage accounting"),
+        )
         .subcommand(bench_promotion::command())
         .subcommand(bench_replica_share::command())
         .get_matches();
     match matches.subcommand() {
         Some(("ci", _)) => ci::run(),
         Some(("demo", _)) => runtime()?.block_on(demo::run()),
+        Some(("bench-quota", sub)) => bench_quota::run(sub),
         Some(("bench", sub)) => runtime()?.block_on(bench::run(sub)),
         Some(("bench-failover", sub)) => runtime()?.block_on(bench_failover::run(sub)),
+        Some(("bench-fleet", sub)) => runtime()?.block_on(bench_fleet::run(sub)),
+        Some(("bench-load", sub)) => runtime()?.block_on(bench_load::run(sub)),
+        Some(("bench-accounting", _)) => bench_accounting::run(),
         Some(("bench-promotion", sub)) => runtime()?.block_on(bench_promotion::run(sub)),
         Some(("bench-memory", sub)) => runtime()?.block_on(bench_memory::run(sub)),
         Some(("bench-replica-share", sub)) => runtime()?.block_on(bench_replica_share::run(sub)),
