Keep connections free for workspaces that were active lately

Change: each workspace active in the last second is guaranteed what it used at once and one more, up to its share by quantum; others may not take what is kept free for that.

--- a/crates/jasminepassd/src/pools.rs
+++ b/crates/jasminepassd/src/pools.rs
@@ -56,6 +56,7 @@
 /// A place among the connections in use; freed when dropped.
 struct Place {
     pool: Arc<Pool>,
+    workspace: WorkspaceName,
     taken_at: MonoTime,
     freed: bool,
 }
@@ -72,6 +73,7 @@
 /// A request that waits; leaves the queue when dropped.
 struct Waiting {
     pool: Arc<Pool>,
+    workspace: WorkspaceName,
     ticket: Ticket,
     handed: oneshot::Receiver<Handed>,
 }
@@ -97,7 +99,12 @@
                 handed.ok().and_then(Result::ok).ok_or(TakeError::Timeout)?
             }
         };
-        let place = Place { pool: self.clone(), taken_at: self.clock.now(), freed: false };
+        let place = Place {
+            pool: self.clone(),
+            workspace: workspace.clone(),
+            taken_at: self.clock.now(),
+            freed: false,
+        };
         let opened = connection.is_none();
         let connection = match connection {
             Some(connection) => connection,
@@ -124,20 +131,21 @@
             Taken::Waits(ticket) => {
                 let (sender, handed) = oneshot::channel();
                 inner.waiting.insert(ticket, sender);
-                Ok(Err(Waiting { pool: self.clone(), ticket, handed }))
+                let workspace = workspace.clone();
+                Ok(Err(Waiting { pool: self.clone(), workspace, ticket, handed }))
             }
         }
     }
 
-    fn give_back(&self, connection: Connection, taken_at: MonoTime) {
+    fn give_back(&self, connection: Connection, workspace: &WorkspaceName, taken_at: MonoTime) {
         let now = self.clock.now();
         let mut inner = self.lock();
         if !connection.is_open() {
-            inner.close_used(now);
+            inner.close_used(workspace, now);
             return;
         }
-        match inner.share.give_back(now.since(taken_at), now) {
-            Next::Handed(ticket) => inner.hand(ticket, Some(connection), now),
+        match inner.share.give_back(workspace, now.since(taken_at), now) {
+            Next::Handed(ticket, next) => inner.hand(ticket, &next, Some(connection), now),
             Next::Idle => inner.idle.push(Idle { connection, since: Instant::now() }),
             Next::Close => {}
         }
@@ -150,8 +158,8 @@
         inner.share.set_limit(limit);
         let surplus = inner.share.surplus_idle();
         inner.close_oldest(surplus as usize);
-        while let Some(ticket) = inner.share.open_for_next(now) {
-            inner.hand(ticket, None, now);
+        while let Some((ticket, workspace)) = inner.share.open_for_next(now) {
+            inner.hand(ticket, &workspace, None, now);
         }
         inner.share.open()
     }
@@ -172,18 +180,24 @@
 
 impl Inner {
     /// Gives a place in use, with its connection or without, to a waiting request.
-    fn hand(&mut self, ticket: Ticket, connection: Handed, now: MonoTime) {
+    fn hand(
+        &mut self,
+        ticket: Ticket,
+        workspace: &WorkspaceName,
+        connection: Handed,
+        now: MonoTime,
+    ) {
         let sender = self.waiting.remove(&ticket);
         let handed = sender.is_some_and(|sender| sender.send(connection).is_ok());
         if !handed {
             // It has just given up: the next one gets the place.
-            self.close_used(now);
+            self.close_used(workspace, now);
         }
     }
 
-    fn close_used(&mut self, now: MonoTime) {
-        if let Some(ticket) = self.share.close_used(now) {
-            self.hand(ticket, None, now);
+    fn close_used(&mut self, workspace: &WorkspaceName, now: MonoTime) {
+        if let Some((ticket, next)) = self.share.close_used(workspace, now) {
+            self.hand(ticket, &next, None, now);
         }
     }
 
@@ -207,7 +221,7 @@
         if let Ok(handed) = self.handed.try_recv() {
             // It was handed a place at the last moment.
             drop(handed);
-            inner.close_used(self.pool.clock.now());
+            inner.close_used(&self.workspace, self.pool.clock.now());
         }
     }
 }
@@ -219,10 +233,11 @@
         }
         // The database must have seen the end of the connection before another is opened for it.
         let pool = self.pool.clone();
+        let workspace = self.workspace.clone();
         tokio::spawn(async move {
             tokio::time::sleep(CLOSE_TIME).await;
             let now = pool.clock.now();
-            pool.lock().close_used(now);
+            pool.lock().close_used(&workspace, now);
         });
     }
 }
@@ -232,7 +247,7 @@
     pub fn give_back(self) {
         let Lease { connection, mut place, .. } = self;
         place.freed = true;
-        place.pool.give_back(connection, place.taken_at);
+        place.pool.give_back(connection, &place.workspace, place.taken_at);
     }
 }
 
--- a/crates/pool/src/queue.rs
+++ b/crates/pool/src/queue.rs
@@ -35,6 +35,30 @@
     entries: VecDeque<Entry>,
 }
 
+/// What was taken from a flow.
+struct FromFlow {
+    ticket: Option<Ticket>,
+    /// Entries that left the flow, the ticket's among them.
+    dropped: usize,
+}
+
+impl Flow {
+    fn next(&mut self, now: MonoTime) -> FromFlow {
+        if self.deficit == 0 {
+            self.deficit = self.quantum;
+        }
+        let mut dropped = 0;
+        while let Some(entry) = self.entries.pop_front() {
+            dropped += 1;
+            if entry.deadline > now {
+                self.deficit -= 1;
+                return FromFlow { ticket: Some(entry.ticket), dropped };
+            }
+        }
+        FromFlow { ticket: None, dropped }
+    }
+}
+
 /// Requests that wait. Each round serves of every waiting workspace as many as its quantum says.
 #[derive(Debug, Default)]
 pub struct FairQueue {
@@ -89,25 +113,36 @@
         Ok(())
     }
 
-    /// Takes the request that is served next. Those whose time has run out are passed over.
-    pub fn pop(&mut self, now: MonoTime) -> Option<Ticket> {
-        while let Some(flow) = self.flows.front_mut() {
-            if flow.deficit == 0 {
-                flow.deficit = flow.quantum;
+    /// Whether a request of the workspace waits.
+    pub fn holds(&self, workspace: &WorkspaceName) -> bool {
+        self.flow(workspace).is_some()
+    }
+
+    /// Takes the request that is served next, of a workspace that may be served now. Those whose time
+    /// has run out are passed over.
+    pub fn pop(
+        &mut self,
+        may_serve: impl Fn(&WorkspaceName) -> bool,
+        now: MonoTime,
+    ) -> Option<(Ticket, WorkspaceName)> {
+        let mut passed_over = 0;
+        while passed_over < self.flows.len() {
+            let flow = self.flows.front_mut()?;
+            if !may_serve(&flow.workspace) {
+                passed_over += 1;
+                self.flows.rotate_left(1);
+                continue;
             }
-            let entry = flow.entries.pop_front();
-            self.len -= usize::from(entry.is_some());
-            let live = entry.filter(|entry| entry.deadline > now);
-            flow.deficit -= u32::from(live.is_some());
-            let emptied = flow.entries.is_empty();
-            let round_over = flow.deficit == 0;
-            if emptied {
+            let live = flow.next(now);
+            let workspace = flow.workspace.clone();
+            self.len -= live.dropped;
+            if flow.entries.is_empty() {
                 self.flows.pop_front();
-            } else if round_over {
+            } else if flow.deficit == 0 {
                 self.flows.rotate_left(1);
             }
-            if let Some(entry) = live {
-                return Some(entry.ticket);
+            if let Some(ticket) = live.ticket {
+                return Some((ticket, workspace));
             }
         }
         None
--- a/crates/pool/src/share.rs
+++ b/crates/pool/src/share.rs
@@ -2,7 +2,10 @@
 
 use model::prelude::*;
 
-use crate::queue::{FairQueue, QueueFull, Ticket};
+use crate::{
+    queue::{FairQueue, QueueFull, Ticket},
+    usage::Usage,
+};
 
 const HOLD_TIME_SMOOTHING: u64 = 16;
 
@@ -34,10 +37,10 @@
 }
 
 /// What a connection that is given back becomes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Next {
-    /// It goes to that request.
-    Handed(Ticket),
+    /// It goes to that request, of that workspace.
+    Handed(Ticket, WorkspaceName),
     /// It stays open, unused.
     Idle,
     /// It must be closed: the share has become smaller.
@@ -51,6 +54,7 @@
     in_use: u32,
     idle: u32,
     queue: FairQueue,
+    usage: Usage,
     last_ticket: u64,
     hold_us: u64,
 }
@@ -77,13 +81,17 @@
         if self.limit == 0 {
             return Err(Refused::NoShare);
         }
-        if self.queue.is_empty() && self.idle > 0 {
+        self.usage.note_ask(workspace, quantum, now);
+        let free = self.limit.saturating_sub(self.in_use);
+        let at_once =
+            !self.queue.holds(workspace) && self.usage.may_take(workspace, free, self.limit, now);
+        if at_once && self.idle > 0 {
             self.idle -= 1;
-            self.in_use += 1;
+            self.note_taken(workspace);
             return Ok(Taken::Idle);
         }
-        if self.queue.is_empty() && self.open() < self.limit {
-            self.in_use += 1;
+        if at_once && self.open() < self.limit {
+            self.note_taken(workspace);
             return Ok(Taken::Open);
         }
         let wait = self.expected_wait(workspace, quantum);
@@ -98,24 +106,35 @@
         }
     }
 
-    /// Gives a sound connection back after it was held for a while.
-    pub fn give_back(&mut self, held: DurationUs, now: MonoTime) -> Next {
+    /// Gives a sound connection back after a request of the workspace held it for a while.
+    pub fn give_back(
+        &mut self,
+        workspace: &WorkspaceName,
+        held: DurationUs,
+        now: MonoTime,
+    ) -> Next {
         self.note_hold(held);
-        if self.open() > self.limit {
-            self.in_use -= 1;
+        let above_limit = self.open() > self.limit;
+        self.note_freed(workspace);
+        if above_limit {
             return Next::Close;
         }
-        if let Some(ticket) = self.queue.pop(now) {
-            return Next::Handed(ticket);
+        if let Some((ticket, next)) = self.pop(now) {
+            self.note_taken(&next);
+            return Next::Handed(ticket, next);
         }
-        self.in_use -= 1;
         self.idle += 1;
         Next::Idle
     }
 
-    /// A connection in use is closed, or could not be opened. Returns a request that may open another.
-    pub fn close_used(&mut self, now: MonoTime) -> Option<Ticket> {
-        self.in_use -= 1;
+    /// A connection that a request of the workspace used is closed, or could not be opened. Returns a
+    /// request that may open another, and its workspace.
+    pub fn close_used(
+        &mut self,
+        workspace: &WorkspaceName,
+        now: MonoTime,
+    ) -> Option<(Ticket, WorkspaceName)> {
+        self.note_freed(workspace);
         self.open_for_next(now)
     }
 
@@ -134,14 +153,14 @@
         self.limit = limit;
     }
 
-    /// A waiting request that may open a connection now.
-    pub fn open_for_next(&mut self, now: MonoTime) -> Option<Ticket> {
+    /// A waiting request that may open a connection now, and its workspace.
+    pub fn open_for_next(&mut self, now: MonoTime) -> Option<(Ticket, WorkspaceName)> {
         if self.open() >= self.limit {
             return None;
         }
-        let ticket = self.queue.pop(now)?;
-        self.in_use += 1;
-        Some(ticket)
+        let (ticket, workspace) = self.pop(now)?;
+        self.note_taken(&workspace);
+        Some((ticket, workspace))
     }
 
     /// Forgets a request that no longer waits.
@@ -149,6 +168,22 @@
         self.queue.remove(ticket);
     }
 
+    fn pop(&mut self, now: MonoTime) -> Option<(Ticket, WorkspaceName)> {
+        let free = self.limit.saturating_sub(self.in_use);
+        let (usage, limit) = (&self.usage, self.limit);
+        self.queue.pop(|workspace| usage.may_take(workspace, free, limit, now), now)
+    }
+
+    fn note_taken(&mut self, workspace: &WorkspaceName) {
+        self.in_use += 1;
+        self.usage.note_taken(workspace);
+    }
+
+    fn note_freed(&mut self, workspace: &WorkspaceName) {
+        self.in_use -= 1;
+        self.usage.note_freed(workspace);
+    }
+
     fn expected_wait(&self, workspace: &WorkspaceName, quantum: u32) -> DurationUs {
         let ahead = self.queue.ahead_of(workspace, quantum) as u64;
         DurationUs((ahead + 1) * self.hold_us / u64::from(self.limit.max(1)))
--- a/crates/pool/tests/queue.rs
+++ b/crates/pool/tests/queue.rs
@@ -16,6 +16,11 @@
     WorkspaceName::new(name).expect("a name")
 }
 
+/// Takes the next request, of any workspace.
+fn pop(queue: &mut FairQueue, now: MonoTime) -> Option<Ticket> {
+    queue.pop(|_| true, now).map(|(ticket, _)| ticket)
+}
+
 /// Pushes one request for each letter, with the quantum of its workspace, and checks the order.
 fn check_order(requests: &str, quanta: &[(char, u32)], expected: &str) {
     let mut queue = FairQueue::default();
@@ -24,7 +29,7 @@
         let name = workspace(&c.to_string());
         queue.push(Ticket(at as u64), &name, quantum(c), NEVER).expect("room");
     }
-    let served = std::iter::from_fn(|| queue.pop(MonoTime(0)));
+    let served = std::iter::from_fn(|| pop(&mut queue, MonoTime(0)));
     let order: String = served.filter_map(|t| requests.chars().nth(t.0 as usize)).collect();
     assert_eq!(order, expected, "{requests} with {quanta:?}");
     assert!(queue.is_empty());
@@ -49,8 +54,8 @@
     for (at, deadline) in [(1, 10), (2, 30), (3, 20)] {
         queue.push(Ticket(at), &workspace("a"), 1, MonoTime(deadline)).expect("room");
     }
-    assert_eq!(queue.pop(MonoTime(25)), Some(Ticket(2)));
-    assert_eq!(queue.pop(MonoTime(25)), None);
+    assert_eq!(pop(&mut queue, MonoTime(25)), Some(Ticket(2)));
+    assert_eq!(pop(&mut queue, MonoTime(25)), None);
     assert_eq!(queue.len(), 0);
 }
 
@@ -76,7 +81,8 @@
             let _ = queue.push(Ticket(at as u64), &name(*n), quantum(*n), NEVER);
         }
         let owner = |t: Ticket| requests[t.0 as usize].0 % 4;
-        let order: Vec<u8> = std::iter::from_fn(|| queue.pop(MonoTime(0))).map(owner).collect();
+        let order: Vec<u8> =
+            std::iter::from_fn(|| pop(&mut queue, MonoTime(0))).map(owner).collect();
         // Between two turns of a workspace that still waits, no other is served beyond its quantum.
         (0..4).all(|w| {
             let last = order.iter().rposition(|o| *o == w).unwrap_or(0);
@@ -105,8 +111,8 @@
     share.set_limit(1);
     assert_eq!(share.take(&a, 1, NEVER, now), Ok(Taken::Open));
     assert_eq!(share.take(&a, 1, NEVER, now), Ok(Taken::Waits(Ticket(1))));
-    assert_eq!(share.give_back(HOLD, now), Next::Handed(Ticket(1)));
-    assert_eq!(share.give_back(HOLD, now), Next::Idle);
+    assert_eq!(share.give_back(&a, HOLD, now), Next::Handed(Ticket(1), a.clone()));
+    assert_eq!(share.give_back(&a, HOLD, now), Next::Idle);
     assert_eq!(share.take(&a, 1, NEVER, now), Ok(Taken::Idle));
     assert_eq!(share.open(), 1);
 }
@@ -119,12 +125,12 @@
     for _ in 0..3 {
         assert_eq!(share.take(&a, 1, NEVER, MonoTime(1)), Ok(Taken::Open));
     }
-    assert_eq!(share.give_back(HOLD, MonoTime(1)), Next::Idle);
+    assert_eq!(share.give_back(&a, HOLD, MonoTime(1)), Next::Idle);
     share.set_limit(1);
     assert_eq!(share.surplus_idle(), 1);
     share.close_idle(1);
-    assert_eq!(share.give_back(HOLD, MonoTime(1)), Next::Close);
-    assert_eq!(share.give_back(HOLD, MonoTime(1)), Next::Idle);
+    assert_eq!(share.give_back(&a, HOLD, MonoTime(1)), Next::Close);
+    assert_eq!(share.give_back(&a, HOLD, MonoTime(1)), Next::Idle);
     assert_eq!(share.open(), 1);
 }
 
@@ -135,7 +141,7 @@
     share.set_limit(1);
     for _ in 0..200 {
         let _ = share.take(&a, 1, NEVER, MonoTime(1));
-        share.give_back(HOLD, MonoTime(1));
+        share.give_back(&a, HOLD, MonoTime(1));
     }
     let deadline = MonoTime(1) + DurationUs::from_ms(45);
     assert_eq!(share.take(&a, 1, deadline, MonoTime(1)), Ok(Taken::Idle));
@@ -149,31 +155,31 @@
     let mut share = Share::default();
     share.set_limit(limit);
     let mut waits = vec![DurationUs::default(); arrivals.len()];
-    let mut busy: VecDeque<MonoTime> = VecDeque::new();
+    let mut busy: VecDeque<(MonoTime, WorkspaceName)> = VecDeque::new();
     let mut waiting: FxHashMap<Ticket, usize> = FxHashMap::default();
     let mut end = |share: &mut Share,
-                   busy: &mut VecDeque<MonoTime>,
+                   busy: &mut VecDeque<(MonoTime, WorkspaceName)>,
                    waiting: &mut FxHashMap<Ticket, usize>| {
-        let Some(now) = busy.pop_front() else {
+        let Some((now, workspace)) = busy.pop_front() else {
             return;
         };
-        if let Next::Handed(ticket) = share.give_back(HOLD, now) {
+        if let Next::Handed(ticket, next) = share.give_back(&workspace, HOLD, now) {
             if let Some(at) = waiting.remove(&ticket) {
                 let arrived: MonoTime = arrivals[at].0;
                 waits[at] = now.since(arrived);
             }
-            busy.push_back(now + HOLD);
+            busy.push_back((now + HOLD, next));
         }
     };
     for (at, (arrived, workspace)) in arrivals.iter().enumerate() {
-        while busy.front().is_some_and(|done| done <= arrived) {
+        while busy.front().is_some_and(|(done, _)| done <= arrived) {
             end(&mut share, &mut busy, &mut waiting);
         }
         match share.take(workspace, 1, NEVER, *arrived) {
             Ok(Taken::Waits(ticket)) => {
                 waiting.insert(ticket, at);
             }
-            Ok(_) => busy.push_back(*arrived + HOLD),
+            Ok(_) => busy.push_back((*arrived + HOLD, workspace.clone())),
             Err(_) => {}
         }
     }
@@ -192,6 +198,10 @@
     arrivals.sort();
     let waits = serve(10, &arrivals);
     let of_b = arrivals.iter().zip(&waits).filter(|((_, w), _)| w.as_str() == "b");
-    let worst = of_b.map(|(_, wait)| *wait).max();
-    assert!(worst <= Some(HOLD), "b waits for {worst:?}, no longer than one request takes");
+    let mut of_b: Vec<DurationUs> = of_b.map(|(_, wait)| *wait).collect();
+    of_b.sort();
+    assert!(of_b.last() <= Some(&HOLD), "b waits for {:?} at most", of_b.last());
+    // A connection is kept free for it, but for its first requests.
+    let p99 = of_b[of_b.len() * 99 / 100];
+    assert_eq!(p99, DurationUs(0));
 }
