--- a/crates/board/src/lib.rs
+++ b/crates/board/src/lib.rs
@@ -32,10 +32,10 @@
     pub slots: TiVec<SlotKey, SlotState>,
     /// Each database as last seen.
     pub databases: TiVec<DatabaseKey, DatabaseState>,
-    /// What this VM owns of rates and connections.
-    pub quota: Arc<QuotaView>,
     /// Holders of the databases, for the catalog and VMs of the last call of [`Board::place`].
     pub placement: Arc<Placement>,
+    /// What this VM owns of rates and connections.
+    pub quota: Arc<QuotaView>,
 }
 
 impl Board {
--- a/crates/failover/src/limits.rs
+++ b/crates/failover/src/limits.rs
@@ -14,6 +14,8 @@
     pub settle: DurationUs,
     /// How long a primary that no majority hears is given to be heard again.
     pub unheard: DurationUs,
+    /// How long a primary that is leaving may go on with open transactions.
+    pub drain: DurationUs,
     /// By how much later each rank proposes than the one before.
     pub stagger: DurationUs,
     /// Greatest random delay of a proposal.
@@ -36,6 +38,7 @@
             silent,
             settle: DurationUs::from_ms(300),
             unheard: silent,
+            drain: DurationUs::from_ms(1_500),
             stagger: DurationUs::from_ms(150),
             jitter: DurationUs::from_ms(60),
             grace: DurationUs::from_ms(50),
--- a/crates/failover/src/observe.rs
+++ b/crates/failover/src/observe.rs
@@ -61,6 +61,7 @@
     member.position = status.position;
     member.asked_at = Some(asked_at);
     member.primary_in_service_at = in_service_at;
+    member.open_transactions = status.open_transactions;
     take_over(state, database, status);
     update_confirmed(state);
     update_verified(state);
@@ -139,9 +140,11 @@
     let running = slot.term;
     for member in &mut slot.members {
         let in_lineage = member.term == running && member.position.term == running;
-        if in_lineage {
-            member.fresh_at = member.fresh_at.max(slot.bounds.covered_until(member.position));
-        }
+        // A log that ends in an older term may hold entries that were never confirmed.
+        member.fresh_at = match in_lineage {
+            true => member.fresh_at.max(slot.bounds.covered_until(member.position)),
+            false => None,
+        };
     }
 }
 
--- a/crates/fleet/src/distribution.rs
+++ b/crates/fleet/src/distribution.rs
@@ -20,7 +20,7 @@
     gossip::{RUMOUR_LIFETIME, digest, next_random, pick},
     members::Membership,
     transfer::unpack,
-    watchers::{RESERVE_AFTER, Role, WATCHERS, ranked, role},
+    watchers::{RESERVE_AFTER, Ranking, Role, WATCHERS},
 };
 
 /// How often a VM tells another what it knows.
@@ -38,8 +38,8 @@
 pub enum FleetEvent {
     /// Time passed.
     Tick,
-    /// The platform's list was read.
-    ListRead(Vec<VmRecord>),
+    /// The platform's list was read, by a call that was made at that moment.
+    ListRead(MonoTime, Vec<VmRecord>),
     /// The configuration was read from the platform.
     ConfigurationRead(Box<Configuration>),
     /// The data centre's object was read from the platform.
@@ -71,6 +71,8 @@
     /// A run of a VM answered.
     Reached(VmName, Incarnation),
     /// A planned stop has begun.
+    Leaving,
+    /// All open work of a planned stop is finished.
     Stopping,
 }
 
@@ -95,6 +97,7 @@
 #[derive(Debug)]
 pub struct Distribution {
     members: Membership,
+    ranking: Ranking,
     watching: bool,
     watches_until: Option<MonoTime>,
     told_at: Option<MonoTime>,
@@ -109,6 +112,7 @@
     pub fn new(me: VmRecord) -> Distribution {
         Distribution {
             members: Membership::new(me),
+            ranking: Ranking::default(),
             watching: false,
             watches_until: None,
             told_at: None,
@@ -131,8 +135,8 @@
         let before = board.fleet.vms.clone();
         match event {
             FleetEvent::Tick => self.tick(board, now, random, &mut effects),
-            FleetEvent::ListRead(vms) => {
-                self.members.take_list(board, vms, Age::zero(now));
+            FleetEvent::ListRead(sent_at, vms) => {
+                self.members.take_list(board, vms, Age::zero(sent_at));
             }
             FleetEvent::ConfigurationRead(cfg) => self.adopt(board, cfg, &mut effects),
             FleetEvent::DcObjectRead(object) => self.take_object(board, object, &mut effects),
@@ -155,7 +159,14 @@
             }
             FleetEvent::Failed(vm, incarnation) => self.failed(board, vm, incarnation, now),
             FleetEvent::Reached(vm, incarnation) => self.reached(board, &vm, incarnation),
-            FleetEvent::Stopping => self.stop(board),
+            FleetEvent::Leaving => {
+                board.fleet.leaving = true;
+                self.news = true;
+            }
+            FleetEvent::Stopping => {
+                board.fleet.stopping = true;
+                self.members.stop_me(board);
+            }
         }
         if !before.is_same(&board.fleet.vms) {
             effects.push(FleetEffect::MembersChanged);
@@ -198,7 +209,8 @@
     }
 
     fn choose_role(&mut self, board: &Board, now: MonoTime, effects: &mut Vec<FleetEffect>) {
-        let watch = match role(board, &ranked(board)) {
+        self.ranking.update(board);
+        let watch = match self.ranking.role(board) {
             Role::Watcher => true,
             Role::Reserve => self.reserve_watches(board, now),
             Role::Follower => false,
@@ -234,12 +246,11 @@
 
     /// The VM to be told next: a watcher where this VM is a reserve, now and then one that did not
     /// answer, else any.
-    fn partner<'a>(&self, board: &'a Board, random: u64) -> Option<&'a VmRecord> {
-        let ranked = ranked(board);
+    fn partner<'a>(&'a self, board: &'a Board, random: u64) -> Option<&'a VmRecord> {
         let (near, far) = reachable(board);
         let random = next_random(random);
-        if role(board, &ranked) == Role::Reserve {
-            return ranked.get(random as usize % WATCHERS).copied();
+        if self.ranking.role(board) == Role::Reserve {
+            return self.ranking.answering(board).nth(random as usize % WATCHERS);
         }
         let suspects: Vec<&VmRecord> = board
             .fleet
@@ -437,12 +448,6 @@
         }
     }
 
-    fn stop(&mut self, board: &mut Board) {
-        board.fleet.stopping = true;
-        self.members.set_me(board);
-        self.news = true;
-    }
-
     fn spread(&mut self, board: &mut Board, rumour: Rumour, now: MonoTime) {
         self.news = true;
         board.fleet.rumours.push(HeardRumour { rumour, at: now });
--- a/crates/jasminepassd/src/control.rs
+++ b/crates/jasminepassd/src/control.rs
@@ -19,6 +19,7 @@
 use quota::{
     apply::put_in_force,
     events::{ObjectKind, PortionEffect, PortionEvent},
+    lenders::owner,
     objects::Owner,
     portions::PortionController,
 };
@@ -170,7 +171,8 @@
         let read_at = now - listed.read.now(now);
         if read_at > self.listed_at {
             self.listed_at = read_at;
-            self.handle_portions(PortionEvent::Listed);
+            let runs = listed.vms.iter().map(owner).collect();
+            self.handle_portions(PortionEvent::Listed { runs, read_at });
         }
     }
 
@@ -260,9 +262,10 @@
     }
 
     fn tick_portions(&mut self) {
+        let now = self.app.now();
         let mut effects = Vec::new();
         let mut rates = self.app.quota.rates();
-        rates.tick(self.app.now(), &mut effects);
+        rates.tick(now, &mut effects);
         let lent = rates.take_lent();
         drop(rates);
         quota_io::carry_out(&self.app, effects);
--- a/crates/jasminepassd/src/ops.rs
+++ b/crates/jasminepassd/src/ops.rs
@@ -9,7 +9,7 @@
 };
 
 use axum::{Json, Router, extract::State, http::StatusCode, routing::get};
-use board::Board;
+use board::{Board, Member, SlotState};
 use fleet::{access::check_trust, placement::holds_any};
 use model::prelude::*;
 use proto::platform::{Version, VmState};
@@ -46,6 +46,8 @@
     held: bool,
     /// Whether a majority has shown that the primary is the one of the running term.
     primary_verified: bool,
+    /// Whether every member follows the primary in its term.
+    in_step: bool,
 }
 
 /// What this VM knows.
@@ -109,6 +111,7 @@
             confirmed: state.confirmed,
             held: holds_any(&board, &catalog.services[entry.service].databases),
             primary_verified: state.primary_verified_at.is_some(),
+            in_step: in_step(state),
         }
     });
     let (fleet, now) = (&board.fleet, ops.app.now());
@@ -144,6 +147,12 @@
     connections
 }
 
+fn in_step(state: &SlotState) -> bool {
+    let follows = |m: &Member| m.term == state.term && m.position.term == state.term;
+    let told = |m: &Member| m.follows == state.primary && m.follows.is_some();
+    state.members.iter().all(|m| follows(m) && told(m))
+}
+
 async fn counters(State(ops): State<Ops>) -> Json<BTreeMap<&'static str, u64>> {
     Json(ops.app.counters.snapshot())
 }
--- a/crates/jasminepassd/src/run.rs
+++ b/crates/jasminepassd/src/run.rs
@@ -37,6 +37,7 @@
     settings::Settings,
     stop::Stop,
     transactions::{self, OpenTransactions},
+    verifier::{self, Verifier},
     watch as platform_watch,
 };
 
@@ -50,11 +51,13 @@
     let operators = bind("--ops-listen", settings.ops_listen).await?;
     let peer_address = settings.peer_address.unwrap_or(peers.local_addr()?);
     let addresses = json!({
-        "listen": callers.local_addr()?, "peer": peer_address, "ops": operators.local_addr()?,
+        "listen": callers.local_addr()?, "peer": peer_address,
+        "peer_listen": peers.local_addr()?, "ops": operators.local_addr()?,
     });
     let (events_tx, events_rx) = crossbeam_channel::unbounded();
     let (effects_tx, effects_rx) = mpsc::unbounded_channel();
-    let app = Arc::new(new_app(settings, &peer_address.to_string(), events_tx, log)?);
+    let (verifier, claims) = Verifier::new();
+    let app = Arc::new(new_app(settings, &peer_address.to_string(), events_tx, verifier, log)?);
 
     app.quota.bind(&app);
     let control = Control::new(app.clone(), effects_tx);
@@ -67,6 +70,7 @@
     tokio::spawn(keep_house(app.clone()));
     tokio::spawn(report_io::run(app.clone()));
     tokio::spawn(transactions::keep_sweeping(app.clone()));
+    tokio::spawn(verifier::run(app.clone(), claims));
 
     let stop = Stop::new(app.clone());
     let ops_app = ops::router(ops::Ops::new(app.clone(), stop.ready()));
@@ -90,6 +94,7 @@
     settings: Settings,
     peer_address: &str,
     events: crossbeam_channel::Sender<Event>,
+    verifier: Verifier,
     log: slog::Logger,
 ) -> eyre::Result<App> {
     let client = Client::new(settings.vm.as_str());
@@ -107,6 +112,7 @@
         board: ArcSwap::from_pointee(Board::new(me)),
         quota: QuotaState::new(owner, tokio::runtime::Handle::current()),
         retries: Default::default(),
+        verifier,
         transactions: OpenTransactions::new(settings.transaction_limits),
         pools: Pools::new(&settings.vm, clock),
         outgoing: ArcSwap::from_pointee(Outgoing::empty()),
--- a/crates/proto/src/report.rs
+++ b/crates/proto/src/report.rs
@@ -119,7 +119,7 @@
     pub generation: Generation,
     /// Whether it is being stopped.
     pub stopping: bool,
-    /// Workspaces of whose rates it owns a portion.
+    /// Workspaces of which it owns a part of the rate.
     pub portions: u64,
     /// VMs that don't answer it.
     pub suspects: Vec<VmName>,
--- a/crates/quota/src/events.rs
+++ b/crates/quota/src/events.rs
@@ -6,7 +6,7 @@
 use proto::platform::{Updated, Version};
 use serde_json::Value;
 
-use crate::rates::Lent;
+use crate::{objects::Owner, rates::Lent};
 
 /// An object of the platform.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -27,8 +27,13 @@
         /// Tokens lent since the last tick.
         lent: Vec<Lent>,
     },
-    /// The platform's list of VMs was read; it is on the board.
-    Listed,
+    /// The platform's list of VMs was read, by this VM or by one that told it.
+    Listed {
+        /// Every run on the list.
+        runs: FxHashSet<Owner>,
+        /// When it was read from the platform.
+        read_at: MonoTime,
+    },
     /// All work of this VM is finished before a planned stop.
     Drained,
     /// An object was read, from the platform or from another VM.
--- a/crates/quota/src/portions.rs
+++ b/crates/quota/src/portions.rs
@@ -19,7 +19,7 @@
     drift::{Drift, Give},
     events::{InForce, ObjectKind, PortionEffect, PortionEvent},
     gone::GoneWatch,
-    lenders::{Ranking, owner},
+    lenders::Ranking,
     objects::{DcObject, Owner, SharesObject},
     tidy::{surplus_connections, tidied},
 };
@@ -126,7 +126,7 @@
                 self.drift.note(lent);
                 self.tick(board, now, &mut effects);
             }
-            PortionEvent::Listed => self.note_list(board, now),
+            PortionEvent::Listed { runs, read_at } => self.note_list(runs, read_at),
             PortionEvent::Drained => self.drained = true,
             PortionEvent::Read { object, version, value } => self.read(object, version, value),
             PortionEvent::Updated { object, updated } => self.updated(object, updated, now),
@@ -161,14 +161,10 @@
         }
     }
 
-    fn note_list(&mut self, board: &Board, now: MonoTime) {
-        let Some(reading) = &board.fleet.listed else {
-            return;
-        };
-        let listed: FxHashSet<Owner> = reading.vms.iter().map(owner).collect();
+    fn note_list(&mut self, listed: FxHashSet<Owner>, read_at: MonoTime) {
         let owners = self.known.iter().flat_map(|(_, object)| &object.holdings);
         let owners = owners.map(|holding| holding.owner.clone());
-        let changed = self.gone.note_list(listed, owners, now);
+        let changed = self.gone.note_list(listed, owners, read_at);
         if changed || self.untidy_since.is_some() {
             self.look_again();
         }
--- a/crates/quota/tests/portions.rs
+++ b/crates/quota/tests/portions.rs
@@ -2,10 +2,7 @@
 
 use std::sync::Arc;
 
-use board::{
-    Board, Catalog, Members, VmIdentity,
-    fleet::{Age, ListReading},
-};
+use board::{Board, Catalog, VmIdentity};
 use config::{Configuration, DataCentre, Workspace};
 use model::prelude::*;
 use proto::platform::{Updated, Version, VmRecord, VmState};
@@ -67,9 +64,14 @@
 }
 
 fn list(board: &mut Board, listed: &[&str]) {
-    let vms: Members = listed.iter().map(|name| record(name)).collect::<Vec<_>>().into();
-    board.fleet.vms = vms.clone();
-    board.fleet.listed = Some(ListReading { vms, hash: 0, read: Age::zero(at_ms(0)) });
+    board.fleet.vms = listed.iter().map(|name| record(name)).collect::<Vec<_>>().into();
+    board.place();
+}
+
+/// The platform's list, read at that time.
+fn listed(names: &[&str], read_at_ms: u64) -> PortionEvent {
+    let runs = names.iter().map(|name| owner(name)).collect();
+    PortionEvent::Listed { runs, read_at: at_ms(read_at_ms) }
 }
 
 fn object(owned: &[(&str, u32)]) -> Value {
@@ -156,16 +158,16 @@
         value: json!(shares),
     };
     controller.handle(&board, shares, at_ms(0));
-    controller.handle(&board, PortionEvent::Listed, at_ms(0));
+    controller.handle(&board, listed(&["a", "b"], 0), at_ms(0));
     let both = object(&[("a", 500_000), ("b", 500_000)]);
     controller.handle(&board, read(3, both), at_ms(1));
     list(&mut board, &["a"]);
     for (ms, event, reclaims) in [
-        (1_000, PortionEvent::Listed, false),
-        (10_999, PortionEvent::Listed, false),
+        (1_000, listed(&["a"], 1_000), false),
+        (10_999, listed(&["a"], 10_999), false),
         // Time alone proves nothing: the list may have become unreadable.
         (12_000, tick(), false),
-        (12_100, PortionEvent::Listed, true),
+        (12_100, listed(&["a"], 12_100), true),
     ] {
         let found = updates(&controller.handle(&board, event, at_ms(ms)));
         let takes = found.iter().any(|(_, object)| object.holding(&owner("b")).is_none());
@@ -198,7 +200,7 @@
     ] {
         let mut controller = PortionController::new(owner("a"));
         controller.handle(&board, read(3, object(&[])), at_ms(1));
-        let sent = updates(&controller.handle(&board, PortionEvent::Listed, at_ms(1)));
+        let sent = updates(&controller.handle(&board, listed(&["a"], 1), at_ms(1)));
         // The parts are in the object already, so no shares are needed to give them out.
         let sent = if sent.is_empty() {
             updates(&controller.handle(&board, tick(), at_ms(2)))
--- a/crates/replay/src/quota/vm.rs
+++ b/crates/replay/src/quota/vm.rs
@@ -2,15 +2,13 @@
 
 use std::sync::Arc;
 
-use board::{
-    Board, Catalog, Members, VmIdentity,
-    fleet::{Age, ListReading},
-};
+use board::{Board, Catalog, Members, VmIdentity};
 use model::prelude::*;
 use proto::platform::{VmRecord, VmState};
 use quota::{
     apply::put_in_force,
     events::{PortionEffect, PortionEvent},
+    lenders::owner,
     objects::Owner,
     portions::PortionController,
     rates::{RateEffect, Rates},
@@ -51,6 +49,7 @@
         };
         let mut board = Board::new(me);
         board.adopt(catalog);
+        board.place();
         Vm {
             portions: PortionController::new(owner.clone()),
             rates: Rates::new(owner.clone()),
@@ -100,14 +99,16 @@
 
     /// The list of VMs was read.
     pub fn set_list(&mut self, list: Vec<VmRecord>, now: MonoTime) -> Vec<PortionEffect> {
-        let local = self.clock(now);
-        let vms = Members::from(list);
-        if !vms.is_empty() && vms != self.board.fleet.vms {
-            self.board.fleet.vms = vms.clone();
+        let runs = list.iter().map(owner).collect();
+        let list = Members::from(list);
+        if !list.is_empty() && list != self.board.fleet.vms {
+            self.board.fleet.vms = list;
+            self.board.place();
+            let local = self.clock(now);
             put_in_force(&self.board, &self.portions, &mut self.rates, local);
         }
-        self.board.fleet.listed = Some(ListReading { vms, hash: 0, read: Age::zero(local) });
-        self.handle(PortionEvent::Listed, now)
+        let read_at = self.clock(now);
+        self.handle(PortionEvent::Listed { runs, read_at }, now)
     }
 
     /// Runs the accounts.
--- a/crates/replay/src/quota/world.rs
+++ b/crates/replay/src/quota/world.rs
@@ -481,7 +481,7 @@
     let event = match effect {
         PortionEffect::Update { object, .. } => PortionEvent::UpdateFailed(*object),
         PortionEffect::Read(object) => PortionEvent::ReadFailed(*object),
-        PortionEffect::Changed => PortionEvent::Listed,
+        PortionEffect::Changed => unreachable!("it is no call"),
     };
     Event::Portion(vm, event, sent_at)
 }
--- a/crates/standin/src/database/slot.rs
+++ b/crates/standin/src/database/slot.rs
@@ -1,6 +1,6 @@
 //! One slot: its log, its term and the data that follows from the log.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use model::prelude::*;
 use proto::database::{DatabaseError, Execute, Executed, Recorded, Role, SlotStatus};
@@ -46,7 +46,7 @@
 }
 
 /// A slot at this database.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub struct SlotData {
     /// The highest term granted here.
     pub granted: Term,
@@ -60,6 +60,8 @@
     pub log: Vec<Entry>,
     /// The last position of each term in the log.
     pub ends: Vec<Position>,
+    /// Each open transaction holds a copy.
+    pub open: Arc<()>,
     cells: BTreeMap<String, Cell>,
     recorded: FxHashMap<RequestId, u64>,
 }
@@ -74,6 +76,7 @@
             leader: None,
             log: Vec::new(),
             ends: Vec::new(),
+            open: Arc::new(()),
             cells: BTreeMap::new(),
             recorded: FxHashMap::default(),
         }
@@ -112,6 +115,7 @@
             primary: self.leader.as_ref().map(|l| l.name.clone()),
             position: self.position(),
             primary_in_service_ms: None,
+            open_transactions: Arc::strong_count(&self.open) as u32 - 1,
         }
     }
 
