--- a/crates/edge/tests/stamps.rs
+++ b/crates/edge/tests/stamps.rs
@@ -82,7 +82,7 @@
         incarnation: Incarnation(7),
         generation: Generation(4),
         stopping: false,
-        seats: 3,
+        portions: 3,
         suspects: vec![VmName::new("north-2").expect("a name")],
         slots: Vec::new(),
     };
--- a/crates/failover/src/promotion.rs
+++ b/crates/failover/src/promotion.rs
@@ -185,7 +185,9 @@
                     let due_at = now + delay(board, slot, &me, fault, &limits, random);
                     state.suspicion = Some(Suspicion { fault, top, due_at });
                 }
-                let due = state.suspicion.as_ref().is_some_and(|s| now >= s.due_at);
+                let busy = fault == Fault::Leaving && has_open_transactions(board, slot, primary);
+                let patience = if busy { limits.drain } else { DurationUs::default() };
+                let due = state.suspicion.as_ref().is_some_and(|s| now >= s.due_at + patience);
                 if due {
                     state.propose(board, slot, top, &limits, now, effects);
                 }
@@ -382,6 +384,11 @@
     vms.iter().position(|vm| *vm == me).unwrap_or(vms.len())
 }
 
+fn has_open_transactions(board: &Board, slot: SlotKey, primary: Option<DatabaseKey>) -> bool {
+    let member = primary.and_then(|primary| board.slots[slot].member(primary));
+    member.is_some_and(|m| m.open_transactions > 0)
+}
+
 fn grant(
     board: &Board,
     slot: SlotKey,
--- a/crates/fleet/src/distribution.rs
+++ b/crates/fleet/src/distribution.rs
@@ -38,8 +38,8 @@
 pub enum FleetEvent {
     /// Time passed.
     Tick,
-    /// The platform's list was read.
-    ListRead(Vec<VmRecord>),
+    /// The platform's list was read, by a call that was made at that moment.
+    ListRead(MonoTime, Vec<VmRecord>),
     /// The configuration was read from the platform.
     ConfigurationRead(Box<Configuration>),
     /// The data centre's object was read from the platform.
@@ -71,6 +71,8 @@
     /// A run of a VM answered.
     Reached(VmName, Incarnation),
     /// A planned stop has begun.
+    Leaving,
+    /// All open work of a planned stop is finished.
     Stopping,
 }
 
@@ -131,8 +133,8 @@
         let before = board.fleet.vms.clone();
         match event {
             FleetEvent::Tick => self.tick(board, now, random, &mut effects),
-            FleetEvent::ListRead(vms) => {
-                self.members.take_list(board, vms, Age::zero(now));
+            FleetEvent::ListRead(sent_at, vms) => {
+                self.members.take_list(board, vms, Age::zero(sent_at));
             }
             FleetEvent::ConfigurationRead(cfg) => self.adopt(board, cfg, &mut effects),
             FleetEvent::DcObjectRead(object) => self.take_object(board, object, &mut effects),
@@ -155,7 +157,14 @@
             }
             FleetEvent::Failed(vm, incarnation) => self.failed(board, vm, incarnation, now),
             FleetEvent::Reached(vm, incarnation) => self.reached(board, &vm, incarnation),
-            FleetEvent::Stopping => self.stop(board),
+            FleetEvent::Leaving => {
+                board.fleet.leaving = true;
+                self.news = true;
+            }
+            FleetEvent::Stopping => {
+                board.fleet.stopping = true;
+                self.members.stop_me(board);
+            }
         }
         if !before.is_same(&board.fleet.vms) {
             effects.push(FleetEffect::MembersChanged);
@@ -437,12 +446,6 @@
         }
     }
 
-    fn stop(&mut self, board: &mut Board) {
-        board.fleet.stopping = true;
-        self.members.set_me(board);
-        self.news = true;
-    }
-
     fn spread(&mut self, board: &mut Board, rumour: Rumour, now: MonoTime) {
         self.news = true;
         board.fleet.rumours.push(HeardRumour { rumour, at: now });
--- a/crates/jasminepassd/src/main.rs
+++ b/crates/jasminepassd/src/main.rs
@@ -20,6 +20,7 @@
 mod outcome;
 mod peer;
 mod pools;
+mod quota_io;
 mod report_io;
 mod run;
 mod settings;
@@ -28,6 +29,7 @@
 mod transaction_entry;
 mod transaction_steps;
 mod transactions;
+mod verifier;
 mod watch;
 
 use settings::Settings;
--- a/crates/jasminepassd/src/ops.rs
+++ b/crates/jasminepassd/src/ops.rs
@@ -9,10 +9,10 @@
 };
 
 use axum::{Json, Router, extract::State, http::StatusCode, routing::get};
-use fleet::access::check_trust;
-use fleet::placement::holds_any;
+use board::{Board, Member, SlotState};
+use fleet::{access::check_trust, placement::holds_any};
 use model::prelude::*;
-use proto::platform::VmState;
+use proto::platform::{Version, VmState};
 use serde::Serialize;
 
 use crate::app::App;
@@ -46,6 +46,8 @@
     held: bool,
     /// Whether a majority has shown that the primary is the one of the running term.
     primary_verified: bool,
+    /// Whether every member follows the primary in its term.
+    in_step: bool,
 }
 
 /// What this VM knows.
@@ -62,7 +64,12 @@
     platform_age_ms: Option<u64>,
     heard_age_ms: BTreeMap<String, u64>,
     keys_trusted: bool,
-    seats_in_force: usize,
+    /// Version of the data centre's object that is in force here.
+    portions_version: Version,
+    /// Millionths of each workspace's rate and burst that this VM owns.
+    portions: BTreeMap<WorkspaceName, u32>,
+    /// This VM's connections to each database of which it is a holder.
+    connections: BTreeMap<DatabaseName, u32>,
     slots: Vec<SlotView>,
 }
 
@@ -104,6 +111,7 @@
             confirmed: state.confirmed,
             held: holds_any(&board, &catalog.services[entry.service].databases),
             primary_verified: state.primary_verified_at.is_some(),
+            in_step: in_step(state),
         }
     });
     let (fleet, now) = (&board.fleet, ops.app.now());
@@ -121,11 +129,30 @@
         platform_age_ms: fleet.platform.map(|age| age.now(now).as_ms()),
         heard_age_ms: heard.collect(),
         keys_trusted: check_trust(&board, now).is_ok(),
-        seats_in_force: board.seats_in_force,
+        portions_version: board.quota.version,
+        portions: board.quota.parts.clone(),
+        connections: connections(&board),
         slots: slots.collect(),
     })
 }
 
+/// Connections that are in force, and none where this VM should have some.
+fn connections(board: &Board) -> BTreeMap<DatabaseName, u32> {
+    let mut connections = board.quota.connections.clone();
+    for (key, entry) in board.catalog.databases.iter_enumerated() {
+        if holds_any(board, &[key]) {
+            connections.entry(entry.name.clone()).or_insert(0);
+        }
+    }
+    connections
+}
+
+fn in_step(state: &SlotState) -> bool {
+    let follows = |m: &Member| m.term == state.term && m.position.term == state.term;
+    let told = |m: &Member| m.follows == state.primary && m.follows.is_some();
+    state.members.iter().all(|m| follows(m) && told(m))
+}
+
 async fn counters(State(ops): State<Ops>) -> Json<BTreeMap<&'static str, u64>> {
     Json(ops.app.counters.snapshot())
 }
--- a/crates/jasminepassd/src/run.rs
+++ b/crates/jasminepassd/src/run.rs
@@ -16,6 +16,7 @@
 };
 use eyre::WrapErr;
 use fleet::transfer::Outgoing;
+use quota::objects::Owner;
 use serde_json::json;
 use tokio::{
     net::TcpListener,
@@ -31,10 +32,12 @@
     counters::{Counters, Reporter},
     drain, effects, fleet_io, logging, ops, peer,
     pools::Pools,
+    quota_io::QuotaState,
     report_io,
     settings::Settings,
     stop::Stop,
     transactions::{self, OpenTransactions},
+    verifier::{self, Verifier},
     watch as platform_watch,
 };
 
@@ -48,12 +51,15 @@
     let operators = bind("--ops-listen", settings.ops_listen).await?;
     let peer_address = settings.peer_address.unwrap_or(peers.local_addr()?);
     let addresses = json!({
-        "listen": callers.local_addr()?, "peer": peer_address, "ops": operators.local_addr()?,
+        "listen": callers.local_addr()?, "peer": peer_address,
+        "peer_listen": peers.local_addr()?, "ops": operators.local_addr()?,
     });
     let (events_tx, events_rx) = crossbeam_channel::unbounded();
     let (effects_tx, effects_rx) = mpsc::unbounded_channel();
-    let app = Arc::new(new_app(settings, &peer_address.to_string(), events_tx, log)?);
+    let (verifier, claims) = Verifier::new();
+    let app = Arc::new(new_app(settings, &peer_address.to_string(), events_tx, verifier, log)?);
 
+    app.quota.bind(&app);
     let control = Control::new(app.clone(), effects_tx);
     thread::Builder::new().name("control".to_owned()).spawn(move || control.run(&events_rx))?;
     tokio::spawn(effects::run(app.clone(), effects_rx));
@@ -64,6 +70,7 @@
     tokio::spawn(keep_house(app.clone()));
     tokio::spawn(report_io::run(app.clone()));
     tokio::spawn(transactions::keep_sweeping(app.clone()));
+    tokio::spawn(verifier::run(app.clone(), claims));
 
     let stop = Stop::new(app.clone());
     let ops_app = ops::router(ops::Ops::new(app.clone(), stop.ready()));
@@ -87,6 +94,7 @@
     settings: Settings,
     peer_address: &str,
     events: crossbeam_channel::Sender<Event>,
+    verifier: Verifier,
     log: slog::Logger,
 ) -> eyre::Result<App> {
     let client = Client::new(settings.vm.as_str());
@@ -97,13 +105,16 @@
         dc: settings.dc.clone(),
         peer_address: peer_address.to_owned(),
     };
+    let owner = Owner { vm: settings.vm.clone(), incarnation: settings.incarnation };
+    let clock = Clock::new();
     Ok(App {
-        clock: Clock::new(),
+        clock,
         board: ArcSwap::from_pointee(Board::new(me)),
-        buckets: Default::default(),
+        quota: QuotaState::new(owner, tokio::runtime::Handle::current()),
         retries: Default::default(),
+        verifier,
         transactions: OpenTransactions::new(settings.transaction_limits),
-        pools: Pools::new(&settings.vm),
+        pools: Pools::new(&settings.vm, clock),
         outgoing: ArcSwap::from_pointee(Outgoing::empty()),
         watching: watch::Sender::new(false),
         replay: Mutex::default(),
--- a/crates/jasminepassd/src/stop.rs
+++ b/crates/jasminepassd/src/stop.rs
@@ -2,7 +2,8 @@
 //!
 //! Readiness goes first, and the other VMs hear that this one leaves. For the time of the notice
 //! everything is served as before, but each answer closes its connection, so that the balancer and the
-//! other VMs have sent their last request when the listeners close. What is open then is finished.
+//! other VMs have sent their last request when the listeners close. What is open then is finished, and
+//! only then are the portions given up.
 
 use std::sync::{
     Arc,
@@ -22,7 +23,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{app::App, control::Event, report_io, transactions};
+use crate::{app::App, control::Event, quota_io, report_io, transactions};
 
 /// The signals of a planned stop.
 pub struct Stop {
@@ -85,7 +86,7 @@
     pub async fn run(self, caller_server: JoinHandle<()>, peer_server: JoinHandle<()>) {
         slog::info!(self.app.log, "stopping");
         self.ready.store(false, Ordering::Relaxed);
-        self.app.tell(Event::Fleet(FleetEvent::Stopping));
+        self.app.tell(Event::Fleet(FleetEvent::Leaving));
         sleep(self.app.settings.stop_notice).await;
         let drained = async {
             transactions::wait_until_none(&self.app).await;
@@ -95,6 +96,9 @@
             let _ = peer_server.await;
         };
         let finished = timeout(self.app.settings.drain_limit, drained).await.is_ok();
+        self.app.tell(Event::Fleet(FleetEvent::Stopping));
+        // What is not given up in time is taken back once the VM is off the list.
+        quota_io::wait_until_given_up(&self.app).await;
         report_io::finish(&self.app).await;
         slog::info!(self.app.log, "stopped"; "finished" => finished);
     }
--- a/crates/proto/src/database.rs
+++ b/crates/proto/src/database.rs
@@ -173,6 +173,9 @@
     /// this replica and a VM. Absent where the database can't tell.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub primary_in_service_ms: Option<u64>,
+    /// Transactions that are open in the slot here.
+    #[serde(default)]
+    pub open_transactions: u32,
 }
 
 /// `POST /wait` on the admin address: answers once the position is applied, or the time is over.
--- a/crates/replay/src/fleet/world.rs
+++ b/crates/replay/src/fleet/world.rs
@@ -139,7 +139,7 @@
             FleetTraceEvent::Thaw { vm } => self.thaw(vm)?,
             FleetTraceEvent::Stop { vm } => {
                 let address = self.node(vm)?.address();
-                self.handle(&address, FleetEvent::Stopping)?;
+                self.handle(&address, FleetEvent::Leaving)?;
             }
             FleetTraceEvent::Introduce { vm } => self.introduce(vm)?,
             FleetTraceEvent::Apply => self.change(),
@@ -325,7 +325,7 @@
             }
             Message::List { sent_at, vms } => {
                 self.handle(to, FleetEvent::PlatformAnswered(sent_at))?;
-                self.handle(to, FleetEvent::ListRead(vms))
+                self.handle(to, FleetEvent::ListRead(sent_at, vms))
             }
         }
     }
--- a/crates/replay/src/lib.rs
+++ b/crates/replay/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod failover;
 pub mod fleet;
+pub mod quota;
 pub mod requests;
 pub mod tally;
 pub mod trace;
--- a/crates/replay/tests/failover.rs
+++ b/crates/replay/tests/failover.rs
@@ -38,7 +38,7 @@
     let mut killed = 0;
     let mut frozen: Vec<String> = Vec::new();
     for _ in 0..24 {
-        let event = match rng.random_range(0..12) {
+        let event = match rng.random_range(0..13) {
             0 if killed < databases / 2 => {
                 killed += 1;
                 Event::Kill { node: format!("d{killed}") }
@@ -53,6 +53,7 @@
             6 => Event::Partition { side: vec![node(&mut rng)] },
             7 => Event::Partition { side: vec![node(&mut rng), node(&mut rng), node(&mut rng)] },
             8 => Event::Lag { node: node(&mut rng), ms: rng.random_range(0..1_500) },
+            9 | 10 => Event::Slow { ms: rng.random_range(20..400) },
             _ => Event::Heal {},
         };
         // A killed database stays so.
@@ -91,3 +92,27 @@
         .collect();
     assert!(failures.is_empty(), "{}", failures.join("\n"));
 }
+
+/// The primary is killed while one replica is behind, whichever grant comes first.
+#[test]
+fn promotion_never_takes_a_replica_that_lacks_acknowledged_writes() {
+    for seed in 100..108 {
+        let mut world = World::new(6, 3, seed);
+        world.run_until(MonoTime(3_000_000));
+        for event in [Event::Lag { node: "d3".to_owned(), ms: 4_000 }, Event::Slow { ms: 300 }] {
+            failover::apply(&mut world, &event).expect("an event");
+        }
+        world.run_until(MonoTime(6_000_000));
+        world.kill("d1");
+        world.run_until(MonoTime(12_000_000));
+        world.network.heal();
+        world.run_until(MonoTime(15_000_000));
+        let ended = world.ledger.check().and_then(|()| {
+            failover::apply(
+                &mut world,
+                &Event::ExpectPrimary { database: Some("d2".to_owned()), not: Vec::new() },
+            )
+        });
+        assert_eq!(ended, Ok(()), "seed {seed}");
+    }
+}
--- a/crates/rig/tests/transactions.rs
+++ b/crates/rig/tests/transactions.rs
@@ -137,6 +137,8 @@
     assert_eq!(world.put(0, 0, &transaction, "withdrawn").await.status, 200);
     world.fleet.ctl(&["key", "withdraw", "k0"]).expect("withdrawn");
     world.wait_for_connections(0).await;
+    let generation = world.fleet.generation().await.expect("a generation");
+    world.fleet.wait_for_generation(generation).await.expect("in force everywhere");
     assert_eq!(world.end(0, 0, &transaction, "commit").await.status, 401);
     world.callers.swap(0, 1);
     assert_eq!(world.get("withdrawn").await, Value::Null);
