--- a/crates/jasminepassd/src/control.rs
+++ b/crates/jasminepassd/src/control.rs
@@ -70,7 +70,7 @@
     board: Board,
     distribution: Distribution,
     portions: PortionController,
-    listed_at: Option<MonoTime>,
+    listed_at: MonoTime,
     promotions: PromotionController,
     next_tick: MonoTime,
     effects: UnboundedSender<Effect>,
@@ -89,7 +89,7 @@
             app,
             board,
             portions: PortionController::new(me),
-            listed_at: None,
+            listed_at: MonoTime::default(),
             promotions,
             next_tick: MonoTime::default(),
             effects,
@@ -135,17 +135,45 @@
 
     fn handle_fleet(&mut self, event: FleetEvent) {
         let now = self.app.now();
+        self.note_contact(&event);
         let effects = self.distribution.handle(&mut self.board, event, now, random_u64());
         for effect in effects {
             match effect {
                 FleetEffect::Adopt(cfg) => self.adopt(*cfg),
                 FleetEffect::MembersChanged => self.members_changed(),
                 FleetEffect::DcObject(Object { version, value }) => {
-                    self.handle_portions(dc_object_read(version, value))
+                    let object = ObjectKind::Dc;
+                    self.handle_portions(PortionEvent::Read { object, version, value });
                 }
                 effect => self.ask(Effect::Fleet(effect)),
             }
         }
+        self.note_list(now);
+    }
+
+    /// Tells the accounts when the platform or a VM of this data centre was last asked and answered.
+    fn note_contact(&self, event: &FleetEvent) {
+        let contact_at = match event {
+            FleetEvent::PlatformAnswered(sent_at) => *sent_at,
+            FleetEvent::Answered { sent_at, digest } if digest.from.dc == self.app.settings.dc => {
+                *sent_at
+            }
+            _ => return,
+        };
+        self.app.quota.rates().note_contact(contact_at);
+    }
+
+    /// Tells the controller of the portions of each newer reading of the platform's list.
+    fn note_list(&mut self, now: MonoTime) {
+        let Some(listed) = &self.board.fleet.listed else {
+            return;
+        };
+        let read_at = now - listed.read.now(now);
+        if read_at > self.listed_at {
+            self.listed_at = read_at;
+            let runs = listed.vms.iter().map(owner).collect();
+            self.handle_portions(PortionEvent::Listed { runs, read_at });
+        }
     }
 
     fn adopt(&mut self, cfg: Configuration) {
@@ -156,15 +184,15 @@
         self.app.counters.count(Counter::Configurations);
         self.app.outgoing.store(Arc::new(self.app.outgoing.load().with_next(cfg.clone())));
         self.board.adopt(Arc::new(Catalog::new(cfg)));
-        // Requests must be refused for the key before they can find their transaction gone.
+        self.board.place();
+        self.set_portions();
+        self.monitor();
+        // Handlers must know of a withdrawn key before its transactions end for that reason.
         self.app.board.store(Arc::new(self.board.clone()));
         // Transactions of withdrawn keys are rolled back at once.
         for _ in 0..self.app.transactions.sweep(&self.board, self.app.now()) {
             self.app.counters.count(Counter::TransactionsExpired);
         }
-        self.board.place();
-        self.set_portions();
-        self.monitor();
     }
 
     fn members_changed(&mut self) {
@@ -228,22 +256,11 @@
         for effect in self.portions.handle(&self.board, event, self.app.now()) {
             match effect {
                 PortionEffect::Changed => self.set_portions(),
-                PortionEffect::Read(ObjectKind::Dc) => self.read_dc_object(),
                 effect => self.ask(Effect::Portions(effect)),
             }
         }
     }
 
-    /// Takes the object as the watchers brought it, or asks the platform while there is none.
-    fn read_dc_object(&mut self) {
-        match self.board.fleet.dc_object.clone() {
-            Some(object) => {
-                self.handle_portions(dc_object_read(object.version, object.value.clone()));
-            }
-            None => self.ask(Effect::Portions(PortionEffect::Read(ObjectKind::Dc))),
-        }
-    }
-
     fn tick_portions(&mut self) {
         let now = self.app.now();
         let mut effects = Vec::new();
@@ -252,24 +269,9 @@
         let lent = rates.take_lent();
         drop(rates);
         quota_io::carry_out(&self.app, effects);
-        self.pass_on_list(now);
         self.handle_portions(PortionEvent::Tick { open: self.app.pools.open(), lent });
     }
 
-    /// Tells the controller of the portions of a younger reading of the platform's list.
-    fn pass_on_list(&mut self, now: MonoTime) {
-        let Some(listed) = &self.board.fleet.listed else {
-            return;
-        };
-        let read_at = now - listed.read.now(now);
-        if self.listed_at.is_some_and(|at| read_at <= at) {
-            return;
-        }
-        self.listed_at = Some(read_at);
-        let runs = listed.vms.iter().map(owner).collect();
-        self.handle_portions(PortionEvent::Listed { runs, read_at });
-    }
-
     /// Puts this VM's portions and connections in force.
     fn set_portions(&mut self) {
         let in_force = self.portions.in_force();
@@ -298,16 +300,12 @@
     }
 }
 
-fn dc_object_read(version: Version, value: serde_json::Value) -> PortionEvent {
-    PortionEvent::Read { object: ObjectKind::Dc, version, value }
-}
-
 fn in_force_view(portions: &PortionController) -> QuotaView {
     let in_force = portions.in_force();
     QuotaView {
         version: portions.object().map_or(Version(0), |(version, _)| version),
         parts: in_force.parts.clone(),
-        owns_any: portions.owns_any(),
+        gives_up: portions.gives_up(),
         connections: in_force.connections.clone(),
     }
 }
--- a/crates/quota/src/portions.rs
+++ b/crates/quota/src/portions.rs
@@ -54,6 +54,7 @@
     shares_sent: bool,
     not_before: MonoTime,
     read_at: Option<MonoTime>,
+    refresh: bool,
     gone: GoneWatch,
     drift: Drift,
     open: FxHashMap<DatabaseName, u32>,
@@ -61,7 +62,7 @@
     plan_due: bool,
     tidy_due: bool,
     seen_generation: Generation,
-    seen_stopping: bool,
+    drained: bool,
 }
 
 impl PortionController {
@@ -78,6 +79,7 @@
             shares_sent: false,
             not_before: MonoTime::default(),
             read_at: None,
+            refresh: false,
             gone: GoneWatch::default(),
             drift: Drift::default(),
             open: FxHashMap::default(),
@@ -85,7 +87,7 @@
             plan_due: true,
             tidy_due: true,
             seen_generation: Generation(0),
-            seen_stopping: false,
+            drained: false,
         }
     }
 
@@ -100,7 +102,7 @@
     }
 
     /// Whether the object names this run as the owner of anything.
-    pub fn owns_any(&self) -> bool {
+    pub fn gives_up(&self) -> bool {
         self.known.as_ref().is_some_and(|(_, object)| object.holding(&self.me).is_some())
     }
 
@@ -125,10 +127,12 @@
                 self.tick(board, now, &mut effects);
             }
             PortionEvent::Listed { runs, read_at } => self.note_list(runs, read_at),
+            PortionEvent::Drained => self.drained = true,
             PortionEvent::Read { object, version, value } => self.read(object, version, value),
             PortionEvent::Updated { object, updated } => self.updated(object, updated, now),
             PortionEvent::ReadFailed(object) => {
                 self.reading.remove(&object);
+                self.refresh |= object == ObjectKind::Dc;
             }
             PortionEvent::UpdateFailed(object) => self.update_failed(object, now),
         }
@@ -144,9 +148,12 @@
     }
 
     fn tick(&mut self, board: &Board, now: MonoTime, effects: &mut Vec<PortionEffect>) {
+        // Newer versions come by themselves; only what this run has to know at once is read.
+        let wanted = self.refresh || self.known.is_none();
         let due = self.read_at.is_none_or(|at| now.since(at) >= READ_INTERVAL);
-        if due && self.reading.insert(ObjectKind::Dc) {
+        if wanted && due && self.reading.insert(ObjectKind::Dc) {
             self.read_at = Some(now);
+            self.refresh = false;
             effects.push(PortionEffect::Read(ObjectKind::Dc));
         }
         if self.lowering.is_none() {
@@ -171,13 +178,11 @@
     /// A change of the list or of the configuration calls for another look at the object.
     fn note_changes(&mut self, board: &Board) {
         let generation = board.catalog.cfg.generation;
-        let changed =
-            generation != self.seen_generation || board.fleet.stopping != self.seen_stopping;
+        let changed = generation != self.seen_generation;
         if changed {
             self.look_again();
         }
         self.seen_generation = generation;
-        self.seen_stopping = board.fleet.stopping;
     }
 
     fn read(&mut self, object: ObjectKind, version: Version, value: Value) {
@@ -232,6 +237,7 @@
     }
 
     fn try_again_later(&mut self, now: MonoTime) {
+        self.refresh = true;
         self.read_at = None;
         self.not_before = now + RETRY_INTERVAL;
         self.look_again();
@@ -267,13 +273,9 @@
         };
         let mut ceilings = InForce::default();
         let mut gives = Vec::new();
-        if board.fleet.stopping {
+        if self.drained {
             ceilings.parts = mine.portions.keys().map(|name| (name.clone(), 0)).collect();
-            // Work in progress may need one more connection.
-            let left = |name| self.open.get(name).copied().unwrap_or(0).min(1);
-            let connections = mine.connections.iter();
-            let surplus = connections.filter(|(name, count)| **count > left(*name));
-            ceilings.connections = surplus.map(|(name, _)| (name.clone(), left(name))).collect();
+            ceilings.connections = mine.connections.keys().map(|name| (name.clone(), 0)).collect();
         } else {
             gives = self.drift.gives(board, object, &self.me, self.plan_due, now);
             for give in &gives {
--- a/crates/replay/src/quota/world.rs
+++ b/crates/replay/src/quota/world.rs
@@ -196,6 +196,9 @@
             vm.board.fleet.stopping = true;
             vm.open.values_mut().for_each(|open| *open = 0);
         }
+        if let Some(owner) = self.owner(vm) {
+            self.schedule(DurationUs(0), Event::Portion(owner, PortionEvent::Drained, self.now));
+        }
     }
 
     /// Lets an event happen after a while.
@@ -278,6 +281,10 @@
                     self.platform.calls += 1;
                     let list = self.platform.list(now);
                     self.schedule(latency, Event::ListRead(owner.clone(), list, now));
+                    // Watches and gossip bring the object in the fleet; here it comes with the list.
+                    let (version, value) = self.platform.get(&format!("dc/{}", vm.dc));
+                    let read = PortionEvent::Read { object: ObjectKind::Dc, version, value };
+                    self.schedule(latency, Event::Portion(owner.clone(), read, now));
                 }
                 self.schedule(LIST_INTERVAL, Event::ReadList(owner));
             }
