--- a/crates/board/src/quota.rs
+++ b/crates/board/src/quota.rs
@@ -12,8 +12,8 @@
     pub version: Version,
     /// Parts of workspaces' rates and bursts, in millionths.
     pub parts: BTreeMap<WorkspaceName, u32>,
-    /// Whether the object names this VM as the owner of anything.
-    pub owns_any: bool,
+    /// Whether the object names this VM as the owner of anything, or did so before a planned stop.
+    pub gives_up: bool,
     /// Connections to databases.
     pub connections: BTreeMap<DatabaseName, u32>,
 }
--- a/crates/fleet/src/distribution.rs
+++ b/crates/fleet/src/distribution.rs
@@ -20,13 +20,14 @@
     gossip::{RUMOUR_LIFETIME, digest, next_random, pick},
     members::Membership,
     transfer::unpack,
-    watchers::{RESERVE_AFTER, Role, WATCHERS, ranked, role},
+    watchers::{RESERVE_AFTER, Ranking, Role, WATCHERS},
 };
 
 /// How often a VM tells another what it knows.
 pub const GOSSIP_INTERVAL: DurationUs = DurationUs::from_ms(1_000);
 
 const PUSH_INTERVAL: DurationUs = DurationUs::from_ms(100);
+const PUSHES: u32 = 2;
 const PUSHES_IN_DC: usize = 3;
 const PULL_PATIENCE: DurationUs = DurationUs::from_ms(1_500);
 const RESERVE_WATCHES_FOR: DurationUs = DurationUs::from_ms(30_000);
@@ -97,11 +98,12 @@
 #[derive(Debug)]
 pub struct Distribution {
     members: Membership,
+    ranking: Ranking,
     watching: bool,
     watches_until: Option<MonoTime>,
     told_at: Option<MonoTime>,
     pushed_at: Option<MonoTime>,
-    news: bool,
+    pushes_left: u32,
     pulling: Option<MonoTime>,
     rumoured: FxHashMap<VmName, MonoTime>,
 }
@@ -111,11 +113,12 @@
     pub fn new(me: VmRecord) -> Distribution {
         Distribution {
             members: Membership::new(me),
+            ranking: Ranking::default(),
             watching: false,
             watches_until: None,
             told_at: None,
             pushed_at: None,
-            news: false,
+            pushes_left: 0,
             pulling: None,
             rumoured: FxHashMap::default(),
         }
@@ -159,7 +162,7 @@
             FleetEvent::Reached(vm, incarnation) => self.reached(board, &vm, incarnation),
             FleetEvent::Leaving => {
                 board.fleet.leaving = true;
-                self.news = true;
+                self.pushes_left = PUSHES;
             }
             FleetEvent::Stopping => {
                 board.fleet.stopping = true;
@@ -182,8 +185,8 @@
         self.expire(board, now);
         self.choose_role(board, now, effects);
         let is_due = |at: Option<MonoTime>, interval| at.is_none_or(|at| now.since(at) >= interval);
-        if self.news && is_due(self.pushed_at, PUSH_INTERVAL) {
-            self.news = false;
+        if self.pushes_left > 0 && is_due(self.pushed_at, PUSH_INTERVAL) {
+            self.pushes_left -= 1;
             self.pushed_at = Some(now);
             self.push(board, now, random, effects);
         }
@@ -207,7 +210,8 @@
     }
 
     fn choose_role(&mut self, board: &Board, now: MonoTime, effects: &mut Vec<FleetEffect>) {
-        let watch = match role(board, &ranked(board)) {
+        self.ranking.update(board);
+        let watch = match self.ranking.role(board) {
             Role::Watcher => true,
             Role::Reserve => self.reserve_watches(board, now),
             Role::Follower => false,
@@ -243,12 +247,11 @@
 
     /// The VM to be told next: a watcher where this VM is a reserve, now and then one that did not
     /// answer, else any.
-    fn partner<'a>(&self, board: &'a Board, random: u64) -> Option<&'a VmRecord> {
-        let ranked = ranked(board);
+    fn partner<'a>(&'a self, board: &'a Board, random: u64) -> Option<&'a VmRecord> {
         let (near, far) = reachable(board);
         let random = next_random(random);
-        if role(board, &ranked) == Role::Reserve {
-            return ranked.get(random as usize % WATCHERS).copied();
+        if self.ranking.role(board) == Role::Reserve {
+            return self.ranking.answering(board).nth(random as usize % WATCHERS);
         }
         let suspects: Vec<&VmRecord> = board
             .fleet
@@ -386,7 +389,7 @@
     /// Asks for a configuration to be put in force, unless one as new is.
     fn adopt(&mut self, board: &Board, cfg: Box<Configuration>, effects: &mut Vec<FleetEffect>) {
         if cfg.generation > board.catalog.cfg.generation {
-            self.news = true;
+            self.pushes_left = PUSHES;
             effects.push(FleetEffect::Adopt(cfg));
         }
     }
@@ -394,7 +397,7 @@
     fn take_object(&mut self, board: &mut Board, object: Object, effects: &mut Vec<FleetEffect>) {
         let known = board.fleet.dc_object.as_ref().map_or(Version(0), |known| known.version);
         if object.version > known {
-            self.news = true;
+            self.pushes_left = PUSHES;
             board.fleet.dc_object = Some(object.clone().into());
             effects.push(FleetEffect::DcObject(object));
         }
@@ -447,7 +450,7 @@
     }
 
     fn spread(&mut self, board: &mut Board, rumour: Rumour, now: MonoTime) {
-        self.news = true;
+        self.pushes_left = PUSHES;
         board.fleet.rumours.push(HeardRumour { rumour, at: now });
     }
 }
--- a/crates/jasminepassd/src/quota_io.rs
+++ b/crates/jasminepassd/src/quota_io.rs
@@ -143,10 +143,11 @@
     app.tell(Event::Portions(event));
 }
 
-/// Waits until this VM owns nothing in its data centre's object, so that the others have it at once.
-pub async fn wait_until_given_up(app: &App) {
+/// Gives up what this VM owns, so that the others have it at once, and waits until it is done.
+pub async fn give_up(app: &App) {
+    app.tell(Event::Portions(PortionEvent::Drained));
     let deadline = tokio::time::Instant::now() + GIVE_UP_LIMIT;
-    while app.board().quota.owns_any && tokio::time::Instant::now() < deadline {
+    while app.board().quota.gives_up && tokio::time::Instant::now() < deadline {
         tokio::time::sleep(GIVE_UP_INTERVAL).await;
     }
 }
