--- a/crates/quota/src/portions.rs
+++ b/crates/quota/src/portions.rs
@@ -8,7 +8,7 @@
 
 use std::collections::BTreeMap;
 
-use board::Board;
+use board::{Board, Members};
 use model::prelude::*;
 use proto::platform::{Updated, Version};
 use serde::de::DeserializeOwned;
@@ -62,6 +62,7 @@
     plan_due: bool,
     tidy_due: bool,
     seen_generation: Generation,
+    seen_vms: Members,
     drained: bool,
 }
 
@@ -87,6 +88,7 @@
             plan_due: true,
             tidy_due: true,
             seen_generation: Generation(0),
+            seen_vms: Members::default(),
             drained: false,
         }
     }
@@ -178,7 +180,9 @@
     /// A change of the list or of the configuration calls for another look at the object.
     fn note_changes(&mut self, board: &Board) {
         let generation = board.catalog.cfg.generation;
-        let changed = generation != self.seen_generation;
+        let vms = &board.fleet.vms;
+        let changed = generation != self.seen_generation || !vms.is_same(&self.seen_vms);
+        self.seen_vms = vms.clone();
         if changed {
             self.look_again();
         }
