--- a/crates/xtask/src/bench_fleet.rs
+++ b/crates/xtask/src/bench_fleet.rs
@@ -18,6 +18,7 @@
 const OBJECT: &str = "configuration";
 const WORKSPACE: &str = "calgary-dealer";
 const READ: &str = "quote-ledger-1/quote";
+const SETTLE: Duration = Duration::from_secs(3);
 const POLL: Duration = Duration::from_millis(2);
 const CLOCK_TICKS_PER_S: f64 = 100.0;
 const LARGE_DATABASES: usize = 670;
@@ -38,6 +39,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Leaves the processes out"),
         )
+        .arg(
+            Arg::new("idle-only")
+                .long("idle-only")
+                .action(ArgAction::SetTrue)
+                .help("Measures idle daemons at several status intervals, and nothing else"),
+        )
         .arg(number("seconds", "10", "Time over which idle and load are measured, in seconds"))
 }
 
@@ -45,6 +52,9 @@
 pub async fn run(matches: &ArgMatches) -> eyre::Result<()> {
     let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
     let span = Duration::from_secs(number("seconds"));
+    if matches.get_flag("idle-only") {
+        return measure_idle(span).await;
+    }
     println!("processes");
     let fleets = if matches.get_flag("controllers-only") { 0 } else { 3 };
     for vms_per_dc in 1..=fleets {
@@ -57,6 +67,30 @@
     measure_placement()
 }
 
+/// The processor time of idle daemons against the number of status queries that they send.
+async fn measure_idle(span: Duration) -> eyre::Result<()> {
+    let answers = std::fs::read_to_string(ANSWERS)?;
+    for services in [1, 3] {
+        for interval_ms in [100, 400, 2_000] {
+            let mut spec = FleetSpec::new(&answers)?
+                .with_relays()
+                .with_daemon_arg("status-interval-ms", interval_ms);
+            spec.services =
+                spec.answers.services.iter().take(services).map(|s| s.name.clone()).collect();
+            spec.answers.services.truncate(services);
+            for workspace in &mut spec.answers.workspaces {
+                workspace.services.truncate(services);
+            }
+            let fleet = Fleet::start(spec).await?;
+            tokio::time::sleep(SETTLE).await;
+            let databases = fleet.databases.len();
+            let cost = Cost::over(&fleet, span, None).await?;
+            cost.print(&format!("{databases} databases asked every {interval_ms} ms"));
+        }
+    }
+    Ok(())
+}
+
 async fn measure_processes(vms_per_dc: usize, changes: u64, span: Duration) -> eyre::Result<()> {
     let mut spec = FleetSpec::new(&std::fs::read_to_string(ANSWERS)?)?
         .with_vms_per_dc(vms_per_dc)
@@ -68,7 +102,7 @@
     let fleet = Fleet::start(spec).await?;
     let count = fleet.vms.len();
     let key = fleet.give_key(WORKSPACE, "bench").await?;
-    tokio::time::sleep(Duration::from_secs(3)).await;
+    tokio::time::sleep(SETTLE).await;
 
     let idle = Cost::over(&fleet, span, None).await?;
     idle.print(&format!("{count} VMs idle"));
