Lift the rates in one place, and name the public workspace once

Cause: five benches raised every rate with the same loop though the rig does it, and the public workspace's name stood in two crates. Change: with_rates_unlimited everywhere; fleet takes the name from config.

--- a/crates/fleet/src/access.rs
+++ b/crates/fleet/src/access.rs
@@ -1,13 +1,10 @@
 //! Who may run what: keys, workspaces and open routes.
 
 use board::{Board, Catalog, RouteKey, ServiceKey, WorkspaceKey, fleet::Age};
-use config::KeyState;
+use config::{KeyState, PUBLIC_WORKSPACE};
 use model::{key::PresentedKey, prelude::*};
 use proto::caller::{CallerError, ErrorKind};
 
-/// The workspace of requests that come without a key, on routes open to all.
-pub const PUBLIC_WORKSPACE: &str = "public";
-
 const CUT_OFF_RETRY_AFTER: DurationUs = DurationUs::from_ms(5_000);
 
 /// Whose request it is.
--- a/crates/xtask/src/bench.rs
+++ b/crates/xtask/src/bench.rs
@@ -20,7 +20,6 @@
 const SLOTS: u64 = 3;
 const WORKSPACE: &str = "calgary-dealer";
 const PATIENCE: Duration = Duration::from_secs(10);
-const RATE_UNLIMITED: u32 = 100_000_000;
 
 /// The command line of the bench.
 pub fn command() -> Command {
@@ -80,11 +79,8 @@
     let connections = number("connections") as usize;
     let span = Duration::from_secs(number("seconds"));
     let mut spec = FleetSpec::new(&std::fs::read_to_string(ANSWERS)?)?
-        .with_database_arg("execute-ms", number("execute-ms"));
-    for workspace in &mut spec.answers.workspaces {
-        workspace.rate_per_s = RATE_UNLIMITED;
-        workspace.burst = RATE_UNLIMITED;
-    }
+        .with_database_arg("execute-ms", number("execute-ms"))
+        .with_rates_unlimited();
     for database in spec.answers.services.iter_mut().flat_map(|s| &mut s.databases) {
         database.connection_limit = 4 * connections as u32;
     }
--- a/crates/xtask/src/bench_fairness.rs
+++ b/crates/xtask/src/bench_fairness.rs
@@ -17,7 +17,6 @@
 const FLOOD: &str = "calgary-dealer";
 const OTHERS: [&str; 3] = ["regina-dealer", "brandon-dealer", "winnipeg-dealer"];
 const PATIENCE: Duration = Duration::from_secs(10);
-const RATE_UNLIMITED: u32 = 1_000_000;
 
 /// The command line of the bench.
 pub fn command() -> Command {
@@ -57,11 +56,8 @@
     let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
     let span = Duration::from_secs(number("seconds"));
     let mut spec = FleetSpec::new(&std::fs::read_to_string(ANSWERS)?)?
-        .with_database_arg("execute-ms", number("execute-ms"));
-    for workspace in &mut spec.answers.workspaces {
-        workspace.rate_per_s = RATE_UNLIMITED;
-        workspace.burst = RATE_UNLIMITED;
-    }
+        .with_database_arg("execute-ms", number("execute-ms"))
+        .with_rates_unlimited();
     for database in spec.answers.services.iter_mut().flat_map(|s| &mut s.databases) {
         database.connection_limit = number("connection-limit") as u32;
     }
--- a/crates/xtask/src/bench_fleet.rs
+++ b/crates/xtask/src/bench_fleet.rs
@@ -92,13 +92,10 @@
 }
 
 async fn measure_processes(vms_per_dc: usize, changes: u64, span: Duration) -> eyre::Result<()> {
-    let mut spec = FleetSpec::new(&std::fs::read_to_string(ANSWERS)?)?
+    let spec = FleetSpec::new(&std::fs::read_to_string(ANSWERS)?)?
         .with_vms_per_dc(vms_per_dc)
-        .with_relays();
-    for workspace in &mut spec.answers.workspaces {
-        workspace.rate_per_s = 100_000_000;
-        workspace.burst = 100_000_000;
-    }
+        .with_relays()
+        .with_rates_unlimited();
     let fleet = Fleet::start(spec).await?;
     let count = fleet.vms.len();
     let key = fleet.give_key(WORKSPACE, "bench").await?;
--- a/crates/xtask/src/bench_memory.rs
+++ b/crates/xtask/src/bench_memory.rs
@@ -14,7 +14,6 @@
 const PATH: &str = "/v1/quote-ledger-1/catalogue";
 const PATIENCE: Duration = Duration::from_secs(10);
 const REQUESTS: u32 = 20_000;
-const RATE_UNLIMITED: u32 = 100_000_000;
 
 /// The command line.
 pub fn command() -> Command {
@@ -32,11 +31,7 @@
 /// Runs the measurement.
 pub async fn run(matches: &ArgMatches) -> eyre::Result<()> {
     let most = matches.get_one::<u64>("connections").copied().unwrap_or_default() as usize;
-    let mut spec = FleetSpec::new(&std::fs::read_to_string(ANSWERS)?)?;
-    for workspace in &mut spec.answers.workspaces {
-        workspace.rate_per_s = RATE_UNLIMITED;
-        workspace.burst = RATE_UNLIMITED;
-    }
+    let spec = FleetSpec::new(&std::fs::read_to_string(ANSWERS)?)?.with_rates_unlimited();
     let fleet = Fleet::start(spec).await?;
     let key = fleet.give_key(WORKSPACE, "bench").await?;
     let daemon = &fleet.vms[0];
--- a/crates/xtask/src/bench_replica_share.rs
+++ b/crates/xtask/src/bench_replica_share.rs
@@ -24,7 +24,6 @@
 const WORKSPACE: &str = "calgary-dealer";
 const FLEET_SECRET: &str = "a fleet secret for tests and demos";
 const SLOTS: u64 = 3;
-const RATE_UNLIMITED: u32 = 100_000_000;
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(4);
 const THINK_TIME: Duration = Duration::from_millis(10);
 const TIMEOUT: Duration = Duration::from_secs(2);
@@ -97,11 +96,7 @@
 }
 
 async fn start_fleet() -> eyre::Result<Fleet> {
-    let mut spec = FleetSpec::new(&std::fs::read_to_string(ANSWERS)?)?;
-    for workspace in &mut spec.answers.workspaces {
-        workspace.rate_per_s = RATE_UNLIMITED;
-        workspace.burst = RATE_UNLIMITED;
-    }
+    let spec = FleetSpec::new(&std::fs::read_to_string(ANSWERS)?)?.with_rates_unlimited();
     Fleet::start(spec).await
 }
 
