Say once what an unexpected reply to a transaction's step means

Cause: the same four arms stood in the step and in the rollback. Change: one function maps the reply to the caller's error. Behaviour is as before; the process tests of transactions pass (5).

--- a/crates/jasminepassd/src/transaction_entry.rs
+++ b/crates/jasminepassd/src/transaction_entry.rs
@@ -93,10 +93,7 @@
             let body = AnswerBody { result: answer.result };
             Ok(CallerAnswer { body, session: head.session })
         }
-        Ok(PeerReply::Error(error)) => Err(error),
-        Ok(_) => Err(refusal::lost("a VM of the fleet answered nonsense")),
-        Err(SendError::NotSent { .. }) => Err(refusal::unavailable()),
-        Err(error) => Err(refusal::lost(error)),
+        other => Err(failure(other)),
     }
 }
 
@@ -135,10 +132,17 @@
         Ok(PeerReply::RolledBack) => {
             Ok(CallerAnswer { body: AnswerBody { result: Value::Null }, session: head.session })
         }
-        Ok(PeerReply::Error(error)) => Err(error),
-        Ok(_) => Err(refusal::lost("a VM of the fleet answered nonsense")),
-        Err(SendError::NotSent { .. }) => Err(refusal::unavailable()),
-        Err(error) => Err(refusal::lost(error)),
+        other => Err(failure(other)),
+    }
+}
+
+/// What a reply that is not the expected one means for the caller.
+fn failure(reply: Result<PeerReply, SendError>) -> CallerError {
+    match reply {
+        Ok(PeerReply::Error(error)) => error,
+        Ok(_) => refusal::lost("a VM of the fleet answered nonsense"),
+        Err(SendError::NotSent { .. }) => refusal::unavailable(),
+        Err(error) => refusal::lost(error),
     }
 }
 
