Prove a leaving upstream with processes; begin no transaction there

Cause: only traces covered it, and a transaction could still begin on a leaving primary, which the hand-over rolls back 1.5 s later. Change: a holder refuses to begin one there (not_run); a process test marks the primary's database as leaving under writes, reads and aged reads. The refusal itself has no test of its own.

--- a/crates/jasminepassd/src/transactions.rs
+++ b/crates/jasminepassd/src/transactions.rs
@@ -175,7 +175,8 @@
     let board = app.board();
     let (workspace, slot, database) = find(&board, req).ok_or_else(refused)?;
     check_key(&board, &req.key, &req.workspace, app.now()).map_err(PeerReply::Error)?;
-    if board.fleet.leaving {
+    // A transaction begun on a leaving database would be rolled back by the hand-over.
+    if board.fleet.leaving || board.catalog.databases[database].cfg.leaving {
         return Err(refused());
     }
     if board.slots[slot].primary != Some(database) {
--- a/crates/rig/tests/failover.rs
+++ b/crates/rig/tests/failover.rs
@@ -1,12 +1,16 @@
 //! Primaries that fail, with real processes and the platform down.
 
+use config::Configuration;
+use edge::{client::Client, platform::Platform};
 use model::prelude::DurationUs;
+use proto::platform::Updated;
 use rig::{Caller, Fault, Fleet, FleetSpec};
 use serde_json::{Value, json};
 
 const ANSWERS: &str = include_str!("../../../examples/quoting.toml");
 const WRITE: &str = "quote-ledger-1/annotate-quote";
 const READ: &str = "quote-ledger-1/quote";
+const AGED_READ: &str = "quote-ledger-1/delivery-board";
 const WORKSPACE: &str = "calgary-dealer";
 const LIST: &str = "orders";
 const WRITES_BEFORE: u64 = 10;
@@ -73,6 +77,57 @@
     assert_eq!(found, expected, "every acknowledged write is there once");
 }
 
+/// Marks a database as leaving, and waits until that is in force everywhere.
+async fn withdraw_database(fleet: &Fleet, name: &str) {
+    let platform = Platform::new(Client::new("test"), fleet.platform.address("listen"));
+    let object = platform.get("configuration").await.expect("the configuration");
+    let mut cfg: Configuration = serde_json::from_value(object.value).expect("a configuration");
+    cfg.generation.0 += 1;
+    cfg.change_id += 1;
+    let databases = cfg.services.iter_mut().flat_map(|s| &mut s.databases);
+    databases.filter(|d| d.name.as_str() == name).for_each(|d| d.leaving = true);
+    let generation = cfg.generation.0;
+    let value = serde_json::to_value(cfg).expect("JSON");
+    let updated = platform.update("configuration", object.version, value).await.expect("an answer");
+    assert!(matches!(updated, Updated::Done { .. }), "{updated:?}");
+    fleet.wait_for_generation(generation).await.expect("in force");
+}
+
+async fn executed(fleet: &Fleet, name: &str) -> u64 {
+    let database = fleet.databases.iter().find(|d| d.name.as_str() == name).expect("a database");
+    let counts = fleet.counts(&database.process).await.expect("counts");
+    counts["executed"].as_u64().expect("a number")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn upstream_that_leaves_gets_no_new_work_and_loses_nothing() {
+    let spec = FleetSpec::new(ANSWERS).expect("sound answers").with_rates_unlimited();
+    let fleet = Fleet::start(spec).await.expect("a fleet");
+    let api_key = fleet.give_key(WORKSPACE, "k1").await.expect("a key");
+    let mut caller = Caller::new(api_key).with_timeout(DurationUs::from_ms(1_000));
+    let key = fleet.first_slot_key().expect("a slot key");
+    for number in 0..WRITES_BEFORE {
+        append(&fleet, &mut caller, &key, number).await;
+    }
+    let (_, old) = fleet.first_primary().await.expect("a primary");
+    withdraw_database(&fleet, &old).await;
+    fleet.wait_for_other_primary(&old).await.expect("another primary");
+    append(&fleet, &mut caller, &key, WRITES_BEFORE).await;
+    let before = executed(&fleet, &old).await;
+    for number in WRITES_BEFORE + 1..WRITES_BEFORE + WRITES_AFTER {
+        append(&fleet, &mut caller, &key, number).await;
+        list(&fleet, &mut caller, &key).await;
+        for vm in &fleet.vms {
+            let aged = caller.call(&vm.address(), AGED_READ, &key, "get", &[json!(LIST)]).await;
+            assert_eq!(aged.expect("an answer").status, 200);
+        }
+    }
+    assert_eq!(executed(&fleet, &old).await, before, "nothing new is sent there");
+    let found = list(&fleet, &mut caller, &key).await;
+    let expected: Vec<Value> = (0..WRITES_BEFORE + WRITES_AFTER).map(|n| json!(n)).collect();
+    assert_eq!(found, expected, "every acknowledged write is there once, in order");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn primary_killed_is_replaced() {
     check(Fault::Killed).await;
