--- a/crates/fleet/src/access.rs
+++ b/crates/fleet/src/access.rs
@@ -94,7 +94,15 @@
 
 fn by_key(board: &Board, presented: &PresentedKey, now: MonoTime) -> Result<Identity, CallerError> {
     check_trust(board, now)?;
-    let catalog = &board.catalog;
+    let workspace = workspace_of(&board.catalog, presented)?;
+    Ok(Identity { workspace, key: Some(presented.name.clone()) })
+}
+
+/// The workspace of a key that is known and valid. Says nothing of whether it is still trusted here.
+pub fn workspace_of(
+    catalog: &Catalog,
+    presented: &PresentedKey,
+) -> Result<WorkspaceKey, CallerError> {
     let record = catalog
         .key(presented.name.as_str())
         .filter(|record| record.hash.matches(&presented.hash()));
@@ -102,8 +110,7 @@
     if record.state == KeyState::Withdrawn {
         return Err(withdrawn());
     }
-    let workspace = catalog.workspace(record.workspace.as_str()).ok_or_else(unknown)?;
-    Ok(Identity { workspace, key: Some(record.name.clone()) })
+    catalog.workspace(record.workspace.as_str()).ok_or_else(unknown)
 }
 
 fn public(catalog: &Catalog) -> Result<Identity, CallerError> {
--- a/crates/jasminepassd/src/tally_io.rs
+++ b/crates/jasminepassd/src/tally_io.rs
@@ -2,9 +2,10 @@
 
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use board::{Catalog, WorkspaceKey};
-use config::{KeyState, PUBLIC_WORKSPACE};
-use model::{key::PresentedKey, prelude::*};
+use board::Catalog;
+use config::PUBLIC_WORKSPACE;
+use fleet::access::workspace_of;
+use model::prelude::*;
 use proto::{
     caller::CallerError,
     report::{TallyReport, VmReport},
@@ -92,7 +93,9 @@
         None => None,
     };
     let workspace = match &head.key {
-        Some(key) => holder_of(catalog, key)?,
+        // Whether the key is still trusted where the data centre is cut off is left out: a request
+        // that is refused for that is the system's failure.
+        Some(key) => workspace_of(catalog, key).ok()?,
         None if route.is_some_and(|route| route.open) => catalog.workspace(PUBLIC_WORKSPACE)?,
         None => return None,
     };
@@ -100,14 +103,6 @@
     Some((name, route.map_or(0, |route| route.weight)))
 }
 
-/// The workspace of a key that is known and valid. Whether it is still trusted where the data centre is
-/// cut off is left out: a request that is refused for that is the system's failure.
-fn holder_of(catalog: &Catalog, key: &PresentedKey) -> Option<WorkspaceKey> {
-    let record = catalog.key(key.name.as_str())?;
-    let is_genuine = record.state == KeyState::Valid && record.hash.matches(&key.hash());
-    catalog.workspace(record.workspace.as_str()).filter(|_| is_genuine)
-}
-
 impl Accounts {
     fn count(&self, app: &App, workspace: &WorkspaceName, weight: u32, end: End<'_>) {
         let now_s = unix_s();
