--- a/crates/board/src/freshness.rs
+++ b/crates/board/src/freshness.rs
@@ -38,6 +38,22 @@
         self.0[..index].last().map(|b| b.at)
     }
 
+    /// The lowest position that surely holds everything confirmed at `moment`, as far as the bounds say.
+    pub fn covering(&self, moment: MonoTime) -> Option<Position> {
+        let index = self.0.partition_point(|b| b.at < moment);
+        self.0.get(index).map(|b| b.position)
+    }
+
+    /// The latest bound.
+    pub fn latest(&self) -> Option<ConfirmedBound> {
+        self.0.last().copied()
+    }
+
+    /// Forgets all bounds.
+    pub fn clear(&mut self) {
+        self.0.clear();
+    }
+
     /// Drops every second bound of the older half, so that the rest reaches far back.
     fn thin_out(&mut self) {
         let mut index = 0;
--- /dev/null
+++ b/crates/gateway/src/effect.rs
@@ -0,0 +1,60 @@
+//! What the engine asks the process to do.
+
+use std::net::SocketAddr;
+
+use model::prelude::*;
+use slotmap::new_key_type;
+
+use crate::{
+    message::{Reply, UpstreamRequest},
+    peers::PeerMessage,
+};
+
+new_key_type! {
+    /// A caller's session.
+    pub struct CallerKey;
+    /// A connection to an upstream.
+    pub struct UpstreamKey;
+}
+
+/// Something to be done outside. Effects are carried out in their order.
+#[derive(Debug)]
+pub enum Effect {
+    /// Send to a caller.
+    ToCaller(CallerKey, Reply),
+    /// Close a caller's connection once everything has been sent.
+    CloseCaller(CallerKey),
+    /// Open a connection to an upstream.
+    Connect(UpstreamKey, SocketAddr),
+    /// Send to an upstream.
+    ToUpstream(UpstreamKey, UpstreamRequest),
+    /// Close a connection to an upstream at once.
+    CloseUpstream(UpstreamKey),
+    /// Send to a peer.
+    ToPeer(SocketAddr, PeerMessage),
+    /// Fetch configuration and databases from a peer that knows newer ones.
+    FetchFromPeer(SocketAddr),
+    /// Read the token of promotions, so that it can be raised soon.
+    PrepareToken {
+        /// Names the attempt.
+        attempt: u64,
+    },
+    /// Raise the token of promotions by a conditional update of the value that was read last.
+    RaiseToken {
+        /// Names the attempt in the answer.
+        attempt: u64,
+    },
+    /// Order a promotion, unless it is later than `not_after`.
+    Promote {
+        /// Names the attempt in the answer.
+        attempt: u64,
+        /// The service.
+        service: ServiceName,
+        /// The database that is to lead.
+        database: DatabaseName,
+        /// The token.
+        token: u64,
+        /// After this moment the order must not leave.
+        not_after: MonoTime,
+    },
+}
--- /dev/null
+++ b/crates/gateway/src/engine/answers.rs
@@ -0,0 +1,459 @@
+//! What upstreams answer, and what becomes of statements whose connection is lost.
+
+use model::prelude::*;
+use slog::{debug, info};
+
+use super::{Engine, callers::access_of};
+use crate::{
+    catalog::Freshness,
+    effect::{CallerKey, Effect, UpstreamKey},
+    message::{Access, ErrorCode, Reply, Statement, TransactionState},
+    pool::{Awaited, Outstanding, Purpose},
+    session::{ParkedAnswer, Stage, Transaction},
+};
+
+/// Upstreams that a statement is tried at before its error is passed on.
+const TRIES_MAX: u32 = 6;
+/// Pause before a statement goes to the upstream that was too busy for it again.
+const BUSY_PAUSE: DurationUs = DurationUs::from_ms(15);
+/// Weight of a new answer time in the average.
+const ANSWER_WEIGHT: f64 = 0.2;
+
+impl Engine {
+    /// An upstream said something.
+    pub fn upstream_reply(&mut self, now: MonoTime, key: UpstreamKey, reply: Reply) {
+        self.now = now;
+        let Some(connection) = self.pool.connections.get_mut(key) else { return };
+        connection.last_heard = now;
+        let database = connection.database.clone();
+        let incarnation = connection.incarnation;
+        self.note_heard(&database, incarnation);
+        let connection = &mut self.pool.connections[key];
+        let Some(front) = connection.outstanding.front_mut() else {
+            return self.lose_connection(key, "it spoke unasked");
+        };
+        match reply {
+            Reply::Row(_) => front.rows.push(reply),
+            Reply::Complete { .. } => front.outcome = Some(reply),
+            Reply::Error { code, .. } if front.awaited == Awaited::Start => {
+                self.refused_connection(key, code);
+            }
+            Reply::Error { .. } => front.outcome = Some(reply),
+            Reply::Ready { state, position } => {
+                if let Some(done) = connection.outstanding.pop_front() {
+                    self.finish(key, done, state, position);
+                }
+            }
+        }
+        self.pump();
+    }
+
+    /// An upstream's connection ended.
+    pub fn upstream_closed(&mut self, now: MonoTime, key: UpstreamKey) {
+        self.now = now;
+        self.lose_connection(key, "closed by the other side");
+        self.pump();
+    }
+
+    fn note_heard(&mut self, database: &DatabaseName, incarnation: u64) {
+        let now = self.now;
+        let Some(state) = self.databases.get_mut(database) else { return };
+        if state.record.incarnation != incarnation {
+            return;
+        }
+        state.last_heard = Some(now);
+        state.failures = 0;
+        state.retry_at = now;
+        if let Some(since) = state.failing_since.take() {
+            info!(self.log, "database answers again"; "database" => %database,
+                "after_ms" => now.since(since).as_ms());
+        }
+    }
+
+    /// An upstream did not accept a connection; it closes it.
+    fn refused_connection(&mut self, key: UpstreamKey, code: ErrorCode) {
+        let database = self.pool.connections[key].database.clone();
+        info!(self.log, "connection refused"; "database" => %database, "code" => %code);
+        if let Some(state) = self.databases.get_mut(&database) {
+            if code == ErrorCode::TooMany {
+                state.too_many_at = Some(self.now);
+            }
+            state.retry_at = self.now + DurationUs::from_ms(100);
+        }
+        let holder = self.pool.connections[key].holder;
+        self.close_connection(key);
+        if let Some(holder) = holder {
+            self.requeue(holder);
+        }
+    }
+
+    /// Ends a connection that can't be used any more, and settles what was in progress on it.
+    pub(super) fn lose_connection(&mut self, key: UpstreamKey, reason: &str) {
+        let Some(connection) = self.pool.connections.remove(key) else { return };
+        self.effects.push(Effect::CloseUpstream(key));
+        let database = connection.database.clone();
+        let quiet = connection.started && connection.outstanding.is_empty();
+        if !quiet {
+            let since = connection.outstanding.front().map_or(self.now, |o| o.sent_at);
+            self.note_failure(&database, since, reason);
+        } else {
+            debug!(self.log, "idle connection lost"; "database" => %database, "reason" => reason);
+        }
+        if let Some(holder) = connection.holder {
+            self.lose_statement(holder, ErrorCode::InDoubt, reason);
+        }
+    }
+
+    /// The connection that a session held is gone, whatever was in progress on it.
+    pub(super) fn lose_statement(&mut self, key: CallerKey, code: ErrorCode, reason: &str) {
+        let Some(session) = self.sessions.get(key) else { return };
+        let pinned = matches!(session.transaction, Transaction::Pinned { .. });
+        let Some(current) = &session.current else {
+            if pinned {
+                self.sessions[key].transaction = Transaction::Failed { untold: true };
+                info!(self.log, "transaction lost"; "reason" => reason);
+            }
+            return;
+        };
+        let sent = matches!(current.stage, Stage::Running(_));
+        let in_time = self.now < current.time_out_at;
+        let commits = current.statement == Statement::Commit;
+        let writes = access_of(session, &current.statement) == Access::Write;
+        match (sent, pinned) {
+            (false, _) if in_time => self.requeue(key),
+            (false, _) => self.fail(key, ErrorCode::Busy, reason),
+            (true, true) if commits && session.wrote_in_transaction => {
+                self.fail(key, ErrorCode::InDoubt, reason);
+            }
+            // Its connection is closed, so the upstream rolls back.
+            (true, true) => self.fail(key, ErrorCode::Aborted, reason),
+            (true, false) if writes => self.fail(key, ErrorCode::InDoubt, reason),
+            (true, false) if in_time => {
+                self.counts.retries += 1;
+                self.requeue(key);
+            }
+            (true, false) => {
+                let code = if code == ErrorCode::InDoubt { ErrorCode::Aborted } else { code };
+                self.fail(key, code, reason);
+            }
+        }
+    }
+
+    /// Lets a session's current statement wait for another upstream.
+    fn requeue(&mut self, key: CallerKey) {
+        let Some(current) = self.sessions.get_mut(key).and_then(|s| s.current.as_mut()) else {
+            return;
+        };
+        current.stage = Stage::Waiting;
+        self.waiting.push(key);
+    }
+
+    /// Ends a session's current statement with an error. A transaction that it was in has failed.
+    pub(super) fn fail(&mut self, key: CallerKey, code: ErrorCode, reason: &str) {
+        let Some(session) = self.sessions.get_mut(key) else { return };
+        let Some(current) = session.current.take() else { return };
+        let ends = current.statement == Statement::Commit;
+        session.transaction = match &session.transaction {
+            Transaction::None => Transaction::None,
+            _ if ends => Transaction::None,
+            _ => Transaction::Failed { untold: false },
+        };
+        session.last_active = self.now;
+        info!(self.log, "statement failed"; "id" => &*current.id, "tries" => current.tries,
+            "waited_ms" => self.now.since(current.arrived).as_ms());
+        self.answer_error(key, &current.id, code, reason);
+        self.advance(key);
+    }
+
+    fn finish(
+        &mut self,
+        key: UpstreamKey,
+        done: Outstanding,
+        state: TransactionState,
+        position: Option<Position>,
+    ) {
+        match done.awaited {
+            Awaited::Start => self.finish_start(key, position),
+            Awaited::Setup => {
+                if let Some(Reply::Error { code, text }) = &done.outcome {
+                    info!(self.log, "connection can't be prepared"; "code" => %code, "text" => &**text);
+                    self.lose_connection(key, "it could not be prepared");
+                }
+            }
+            Awaited::Begin => self.finish_begin(key, done, position),
+            Awaited::Statement => self.finish_statement(key, done, state, position),
+            Awaited::Control => self.finish_control(key, done),
+        }
+    }
+
+    fn finish_start(&mut self, key: UpstreamKey, position: Option<Position>) {
+        let now = self.now;
+        let connection = &mut self.pool.connections[key];
+        connection.started = true;
+        connection.idle_since = now;
+        let database = connection.database.clone();
+        let holder = connection.holder;
+        self.note_applied(&database, position);
+        if let Purpose::Control { .. } = self.pool.connections[key].purpose {
+            return self.send_control(key);
+        }
+        let Some(holder) = holder else { return };
+        match self.sessions.get(holder).and_then(|session| session.current.as_ref()) {
+            Some(current) if current.stage == Stage::Connecting(key) => self.run_on(holder, key),
+            _ => self.free(key),
+        }
+    }
+
+    fn note_applied(&mut self, database: &DatabaseName, position: Option<Position>) {
+        if let Some(state) = self.databases.get_mut(database) {
+            state.applied = state.applied.max(position);
+        }
+    }
+
+    fn finish_begin(&mut self, key: UpstreamKey, done: Outstanding, position: Option<Position>) {
+        let Some(holder) = self.pool.connections[key].holder else { return };
+        let Some(session) = self.sessions.get_mut(holder) else { return };
+        if let Some(Reply::Error { code, text }) = done.outcome {
+            let text = text.clone();
+            return self.settle_refusal(holder, key, code, &text, position);
+        }
+        if let Transaction::Begun { access } = session.transaction {
+            session.transaction = Transaction::Pinned { access, upstream: key };
+        }
+        self.forward(holder, key);
+    }
+
+    fn finish_statement(
+        &mut self,
+        key: UpstreamKey,
+        done: Outstanding,
+        state: TransactionState,
+        position: Option<Position>,
+    ) {
+        let now = self.now;
+        let connection = &self.pool.connections[key];
+        let database = connection.database.clone();
+        let Some(holder) = connection.holder else { return };
+        if let Some(state) = self.databases.get_mut(&database) {
+            let took = now.since(done.sent_at).0 as f64;
+            let before = if state.answer_us > 0.0 { state.answer_us } else { took };
+            state.answer_us = before * (1.0 - ANSWER_WEIGHT) + took * ANSWER_WEIGHT;
+            state.answer_at = now;
+        }
+        match done.outcome {
+            Some(Reply::Complete { receipt: Some(receipt) }) => {
+                self.note_applied(&database, position);
+                let mut rows = done.rows;
+                rows.push(Reply::Complete { receipt: Some(receipt) });
+                self.settle_success(holder, key, rows, done.sent_at, state, position);
+            }
+            Some(Reply::Error { code, text }) => {
+                self.settle_error(holder, key, code, &text, state, position);
+            }
+            _ => self.lose_connection(key, "its answer has no receipt"),
+        }
+    }
+
+    /// An upstream answered a session's current statement with success.
+    fn settle_success(
+        &mut self,
+        key: CallerKey,
+        upstream: UpstreamKey,
+        rows: Vec<Reply>,
+        sent_at: MonoTime,
+        state: TransactionState,
+        position: Option<Position>,
+    ) {
+        let database = self.pool.connections[upstream].database.clone();
+        let session = &mut self.sessions[key];
+        let Some(current) = &session.current else { return };
+        let Some(grant) = session.granted.clone() else { return };
+        let commits = current.statement == Statement::Commit;
+        let pinned = matches!(session.transaction, Transaction::Pinned { .. });
+        let writes = if commits {
+            session.wrote_in_transaction
+        } else {
+            !pinned && access_of(session, &current.statement) == Access::Write
+        };
+        if commits {
+            session.transaction = Transaction::None;
+        }
+        if state == TransactionState::Idle {
+            self.free(upstream);
+        }
+        let service_name = grant.route.service.clone();
+        let Some(service) = self.services.get_mut(&service_name) else { return };
+        let leads = service.primary.as_ref() == Some(&database);
+        let term = service.term;
+        if let Some(position) = position
+            && position.term > service.term
+        {
+            // The primary was replaced, and this VM has not heard of it.
+            service.asked_leader = None;
+        }
+        let latest = grant.route.freshness == Freshness::Latest;
+        let sure = self.services.get(&service_name).is_some_and(|s| leads && self.has_authority(s));
+        if sure {
+            if let (Some(position), Some(service)) =
+                (position, self.services.get_mut(&service_name))
+            {
+                service.freshness.observe(sent_at, position);
+            }
+        }
+        if !leads {
+            self.counts.replica_reads += u64::from(!writes);
+        }
+        let must_be_sure = writes || (latest && !(pinned && !commits));
+        if must_be_sure && !sure {
+            let answer = ParkedAnswer { service: service_name, term, rows, position, writes };
+            if let Some(current) = &mut self.sessions[key].current {
+                debug!(self.log, "answer held until the primary is known to lead";
+                    "id" => &*current.id, "term" => term.0);
+                current.stage = Stage::Parked;
+                current.parked = Some(answer);
+                self.parked.push(key);
+            }
+            return self.settle_parked();
+        }
+        self.deliver(key, rows, position, writes.then_some(service_name));
+    }
+
+    /// Passes a successful answer on.
+    fn deliver(
+        &mut self,
+        key: CallerKey,
+        rows: Vec<Reply>,
+        position: Option<Position>,
+        wrote_at: Option<ServiceName>,
+    ) {
+        let now = self.now;
+        let session = &mut self.sessions[key];
+        session.current = None;
+        session.last_active = now;
+        if wrote_at.is_some() {
+            session.last_commit = position;
+            session.commit_service = wrote_at;
+        }
+        self.counts.answered += 1;
+        for row in rows {
+            self.say(key, row);
+        }
+        self.say_ready(key, position);
+        self.advance(key);
+    }
+
+    /// Decides on answers that were held until it is known whether the primary still led.
+    pub(super) fn settle_parked(&mut self) {
+        let parked = std::mem::take(&mut self.parked);
+        for key in parked {
+            let Some(current) = self.sessions.get(key).and_then(|s| s.current.as_ref()) else {
+                continue;
+            };
+            let Some(answer) = &current.parked else { continue };
+            let Some(service) = self.services.get(&answer.service) else { continue };
+            if service.term > answer.term {
+                info!(self.log, "answer of an ended term dropped"; "id" => &*current.id,
+                    "term" => answer.term.0, "now" => service.term.0);
+                if answer.writes {
+                    self.fail(key, ErrorCode::InDoubt, "the primary was replaced meanwhile");
+                } else {
+                    if let Some(current) = &mut self.sessions[key].current {
+                        current.parked = None;
+                    }
+                    self.requeue(key);
+                }
+            } else if self.has_authority(service) {
+                let current = self.sessions[key].current.as_mut();
+                if let Some(answer) = current.and_then(|current| current.parked.take()) {
+                    let wrote_at = answer.writes.then_some(answer.service);
+                    self.deliver(key, answer.rows, answer.position, wrote_at);
+                }
+            } else {
+                self.parked.push(key);
+            }
+        }
+    }
+
+    fn settle_error(
+        &mut self,
+        key: CallerKey,
+        upstream: UpstreamKey,
+        code: ErrorCode,
+        text: &str,
+        state: TransactionState,
+        position: Option<Position>,
+    ) {
+        let session = &self.sessions[key];
+        let pinned = matches!(session.transaction, Transaction::Pinned { .. });
+        if !pinned && state == TransactionState::Idle {
+            return self.settle_refusal(key, upstream, code, text, position);
+        }
+        if code == ErrorCode::Busy
+            && state == TransactionState::Open
+            && session.current.as_ref().is_some_and(|c| self.now + BUSY_PAUSE < c.give_up_at)
+        {
+            // Nothing ran and the transaction is whole: the same again, in place.
+            self.counts.retries += 1;
+            return self.forward(key, upstream);
+        }
+        if code == ErrorCode::ReadOnly {
+            self.note_deposed(upstream);
+        }
+        self.roll_back(upstream);
+        self.fail(key, code, text);
+    }
+
+    /// An upstream refused or failed a session's first statement; no transaction is open there.
+    fn settle_refusal(
+        &mut self,
+        key: CallerKey,
+        upstream: UpstreamKey,
+        code: ErrorCode,
+        text: &str,
+        position: Option<Position>,
+    ) {
+        let now = self.now;
+        self.free(upstream);
+        let database = self.pool.connections[upstream].database.clone();
+        if let Some(state) = self.databases.get_mut(&database)
+            && code == ErrorCode::Lagging
+        {
+            state.applied = state.applied.max(position);
+            let lacked = position.unwrap_or(Position::ZERO);
+            state.lacked = Some((lacked, now));
+        }
+        if code == ErrorCode::ReadOnly {
+            self.note_deposed(upstream);
+        }
+        let session = &mut self.sessions[key];
+        let single_read = session.current.as_ref().is_some_and(|current| {
+            session.transaction == Transaction::None
+                && access_of(session, &current.statement) == Access::Read
+        });
+        let Some(current) = &mut session.current else { return };
+        let repeatable = code.did_not_run() || (code == ErrorCode::Failed && single_read);
+        if repeatable && current.tries < TRIES_MAX && now + BUSY_PAUSE < current.give_up_at {
+            current.stage = Stage::Waiting;
+            if code != ErrorCode::Lagging {
+                current.not_before = now + BUSY_PAUSE;
+            }
+            self.counts.retries += 1;
+            self.waiting.push(key);
+            return;
+        }
+        self.fail(key, code, text);
+    }
+
+    /// A database that was held for the primary says that it is none.
+    fn note_deposed(&mut self, upstream: UpstreamKey) {
+        let database = self.pool.connections[upstream].database.clone();
+        for (name, service) in &mut self.services {
+            if service.primary.as_ref() == Some(&database) {
+                info!(self.log, "primary no longer leads"; "service" => %name,
+                    "database" => %database, "term" => service.term.0);
+                service.primary = None;
+                service.asked_leader = None;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engine/mod.rs
@@ -0,0 +1,485 @@
+//! The engine: one VM's sessions, connections, peers and attempts, driven by events.
+
+mod answers;
+mod callers;
+mod control;
+mod placement;
+
+pub(crate) use callers::Grant;
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use model::prelude::*;
+use slog::{Logger, info};
+use slotmap::SlotMap;
+
+use crate::{
+    catalog::{Catalog, Database},
+    effect::{CallerKey, Effect},
+    freshness::ServiceFreshness,
+    message::TransactionState,
+    peers::{MemberRecord, Roster},
+    pool::Pool,
+    rates::Rates,
+    session::Session,
+    takeover::{Attempt, StatusRow},
+};
+
+/// How long a database that left the list is still used if the store was away: its entry may return.
+pub const MISSING_FOR: DurationUs = DurationUs::from_ms(2_500);
+/// How long a free connection is kept.
+const CONNECTION_IDLE: DurationUs = DurationUs::from_ms(20_000);
+/// Time in which an upstream has to accept a connection.
+const CONNECT_WITHIN: DurationUs = DurationUs::from_ms(800);
+/// Silence on a connection with a statement in progress after which its database is suspected, if no
+/// other connection to it hears anything either.
+const SILENT_FOR: DurationUs = DurationUs::from_ms(500);
+/// How long sessions at rest are kept open after a stop was asked for: a statement may be under way.
+const STOP_SESSIONS_AFTER: DurationUs = DurationUs::from_ms(300);
+
+/// Which VM this is.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Its name.
+    pub vm: VmName,
+    /// Which run of it.
+    pub incarnation: Incarnation,
+    /// Where it stands.
+    pub dc: DcName,
+    /// Regions by data centre.
+    pub regions: FxHashMap<DcName, Box<str>>,
+    /// Whether the whole fleet starts for the first time: no earlier run can have promised anything.
+    pub first_start: bool,
+    /// Reads the row with which an upstream answers a question for its status.
+    pub decode_status: fn(&str) -> Option<StatusRow>,
+}
+
+/// What is known of a database besides what it registered.
+#[derive(Debug)]
+pub(crate) struct DatabaseState {
+    pub(crate) record: Database,
+    /// When its entry was first missing.
+    pub(crate) missing_since: Option<MonoTime>,
+    pub(crate) last_heard: Option<MonoTime>,
+    pub(crate) failing_since: Option<MonoTime>,
+    /// Not connected to before this moment.
+    pub(crate) retry_at: MonoTime,
+    /// When it last refused a connection for their number.
+    pub(crate) too_many_at: Option<MonoTime>,
+    /// Newest position that it was seen to have applied.
+    pub(crate) applied: Option<Position>,
+    /// A position that it was seen to lack, and when.
+    pub(crate) lacked: Option<(Position, MonoTime)>,
+    /// Time from sending a statement to its answer, averaged, in microseconds.
+    pub(crate) answer_us: f64,
+    pub(crate) answer_at: MonoTime,
+    pub(crate) failures: u32,
+}
+
+/// What is known of a service.
+#[derive(Debug)]
+pub(crate) struct ServiceState {
+    pub(crate) term: Term,
+    pub(crate) primary: Option<DatabaseName>,
+    pub(crate) stopped: Option<StoppedFor>,
+    pub(crate) freshness: ServiceFreshness,
+    /// When its databases were last asked who leads.
+    pub(crate) asked_leader: Option<MonoTime>,
+    /// Since when nobody is known to lead.
+    pub(crate) leaderless_since: Option<MonoTime>,
+    pub(crate) rest_until: MonoTime,
+}
+
+/// A term that is being prepared, for which this VM does not use the primary.
+#[derive(Clone, Debug)]
+pub(crate) struct StoppedFor {
+    pub(crate) term: Term,
+    pub(crate) planned: bool,
+    pub(crate) by: VmName,
+    pub(crate) since: MonoTime,
+    pub(crate) confirmed: bool,
+}
+
+/// One VM's gateway.
+#[derive(Debug)]
+pub struct Engine {
+    id: Identity,
+    log: Logger,
+    now: MonoTime,
+    started_at: MonoTime,
+    catalog: Arc<Catalog>,
+    registry_version: u64,
+    registry_known: bool,
+    databases: BTreeMap<DatabaseName, DatabaseState>,
+    services: BTreeMap<ServiceName, ServiceState>,
+    sessions: SlotMap<CallerKey, Session>,
+    waiting: Vec<CallerKey>,
+    parked: Vec<CallerKey>,
+    pool: Pool,
+    roster: Roster,
+    rates: Rates,
+    attempts: Vec<Attempt>,
+    next_attempt: u64,
+    heartbeat_at: MonoTime,
+    fetched_at: MonoTime,
+    had_lease: bool,
+    stop_asked_at: Option<MonoTime>,
+    counts: Counts,
+    effects: Vec<Effect>,
+}
+
+/// Counters since the start.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    /// Statements answered with success.
+    pub answered: u64,
+    /// Statements refused without having run.
+    pub refused: u64,
+    /// Statements that failed, or whose outcome is unknown.
+    pub failed: u64,
+    /// Operations refused because their workspace was past its rate.
+    pub rate_limited: u64,
+    /// Connections opened to upstreams.
+    pub connections_opened: u64,
+    /// Statements sent again, elsewhere or later.
+    pub retries: u64,
+    /// Reads that replicas answered.
+    pub replica_reads: u64,
+    /// Attempts to replace a primary that began here.
+    pub takeovers: u64,
+}
+
+impl Engine {
+    /// An engine that knows no configuration yet.
+    pub fn new(id: Identity, log: Logger, now: MonoTime) -> Engine {
+        let roster = Roster::new(id.vm.clone());
+        Engine {
+            id,
+            log,
+            now,
+            started_at: now,
+            catalog: Arc::default(),
+            registry_version: 0,
+            registry_known: false,
+            databases: BTreeMap::new(),
+            services: BTreeMap::new(),
+            sessions: SlotMap::with_key(),
+            waiting: Vec::new(),
+            parked: Vec::new(),
+            pool: Pool::default(),
+            roster,
+            rates: Rates::default(),
+            attempts: Vec::new(),
+            next_attempt: 1,
+            heartbeat_at: now,
+            fetched_at: MonoTime(0),
+            had_lease: false,
+            stop_asked_at: None,
+            counts: Counts::default(),
+            effects: Vec::new(),
+        }
+    }
+
+    /// Takes the effects queued so far.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Counters since the start.
+    pub fn counts(&self) -> Counts {
+        self.counts
+    }
+
+    /// Open sessions, and statements that wait for an upstream.
+    pub fn load(&self) -> (usize, usize) {
+        (self.sessions.len(), self.waiting.len())
+    }
+
+    /// Whether new callers can be served here.
+    pub fn is_ready(&self) -> bool {
+        self.catalog.generation > 0
+            && self.registry_known
+            && self.stop_asked_at.is_none()
+            && self.has_lease()
+    }
+
+    /// Whether a stop was asked for and nothing is left to do.
+    pub fn is_stopped(&self) -> bool {
+        self.stop_asked_at.is_some() && self.sessions.is_empty()
+    }
+
+    /// Generation of the configuration in force.
+    pub fn generation(&self) -> u64 {
+        self.catalog.generation
+    }
+
+    /// Version of the list of databases in use.
+    pub fn registry_version(&self) -> u64 {
+        self.registry_version
+    }
+
+    /// When [`Engine::tick`] is due.
+    pub fn next_tick(&self, now: MonoTime) -> DurationUs {
+        let busy = !self.waiting.is_empty()
+            || !self.parked.is_empty()
+            || !self.attempts.is_empty()
+            || self.services.values().any(|service| service.stopped.is_some());
+        let period = if busy { TICK_BUSY } else { TICK_IDLE };
+        DurationUs(period.0.min(self.heartbeat_at.since(now).0.max(TICK_BUSY.0)))
+    }
+
+    /// Takes a configuration. An older one than that in force is dropped.
+    pub fn set_catalog(&mut self, now: MonoTime, catalog: Arc<Catalog>) {
+        self.now = now;
+        if catalog.generation <= self.catalog.generation {
+            return;
+        }
+        info!(self.log, "configuration in force";
+            "generation" => catalog.generation, "before" => self.catalog.generation,
+            "routes" => catalog.routes.len(), "workspaces" => catalog.workspaces.len());
+        self.catalog = catalog;
+        self.rates.configure(now, &self.catalog.workspaces);
+        let services: Vec<ServiceName> = self.catalog.services.keys().cloned().collect();
+        for service in services {
+            self.services.entry(service).or_insert_with(|| ServiceState::new(now));
+        }
+        self.close_unauthorized();
+        self.pump();
+    }
+
+    /// Takes the databases. `store_was_away`: entries may be missing only because their databases
+    /// could not renew them.
+    pub fn set_databases(
+        &mut self,
+        now: MonoTime,
+        version: u64,
+        databases: Vec<Database>,
+        store_was_away: bool,
+    ) {
+        self.now = now;
+        if version < self.registry_version {
+            return;
+        }
+        self.registry_version = version;
+        self.registry_known = true;
+        let mut gone: Vec<DatabaseName> = Vec::new();
+        for (name, state) in &mut self.databases {
+            if databases.iter().any(|record| record.name == *name) {
+                state.missing_since = None;
+            } else if store_was_away {
+                state.missing_since.get_or_insert(now);
+            } else {
+                gone.push(name.clone());
+            }
+        }
+        for name in gone {
+            self.drop_database(&name, "it left the list");
+        }
+        for record in databases {
+            self.set_database(record);
+        }
+        self.learn_leaders();
+        self.pump();
+    }
+
+    /// Takes the entries of all VMs.
+    pub fn set_members(&mut self, now: MonoTime, records: &[MemberRecord]) {
+        self.now = now;
+        let before = self.roster.len();
+        self.roster.set_members(records);
+        if before != self.roster.len() {
+            info!(self.log, "members changed"; "members" => self.roster.len(), "before" => before);
+        }
+        self.rates.set_members(now, self.roster.len());
+    }
+
+    /// Stops taking new work; what is in progress goes on.
+    pub fn stop(&mut self, now: MonoTime) {
+        self.now = now;
+        if self.stop_asked_at.is_none() {
+            info!(self.log, "stopping"; "sessions" => self.sessions.len());
+            self.stop_asked_at = Some(now);
+            self.send_heartbeats();
+        }
+    }
+
+    /// Ends transactions that rest although a stop was asked for.
+    pub fn stop_transactions(&mut self, now: MonoTime) {
+        self.now = now;
+        let open = self.sessions.iter().filter(|(_, session)| {
+            session.transaction.state() == TransactionState::Open && session.current.is_none()
+        });
+        let open: Vec<CallerKey> = open.map(|(key, _)| key).collect();
+        for key in open {
+            self.abandon_transaction(key, "this VM is stopping");
+        }
+    }
+
+    /// Does what is due by time.
+    pub fn tick(&mut self, now: MonoTime) {
+        self.now = now;
+        self.expire_missing();
+        self.expire_statements();
+        self.expire_connections();
+        self.expire_transactions();
+        self.settle_parked();
+        if self.heartbeat_at <= now {
+            self.send_heartbeats();
+        }
+        self.note_lease();
+        self.run_attempts();
+        self.consider_attempts();
+        self.learn_leaders();
+        self.pump();
+        self.close_resting_sessions();
+    }
+
+    fn set_database(&mut self, record: Database) {
+        let name = record.name.clone();
+        let restarted = self.databases.get(&name).is_some_and(|state| {
+            state.record.incarnation != record.incarnation
+                || state.record.address != record.address
+                || state.record.service != record.service
+        });
+        if restarted {
+            self.drop_database(&name, "it was started again");
+        }
+        match self.databases.get_mut(&name) {
+            Some(state) => {
+                if state.record != record {
+                    info!(self.log, "database changed"; "database" => %name,
+                        "service" => %record.service, "role" => ?record.role,
+                        "leaving" => record.leaving);
+                }
+                state.record = record;
+            }
+            None => {
+                info!(self.log, "database listed"; "database" => %name,
+                    "service" => %record.service, "role" => ?record.role, "dc" => %record.dc,
+                    "leaving" => record.leaving, "incarnation" => record.incarnation);
+                let service = record.service.clone();
+                self.databases.insert(name, DatabaseState::new(record, self.now));
+                let now = self.now;
+                self.services.entry(service).or_insert_with(|| ServiceState::new(now));
+            }
+        }
+    }
+
+    fn drop_database(&mut self, name: &DatabaseName, reason: &str) {
+        info!(self.log, "database dropped"; "database" => %name, "reason" => reason);
+        let held = self.pool.connections.iter().filter(|(_, c)| c.database == *name);
+        let held: Vec<_> = held.map(|(key, c)| (key, c.is_free())).collect();
+        for (key, free) in held {
+            // A statement in progress may still be answered.
+            if free {
+                self.close_connection(key);
+            }
+        }
+        if let Some(state) = self.databases.remove(name) {
+            let service = self.services.get_mut(&state.record.service);
+            if let Some(service) = service.filter(|s| s.primary.as_ref() == Some(name)) {
+                service.primary = None;
+            }
+        }
+    }
+
+    fn expire_missing(&mut self) {
+        let now = self.now;
+        let gone = self.databases.iter().filter(|(_, state)| {
+            state.missing_since.is_some_and(|since| now.since(since) >= MISSING_FOR)
+        });
+        let gone: Vec<DatabaseName> = gone.map(|(name, _)| name.clone()).collect();
+        for name in gone {
+            self.drop_database(&name, "its entry did not return after the store's outage");
+        }
+    }
+
+    /// Closes sessions that rest, once a stop was asked for.
+    fn close_resting_sessions(&mut self) {
+        let Some(at) = self.stop_asked_at else { return };
+        let now = self.now;
+        let resting = self.sessions.iter().filter(|(_, session)| {
+            session.is_at_rest()
+                && now.since(at.max(session.last_active)) >= STOP_SESSIONS_AFTER
+        });
+        let resting: Vec<CallerKey> = resting.map(|(key, _)| key).collect();
+        for key in resting {
+            self.close_session(key);
+        }
+    }
+
+    fn close_session(&mut self, key: CallerKey) {
+        self.release_transaction(key);
+        if self.sessions.remove(key).is_some() {
+            self.effects.push(Effect::CloseCaller(key));
+        }
+    }
+
+    /// Closes sessions at rest whose key or route is gone.
+    fn close_unauthorized(&mut self) {
+        let keys: Vec<CallerKey> = self.sessions.keys().collect();
+        for key in keys {
+            let session = &self.sessions[key];
+            if session.started && session.is_at_rest() && self.authorize(session).is_err() {
+                info!(self.log, "session closed: its key or route is gone";
+                    "host" => &*session.host, "generation" => self.catalog.generation);
+                self.close_session(key);
+            }
+        }
+    }
+
+    fn has_lease(&self) -> bool {
+        self.roster.lease_until(self.now).is_some_and(|until| self.now < until)
+    }
+
+    fn note_lease(&mut self) {
+        let has_lease = self.has_lease();
+        if has_lease != self.had_lease {
+            self.had_lease = has_lease;
+            info!(self.log, "{}", if has_lease { "lease gained" } else { "lease lost" };
+                "live" => self.roster.live_count(self.now), "members" => self.roster.len());
+        }
+    }
+
+    /// Whether this VM may use the service's primary as things stand.
+    fn has_authority(&self, service: &ServiceState) -> bool {
+        service.primary.is_some() && service.stopped.is_none() && self.has_lease()
+    }
+}
+
+/// Time between ticks while something waits.
+const TICK_BUSY: DurationUs = DurationUs::from_ms(20);
+/// Time between ticks otherwise.
+const TICK_IDLE: DurationUs = DurationUs::from_ms(100);
+
+impl ServiceState {
+    pub(crate) fn new(now: MonoTime) -> ServiceState {
+        ServiceState {
+            term: Term(0),
+            primary: None,
+            stopped: None,
+            freshness: ServiceFreshness::default(),
+            asked_leader: None,
+            leaderless_since: None,
+            rest_until: now,
+        }
+    }
+}
+
+impl DatabaseState {
+    fn new(record: Database, now: MonoTime) -> DatabaseState {
+        DatabaseState {
+            record,
+            missing_since: None,
+            last_heard: None,
+            failing_since: None,
+            retry_at: now,
+            too_many_at: None,
+            applied: None,
+            lacked: None,
+            answer_us: 0.0,
+            answer_at: now,
+            failures: 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engine/placement.rs
@@ -0,0 +1,488 @@
+//! Which upstream and which connection a waiting statement gets.
+
+use model::prelude::*;
+use slog::info;
+
+use super::{CONNECT_WITHIN, CONNECTION_IDLE, DatabaseState, Engine, SILENT_FOR, callers::access_of};
+use crate::{
+    catalog::Freshness,
+    effect::{CallerKey, Effect, UpstreamKey},
+    message::{Access, ErrorCode, ForwardedStatement, ShapeKey, Statement, UpstreamRequest},
+    pool::{Awaited, Connection, Outstanding, Purpose},
+    queue,
+    session::{Session, Stage, Transaction},
+};
+
+/// What an upstream must be for a statement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Need {
+    /// The primary, while this VM may use it.
+    Primary,
+    /// Any member whose log holds the position.
+    AtLeast(Option<Position>),
+}
+
+/// A statement's way to an upstream.
+#[derive(Clone, Copy, Debug)]
+enum Way {
+    /// A connection that is free.
+    Free(UpstreamKey),
+    /// A new connection.
+    New,
+    /// A new connection in place of one that serves another workspace.
+    Replace(UpstreamKey),
+}
+
+/// Round trip to a database in the same data centre, region or elsewhere, in microseconds, as assumed
+/// until answers are seen.
+const ROUND_TRIP_US: [f64; 3] = [500.0, 2_500.0, 35_000.0];
+/// Time that a statement is assumed to take at a database, in microseconds, until answers are seen.
+const WORK_US: f64 = 25_000.0;
+/// Time that opening a connection takes at the database, in microseconds.
+const OPEN_US: f64 = 12_000.0;
+/// What reading at the primary is held to cost more, in microseconds: it alone can write.
+const PRIMARY_EXTRA_US: f64 = 8_000.0;
+/// Span after which a measured answer time has lost most of its weight, in microseconds.
+const ANSWER_SPAN_US: f64 = 2_000_000.0;
+/// How long a replica that lacked a position is passed over for later positions.
+const LACKED_FOR: DurationUs = DurationUs::from_ms(40);
+/// Part of a database's connections that is left free for VMs whose predecessors died without a word,
+/// in percent.
+const RESERVE_PERCENT: usize = 10;
+/// How long a VM keeps to its even part after a database refused a connection for their number.
+const TOO_MANY_FOR: DurationUs = DurationUs::from_ms(1_500);
+/// How long a statement waits before connections past the even part are opened for it.
+const BORROW_AFTER: DurationUs = DurationUs::from_ms(30);
+/// First pause after a connection to a database failed; doubles up to `RETRY_MAX`.
+const RETRY_MIN: DurationUs = DurationUs::from_ms(50);
+/// Longest pause between tries to reach a database.
+const RETRY_MAX: DurationUs = DurationUs::from_ms(800);
+
+impl Engine {
+    /// Gives waiting statements to upstreams as far as there is room.
+    pub(super) fn pump(&mut self) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.sort_by_key(|key| self.turn_of(*key));
+        for key in waiting {
+            let is_due = self
+                .sessions
+                .get(key)
+                .and_then(|session| session.current.as_ref())
+                .is_some_and(|current| current.stage == Stage::Waiting);
+            if is_due && !self.place(key) {
+                self.waiting.push(key);
+            }
+        }
+    }
+
+    fn turn_of(&self, key: CallerKey) -> (u32, MonoTime) {
+        let session = self.sessions.get(key);
+        let current = session.and_then(|session| session.current.as_ref());
+        let grant = session.and_then(|session| session.granted.as_ref());
+        match (current, grant) {
+            (Some(current), Some(grant)) => queue::turn(grant.route.priority, current.give_up_at),
+            _ => (u32::MAX, self.now),
+        }
+    }
+
+    /// Gives a statement to an upstream. Returns whether it no longer waits.
+    fn place(&mut self, key: CallerKey) -> bool {
+        let now = self.now;
+        let session = &self.sessions[key];
+        let (Some(current), Some(grant)) = (&session.current, &session.granted) else {
+            return true;
+        };
+        if current.not_before > now {
+            return false;
+        }
+        let Some(need) = self.need(session) else { return false };
+        let service = grant.route.service.clone();
+        let workspace = grant.workspace.clone();
+        let may_borrow = now.since(current.arrived) >= BORROW_AFTER;
+        let shape = self.shape_of(key);
+        let session = &self.sessions[key];
+        let mut best: Option<(f64, DatabaseName, Way)> = None;
+        for (name, state) in &self.databases {
+            if state.record.service != service || !self.suits(state, need) {
+                continue;
+            }
+            let Some(way) = self.way(name, state, &workspace, session, shape, may_borrow) else {
+                continue;
+            };
+            let cost = self.cost(name, state, way);
+            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
+                best = Some((cost, name.clone(), way));
+            }
+        }
+        let Some((_, database, way)) = best else { return false };
+        let upstream = match way {
+            Way::Free(upstream) => upstream,
+            Way::New => self.open(&database, Purpose::Statements(workspace)),
+            Way::Replace(other) => {
+                self.close_connection(other);
+                self.open(&database, Purpose::Statements(workspace))
+            }
+        };
+        self.pool.connections[upstream].holder = Some(key);
+        match way {
+            Way::Free(_) => self.run_on(key, upstream),
+            Way::New | Way::Replace(_) => {
+                if let Some(current) = &mut self.sessions[key].current {
+                    current.stage = Stage::Connecting(upstream);
+                }
+            }
+        }
+        true
+    }
+
+    /// What the session's current statement needs; `None` where nobody can serve it now.
+    pub(super) fn need(&self, session: &Session) -> Option<Need> {
+        let current = session.current.as_ref()?;
+        let grant = session.granted.as_ref()?;
+        let service = self.services.get(&grant.route.service)?;
+        let access = match session.transaction {
+            Transaction::Begun { access } | Transaction::Pinned { access, .. } => access,
+            _ => access_of(session, &current.statement),
+        };
+        let primary = self.has_authority(service).then_some(Need::Primary);
+        let Freshness::Bounded { max_age, own_commits } = grant.route.freshness else {
+            return primary;
+        };
+        if access == Access::Write {
+            return primary;
+        }
+        let own = session
+            .last_commit
+            .filter(|_| own_commits && session.commit_service.as_ref() == Some(&grant.route.service));
+        let own = match own {
+            // A commit of an ended term: what stands for it now is known once the new term is.
+            Some(position) => match service.freshness.carried_over(position) {
+                Some(position) => Some(position),
+                None => return primary,
+            },
+            None => None,
+        };
+        let Some(max_age) = max_age else { return Some(Need::AtLeast(own)) };
+        match service.freshness.required(self.now, max_age) {
+            Some(bound) => Some(Need::AtLeast(Some(own.map_or(bound, |own| own.max(bound))))),
+            None => primary,
+        }
+    }
+
+    fn shape_of(&mut self, key: CallerKey) -> Option<ShapeKey> {
+        let session = &self.sessions[key];
+        let Some(Statement::Execute { name, .. }) = session.current.as_ref().map(|c| &c.statement)
+        else {
+            return None;
+        };
+        session.prepared.get(name).map(|shape| self.pool.shape_key(shape))
+    }
+
+    fn suits(&self, state: &DatabaseState, need: Need) -> bool {
+        let service = self.services.get(&state.record.service);
+        let leads = service.is_some_and(|s| s.primary.as_ref() == Some(&state.record.name));
+        match need {
+            Need::Primary => leads,
+            Need::AtLeast(position) => {
+                let lacks = match (position, state.lacked) {
+                    (Some(position), Some((lacked, at))) => {
+                        position >= lacked && self.now.since(at) < LACKED_FOR
+                    }
+                    _ => false,
+                };
+                let usable = leads || !state.record.leaving;
+                let stopped = leads && service.is_some_and(|s| s.stopped.is_some());
+                usable && !stopped && !lacks && state.failing_since.is_none()
+            }
+        }
+    }
+
+    fn way(
+        &self,
+        name: &DatabaseName,
+        state: &DatabaseState,
+        workspace: &Option<WorkspaceName>,
+        session: &Session,
+        shape: Option<ShapeKey>,
+        may_borrow: bool,
+    ) -> Option<Way> {
+        if let Some(key) = self.pool.best_free(name, workspace, &session.values, shape) {
+            return Some(Way::Free(key));
+        }
+        if state.retry_at > self.now {
+            return None;
+        }
+        if self.pool.count(name) < self.connection_limit(state, may_borrow) {
+            return Some(Way::New);
+        }
+        self.pool.longest_idle(name).map(Way::Replace)
+    }
+
+    /// Connections that this VM may hold to a database.
+    fn connection_limit(&self, state: &DatabaseState, may_borrow: bool) -> usize {
+        let limits = self.catalog.services.get(&state.record.service);
+        let all = limits.map_or(1, |limits| limits.connections as usize);
+        let shared = all - all * RESERVE_PERCENT / 100;
+        let even = (shared / self.roster.len()).max(1);
+        let refused = state.too_many_at.is_some_and(|at| self.now.since(at) < TOO_MANY_FOR);
+        if may_borrow && !refused { even * 2 } else { even }
+    }
+
+    /// Estimated time to the answer, in microseconds.
+    fn cost(&self, name: &DatabaseName, state: &DatabaseState, way: Way) -> f64 {
+        let round_trip = ROUND_TRIP_US[self.distance(&state.record.dc)];
+        let assumed = round_trip + WORK_US;
+        let weight = (-(self.now.since(state.answer_at).0 as f64) / ANSWER_SPAN_US).exp();
+        let answer = match state.answer_us {
+            measured if measured > 0.0 => measured * weight + assumed * (1.0 - weight),
+            _ => assumed,
+        };
+        let busy = self.pool.busy(name) as f64 / f64::from(state.record.slots.max(1));
+        let open = match way {
+            Way::Free(_) => 0.0,
+            Way::New => OPEN_US + 2.0 * round_trip,
+            Way::Replace(_) => OPEN_US * 1.5 + 2.0 * round_trip,
+        };
+        let service = self.services.get(&state.record.service);
+        let leads = service.is_some_and(|s| s.primary.as_ref() == Some(name));
+        let extra = if leads { PRIMARY_EXTRA_US } else { 0.0 };
+        answer + busy * WORK_US + open + extra
+    }
+
+    /// 0 in the same data centre, 1 in the same region, 2 elsewhere.
+    fn distance(&self, dc: &DcName) -> usize {
+        if *dc == self.id.dc {
+            return 0;
+        }
+        let region = self.id.regions.get(dc);
+        if region.is_some() && region == self.id.regions.get(&self.id.dc) { 1 } else { 2 }
+    }
+
+    /// Opens a connection to a database.
+    pub(super) fn open(&mut self, database: &DatabaseName, purpose: Purpose) -> UpstreamKey {
+        let now = self.now;
+        let state = &self.databases[database];
+        let workspace = match &purpose {
+            Purpose::Statements(workspace) => workspace.clone(),
+            Purpose::Control { .. } => None,
+        };
+        let key = self.pool.connections.insert(Connection {
+            database: database.clone(),
+            incarnation: state.record.incarnation,
+            purpose,
+            started: false,
+            holder: None,
+            values: Default::default(),
+            prepared: Default::default(),
+            outstanding: Default::default(),
+            opened_at: now,
+            idle_since: now,
+            last_heard: now,
+        });
+        self.counts.connections_opened += 1;
+        let service = state.record.service.clone();
+        self.effects.push(Effect::Connect(key, state.record.address));
+        let database = database.clone();
+        self.send(key, Awaited::Start, UpstreamRequest::Start { service, workspace, database });
+        key
+    }
+
+    /// Sends to an upstream and notes that an answer is awaited.
+    pub(super) fn send(&mut self, key: UpstreamKey, awaited: Awaited, request: UpstreamRequest) {
+        let Some(connection) = self.pool.connections.get_mut(key) else { return };
+        connection.outstanding.push_back(Outstanding {
+            awaited,
+            sent_at: self.now,
+            rows: Vec::new(),
+            outcome: None,
+        });
+        self.effects.push(Effect::ToUpstream(key, request));
+    }
+
+    /// Runs a session's current statement on a connection that is free and now its own.
+    pub(super) fn run_on(&mut self, key: CallerKey, upstream: UpstreamKey) {
+        let session = &self.sessions[key];
+        let need = self.need(session);
+        let Transaction::Begun { access } = session.transaction else {
+            return self.forward(key, upstream);
+        };
+        let Some(need) = need else { return self.wait_again(key, upstream) };
+        let values = session.values.clone();
+        for request in self.pool.connections[upstream].fit(&values, None) {
+            self.send(upstream, Awaited::Setup, request);
+        }
+        let after = after_of(need);
+        self.send(upstream, Awaited::Begin, UpstreamRequest::Begin { access, after });
+        if let Some(current) = &mut self.sessions[key].current {
+            current.stage = Stage::Beginning(upstream);
+            current.tries += 1;
+        }
+    }
+
+    /// Sends a session's current statement over a connection that it holds.
+    pub(super) fn forward(&mut self, key: CallerKey, upstream: UpstreamKey) {
+        let session = &self.sessions[key];
+        let pinned = matches!(session.transaction, Transaction::Pinned { .. });
+        let need = if pinned { Some(Need::AtLeast(None)) } else { self.need(session) };
+        let Some(need) = need else { return self.wait_again(key, upstream) };
+        let Some(current) = &session.current else { return };
+        let shape = match &current.statement {
+            Statement::Execute { name, .. } => session.prepared.get(name).cloned(),
+            _ => None,
+        };
+        let shape = shape.map(|shape| (self.pool.shape_key(&shape), shape));
+        let session = &self.sessions[key];
+        let Some(current) = &session.current else { return };
+        let statement = match (&current.statement, &shape) {
+            (Statement::Plain { text, .. }, _) => ForwardedStatement::Plain(text.clone()),
+            (Statement::Execute { arguments, .. }, Some((shape, _))) => {
+                ForwardedStatement::Execute { key: *shape, arguments: arguments.clone() }
+            }
+            _ => ForwardedStatement::Commit,
+        };
+        let id = current.id.clone();
+        let values = session.values.clone();
+        let connection = &mut self.pool.connections[upstream];
+        let setup = connection.fit(&values, shape.as_ref().map(|(key, shape)| (*key, shape)));
+        for request in setup {
+            self.send(upstream, Awaited::Setup, request);
+        }
+        let request = UpstreamRequest::Forward { id, after: after_of(need), statement };
+        self.send(upstream, Awaited::Statement, request);
+        let session = &mut self.sessions[key];
+        let wrote = pinned
+            && session.current.as_ref().is_some_and(|current| {
+                access_of(session, &current.statement) == Access::Write
+            });
+        session.wrote_in_transaction |= wrote;
+        if let Some(current) = &mut session.current {
+            current.stage = Stage::Running(upstream);
+            current.tries += 1;
+        }
+    }
+
+    /// Puts a session's current statement back to those that wait, and frees the connection.
+    pub(super) fn wait_again(&mut self, key: CallerKey, upstream: UpstreamKey) {
+        if let Some(current) = self.sessions.get_mut(key).and_then(|s| s.current.as_mut()) {
+            current.stage = Stage::Waiting;
+            self.waiting.push(key);
+        }
+        self.free(upstream);
+    }
+
+    /// Gives a connection back.
+    pub(super) fn free(&mut self, upstream: UpstreamKey) {
+        if let Some(connection) = self.pool.connections.get_mut(upstream) {
+            connection.holder = None;
+            connection.idle_since = self.now;
+        }
+    }
+
+    /// Rolls back the transaction on a connection and gives it back.
+    pub(super) fn roll_back(&mut self, upstream: UpstreamKey) {
+        self.send(upstream, Awaited::Setup, UpstreamRequest::Rollback);
+        self.free(upstream);
+    }
+
+    /// Ends a connection at once.
+    pub(super) fn close_connection(&mut self, key: UpstreamKey) {
+        if self.pool.connections.remove(key).is_some() {
+            self.effects.push(Effect::CloseUpstream(key));
+        }
+    }
+
+    /// Notes that a database did not do what it should.
+    pub(super) fn note_failure(&mut self, database: &DatabaseName, since: MonoTime, reason: &str) {
+        let now = self.now;
+        let Some(state) = self.databases.get_mut(database) else { return };
+        state.failures += 1;
+        let pause = RETRY_MIN.0 << state.failures.min(5);
+        state.retry_at = now + DurationUs(pause.min(RETRY_MAX.0));
+        if state.failing_since.is_none() {
+            state.failing_since = Some(since);
+            info!(self.log, "database suspected"; "database" => %database,
+                "service" => %state.record.service, "reason" => reason,
+                "heard_ms" => state.last_heard.map(|at| now.since(at).as_ms()));
+        }
+    }
+
+    /// Ends connections that were not accepted in time, that went silent, or that nobody needs.
+    pub(super) fn expire_connections(&mut self) {
+        let now = self.now;
+        let mut late = Vec::new();
+        let mut silent = Vec::new();
+        let mut idle = Vec::new();
+        for (key, connection) in &self.pool.connections {
+            let oldest = connection.outstanding.front().map(|outstanding| outstanding.sent_at);
+            if !connection.started && now.since(connection.opened_at) >= CONNECT_WITHIN {
+                late.push(key);
+            } else if let Some(sent_at) = oldest {
+                let heard = self.databases.get(&connection.database).and_then(|s| s.last_heard);
+                let unheard = heard.is_none_or(|heard| heard < sent_at);
+                if unheard && connection.started && now.since(sent_at) >= SILENT_FOR {
+                    silent.push((connection.database.clone(), sent_at));
+                }
+            } else if connection.is_free() && now.since(connection.idle_since) >= CONNECTION_IDLE {
+                idle.push(key);
+            }
+        }
+        for (database, sent_at) in silent {
+            self.note_failure(&database, sent_at, "silent");
+        }
+        for key in late {
+            self.lose_connection(key, "not accepted in time");
+        }
+        for key in idle {
+            self.close_connection(key);
+        }
+    }
+
+    /// Refuses statements that waited too long, and answers for those that got no answer in time.
+    pub(super) fn expire_statements(&mut self) {
+        let now = self.now;
+        let keys: Vec<CallerKey> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| session.current.as_ref().is_some_and(|c| c.is_overdue(now)))
+            .map(|(key, _)| key)
+            .collect();
+        for key in keys {
+            let Some(current) = &self.sessions[key].current else { continue };
+            match current.stage {
+                Stage::Waiting | Stage::Connecting(_) => self.give_up_waiting(key),
+                Stage::Beginning(upstream) | Stage::Running(upstream) => {
+                    self.give_up_running(key, upstream)
+                }
+                Stage::Parked => self.fail(key, ErrorCode::InDoubt, "the primary was replaced"),
+            }
+        }
+    }
+
+    fn give_up_waiting(&mut self, key: CallerKey) {
+        let Some(current) = &mut self.sessions[key].current else { return };
+        if let Stage::Connecting(upstream) = current.stage {
+            current.stage = Stage::Waiting;
+            // Once it is open, others can use it.
+            self.free(upstream);
+        }
+        self.waiting.retain(|waiting| *waiting != key);
+        self.fail(key, ErrorCode::Busy, "no upstream had room in time");
+    }
+
+    fn give_up_running(&mut self, key: CallerKey, upstream: UpstreamKey) {
+        let database = self.pool.connections.get(upstream).map(|c| c.database.clone());
+        info!(self.log, "statement timed out"; "database" => ?database);
+        self.close_connection(upstream);
+        self.lose_statement(key, ErrorCode::Timeout, "no answer within the statement's time");
+    }
+}
+
+fn after_of(need: Need) -> Option<Position> {
+    match need {
+        Need::Primary => None,
+        Need::AtLeast(position) => position,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,303 @@
+//! Messages between VMs, and the lease that lets a VM speak for the primaries.
+//!
+//! A VM may use a primary only while a majority of the members surely was in touch with it a short time
+//! ago. Whoever replaces a primary first has a majority promise to tell of it, and then waits until
+//! leases given out before have lapsed; majorities share a member, so no VM goes on unknowingly.
+//!
+//! Messages carry the receiver's own last time stamp back, so that a VM dates what it hears on its own
+//! clock, never later than it was said, however long a message was under way.
+
+use std::{collections::BTreeMap, net::SocketAddr};
+
+use model::{prelude::*, request::stable_hash};
+use serde::{Deserialize, Serialize};
+
+use crate::rates::Grant;
+
+/// How often a VM speaks to each member.
+///
+/// A third of the lease: one lost datagram and a round trip of 50 ms don't end it.
+pub const HEARTBEAT_PERIOD: DurationUs = DurationUs::from_ms(300);
+/// How long a VM may use primaries after it was in touch with a majority.
+///
+/// It is waited out when a primary has died with a VM, so it is part of the ten seconds in which a
+/// change of primary has to be over.
+pub const LEASE: DurationUs = DurationUs::from_ms(1_200);
+/// How long after the last word a member counts as live.
+pub const LIVE_FOR: DurationUs = DurationUs::from_ms(1_000);
+
+/// What a VM knows of a service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServiceNote {
+    /// The service.
+    pub service: ServiceName,
+    /// Newest term known.
+    pub term: Term,
+    /// Who leads it.
+    pub primary: Option<DatabaseName>,
+    /// A term that is being prepared, for which the sender has stopped using the primary.
+    pub stopped_for: Option<Term>,
+    /// For how long the primary has not answered the sender.
+    pub failing: Option<DurationUs>,
+    /// How long ago the primary last answered the sender.
+    pub answered: Option<DurationUs>,
+    /// A position and how long ago the statement was sent whose answer carried it.
+    pub position: Option<AgedPosition>,
+}
+
+/// A position that holds all that was confirmed at a moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgedPosition {
+    /// The position.
+    pub position: Position,
+    /// How long ago the moment was when the message was sent.
+    pub age: DurationUs,
+}
+
+/// A workspace's demand at the sender.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Demand {
+    /// The workspace.
+    pub workspace: WorkspaceName,
+    /// Operations asked for per second, admitted or not.
+    pub per_s: f32,
+}
+
+/// The sender's time stamp and what it last heard from the receiver.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stamps {
+    /// The sender's clock.
+    pub sent: MonoTime,
+    /// The receiver's own stamp that the sender heard last.
+    pub echo: Option<Echo>,
+}
+
+/// A time stamp on its way back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// The stamp.
+    pub stamp: MonoTime,
+    /// How long the sender held it.
+    pub held: DurationUs,
+}
+
+/// What a VM says regularly.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Time stamps.
+    pub stamps: Stamps,
+    /// Generation of the sender's configuration.
+    pub generation: u64,
+    /// Version of the sender's list of databases.
+    pub registry: u64,
+    /// What the sender knows of each service.
+    pub services: Vec<ServiceNote>,
+    /// Workspaces that ask the sender for something.
+    pub demands: Vec<Demand>,
+    /// What the receiver gets of rates whose home the sender is.
+    pub grants: Vec<Grant>,
+    /// Whether the sender is ending.
+    pub stopping: bool,
+}
+
+/// What a peer message says.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum PeerBody {
+    /// What a VM says regularly.
+    Heartbeat(Heartbeat),
+    /// Asks to stop using a service's primary, since a new term is being prepared.
+    Stop {
+        /// The service.
+        service: ServiceName,
+        /// The new term.
+        term: Term,
+        /// Whether statements in progress are to end first.
+        planned: bool,
+    },
+    /// The sender has stopped.
+    Stopped {
+        /// The service.
+        service: ServiceName,
+        /// The new term.
+        term: Term,
+    },
+    /// The term that was prepared has begun, or will not.
+    Decided {
+        /// The service.
+        service: ServiceName,
+        /// The term.
+        term: Term,
+        /// Who leads it; `None` where it will not begin.
+        primary: Option<DatabaseName>,
+    },
+}
+
+/// A message between VMs.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PeerMessage {
+    /// The sender.
+    pub from: VmName,
+    /// Which run of it.
+    pub incarnation: Incarnation,
+    /// What it says.
+    pub body: PeerBody,
+}
+
+/// A VM as it entered itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberRecord {
+    /// Its name; the same after a restart.
+    pub vm: VmName,
+    /// Where it hears peers.
+    pub address: SocketAddr,
+    /// Which run of it.
+    pub incarnation: Incarnation,
+}
+
+/// A member and what was heard of it.
+#[derive(Clone, Debug)]
+pub(crate) struct Member {
+    pub(crate) address: SocketAddr,
+    pub(crate) incarnation: Incarnation,
+    /// The latest moment on our clock at which it surely spoke.
+    pub(crate) proven: Option<MonoTime>,
+    /// Its last stamp and when that came.
+    heard: Option<(MonoTime, MonoTime)>,
+    pub(crate) notes: Vec<ServiceNote>,
+    pub(crate) demands: Vec<Demand>,
+    pub(crate) stopping: bool,
+}
+
+/// The members and what was heard of them.
+#[derive(Debug)]
+pub struct Roster {
+    me: VmName,
+    members: BTreeMap<VmName, Member>,
+}
+
+impl Roster {
+    /// Only this VM is known.
+    pub fn new(me: VmName) -> Roster {
+        Roster { me, members: BTreeMap::new() }
+    }
+
+    /// Takes the entries of all VMs. What was heard of those that stay is kept.
+    pub fn set_members(&mut self, records: &[MemberRecord]) {
+        self.members.retain(|vm, _| records.iter().any(|record| record.vm == *vm));
+        for record in records.iter().filter(|record| record.vm != self.me) {
+            match self.members.get_mut(&record.vm) {
+                Some(member) if member.incarnation >= record.incarnation => {}
+                _ => {
+                    self.members.insert(record.vm.clone(), Member::new(record));
+                }
+            }
+        }
+    }
+
+    /// Takes a heartbeat's stamps. Returns whether the sender is a member in its present run.
+    pub fn hear(
+        &mut self,
+        now: MonoTime,
+        from: &VmName,
+        incarnation: Incarnation,
+        stamps: Stamps,
+    ) -> bool {
+        let Some(member) = self.members.get_mut(from) else { return false };
+        if incarnation < member.incarnation {
+            return false;
+        }
+        if incarnation > member.incarnation {
+            let record = MemberRecord { vm: from.clone(), address: member.address, incarnation };
+            *member = Member::new(&record);
+        }
+        let newer = member.heard.is_none_or(|(stamp, _)| stamps.sent > stamp);
+        if newer {
+            member.heard = Some((stamps.sent, now));
+        }
+        if let Some(echo) = stamps.echo {
+            let proven = echo.stamp + echo.held;
+            if proven <= now && member.proven.is_none_or(|known| proven > known) {
+                member.proven = Some(proven);
+            }
+        }
+        newer
+    }
+
+    /// The stamps for a message to a member.
+    pub(crate) fn stamps_for(&self, now: MonoTime, vm: &VmName) -> Stamps {
+        let heard = self.members.get(vm).and_then(|member| member.heard);
+        let echo = heard.map(|(stamp, at)| Echo { stamp, held: now.since(at) });
+        Stamps { sent: now, echo }
+    }
+
+    /// Until when this VM may use primaries, as far as it knows of no change.
+    pub fn lease_until(&self, now: MonoTime) -> Option<MonoTime> {
+        let mut proven: Vec<MonoTime> = self.members.values().filter_map(|m| m.proven).collect();
+        proven.push(now);
+        proven.sort_unstable_by(|a, b| b.cmp(a));
+        proven.get(self.majority() - 1).map(|&at| at + LEASE)
+    }
+
+    /// Members that make a majority, this VM among them.
+    pub fn majority(&self) -> usize {
+        (self.members.len() + 1) / 2 + 1
+    }
+
+    /// Whether a member spoke lately.
+    pub(crate) fn is_live(&self, now: MonoTime, vm: &VmName) -> bool {
+        *vm == self.me
+            || self.members.get(vm).is_some_and(|member| {
+                !member.stopping && member.proven.is_some_and(|at| now.since(at) < LIVE_FOR)
+            })
+    }
+
+    /// The live member that comes first: it carries out what only one may do.
+    pub fn first_live(&self, now: MonoTime) -> &VmName {
+        let first = self.members.keys().find(|vm| self.is_live(now, vm));
+        first.filter(|vm| **vm < self.me).unwrap_or(&self.me)
+    }
+
+    /// The live member that hands out a workspace's rate.
+    pub(crate) fn home_of(&self, now: MonoTime, workspace: &WorkspaceName) -> VmName {
+        let weight = |vm: &VmName| stable_hash(&format!("{workspace}/{vm}"));
+        let live = self.members.keys().filter(|vm| self.is_live(now, vm));
+        live.chain([&self.me]).max_by_key(|vm| weight(vm)).unwrap_or(&self.me).clone()
+    }
+
+    /// How many VMs are live, this one among them.
+    pub fn live_count(&self, now: MonoTime) -> usize {
+        1 + self.members.keys().filter(|vm| self.is_live(now, vm)).count()
+    }
+
+    /// How many VMs there are.
+    pub fn len(&self) -> usize {
+        self.members.len() + 1
+    }
+
+    /// Whether no other VM is known.
+    pub fn is_empty(&self) -> bool {
+        self.members.is_empty()
+    }
+
+    pub(crate) fn members(&self) -> impl Iterator<Item = (&VmName, &Member)> {
+        self.members.iter()
+    }
+
+    pub(crate) fn member_mut(&mut self, vm: &VmName) -> Option<&mut Member> {
+        self.members.get_mut(vm)
+    }
+}
+
+impl Member {
+    fn new(record: &MemberRecord) -> Member {
+        Member {
+            address: record.address,
+            incarnation: record.incarnation,
+            proven: None,
+            heard: None,
+            notes: Vec::new(),
+            demands: Vec::new(),
+            stopping: false,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/queue.rs
@@ -0,0 +1,23 @@
+//! How long a statement may wait for an upstream, and who goes first.
+//!
+//! The load in mind is a short overload or the change of a primary: waiting pays as long as the answer
+//! can still come within the statement's own time; after that, refusing at once lets the caller try
+//! another VM while it has time left.
+
+use model::prelude::*;
+
+use crate::catalog::Route;
+
+/// Part of a statement's time that it may wait, in percent. The rest is for running: a statement's work
+/// and a round trip between regions take a tenth to a third of the usual time.
+const WAIT_PERCENT: u64 = 70;
+
+/// How long a statement of the route may wait before it is refused.
+pub(crate) fn longest_wait(route: &Route) -> DurationUs {
+    DurationUs(route.statement_timeout.0 * WAIT_PERCENT / 100)
+}
+
+/// Order in which waiting statements are served: by priority, then by how soon they are refused.
+pub(crate) fn turn(priority: u32, give_up_at: MonoTime) -> (u32, MonoTime) {
+    (priority, give_up_at)
+}
--- /dev/null
+++ b/crates/gateway/src/takeover.rs
@@ -0,0 +1,410 @@
+//! Replacing a primary: when, by whom, and in which steps.
+//!
+//! The steps of one attempt: every VM is told to stop using the primary; once all have, or leases have
+//! lapsed, the replicas are asked what they received; the one that received most is ordered to lead,
+//! under a token raised right before; once it leads, all are told. A planned change also waits until a
+//! replica has received everything, and demotes the old primary first.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use model::prelude::*;
+
+use crate::peers::{LEASE, ServiceNote};
+
+/// How long a primary must have been silent or broken for one VM before it is replaced.
+///
+/// Shorter than any retry budget of callers, longer than a restart of a connection.
+pub const FAILING_FOR: DurationUs = DurationUs::from_ms(500);
+/// A primary that answered some VM within this time is not replaced for silence.
+pub const ANSWERED_WITHIN: DurationUs = DurationUs::from_ms(600);
+/// How long a service may be without a known leader before one is appointed: a claimant answers a
+/// question for its status much sooner.
+pub const LEADERLESS_FOR: DurationUs = DurationUs::from_ms(1_500);
+/// How long statements in progress may hold up a planned change.
+pub const PLANNED_STOP_WITHIN: DurationUs = DurationUs::from_ms(1_500);
+/// How long a database is waited for when it is asked for its position.
+pub const SURVEY_WITHIN: DurationUs = DurationUs::from_ms(400);
+/// How long a replica may take to receive everything in a planned change.
+pub const CATCH_UP_WITHIN: DurationUs = DurationUs::from_ms(1_500);
+/// The order leaves within this time after the token's update was sent, or not at all.
+pub const ORDER_WITHIN: DurationUs = DurationUs::from_ms(400);
+/// How long an answer to the token's update or to the order is waited for.
+pub const CALL_WITHIN: DurationUs = DurationUs::from_ms(1_500);
+/// How long a database may take to lead after the order.
+pub const LEAD_WITHIN: DurationUs = DurationUs::from_ms(3_000);
+/// Time between two questions to a database in an attempt.
+pub const ASK_AGAIN_AFTER: DurationUs = DurationUs::from_ms(60);
+/// Time between two requests to stop to a VM that has not answered.
+pub const STOP_AGAIN_AFTER: DurationUs = DurationUs::from_ms(120);
+/// How long after an attempt that failed the next one may begin.
+pub const REST_AFTER_FAILURE: DurationUs = DurationUs::from_ms(700);
+
+/// What a database says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StatusRow {
+    /// Whether it takes writes.
+    pub is_primary: bool,
+    /// Its term.
+    pub term: Term,
+    /// What it has received.
+    pub received: Position,
+}
+
+/// How far an attempt has come.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Phase {
+    /// VMs are told to stop.
+    Stopping,
+    /// Databases are asked what they received.
+    Surveying {
+        /// When that began.
+        since: MonoTime,
+    },
+    /// The old primary is told to follow.
+    Demoting {
+        /// When it was told.
+        since: MonoTime,
+        /// Who is to lead.
+        candidate: DatabaseName,
+    },
+    /// The token is being raised.
+    RaisingToken {
+        /// When the update was asked for.
+        since: MonoTime,
+        /// Who is to lead.
+        candidate: DatabaseName,
+    },
+    /// The order is under way.
+    Ordering {
+        /// When it was given.
+        since: MonoTime,
+        /// Who is to lead.
+        candidate: DatabaseName,
+    },
+    /// The order was given; the database does not lead yet.
+    Confirming {
+        /// When the order was answered.
+        since: MonoTime,
+        /// Who is to lead.
+        candidate: DatabaseName,
+    },
+}
+
+/// What an attempt does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing yet.
+    Wait,
+    /// Ask these databases for their status.
+    Ask(Vec<DatabaseName>),
+    /// Tell the old primary to follow.
+    Demote(DatabaseName),
+    /// Raise the token.
+    RaiseToken,
+    /// Give up; the old primary may be used again.
+    GiveUp(&'static str),
+    /// The database leads: tell everyone.
+    Announce(DatabaseName, Term),
+}
+
+/// One attempt to replace a primary.
+#[derive(Clone, Debug)]
+pub struct Attempt {
+    /// Names it.
+    pub id: u64,
+    /// The service.
+    pub service: ServiceName,
+    /// The term that it prepares.
+    pub term: Term,
+    /// Whether the old primary still serves.
+    pub planned: bool,
+    /// The primary that is replaced.
+    pub old_primary: Option<DatabaseName>,
+    /// When it began.
+    pub started: MonoTime,
+    /// How far it has come.
+    pub phase: Phase,
+    /// VMs that have stopped.
+    pub stopped: BTreeSet<VmName>,
+    /// When a majority had stopped.
+    pub majority_at: Option<MonoTime>,
+    /// When the stop was last asked for.
+    pub stop_sent: Option<MonoTime>,
+    /// Databases that could lead, in order of preference.
+    pub candidates: Vec<DatabaseName>,
+    /// What they said.
+    pub rows: BTreeMap<DatabaseName, StatusRow>,
+    /// When each was last asked.
+    pub asked: BTreeMap<DatabaseName, MonoTime>,
+    /// Candidates that can't lead.
+    pub excluded: BTreeSet<DatabaseName>,
+    /// Whether an order may have left: from then on only a new leader ends the attempt.
+    pub ordered: bool,
+}
+
+impl Attempt {
+    /// An attempt that begins now.
+    pub fn new(
+        id: u64,
+        service: ServiceName,
+        term: Term,
+        planned: bool,
+        old_primary: Option<DatabaseName>,
+        candidates: Vec<DatabaseName>,
+        now: MonoTime,
+    ) -> Attempt {
+        Attempt {
+            id,
+            service,
+            term,
+            planned,
+            old_primary,
+            started: now,
+            phase: Phase::Stopping,
+            stopped: BTreeSet::new(),
+            majority_at: None,
+            stop_sent: None,
+            candidates,
+            rows: BTreeMap::new(),
+            asked: BTreeMap::new(),
+            excluded: BTreeSet::new(),
+            ordered: false,
+        }
+    }
+
+    /// Whether all VMs that could use the primary have stopped, or their leases have lapsed.
+    pub fn all_stopped(&self, now: MonoTime, members: usize) -> bool {
+        self.stopped.len() >= members
+            || self.majority_at.is_some_and(|at| now.since(at) >= LEASE)
+    }
+
+    /// Notes that a VM has stopped.
+    pub fn note_stopped(&mut self, now: MonoTime, vm: VmName, majority: usize) {
+        self.stopped.insert(vm);
+        if self.stopped.len() >= majority && self.majority_at.is_none() {
+            self.majority_at = Some(now);
+        }
+    }
+
+    /// Notes what a database said.
+    pub fn note_row(&mut self, database: &DatabaseName, row: StatusRow) {
+        self.rows.insert(database.clone(), row);
+    }
+
+    /// What to do at `now`, given how many VMs there are.
+    pub fn step(&mut self, now: MonoTime, members: usize) -> Step {
+        match self.phase.clone() {
+            Phase::Stopping => self.step_stopping(now, members),
+            Phase::Surveying { since } => self.step_surveying(now, since),
+            Phase::Demoting { since, candidate } => self.step_demoting(now, since, candidate),
+            Phase::RaisingToken { since, .. } if now.since(since) >= CALL_WITHIN => {
+                self.restart_survey(now)
+            }
+            Phase::Ordering { since, candidate } if now.since(since) >= CALL_WITHIN => {
+                // The order may have been carried out without an answer.
+                self.phase = Phase::Confirming { since: now, candidate };
+                Step::Wait
+            }
+            Phase::RaisingToken { .. } | Phase::Ordering { .. } => Step::Wait,
+            Phase::Confirming { since, candidate } => self.step_confirming(now, since, candidate),
+        }
+    }
+
+    fn step_stopping(&mut self, now: MonoTime, members: usize) -> Step {
+        if self.all_stopped(now, members) {
+            self.phase = Phase::Surveying { since: now };
+            return self.ask(now);
+        }
+        let bound = if self.planned { PLANNED_STOP_WITHIN.0 + LEASE.0 } else { 4 * LEASE.0 };
+        if now.since(self.started).0 > bound {
+            return Step::GiveUp("no majority of VMs has stopped");
+        }
+        Step::Wait
+    }
+
+    fn step_surveying(&mut self, now: MonoTime, since: MonoTime) -> Step {
+        if let Some((leader, row)) = self.rows.iter().find(|(name, row)| {
+            row.is_primary && row.term >= self.term && self.old_primary.as_ref() != Some(*name)
+        }) {
+            return Step::Announce(leader.clone(), row.term);
+        }
+        let eligible: Vec<&DatabaseName> =
+            self.candidates.iter().filter(|name| !self.excluded.contains(*name)).collect();
+        if eligible.is_empty() {
+            return Step::GiveUp("no database can lead");
+        }
+        if self.planned {
+            return self.step_catching_up(now, since);
+        }
+        let all_answered = eligible.iter().all(|name| self.rows.contains_key(*name));
+        if !all_answered && now.since(since) < SURVEY_WITHIN {
+            return self.ask(now);
+        }
+        let best = eligible
+            .iter()
+            .filter_map(|name| self.rows.get(*name).map(|row| (row.received, *name)))
+            .max_by(|a, b| a.0.cmp(&b.0).then_with(|| self.preference(b.1, a.1)));
+        match best.map(|(_, name)| name.clone()) {
+            Some(candidate) => {
+                self.phase = Phase::RaisingToken { since: now, candidate };
+                Step::RaiseToken
+            }
+            None if now.since(since).0 > 2 * SURVEY_WITHIN.0 => {
+                Step::GiveUp("no replica answers")
+            }
+            None => self.ask(now),
+        }
+    }
+
+    /// Earlier candidates are preferred.
+    fn preference(&self, a: &DatabaseName, b: &DatabaseName) -> std::cmp::Ordering {
+        let place = |name| self.candidates.iter().position(|c| c == name);
+        place(a).cmp(&place(b))
+    }
+
+    fn step_catching_up(&mut self, now: MonoTime, since: MonoTime) -> Step {
+        let Some(old) = self.old_primary.clone() else {
+            return Step::GiveUp("the primary is not known");
+        };
+        let all = self.rows.get(&old).map(|row| row.received);
+        let caught_up = all.and_then(|all| {
+            self.candidates
+                .iter()
+                .find(|name| self.rows.get(*name).is_some_and(|row| row.received >= all))
+        });
+        if let Some(candidate) = caught_up.cloned() {
+            self.phase = Phase::Demoting { since: now, candidate };
+            return Step::Demote(old);
+        }
+        if now.since(since) > CATCH_UP_WITHIN {
+            return Step::GiveUp("no replica has received everything");
+        }
+        self.ask(now)
+    }
+
+    fn step_demoting(&mut self, now: MonoTime, since: MonoTime, candidate: DatabaseName) -> Step {
+        let old = self.old_primary.as_ref().and_then(|old| self.rows.get(old));
+        if old.is_some_and(|row| !row.is_primary) {
+            self.phase = Phase::RaisingToken { since: now, candidate };
+            return Step::RaiseToken;
+        }
+        if now.since(since) > SURVEY_WITHIN {
+            // It may have been demoted without an answer, so it can't simply be used again.
+            self.planned = false;
+            return self.restart_survey(now);
+        }
+        Step::Wait
+    }
+
+    fn step_confirming(&mut self, now: MonoTime, since: MonoTime, candidate: DatabaseName) -> Step {
+        if let Some(row) = self.rows.get(&candidate)
+            && row.is_primary
+            && row.term >= self.term
+        {
+            return Step::Announce(candidate, row.term);
+        }
+        if now.since(since) > LEAD_WITHIN {
+            return self.restart_survey(now);
+        }
+        let due = self.asked.get(&candidate).is_none_or(|at| now.since(*at) >= ASK_AGAIN_AFTER);
+        if !due {
+            return Step::Wait;
+        }
+        self.asked.insert(candidate.clone(), now);
+        Step::Ask(vec![candidate])
+    }
+
+    /// Begins the survey again with nothing known.
+    pub fn restart_survey(&mut self, now: MonoTime) -> Step {
+        self.rows.clear();
+        self.asked.clear();
+        self.phase = Phase::Surveying { since: now };
+        self.ask(now)
+    }
+
+    fn ask(&mut self, now: MonoTime) -> Step {
+        let old = self.old_primary.iter().filter(|_| self.planned);
+        let due: Vec<DatabaseName> = self
+            .candidates
+            .iter()
+            .chain(old)
+            .filter(|name| !self.excluded.contains(*name))
+            .filter(|name| self.asked.get(*name).is_none_or(|at| now.since(*at) >= ASK_AGAIN_AFTER))
+            .filter(|name| self.planned || !self.rows.contains_key(*name))
+            .cloned()
+            .collect();
+        if due.is_empty() {
+            return Step::Wait;
+        }
+        for name in &due {
+            self.asked.insert(name.clone(), now);
+        }
+        Step::Ask(due)
+    }
+
+    /// The token was raised, or not.
+    pub fn token_raised(&mut self, now: MonoTime, token: Option<u64>) -> Option<DatabaseName> {
+        let Phase::RaisingToken { candidate, .. } = self.phase.clone() else { return None };
+        if token.is_none() {
+            self.restart_survey(now);
+            return None;
+        }
+        self.ordered = true;
+        self.rows.remove(&candidate);
+        self.phase = Phase::Ordering { since: now, candidate: candidate.clone() };
+        Some(candidate)
+    }
+
+    /// The order was answered.
+    pub fn order_answered(&mut self, now: MonoTime, outcome: OrderOutcome) {
+        let Phase::Ordering { candidate, .. } = self.phase.clone() else { return };
+        match outcome {
+            OrderOutcome::Accepted | OrderOutcome::Unknown => {
+                self.phase = Phase::Confirming { since: now, candidate };
+            }
+            OrderOutcome::NotRunning => {
+                self.excluded.insert(candidate);
+                self.restart_survey(now);
+            }
+            OrderOutcome::NotSent => {
+                self.restart_survey(now);
+            }
+        }
+    }
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// It was accepted.
+    Accepted,
+    /// The database is not running.
+    NotRunning,
+    /// It did not leave, or was refused without effect.
+    NotSent,
+    /// It may have been carried out.
+    Unknown,
+}
+
+/// What the VMs together say of a primary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It serves.
+    Serving,
+    /// It answers nobody any more.
+    Lost,
+    /// Nobody has tried lately.
+    Unknown,
+}
+
+/// Judges a primary by what the VMs met. `notes` holds one note for each VM that was heard of.
+pub fn judge<'a>(notes: impl Iterator<Item = &'a ServiceNote>) -> Verdict {
+    let mut failing = 0;
+    for note in notes {
+        if note.answered.is_some_and(|ago| ago < ANSWERED_WITHIN) {
+            return Verdict::Serving;
+        }
+        failing += usize::from(note.failing.is_some_and(|span| span >= FAILING_FOR));
+    }
+    if failing > 0 { Verdict::Lost } else { Verdict::Unknown }
+}
--- /dev/null
+++ b/crates/node/src/node.rs
@@ -0,0 +1,398 @@
+//! The engine with its sockets.
+
+use std::{
+    cell::{Cell, RefCell},
+    io,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use arc_swap::ArcSwap;
+use bytes::BytesMut;
+use edge::client::Client;
+use eyre::WrapErr;
+use gateway::{
+    CallerKey, Effect, Engine, UpstreamKey, catalog::Catalog, peers::MemberRecord,
+    takeover::OrderOutcome,
+};
+use model::prelude::*;
+use slog::{Logger, info, warn};
+use slotmap::SecondaryMap;
+use tokio::{
+    net::{TcpListener, TcpStream, UdpSocket},
+    sync::mpsc,
+    task::spawn_local,
+};
+
+use crate::{
+    clock,
+    connection::{self, Outlet, Read},
+    dialect::Dialect,
+    ops,
+    peers::{self, DATAGRAM_MAX_BYTES, SharedSnapshot, Snapshot},
+};
+
+/// Silence of an upstream's host after which a connection with unanswered bytes ends.
+const UPSTREAM_SILENT_FOR: Duration = Duration::from_secs(3);
+/// Silence of a caller's host after which a connection with unanswered bytes ends.
+const CALLER_SILENT_FOR: Duration = Duration::from_secs(10);
+/// Pause after the system refused a connection, for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Descriptors kept back from callers: listeners, upstreams, peers and the store.
+const DESCRIPTORS_RESERVED: usize = 400;
+
+/// Where a node listens.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For datagrams and HTTP of other VMs.
+    pub peers: SocketAddr,
+    /// Descriptors that the process may have.
+    pub descriptors_max: usize,
+}
+
+/// What a node asks of the program around it.
+#[derive(Clone, Debug)]
+pub enum Command {
+    /// Read the token of promotions.
+    PrepareToken {
+        /// Names the attempt.
+        attempt: u64,
+    },
+    /// Raise the token of promotions; [`Node::token_raised`] takes the answer.
+    RaiseToken {
+        /// Names the attempt.
+        attempt: u64,
+    },
+    /// Order a promotion; [`Node::order_answered`] takes the answer.
+    Promote {
+        /// Names the attempt.
+        attempt: u64,
+        /// The service.
+        service: ServiceName,
+        /// The database that is to lead.
+        database: DatabaseName,
+        /// The token.
+        token: u64,
+        /// After this moment the order must not leave.
+        not_after: MonoTime,
+    },
+    /// A peer's state, newer than this VM's.
+    Fetched(Snapshot),
+}
+
+/// A running node. Cheap to clone.
+pub struct Node<D> {
+    inner: Rc<Inner<D>>,
+}
+
+impl<D> Clone for Node<D> {
+    fn clone(&self) -> Self {
+        Node { inner: self.inner.clone() }
+    }
+}
+
+struct Inner<D> {
+    dialect: D,
+    log: Logger,
+    engine: RefCell<Engine>,
+    callers: RefCell<SecondaryMap<CallerKey, Rc<Outlet>>>,
+    upstreams: RefCell<SecondaryMap<UpstreamKey, Rc<Outlet>>>,
+    datagrams: UdpSocket,
+    client: Client,
+    snapshot: SharedSnapshot,
+    commands: mpsc::UnboundedSender<Command>,
+    /// Whether effects are being carried out: one thing at a time.
+    performing: Cell<bool>,
+    lost_datagrams: Cell<u64>,
+}
+
+impl<D: Dialect> Node<D> {
+    /// Binds the listeners and starts serving, on the current thread's `LocalSet`.
+    ///
+    /// # Errors
+    /// An address that can't be bound.
+    pub async fn start(
+        settings: &Settings,
+        dialect: D,
+        engine: Engine,
+        client: Client,
+        log: Logger,
+    ) -> eyre::Result<(Node<D>, mpsc::UnboundedReceiver<Command>)> {
+        let (commands, received) = mpsc::unbounded_channel();
+        let bind = |what: &str, address| format!("{what} address {address} can't be bound");
+        let datagrams = UdpSocket::bind(settings.peers)
+            .await
+            .wrap_err_with(|| bind("peer", settings.peers))?;
+        let internal = TcpListener::bind(settings.peers)
+            .await
+            .wrap_err_with(|| bind("peer", settings.peers))?;
+        let callers = TcpListener::bind(settings.callers)
+            .await
+            .wrap_err_with(|| bind("caller", settings.callers))?;
+        let snapshot: SharedSnapshot = Arc::new(ArcSwap::default());
+        tokio::spawn(ops::serve_forever(internal, peers::routes(snapshot.clone())));
+        let node = Node {
+            inner: Rc::new(Inner {
+                dialect,
+                log,
+                engine: RefCell::new(engine),
+                callers: RefCell::default(),
+                upstreams: RefCell::default(),
+                datagrams,
+                client,
+                snapshot,
+                commands,
+                performing: Cell::new(false),
+                lost_datagrams: Cell::new(0),
+            }),
+        };
+        let callers_max = settings.descriptors_max.saturating_sub(DESCRIPTORS_RESERVED).max(64);
+        spawn_local(node.clone().accept(callers, callers_max));
+        spawn_local(node.clone().hear());
+        spawn_local(node.clone().keep_time());
+        Ok((node, received))
+    }
+
+    /// Looks at the engine.
+    pub fn with_engine<T>(&self, look: impl FnOnce(&Engine) -> T) -> T {
+        look(&self.inner.engine.borrow())
+    }
+
+    /// Puts a configuration in force, if it is newer.
+    pub fn set_catalog(&self, catalog: Arc<Catalog>) {
+        self.drive(|engine, now| engine.set_catalog(now, catalog));
+    }
+
+    /// Takes the databases; see [`Engine::set_databases`].
+    pub fn set_databases(
+        &self,
+        version: u64,
+        databases: Vec<gateway::catalog::Database>,
+        store_was_away: bool,
+    ) {
+        self.drive(|engine, now| engine.set_databases(now, version, databases, store_was_away));
+    }
+
+    /// Takes the entries of all VMs.
+    pub fn set_members(&self, records: &[MemberRecord]) {
+        self.drive(|engine, now| engine.set_members(now, records));
+    }
+
+    /// Changes what peers are handed.
+    pub fn share(&self, change: impl FnOnce(&mut Snapshot)) {
+        let mut snapshot = Snapshot::clone(&self.inner.snapshot.load());
+        change(&mut snapshot);
+        self.inner.snapshot.store(Arc::new(snapshot));
+    }
+
+    /// The token was raised to a value by an update sent at a moment, or was not raised.
+    pub fn token_raised(&self, attempt: u64, token: Option<u64>, sent: MonoTime) {
+        self.drive(|engine, now| engine.token_raised(now, attempt, token, sent));
+    }
+
+    /// The platform answered an order, or did not.
+    pub fn order_answered(&self, attempt: u64, outcome: OrderOutcome) {
+        self.drive(|engine, now| engine.order_answered(now, attempt, outcome));
+    }
+
+    /// Stops taking work and returns once none is left, or after `grace`.
+    pub async fn stop(&self, grace: Duration) {
+        self.drive(|engine, now| engine.stop(now));
+        let began = tokio::time::Instant::now();
+        let mut transactions_ended = false;
+        while began.elapsed() < grace && !self.with_engine(Engine::is_stopped) {
+            tokio::time::sleep(STOP_POLL).await;
+            if !transactions_ended && began.elapsed() >= grace / 2 {
+                transactions_ended = true;
+                self.drive(|engine, now| engine.stop_transactions(now));
+            }
+        }
+        // Last answers leave before the process does.
+        tokio::time::sleep(STOP_POLL).await;
+    }
+
+    /// Lets the engine take something in, and carries out what follows.
+    fn drive(&self, event: impl FnOnce(&mut Engine, MonoTime)) {
+        event(&mut self.inner.engine.borrow_mut(), clock::now());
+        self.perform();
+    }
+
+    fn perform(&self) {
+        if self.inner.performing.replace(true) {
+            return;
+        }
+        let mut touched = Vec::new();
+        loop {
+            let effects = self.inner.engine.borrow_mut().take_effects();
+            if effects.is_empty() {
+                break;
+            }
+            for effect in effects {
+                touched.extend(self.perform_one(effect));
+            }
+        }
+        self.inner.performing.set(false);
+        // One write for all that goes to the same place.
+        touched.sort_by_key(Rc::as_ptr);
+        touched.dedup_by_key(|outlet| Rc::as_ptr(outlet));
+        for outlet in touched {
+            outlet.flush();
+        }
+    }
+
+    fn perform_one(&self, effect: Effect) -> Option<Rc<Outlet>> {
+        let inner = &self.inner;
+        match effect {
+            Effect::ToCaller(key, reply) => {
+                let outlet = inner.callers.borrow().get(key)?.clone();
+                outlet.write(|out| inner.dialect.encode_reply(&reply, out));
+                return Some(outlet);
+            }
+            Effect::CloseCaller(key) => {
+                let outlet = inner.callers.borrow_mut().remove(key)?;
+                outlet.close_flushed();
+                return Some(outlet);
+            }
+            Effect::Connect(key, address) => {
+                let outlet = Outlet::new(None);
+                inner.upstreams.borrow_mut().insert(key, outlet.clone());
+                spawn_local(self.clone().run_upstream(key, outlet, address));
+            }
+            Effect::ToUpstream(key, request) => {
+                let outlet = inner.upstreams.borrow().get(key)?.clone();
+                outlet.write(|out| inner.dialect.encode_request(&request, out));
+                return Some(outlet);
+            }
+            Effect::CloseUpstream(key) => {
+                inner.upstreams.borrow_mut().remove(key)?.close_now();
+            }
+            Effect::ToPeer(address, message) => self.send_datagram(address, &message),
+            Effect::FetchFromPeer(address) => {
+                spawn_local(self.clone().fetch(address));
+            }
+            Effect::PrepareToken { attempt } => self.command(Command::PrepareToken { attempt }),
+            Effect::RaiseToken { attempt } => self.command(Command::RaiseToken { attempt }),
+            Effect::Promote { attempt, service, database, token, not_after } => {
+                self.command(Command::Promote { attempt, service, database, token, not_after });
+            }
+        }
+        None
+    }
+
+    fn command(&self, command: Command) {
+        if self.inner.commands.send(command).is_err() {
+            warn!(self.inner.log, "nobody carries out commands: the program is ending");
+        }
+    }
+
+    fn send_datagram(&self, address: SocketAddr, message: &gateway::peers::PeerMessage) {
+        let sent = match peers::encode(message) {
+            Ok(datagram) => self.inner.datagrams.try_send_to(&datagram, address).is_ok(),
+            Err(_) => false,
+        };
+        if !sent {
+            // Messages are repeated; a full socket must not hold anything up.
+            self.inner.lost_datagrams.set(self.inner.lost_datagrams.get() + 1);
+        }
+    }
+
+    async fn fetch(self, peer: SocketAddr) {
+        match peers::fetch(&self.inner.client, peer).await {
+            Ok(snapshot) => self.command(Command::Fetched(snapshot)),
+            Err(e) => info!(self.inner.log, "state not fetched"; "peer" => %peer, "error" => %e),
+        }
+    }
+
+    async fn accept(self, listener: TcpListener, callers_max: usize) {
+        loop {
+            let accepted = listener.accept().await;
+            let full = self.inner.callers.borrow().len() >= callers_max;
+            let Ok((stream, _)) = accepted else {
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            };
+            if full || connection::tune(&stream, CALLER_SILENT_FOR).is_err() {
+                info!(self.inner.log, "caller turned away"; "full" => full);
+                continue;
+            }
+            spawn_local(self.clone().run_caller(stream));
+        }
+    }
+
+    async fn run_caller(self, stream: TcpStream) {
+        let stream = Rc::new(stream);
+        let outlet = Outlet::new(Some(stream.clone()));
+        let key = self.inner.engine.borrow_mut().caller_opened(clock::now());
+        self.inner.callers.borrow_mut().insert(key, outlet.clone());
+        outlet.run(stream, |buf| self.take_from_caller(key, buf)).await;
+        self.inner.callers.borrow_mut().remove(key);
+        self.drive(|engine, now| engine.caller_closed(now, key));
+    }
+
+    fn take_from_caller(&self, key: CallerKey, buf: &mut BytesMut) -> Read {
+        while let Some(message) = self.inner.dialect.decode_caller(buf) {
+            self.drive(|engine, now| engine.caller_message(now, key, message));
+        }
+        Read::More
+    }
+
+    async fn run_upstream(self, key: UpstreamKey, outlet: Rc<Outlet>, address: SocketAddr) {
+        let opened = async {
+            let stream = outlet.connect(address).await?;
+            connection::tune(&stream, UPSTREAM_SILENT_FOR)?;
+            Ok::<_, io::Error>(stream)
+        };
+        match opened.await {
+            Ok(stream) => outlet.run(stream, |buf| self.take_from_upstream(key, buf)).await,
+            Err(e) => {
+                info!(self.inner.log, "upstream not reached"; "address" => %address, "error" => %e);
+            }
+        }
+        self.inner.upstreams.borrow_mut().remove(key);
+        self.drive(|engine, now| engine.upstream_closed(now, key));
+    }
+
+    fn take_from_upstream(&self, key: UpstreamKey, buf: &mut BytesMut) -> Read {
+        loop {
+            match self.inner.dialect.decode_reply(buf) {
+                Ok(Some(reply)) => {
+                    self.drive(|engine, now| engine.upstream_reply(now, key, reply));
+                }
+                Ok(None) => return Read::More,
+                Err(_) => {
+                    warn!(self.inner.log, "an upstream sent what is no message");
+                    return Read::End;
+                }
+            }
+        }
+    }
+
+    async fn hear(self) {
+        let mut datagram = vec![0; DATAGRAM_MAX_BYTES];
+        loop {
+            let received = self.inner.datagrams.recv_from(&mut datagram).await;
+            let Ok((len, from)) = received else { continue };
+            match peers::decode(&datagram[..len]) {
+                Ok(message) => self.drive(|engine, now| engine.peer_message(now, message)),
+                Err(e) => {
+                    info!(self.inner.log, "datagram not understood"; "from" => %from, "error" => %e);
+                }
+            }
+        }
+    }
+
+    async fn keep_time(self) {
+        loop {
+            self.drive(Engine::tick);
+            let pause = self.with_engine(|engine| engine.next_tick(clock::now()));
+            tokio::time::sleep(Duration::from_micros(pause.0)).await;
+        }
+    }
+}
+
+/// How often a stop looks whether it is done.
+const STOP_POLL: Duration = Duration::from_millis(20);
