Lend rate tokens, split connections by data centre, give idle ones up on request

Cause: fixed parts of rates refused what the whole allowed (305 refusals at one VM); two connections a VM and database were held idle for other workspaces while others were refused (134 refused at their cap).

Change: operations wait for a token of their rate, and tokens are lent by the workspace's home; most of a replica's connections are for the VMs of its data centre; a VM that is refused a connection asks three peers to give an idle one up; heartbeats carry demands only to the home.

--- a/crates/gateway/src/engine/answers.rs
+++ b/crates/gateway/src/engine/answers.rs
@@ -3,7 +3,7 @@
 use model::prelude::*;
 use slog::{debug, info};
 
-use super::{Engine, callers::access_of};
+use super::{Engine, Lack, callers::access_of};
 use crate::{
     catalog::Freshness,
     effect::{CallerKey, Effect, UpstreamKey},
@@ -16,6 +16,13 @@
 const TRIES_MAX: u32 = 6;
 /// Pause before a statement goes to the upstream that was too busy for it again.
 const BUSY_PAUSE: DurationUs = DurationUs::from_ms(15);
+/// For how long a replica that lacked a position is first passed over, in microseconds. Doubles up to
+/// `LACK_MAX` while it stays behind.
+const LACK_MIN: u64 = 25_000;
+/// Longest time for which a replica is passed over for being behind, in microseconds.
+const LACK_MAX: u64 = 400_000;
+/// Pause before the next connection to a database that refused one.
+const REFUSED_PAUSE: DurationUs = DurationUs::from_ms(60);
 /// Weight of a new answer time in the average.
 const ANSWER_WEIGHT: f64 = 0.2;
 
@@ -73,12 +80,16 @@
     /// An upstream did not accept a connection; it closes it.
     fn refused_connection(&mut self, key: UpstreamKey, code: ErrorCode) {
         let database = self.pool.connections[key].database.clone();
-        info!(self.log, "connection refused"; "database" => %database, "code" => %code);
+        info!(self.log, "connection refused"; "database" => %database, "code" => %code,
+            "own" => self.pool.count(&database));
         if let Some(state) = self.databases.get_mut(&database) {
             if code == ErrorCode::TooMany {
                 state.too_many_at = Some(self.now);
             }
-            state.retry_at = self.now + DurationUs::from_ms(100);
+            state.retry_at = self.now + REFUSED_PAUSE;
+        }
+        if code == ErrorCode::TooMany {
+            self.ask_for_connection(&database);
         }
         let holder = self.pool.connections[key].holder;
         self.close_connection(key);
@@ -243,6 +254,9 @@
         match done.outcome {
             Some(Reply::Complete { receipt: Some(receipt) }) => {
                 self.note_applied(&database, position);
+                if let Some(state) = self.databases.get_mut(&database) {
+                    state.lacked = None;
+                }
                 let mut rows = done.rows;
                 rows.push(Reply::Complete { receipt: Some(receipt) });
                 self.settle_success(holder, key, rows, done.sent_at, state, position);
@@ -419,8 +433,10 @@
             && code == ErrorCode::Lagging
         {
             state.applied = state.applied.max(position);
-            let lacked = position.unwrap_or(Position::ZERO);
-            state.lacked = Some((lacked, now));
+            let position = position.unwrap_or(Position::ZERO);
+            let span = state.lacked.map_or(LACK_MIN, |lack| lack.span.0 * 2).min(LACK_MAX);
+            let until = now + DurationUs(span);
+            state.lacked = Some(Lack { position, until, span: DurationUs(span) });
         }
         if code == ErrorCode::ReadOnly {
             self.note_deposed(upstream);
--- a/crates/gateway/src/engine/callers.rs
+++ b/crates/gateway/src/engine/callers.rs
@@ -8,6 +8,7 @@
     catalog::Route,
     effect::{CallerKey, Effect},
     message::{Access, CallerMessage, ErrorCode, Reply, Statement, TransactionState},
+    queue,
     session::{Current, PIPELINE_MAX, Queued, SESSION_ENTRIES_MAX, Session, Stage, Transaction},
 };
 
@@ -47,6 +48,7 @@
                 session.queued.push_back(Queued { id, statement, arrived: now });
                 self.advance(key);
                 self.pump();
+                self.borrow_tokens();
             }
             CallerMessage::Terminate => self.close_session(key),
             CallerMessage::Oversized => {
@@ -130,16 +132,6 @@
             Statement::Commit | Statement::Rollback if state == TransactionState::Idle => {
                 self.answer_error(key, &queued.id, ErrorCode::Malformed, "no transaction is open")
             }
-            Statement::Begin { access } => {
-                if !self.admit(key, &queued.id, &grant) {
-                    return;
-                }
-                let session = &mut self.sessions[key];
-                session.transaction = Transaction::Begun { access };
-                session.wrote_in_transaction = false;
-                session.granted = Some(grant);
-                self.answer_own(key);
-            }
             Statement::Rollback => {
                 self.release_transaction(key);
                 self.sessions[key].transaction = Transaction::None;
@@ -170,22 +162,28 @@
                 let text = "prepare it first";
                 self.answer_error(key, &queued.id, ErrorCode::NoSuchStatement, text);
             }
-            Statement::Commit | Statement::Plain { .. } | Statement::Execute { .. } => {
-                if state == TransactionState::Idle {
+            Statement::Begin { .. }
+            | Statement::Commit
+            | Statement::Plain { .. }
+            | Statement::Execute { .. } => {
+                let begins = state == TransactionState::Idle;
+                if begins {
                     if !self.admit(key, &queued.id, &grant) {
                         return;
                     }
                     self.sessions[key].granted = Some(grant);
                 }
-                self.enqueue(key, queued.id, statement, queued.arrived);
+                self.enqueue(key, queued.id, statement, queued.arrived, begins);
             }
         }
     }
 
-    /// Counts an operation against the workspace's rate; refuses it where that is used up.
+    /// Counts an operation against the workspace's rate; refuses it where it would wait too long for
+    /// its turn.
     fn admit(&mut self, key: CallerKey, id: &str, grant: &Grant) -> bool {
         let Some(workspace) = &grant.workspace else { return true };
-        let Err(wait) = self.rates.admit(self.now, workspace) else { return true };
+        let patience = queue::patience_for_rate(&grant.route);
+        let Err(wait) = self.rates.arrive(self.now, workspace, patience) else { return true };
         self.counts.rate_limited += 1;
         info!(self.log, "refused"; "id" => id, "code" => "TooMany", "reason" => "past its rate",
             "workspace" => %workspace, "retry_ms" => wait.as_ms());
@@ -194,7 +192,28 @@
         false
     }
 
-    fn enqueue(&mut self, key: CallerKey, id: Box<str>, statement: Statement, arrived: MonoTime) {
+    /// The operation's token has come. Returns whether the statement is answered with that.
+    pub(super) fn token_taken(&mut self, key: CallerKey) -> bool {
+        let session = &mut self.sessions[key];
+        let Some(current) = &mut session.current else { return true };
+        current.needs_token = false;
+        let Statement::Begin { access } = current.statement else { return false };
+        session.current = None;
+        session.transaction = Transaction::Begun { access };
+        session.wrote_in_transaction = false;
+        self.answer_own(key);
+        self.advance(key);
+        true
+    }
+
+    fn enqueue(
+        &mut self,
+        key: CallerKey,
+        id: Box<str>,
+        statement: Statement,
+        arrived: MonoTime,
+        needs_token: bool,
+    ) {
         let session = &mut self.sessions[key];
         let Some(grant) = &session.granted else { return };
         let timeout = grant.route.statement_timeout;
@@ -202,12 +221,13 @@
             id,
             statement,
             arrived,
-            give_up_at: arrived + crate::queue::longest_wait(&grant.route),
+            give_up_at: arrived + queue::longest_wait(&grant.route),
             time_out_at: arrived + timeout,
             stage: Stage::Waiting,
             tries: 0,
             not_before: self.now,
             parked: None,
+            needs_token,
         });
         match session.transaction {
             Transaction::Pinned { upstream, .. } => self.forward(key, upstream),
@@ -283,6 +303,11 @@
     pub(super) fn release_transaction(&mut self, key: CallerKey) {
         let Some(session) = self.sessions.get_mut(key) else { return };
         let current = session.current.take();
+        let untaken = current.as_ref().is_some_and(|current| current.needs_token);
+        let workspace = session.granted.as_ref().and_then(|grant| grant.workspace.clone());
+        if let Some(workspace) = workspace.filter(|_| untaken) {
+            self.rates.withdraw(&workspace);
+        }
         let transaction = std::mem::replace(&mut session.transaction, Transaction::None);
         let in_progress = current.as_ref().and_then(|current| current.stage.upstream());
         if let Some(upstream) = in_progress {
--- a/crates/gateway/src/engine/control.rs
+++ b/crates/gateway/src/engine/control.rs
@@ -1,7 +1,7 @@
 //! Peers, leaders and the replacement of primaries.
 
 use model::prelude::*;
-use slog::{info, warn};
+use slog::{debug, info, warn};
 
 use super::{Engine, ServiceState, StoppedFor};
 use crate::{
@@ -23,6 +23,14 @@
 const ASK_LEADER_EVERY: DurationUs = DurationUs::from_ms(300);
 /// How often a newer state is fetched from peers.
 const FETCH_EVERY: DurationUs = DurationUs::from_ms(200);
+/// Peers that are asked for a connection at once.
+const SHORT_ASKS: usize = 3;
+/// A connection used more recently is not given up for a peer.
+const GIVE_UP_IDLE: DurationUs = DurationUs::from_ms(60);
+/// One heartbeat in so many says who leads each service, for VMs that have just started.
+const LEADERS_EVERY: u64 = 8;
+/// A leader that is known for less than this is said in every heartbeat.
+const LEADER_NEWS: DurationUs = DurationUs::from_ms(2_000);
 /// How long a stop holds if nothing is heard of its outcome. An attempt is over much sooner.
 const STOP_FOR: DurationUs = DurationUs::from_ms(12_000);
 
@@ -33,6 +41,9 @@
         let PeerMessage { from, incarnation, body } = message;
         match body {
             PeerBody::Heartbeat(heartbeat) => self.hear(from, incarnation, heartbeat),
+            PeerBody::Short { database } => self.give_up_connection(&database),
+            PeerBody::Borrow { workspace, tokens } => self.lend(&from, workspace, tokens),
+            PeerBody::Lend { workspace, tokens } => self.rates.borrow(now, &workspace, tokens),
             PeerBody::Stop { service, term, planned } => {
                 self.stop_using(&service, term, planned, &from)
             }
@@ -110,8 +121,18 @@
     pub(super) fn send_heartbeats(&mut self) {
         let now = self.now;
         self.heartbeat_at = now + HEARTBEAT_PERIOD;
-        let services: Vec<ServiceNote> =
-            self.services.iter().map(|(name, service)| self.note(name, service)).collect();
+        self.heartbeats += 1;
+        let say_all = self.heartbeats % LEADERS_EVERY == 0;
+        let services: Vec<ServiceNote> = self
+            .services
+            .iter()
+            .map(|(name, service)| {
+                let mut note = self.note(name, service);
+                let is_news = now.since(service.term_since) < LEADER_NEWS;
+                note.primary = note.primary.filter(|_| say_all || is_news);
+                note
+            })
+            .collect();
         let demands = self.rates.demands(now);
         self.grant_to_self(&demands);
         // A run that has just begun may have promised something in the run before.
@@ -129,7 +150,11 @@
                 generation: self.catalog.generation,
                 registry: self.registry_version,
                 services: services.clone(),
-                demands: demands.clone(),
+                demands: demands
+                    .iter()
+                    .filter(|demand| self.roster.home_of(now, &demand.workspace) == vm)
+                    .cloned()
+                    .collect(),
                 grants,
                 stopping: self.stop_asked_at.is_some(),
             };
@@ -137,6 +162,70 @@
         }
     }
 
+    /// Asks some peers for a connection to a database that refused one for their number.
+    pub(super) fn ask_for_connection(&mut self, database: &DatabaseName) {
+        let addresses: Vec<_> = self.roster.members().map(|(_, member)| member.address).collect();
+        if addresses.is_empty() {
+            return;
+        }
+        // Others are asked each time.
+        let first = self.now.0 as usize % addresses.len();
+        for step in 0..SHORT_ASKS.min(addresses.len()) {
+            let database = database.clone();
+            let address = addresses[(first + step) % addresses.len()];
+            self.tell(address, PeerBody::Short { database });
+        }
+    }
+
+    /// Closes the connection to the database that has been idle longest.
+    fn give_up_connection(&mut self, database: &DatabaseName) {
+        let Some(key) = self.pool.longest_idle(database) else { return };
+        let idle = self.now.since(self.pool.connections[key].idle_since);
+        if idle >= GIVE_UP_IDLE {
+            debug!(self.log, "connection given up"; "database" => %database,
+                "idle_ms" => idle.as_ms());
+            self.close_connection(key);
+        }
+    }
+
+    /// Asks the homes of workspaces whose operations wait for tokens.
+    pub(super) fn borrow_tokens(&mut self) {
+        let now = self.now;
+        let mut short: Vec<WorkspaceName> = Vec::new();
+        for key in &self.waiting {
+            let Some(session) = self.sessions.get(*key) else { continue };
+            let waits = session.current.as_ref().is_some_and(|current| current.needs_token);
+            let workspace = session.granted.as_ref().and_then(|grant| grant.workspace.as_ref());
+            if let Some(workspace) = workspace.filter(|_| waits)
+                && !short.contains(workspace)
+            {
+                short.push(workspace.clone());
+            }
+        }
+        for workspace in short {
+            let Some(tokens) = self.rates.to_borrow(now, &workspace) else { continue };
+            let home = self.roster.home_of(now, &workspace);
+            if home == self.id.vm {
+                let lent = if self.has_lease() { self.rates.lend(now, &workspace, tokens) } else { 0 };
+                self.rates.borrow(now, &workspace, lent);
+            } else if let Some(address) = self.roster.member_mut(&home).map(|m| m.address) {
+                self.tell(address, PeerBody::Borrow { workspace, tokens });
+            }
+        }
+    }
+
+    fn lend(&mut self, to: &VmName, workspace: WorkspaceName, asked: u32) {
+        if !self.has_lease() {
+            return;
+        }
+        let tokens = self.rates.lend(self.now, &workspace, asked);
+        if let Some(address) = self.roster.member_mut(to).map(|member| member.address)
+            && tokens > 0
+        {
+            self.tell(address, PeerBody::Lend { workspace, tokens });
+        }
+    }
+
     fn tell(&mut self, address: std::net::SocketAddr, body: PeerBody) {
         let from = self.id.vm.clone();
         let incarnation = self.id.incarnation;
@@ -332,6 +421,7 @@
             "before" => service.term.0, "primary" => ?primary, "reason" => reason,
             "stopped_ms" => service.stopped.as_ref().map(|s| now.since(s.since).as_ms()));
         service.term = term;
+        service.term_since = now;
         service.primary = primary;
         service.freshness.begin_term(term);
         if service.stopped.as_ref().is_some_and(|stopped| stopped.term <= term) {
@@ -524,7 +614,7 @@
             .members()
             .filter(|(vm, _)| self.roster.is_live(now, vm))
             .flat_map(|(_, member)| &member.notes)
-            .filter(|note| note.service == *name && note.primary == service.primary);
+            .filter(|note| note.service == *name && note.term == service.term);
         match takeover::judge(std::iter::once(&own).chain(notes)) {
             Verdict::Lost => Some(false),
             _ if primary.record.leaving => Some(true),
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -68,18 +68,31 @@
     pub(crate) too_many_at: Option<MonoTime>,
     /// Newest position that it was seen to have applied.
     pub(crate) applied: Option<Position>,
-    /// A position that it was seen to lack, and when.
-    pub(crate) lacked: Option<(Position, MonoTime)>,
+    /// What it was seen to lack.
+    pub(crate) lacked: Option<Lack>,
     /// Time from sending a statement to its answer, averaged, in microseconds.
     pub(crate) answer_us: f64,
     pub(crate) answer_at: MonoTime,
     pub(crate) failures: u32,
 }
 
+/// A replica that was behind.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Lack {
+    /// How far its log went.
+    pub(crate) position: Position,
+    /// Until when it is passed over for later positions.
+    pub(crate) until: MonoTime,
+    /// For how long that is; doubles while it stays behind.
+    pub(crate) span: DurationUs,
+}
+
 /// What is known of a service.
 #[derive(Debug)]
 pub(crate) struct ServiceState {
     pub(crate) term: Term,
+    /// When this VM learned of the term.
+    pub(crate) term_since: MonoTime,
     pub(crate) primary: Option<DatabaseName>,
     pub(crate) stopped: Option<StoppedFor>,
     pub(crate) freshness: ServiceFreshness,
@@ -121,6 +134,7 @@
     attempts: Vec<Attempt>,
     next_attempt: u64,
     heartbeat_at: MonoTime,
+    heartbeats: u64,
     fetched_at: MonoTime,
     had_lease: bool,
     stop_asked_at: Option<MonoTime>,
@@ -172,6 +186,7 @@
             attempts: Vec::new(),
             next_attempt: 1,
             heartbeat_at: now,
+            heartbeats: 0,
             fetched_at: MonoTime(0),
             had_lease: false,
             stop_asked_at: None,
@@ -323,6 +338,7 @@
         self.expire_connections();
         self.expire_transactions();
         self.settle_parked();
+        self.borrow_tokens();
         if self.heartbeat_at <= now {
             self.send_heartbeats();
         }
@@ -456,6 +472,7 @@
     pub(crate) fn new(now: MonoTime) -> ServiceState {
         ServiceState {
             term: Term(0),
+            term_since: now,
             primary: None,
             stopped: None,
             freshness: ServiceFreshness::default(),
--- a/crates/gateway/src/engine/placement.rs
+++ b/crates/gateway/src/engine/placement.rs
@@ -44,13 +44,16 @@
 const PRIMARY_EXTRA_US: f64 = 8_000.0;
 /// Span after which a measured answer time has lost most of its weight, in microseconds.
 const ANSWER_SPAN_US: f64 = 2_000_000.0;
-/// How long a replica that lacked a position is passed over for later positions.
-const LACKED_FOR: DurationUs = DurationUs::from_ms(40);
 /// Part of a database's connections that is left free for VMs whose predecessors died without a word,
 /// in percent.
 const RESERVE_PERCENT: usize = 10;
+/// Part of a replica's connections that is for the VMs of its own data centre, in percent.
+const NEAR_PERCENT: usize = 70;
 /// How long a VM keeps to its even part after a database refused a connection for their number.
-const TOO_MANY_FOR: DurationUs = DurationUs::from_ms(1_500);
+const TOO_MANY_FOR: DurationUs = DurationUs::from_ms(120);
+/// A statement that waits for less than this leaves other workspaces' connections alone while one of
+/// its own workspace is about to be free.
+const KEEP_OTHERS_FOR: DurationUs = DurationUs::from_ms(25);
 /// How long a statement waits before connections past the even part are opened for it.
 const BORROW_AFTER: DurationUs = DurationUs::from_ms(30);
 /// First pause after a connection to a database failed; doubles up to `RETRY_MAX`.
@@ -98,10 +101,23 @@
         if current.not_before > now {
             return false;
         }
+        if current.needs_token {
+            let workspace = grant.workspace.clone();
+            if workspace.is_some_and(|workspace| !self.rates.take(now, &workspace)) {
+                return false;
+            }
+            if self.token_taken(key) {
+                return true;
+            }
+        }
+        let session = &self.sessions[key];
+        let (Some(current), Some(grant)) = (&session.current, &session.granted) else {
+            return true;
+        };
         let Some(need) = self.need(session) else { return false };
         let service = grant.route.service.clone();
         let workspace = grant.workspace.clone();
-        let may_borrow = now.since(current.arrived) >= BORROW_AFTER;
+        let waited = now.since(current.arrived);
         let shape = self.shape_of(key);
         let session = &self.sessions[key];
         let mut best: Option<(f64, DatabaseName, Way)> = None;
@@ -109,7 +125,7 @@
             if state.record.service != service || !self.suits(state, need) {
                 continue;
             }
-            let Some(way) = self.way(name, state, &workspace, session, shape, may_borrow) else {
+            let Some(way) = self.way(name, state, &workspace, session, shape, waited) else {
                 continue;
             };
             let cost = self.cost(name, state, way);
@@ -188,8 +204,8 @@
             Need::Primary => leads,
             Need::AtLeast(position) => {
                 let lacks = match (position, state.lacked) {
-                    (Some(position), Some((lacked, at))) => {
-                        position >= lacked && self.now.since(at) < LACKED_FOR
+                    (Some(position), Some(lack)) => {
+                        position > lack.position && self.now < lack.until
                     }
                     _ => false,
                 };
@@ -207,7 +223,7 @@
         workspace: &Option<WorkspaceName>,
         session: &Session,
         shape: Option<ShapeKey>,
-        may_borrow: bool,
+        waited: DurationUs,
     ) -> Option<Way> {
         if let Some(key) = self.pool.best_free(name, workspace, &session.values, shape) {
             return Some(Way::Free(key));
@@ -215,18 +231,34 @@
         if state.retry_at > self.now {
             return None;
         }
-        if self.pool.count(name) < self.connection_limit(state, may_borrow) {
+        if self.pool.count(name) < self.connection_limit(state, waited >= BORROW_AFTER) {
             return Some(Way::New);
         }
+        if waited < KEEP_OTHERS_FOR && self.pool.soon_free(name, workspace) {
+            return None;
+        }
         self.pool.longest_idle(name).map(Way::Replace)
     }
 
-    /// Connections that this VM may hold to a database.
+    /// Connections that this VM may hold to a database. Most of a replica's go to the VMs of its data
+    /// centre, which read there; a primary's are for all alike.
     fn connection_limit(&self, state: &DatabaseState, may_borrow: bool) -> usize {
         let limits = self.catalog.services.get(&state.record.service);
         let all = limits.map_or(1, |limits| limits.connections as usize);
         let shared = all - all * RESERVE_PERCENT / 100;
-        let even = (shared / self.roster.len()).max(1);
+        let service = self.services.get(&state.record.service);
+        let leads = service.is_some_and(|s| s.primary.as_ref() == Some(&state.record.name));
+        let here = state.record.dc == self.id.dc;
+        let near = self.roster.others_in(&state.record.dc) + usize::from(here);
+        let far = self.roster.len() - near;
+        let even = if leads || near == 0 || far == 0 {
+            shared / self.roster.len()
+        } else if here {
+            shared * NEAR_PERCENT / 100 / near
+        } else {
+            shared * (100 - NEAR_PERCENT) / 100 / far
+        };
+        let even = even.max(1);
         let refused = state.too_many_at.is_some_and(|at| self.now.since(at) < TOO_MANY_FOR);
         if may_borrow && !refused { even * 2 } else { even }
     }
@@ -274,6 +306,7 @@
             incarnation: state.record.incarnation,
             purpose,
             started: false,
+            in_transaction: false,
             holder: None,
             values: Default::default(),
             prepared: Default::default(),
@@ -311,6 +344,7 @@
         };
         let Some(need) = need else { return self.wait_again(key, upstream) };
         let values = session.values.clone();
+        self.pool.connections[upstream].in_transaction = true;
         for request in self.pool.connections[upstream].fit(&values, None) {
             self.send(upstream, Awaited::Setup, request);
         }
@@ -377,6 +411,7 @@
     pub(super) fn free(&mut self, upstream: UpstreamKey) {
         if let Some(connection) = self.pool.connections.get_mut(upstream) {
             connection.holder = None;
+            connection.in_transaction = false;
             connection.idle_since = self.now;
         }
     }
@@ -463,12 +498,21 @@
 
     fn give_up_waiting(&mut self, key: CallerKey) {
         let Some(current) = &mut self.sessions[key].current else { return };
+        let needs_token = current.needs_token;
         if let Stage::Connecting(upstream) = current.stage {
             current.stage = Stage::Waiting;
             // Once it is open, others can use it.
             self.free(upstream);
         }
         self.waiting.retain(|waiting| *waiting != key);
+        if needs_token {
+            let grant = self.sessions[key].granted.as_ref();
+            if let Some(workspace) = grant.and_then(|grant| grant.workspace.clone()) {
+                self.rates.withdraw(&workspace);
+            }
+            self.counts.rate_limited += 1;
+            return self.fail(key, ErrorCode::TooMany, "no turn in the workspace's rate in time");
+        }
         self.fail(key, ErrorCode::Busy, "no upstream had room in time");
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -33,7 +33,7 @@
     pub service: ServiceName,
     /// Newest term known.
     pub term: Term,
-    /// Who leads it.
+    /// Who leads it; left out mostly, since it rarely changes.
     pub primary: Option<DatabaseName>,
     /// A term that is being prepared, for which the sender has stopped using the primary.
     pub stopped_for: Option<Term>,
@@ -92,7 +92,7 @@
     pub registry: u64,
     /// What the sender knows of each service.
     pub services: Vec<ServiceNote>,
-    /// Workspaces that ask the sender for something.
+    /// What the sender is asked for by workspaces whose home the receiver is.
     pub demands: Vec<Demand>,
     /// What the receiver gets of rates whose home the sender is.
     pub grants: Vec<Grant>,
@@ -105,6 +105,25 @@
 pub enum PeerBody {
     /// What a VM says regularly.
     Heartbeat(Heartbeat),
+    /// The sender was refused a connection for their number: the receiver gives up one it does not use.
+    Short {
+        /// The database.
+        database: DatabaseName,
+    },
+    /// Asks the home of a workspace's rate for tokens.
+    Borrow {
+        /// The workspace.
+        workspace: WorkspaceName,
+        /// Operations that wait at the sender.
+        tokens: u32,
+    },
+    /// Tokens that the receiver may spend.
+    Lend {
+        /// The workspace.
+        workspace: WorkspaceName,
+        /// How many.
+        tokens: u32,
+    },
     /// Asks to stop using a service's primary, since a new term is being prepared.
     Stop {
         /// The service.
@@ -152,6 +171,8 @@
     pub address: SocketAddr,
     /// Which run of it.
     pub incarnation: Incarnation,
+    /// Where it stands.
+    pub dc: DcName,
 }
 
 /// A member and what was heard of it.
@@ -159,6 +180,7 @@
 pub(crate) struct Member {
     pub(crate) address: SocketAddr,
     pub(crate) incarnation: Incarnation,
+    pub(crate) dc: DcName,
     /// The latest moment on our clock at which it surely spoke.
     pub(crate) proven: Option<MonoTime>,
     /// Its last stamp and when that came.
@@ -207,7 +229,8 @@
             return false;
         }
         if incarnation > member.incarnation {
-            let record = MemberRecord { vm: from.clone(), address: member.address, incarnation };
+            let (address, dc) = (member.address, member.dc.clone());
+            let record = MemberRecord { vm: from.clone(), address, incarnation, dc };
             *member = Member::new(&record);
         }
         let newer = member.heard.is_none_or(|(stamp, _)| stamps.sent > stamp);
@@ -269,6 +292,11 @@
         1 + self.members.keys().filter(|vm| self.is_live(now, vm)).count()
     }
 
+    /// Other members in a data centre.
+    pub(crate) fn others_in(&self, dc: &DcName) -> usize {
+        self.members.values().filter(|member| member.dc == *dc).count()
+    }
+
     /// How many VMs there are.
     pub fn len(&self) -> usize {
         self.members.len() + 1
@@ -293,6 +321,7 @@
         Member {
             address: record.address,
             incarnation: record.incarnation,
+            dc: record.dc.clone(),
             proven: None,
             heard: None,
             notes: Vec::new(),
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -62,6 +62,8 @@
     pub(crate) purpose: Purpose,
     /// Whether the upstream has accepted it.
     pub(crate) started: bool,
+    /// Whether its holder has a transaction open there.
+    pub(crate) in_transaction: bool,
     /// The session that holds it.
     pub(crate) holder: Option<CallerKey>,
     pub(crate) values: Values,
@@ -161,6 +163,17 @@
             .map(|(key, _)| key)
     }
 
+    /// Whether a single statement of the workspace runs on a connection to the database.
+    pub(crate) fn soon_free(
+        &self,
+        database: &DatabaseName,
+        workspace: &Option<WorkspaceName>,
+    ) -> bool {
+        self.connections.values().any(|c| {
+            c.database == *database && c.serves(workspace) && c.started && !c.in_transaction
+        })
+    }
+
     /// Whether a connection to the database is being opened.
     pub(crate) fn is_opening(&self, database: &DatabaseName) -> bool {
         self.connections.values().any(|c| c.database == *database && !c.started)
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -17,6 +17,15 @@
     DurationUs(route.statement_timeout.0 * WAIT_PERCENT / 100)
 }
 
+/// Part of the target latency that an operation may wait for its turn in the workspace's rate, in
+/// percent.
+const RATE_WAIT_PERCENT: u64 = 40;
+
+/// How long an operation of the route may wait for a token of its workspace's rate.
+pub(crate) fn patience_for_rate(route: &Route) -> DurationUs {
+    DurationUs(route.target_latency.0 * RATE_WAIT_PERCENT / 100)
+}
+
 /// Order in which waiting statements are served: by priority, then by how soon they are refused.
 pub(crate) fn turn(priority: u32, give_up_at: MonoTime) -> (u32, MonoTime) {
     (priority, give_up_at)
--- a/crates/gateway/src/rates.rs
+++ b/crates/gateway/src/rates.rs
@@ -1,8 +1,10 @@
 //! Each workspace's rate, divided over the VMs by their demand.
 //!
 //! A small part of a rate is split evenly and always there. One live VM, the workspace's home, hands
-//! out the rest for short spans, by what each VM says that it is asked for, and never more than the
-//! whole. A VM that hears nothing falls back to its even part.
+//! out half of it for short spans, by what each VM says that it is asked for, and lends single tokens
+//! from the rest to VMs where operations wait. The load in mind: a workspace's operations reach VMs
+//! unevenly and in clumps, at a few a second each, so that fixed parts would refuse what the whole
+//! allows. A VM that hears nothing falls back to its even part.
 
 use std::collections::BTreeMap;
 
@@ -13,7 +15,17 @@
 use crate::{catalog::Workspace, peers::Demand};
 
 /// Part of a rate that is split evenly: what a VM that is cut off may go on admitting.
-const EVEN_PART: f64 = 0.2;
+const EVEN_PART: f64 = 0.15;
+/// Part of a rate that the home keeps, to lend where operations wait.
+const RESERVE_PART: f64 = 0.35;
+/// Part of a rate that is handed out by demand.
+const GRANTED_PART: f64 = 1.0 - EVEN_PART - RESERVE_PART;
+/// How often a VM asks the home for tokens of one workspace.
+const BORROW_EVERY: DurationUs = DurationUs::from_ms(40);
+/// Most tokens asked for at once.
+const BORROW_MAX: u32 = 64;
+/// How long borrowed tokens can be spent.
+const LOAN_FOR: DurationUs = DurationUs::from_ms(500);
 /// Part of a rate that demand is assumed to be on top of what was seen, split evenly, so that a VM
 /// that is asked for the first time has something.
 const ASSUMED_PART: f64 = 0.15;
@@ -43,6 +55,13 @@
     demand_at: MonoTime,
     /// What the home granted this VM, and until when.
     granted: Option<(f64, MonoTime)>,
+    /// Tokens lent to this VM, and until when they can be spent.
+    borrowed: (u32, MonoTime),
+    borrow_asked: Option<MonoTime>,
+    /// Operations that wait here for a token.
+    waiting: u32,
+    /// As the home: what is left to lend.
+    reserve: Bucket,
     /// As the home: what each VM holds, and until when.
     handed_out: BTreeMap<VmName, HandedOut>,
 }
@@ -87,6 +106,10 @@
                 demand: 0.0,
                 demand_at: now,
                 granted: None,
+                borrowed: (0, now),
+                borrow_asked: None,
+                waiting: 0,
+                reserve: Bucket::new(now),
                 handed_out: BTreeMap::new(),
             });
             account.rate_per_s = rate_per_s;
@@ -103,13 +126,76 @@
         }
     }
 
-    /// Admits an operation, or says how long to wait.
-    pub fn admit(&mut self, now: MonoTime, workspace: &WorkspaceName) -> Result<(), DurationUs> {
+    /// An operation of the workspace has come. `Err` says how long it would have to wait, where that is
+    /// longer than `patience`: it is refused. Otherwise [`Rates::take`] says when it may go on.
+    pub fn arrive(
+        &mut self,
+        now: MonoTime,
+        workspace: &WorkspaceName,
+        patience: DurationUs,
+    ) -> Result<(), DurationUs> {
         let members = self.members;
         let Some(account) = self.accounts.get_mut(workspace) else { return Ok(()) };
         account.note_demand(now);
         account.refresh(now, members);
-        account.bucket.try_spend(1, now)
+        let wait = account.expected_wait(now);
+        if wait > patience {
+            return Err(wait);
+        }
+        account.waiting += 1;
+        Ok(())
+    }
+
+    /// Whether an operation that has come may go on; its token is spent.
+    pub fn take(&mut self, now: MonoTime, workspace: &WorkspaceName) -> bool {
+        let members = self.members;
+        let Some(account) = self.accounts.get_mut(workspace) else { return true };
+        account.refresh(now, members);
+        let (borrowed, until) = account.borrowed;
+        if borrowed > 0 && until > now {
+            account.borrowed.0 -= 1;
+        } else if account.bucket.try_spend(1, now).is_err() {
+            return false;
+        }
+        account.waiting = account.waiting.saturating_sub(1);
+        true
+    }
+
+    /// An operation that has come will not go on.
+    pub fn withdraw(&mut self, workspace: &WorkspaceName) {
+        if let Some(account) = self.accounts.get_mut(workspace) {
+            account.waiting = account.waiting.saturating_sub(1);
+        }
+    }
+
+    /// Tokens to ask the home for, if it is time.
+    pub fn to_borrow(&mut self, now: MonoTime, workspace: &WorkspaceName) -> Option<u32> {
+        let account = self.accounts.get_mut(workspace)?;
+        let is_due = account.borrow_asked.is_none_or(|at| now.since(at) >= BORROW_EVERY);
+        if account.waiting == 0 || !is_due {
+            return None;
+        }
+        account.borrow_asked = Some(now);
+        Some(account.waiting.min(BORROW_MAX))
+    }
+
+    /// As the home: tokens lent to a VM that asked for some.
+    pub fn lend(&mut self, now: MonoTime, workspace: &WorkspaceName, asked: u32) -> u32 {
+        let Some(account) = self.accounts.get_mut(workspace) else { return 0 };
+        account.refresh(now, self.members);
+        let mut lent = 0;
+        while lent < asked.min(BORROW_MAX) && account.reserve.try_spend(1, now).is_ok() {
+            lent += 1;
+        }
+        lent
+    }
+
+    /// The home has lent tokens.
+    pub fn borrow(&mut self, now: MonoTime, workspace: &WorkspaceName, tokens: u32) {
+        if let Some(account) = self.accounts.get_mut(workspace) {
+            let held = if account.borrowed.1 > now { account.borrowed.0 } else { 0 };
+            account.borrowed = (held + tokens, now + LOAN_FOR);
+        }
     }
 
     /// What this VM is asked for.
@@ -195,13 +281,30 @@
 
     fn refresh(&mut self, now: MonoTime, members: usize) {
         let granted = self.granted.filter(|(_, until)| *until > now).map_or(0.0, |(part, _)| part);
-        let part = EVEN_PART / members.max(1) as f64 + (1.0 - EVEN_PART) * granted;
-        let portion = Portion {
-            rate_micro_per_s: (self.rate_per_s * part * MICRO as f64) as u64,
-            burst_micro: (self.burst * part * MICRO as f64) as u64,
-        };
-        if portion != self.bucket.portion() {
-            self.bucket.set_portion(portion, now);
-        }
+        let part = EVEN_PART / members.max(1) as f64 + GRANTED_PART * granted;
+        let (rate, burst) = (self.rate_per_s, self.burst);
+        set_part(&mut self.bucket, rate, burst, part, now);
+        set_part(&mut self.reserve, rate, burst, RESERVE_PART, now);
+    }
+
+    /// How long an operation that comes now waits for its token, if the home lends none.
+    fn expected_wait(&mut self, now: MonoTime) -> DurationUs {
+        let level = self.bucket.level_micro(now);
+        let need = u64::from(self.waiting + 1) * MICRO;
+        // The home lends a VM what it would get of the reserve by demand, or more.
+        let rate = self.bucket.portion().rate_micro_per_s.max(1);
+        let rate = (rate as f64 * (1.0 + RESERVE_PART / GRANTED_PART)) as u64;
+        let missing = u128::from(need.saturating_sub(level));
+        DurationUs((missing * u128::from(MICRO) / u128::from(rate)) as u64)
+    }
+}
+
+fn set_part(bucket: &mut Bucket, rate_per_s: f64, burst: f64, part: f64, now: MonoTime) {
+    let portion = Portion {
+        rate_micro_per_s: (rate_per_s * part * MICRO as f64) as u64,
+        burst_micro: (burst * part * MICRO as f64).max(MICRO as f64) as u64,
+    };
+    if portion != bucket.portion() {
+        bucket.set_portion(portion, now);
     }
 }
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -100,6 +100,8 @@
     /// Not tried again before this moment.
     pub(crate) not_before: MonoTime,
     pub(crate) parked: Option<ParkedAnswer>,
+    /// Whether it waits for a token of its workspace's rate.
+    pub(crate) needs_token: bool,
 }
 
 impl Current {
