--- a/crates/gateway/src/engine/answers.rs
+++ b/crates/gateway/src/engine/answers.rs
@@ -231,7 +231,7 @@
         if let Transaction::Begun { access } = session.transaction {
             session.transaction = Transaction::Pinned { access, upstream: key };
         }
-        self.forward(holder, key);
+        self.forward_pinned(holder, key);
     }
 
     fn finish_statement(
@@ -408,7 +408,7 @@
         {
             // Nothing ran and the transaction is whole: the same again, in place.
             self.counts.retries += 1;
-            return self.forward(key, upstream);
+            return self.forward_pinned(key, upstream);
         }
         if code == ErrorCode::ReadOnly {
             self.note_deposed(upstream);
--- a/crates/gateway/src/engine/callers.rs
+++ b/crates/gateway/src/engine/callers.rs
@@ -230,7 +230,7 @@
             needs_token,
         });
         match session.transaction {
-            Transaction::Pinned { upstream, .. } => self.forward(key, upstream),
+            Transaction::Pinned { upstream, .. } => self.forward_pinned(key, upstream),
             _ => self.waiting.push(key),
         }
     }
--- a/crates/gateway/src/engine/placement.rs
+++ b/crates/gateway/src/engine/placement.rs
@@ -338,11 +338,11 @@
     /// Runs a session's current statement on a connection that is free and now its own.
     pub(super) fn run_on(&mut self, key: CallerKey, upstream: UpstreamKey) {
         let session = &self.sessions[key];
-        let need = self.need(session);
+        let need = self.need(session).filter(|need| self.meets(upstream, *need));
+        let Some(need) = need else { return self.wait_again(key, upstream) };
         let Transaction::Begun { access } = session.transaction else {
-            return self.forward(key, upstream);
+            return self.forward(key, upstream, need);
         };
-        let Some(need) = need else { return self.wait_again(key, upstream) };
         let values = session.values.clone();
         self.pool.connections[upstream].in_transaction = true;
         for request in self.pool.connections[upstream].fit(&values, None) {
@@ -356,12 +356,23 @@
         }
     }
 
+    /// Whether a connection's database can serve what is needed. What is needed may have changed while
+    /// the connection was opened.
+    fn meets(&self, upstream: UpstreamKey, need: Need) -> bool {
+        let database = &self.pool.connections[upstream].database;
+        self.databases.get(database).is_some_and(|state| self.suits(state, need))
+    }
+
+    /// Sends a session's current statement over the connection that its transaction holds.
+    pub(super) fn forward_pinned(&mut self, key: CallerKey, upstream: UpstreamKey) {
+        // The position was asked for when the transaction was opened.
+        self.forward(key, upstream, Need::AtLeast(None));
+    }
+
     /// Sends a session's current statement over a connection that it holds.
-    pub(super) fn forward(&mut self, key: CallerKey, upstream: UpstreamKey) {
+    fn forward(&mut self, key: CallerKey, upstream: UpstreamKey, need: Need) {
         let session = &self.sessions[key];
         let pinned = matches!(session.transaction, Transaction::Pinned { .. });
-        let need = if pinned { Some(Need::AtLeast(None)) } else { self.need(session) };
-        let Some(need) = need else { return self.wait_again(key, upstream) };
         let Some(current) = &session.current else { return };
         let shape = match &current.statement {
             Statement::Execute { name, .. } => session.prepared.get(name).cloned(),
