Give leases from seven witnesses; hear of the store by way of them

Change: witnesses spread over the data centres; heartbeats only to them; all services only by way of the nearest; no lease before the members are known; one promise more than a majority while members may be seen differently; an attempt needs this VM's own failure; VMs that hear from witnesses do not watch the store; a session without last words is closed at once.

--- a/crates/gateway/src/engine/callers.rs
+++ b/crates/gateway/src/engine/callers.rs
@@ -140,7 +140,12 @@
             Statement::Set { name, value } => {
                 let session = &mut self.sessions[key];
                 if session.values.len() >= SESSION_ENTRIES_MAX {
-                    return self.answer_error(key, &queued.id, ErrorCode::TooBig, "too many values");
+                    return self.answer_error(
+                        key,
+                        &queued.id,
+                        ErrorCode::TooBig,
+                        "too many values",
+                    );
                 }
                 session.values.insert(name, value);
                 self.answer_own(key);
@@ -236,10 +241,7 @@
     }
 
     fn answer_in_failed(&mut self, key: CallerKey, id: &str, statement: &Statement) {
-        let untold = matches!(
-            self.sessions[key].transaction,
-            Transaction::Failed { untold: true }
-        );
+        let untold = matches!(self.sessions[key].transaction, Transaction::Failed { untold: true });
         match statement {
             Statement::Rollback => {
                 self.sessions[key].transaction = Transaction::None;
--- a/crates/gateway/src/engine/control.rs
+++ b/crates/gateway/src/engine/control.rs
@@ -9,7 +9,8 @@
     effect::{CallerKey, Effect, UpstreamKey},
     message::{Reply, TransactionState, UpstreamRequest},
     peers::{
-        AgedPosition, HEARTBEAT_PERIOD, Heartbeat, LEASE, PeerBody, PeerMessage, ServiceNote,
+        AgedPosition, Demand, HEARTBEAT_PERIOD, Heartbeat, LEASE, PeerBody, PeerMessage,
+        ServiceNote,
     },
     pool::{Awaited, ControlRequest, Outstanding, Purpose},
     rates::Grant as RateGrant,
@@ -29,11 +30,26 @@
 const GIVE_UP_IDLE: DurationUs = DurationUs::from_ms(60);
 /// One heartbeat in so many says who leads each service, for VMs that have just started.
 const LEADERS_EVERY: u64 = 8;
+/// Services that a heartbeat tells of at most, so that it stays below a kilobyte.
+const NOTES_MAX: usize = 16;
+/// Fleet up to which every VM is granted a part of every workspace's rate, wanted or not.
+const SMALL_FLEET: usize = 15;
 /// A leader that is known for less than this is said in every heartbeat.
 const LEADER_NEWS: DurationUs = DurationUs::from_ms(2_000);
 /// How long a stop holds if nothing is heard of its outcome. An attempt is over much sooner.
 const STOP_FOR: DurationUs = DurationUs::from_ms(12_000);
 
+/// What is to be done about a primary.
+enum Change {
+    /// It has to be asked whether it still serves.
+    Probe(DatabaseName),
+    /// It has to be replaced.
+    Replace {
+        /// Whether it still serves.
+        planned: bool,
+    },
+}
+
 impl Engine {
     /// A peer said something.
     pub fn peer_message(&mut self, now: MonoTime, message: PeerMessage) {
@@ -43,17 +59,14 @@
             PeerBody::Heartbeat(heartbeat) => self.hear(from, incarnation, heartbeat),
             PeerBody::Short { database } => self.give_up_connection(&database),
             PeerBody::Borrow { workspace, tokens } => self.lend(&from, workspace, tokens),
-            PeerBody::Lend { workspace, tokens } => self.rates.borrow(now, &workspace, tokens),
+            PeerBody::Lend { workspace, tokens, all } => {
+                self.rates.borrow(now, &workspace, tokens, all);
+            }
             PeerBody::Stop { service, term, planned } => {
                 self.stop_using(&service, term, planned, &from)
             }
             PeerBody::Stopped { service, term } => {
-                let majority = self.roster.majority();
-                for attempt in &mut self.attempts {
-                    if attempt.service == service && attempt.term == term {
-                        attempt.note_stopped(now, from.clone(), majority);
-                    }
-                }
+                self.note_stopped(&service, term, from);
                 self.run_attempts();
             }
             PeerBody::Decided { service, term, primary } => self.decided(&service, term, primary),
@@ -81,8 +94,13 @@
         if let Some(said_at) = said_at {
             self.rates.accept(now, said_at, &heartbeat.grants);
         }
+        if self.roster.am_witness() && !self.roster.is_witness(&from) {
+            let services = self.notes(heartbeat.wants_notes);
+            self.send_heartbeat(&from, services, &[], false);
+        }
         let newer = heartbeat.generation > self.catalog.generation
-            || heartbeat.registry > self.registry_version;
+            || heartbeat.registry > self.registry_version
+            || heartbeat.members > self.roster.version();
         if newer && now.since(self.fetched_at) >= FETCH_EVERY {
             self.fetched_at = now;
             self.effects.push(Effect::FetchFromPeer(address));
@@ -122,44 +140,78 @@
         let now = self.now;
         self.heartbeat_at = now + HEARTBEAT_PERIOD;
         self.heartbeats += 1;
-        let say_all = self.heartbeats % LEADERS_EVERY == 0;
-        let services: Vec<ServiceNote> = self
-            .services
-            .iter()
-            .map(|(name, service)| {
-                let mut note = self.note(name, service);
-                let is_news = now.since(service.term_since) < LEADER_NEWS;
-                note.primary = note.primary.filter(|_| say_all || is_news);
-                note
-            })
-            .collect();
+        let nearest = self.roster.nearest_witness(now, |dc| self.distance(dc)).cloned();
         let demands = self.rates.demands(now);
         self.grant_to_self(&demands);
+        let witnesses: Vec<VmName> = self
+            .roster
+            .members()
+            .filter(|(vm, _)| self.roster.is_witness(vm))
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        let (all, news) = (self.notes(true), self.notes(false));
+        let am_witness = self.roster.am_witness();
+        for vm in witnesses {
+            let wants_notes = nearest.as_ref() == Some(&vm);
+            let services = if am_witness || wants_notes { &all } else { &news };
+            self.send_heartbeat(&vm, services.clone(), &demands, wants_notes);
+        }
+    }
+
+    fn send_heartbeat(
+        &mut self,
+        to: &VmName,
+        services: Vec<ServiceNote>,
+        demands: &[Demand],
+        wants_notes: bool,
+    ) {
+        let now = self.now;
+        let Some(address) = self.roster.member_mut(to).map(|member| member.address) else { return };
+        let mut stamps = self.roster.stamps_for(now, to);
         // A run that has just begun may have promised something in the run before.
-        let amnesic = !self.id.first_start && now.since(self.started_at) < LEASE;
-        let members: Vec<(VmName, std::net::SocketAddr)> =
-            self.roster.members().map(|(vm, member)| (vm.clone(), member.address)).collect();
-        for (vm, address) in members {
-            let mut stamps = self.roster.stamps_for(now, &vm);
-            if amnesic {
-                stamps.echo = None;
-            }
-            let grants = self.grants_for(&vm);
-            let heartbeat = Heartbeat {
-                stamps,
-                generation: self.catalog.generation,
-                registry: self.registry_version,
-                services: services.clone(),
-                demands: demands
-                    .iter()
-                    .filter(|demand| self.roster.home_of(now, &demand.workspace) == vm)
-                    .cloned()
-                    .collect(),
-                grants,
-                stopping: self.stop_asked_at.is_some(),
-            };
-            self.tell(address, PeerBody::Heartbeat(heartbeat));
+        if !self.id.first_start && now.since(self.started_at) < LEASE {
+            stamps.echo = None;
         }
+        let grants = self.grants_for(to);
+        let demands = demands
+            .iter()
+            .filter(|demand| self.roster.home_of(now, &demand.workspace) == *to)
+            .cloned()
+            .collect();
+        let heartbeat = Heartbeat {
+            stamps,
+            generation: self.catalog.generation,
+            registry: self.registry_version,
+            services,
+            demands,
+            grants,
+            members: self.roster.version(),
+            wants_notes,
+            stopping: self.stop_asked_at.is_some(),
+        };
+        self.tell(address, PeerBody::Heartbeat(heartbeat));
+    }
+
+    /// What this VM knows of the services, as far as it fits: what matters most goes first, the rest,
+    /// if wanted, takes turns.
+    fn notes(&self, all: bool) -> Vec<ServiceNote> {
+        let now = self.now;
+        let say_leaders = self.heartbeats.is_multiple_of(LEADERS_EVERY);
+        let mut notes: Vec<(bool, ServiceNote)> = Vec::new();
+        for (name, service) in &self.services {
+            let mut note = self.note(name, service);
+            let is_news = now.since(service.term_since) < LEADER_NEWS;
+            note.primary = note.primary.filter(|_| say_leaders || is_news);
+            notes.push((is_news || note.stopped_for.is_some() || note.failing.is_some(), note));
+        }
+        notes.retain(|(urgent, _)| all || *urgent);
+        if notes.len() > NOTES_MAX {
+            let turn = self.heartbeats as usize * NOTES_MAX % notes.len();
+            notes.rotate_left(turn);
+            notes.sort_by_key(|(urgent, _)| !urgent);
+            notes.truncate(NOTES_MAX);
+        }
+        notes.into_iter().map(|(_, note)| note).collect()
     }
 
     /// Asks some peers for a connection to a database that refused one for their number.
@@ -206,8 +258,9 @@
             let Some(tokens) = self.rates.to_borrow(now, &workspace) else { continue };
             let home = self.roster.home_of(now, &workspace);
             if home == self.id.vm {
-                let lent = if self.has_lease() { self.rates.lend(now, &workspace, tokens) } else { 0 };
-                self.rates.borrow(now, &workspace, lent);
+                let lent =
+                    if self.has_lease() { self.rates.lend(now, &workspace, tokens) } else { 0 };
+                self.rates.borrow(now, &workspace, lent, lent >= tokens);
             } else if let Some(address) = self.roster.member_mut(&home).map(|m| m.address) {
                 self.tell(address, PeerBody::Borrow { workspace, tokens });
             }
@@ -219,10 +272,9 @@
             return;
         }
         let tokens = self.rates.lend(self.now, &workspace, asked);
-        if let Some(address) = self.roster.member_mut(to).map(|member| member.address)
-            && tokens > 0
-        {
-            self.tell(address, PeerBody::Lend { workspace, tokens });
+        if let Some(address) = self.roster.member_mut(to).map(|member| member.address) {
+            let all = tokens >= asked;
+            self.tell(address, PeerBody::Lend { workspace, tokens, all });
         }
     }
 
@@ -255,7 +307,7 @@
         }
     }
 
-    fn grant_to_self(&mut self, demands: &[crate::peers::Demand]) {
+    fn grant_to_self(&mut self, demands: &[Demand]) {
         let me = self.id.vm.clone();
         let grants = self.grants(&me, demands);
         self.rates.accept(self.now, self.now, &grants);
@@ -267,28 +319,32 @@
     }
 
     /// As the home of workspaces: what a VM gets of their rates.
-    fn grants(&mut self, vm: &VmName, demands: &[crate::peers::Demand]) -> Vec<RateGrant> {
+    fn grants(&mut self, vm: &VmName, demands: &[Demand]) -> Vec<RateGrant> {
         if !self.has_lease() {
             return Vec::new();
         }
         let now = self.now;
-        let homes: Vec<WorkspaceName> = self
-            .rates
-            .workspaces()
-            .filter(|workspace| self.roster.home_of(now, workspace) == self.id.vm)
-            .cloned()
-            .collect();
+        let workspaces: Vec<WorkspaceName> = self.rates.workspaces().cloned().collect();
+        let mut homes = Vec::new();
+        for workspace in workspaces {
+            if self.roster.home_of(now, &workspace) == self.id.vm {
+                homes.push(workspace);
+            }
+        }
         let own = self.rates.demands(now);
-        let of = |demands: &[crate::peers::Demand], workspace: &WorkspaceName| {
+        let of = |demands: &[Demand], workspace: &WorkspaceName| {
             let demand = demands.iter().find(|demand| demand.workspace == *workspace);
             demand.map_or(0.0, |demand| f64::from(demand.per_s))
         };
         let mut grants = Vec::new();
         for workspace in homes {
+            let asked = of(demands, &workspace);
+            if asked == 0.0 && self.roster.len() > SMALL_FLEET {
+                continue;
+            }
             let others = self.roster.members().filter(|(vm, _)| self.roster.is_live(now, vm));
             let all: f64 = of(&own, &workspace)
                 + others.map(|(_, member)| of(&member.demands, &workspace)).sum::<f64>();
-            let asked = of(demands, &workspace);
             grants.extend(self.rates.hand_out(now, &workspace, vm, asked, all));
         }
         grants
@@ -543,16 +599,20 @@
         }
     }
 
+    /// A VM has stopped using the primary for an attempt of this VM.
+    fn note_stopped(&mut self, service: &ServiceName, term: Term, vm: VmName) {
+        let needed = self.roster.promises_needed(self.now);
+        let is_witness = self.roster.is_witness(&vm);
+        for attempt in &mut self.attempts {
+            if attempt.service == *service && attempt.term == term {
+                attempt.note_stopped(self.now, vm.clone(), is_witness, needed);
+            }
+        }
+    }
+
     fn confirm_stop(&mut self, service: &ServiceName, term: Term, by: &VmName) {
-        let now = self.now;
         if *by == self.id.vm {
-            let majority = self.roster.majority();
-            let me = self.id.vm.clone();
-            let own = self.attempts.iter_mut().find(|a| a.service == *service && a.term == term);
-            if let Some(attempt) = own {
-                attempt.note_stopped(now, me, majority);
-            }
-            return;
+            return self.note_stopped(service, term, self.id.vm.clone());
         }
         let address = self.roster.members().find(|(vm, _)| *vm == by).map(|(_, m)| m.address);
         if let Some(address) = address {
@@ -576,7 +636,7 @@
     pub(super) fn consider_attempts(&mut self) {
         self.confirm_stops();
         self.drop_old_stops();
-        if !self.has_lease() || *self.roster.first_live(self.now) != self.id.vm {
+        if !self.has_lease() || self.roster.first_live(self.now) != Some(&self.id.vm) {
             return;
         }
         let services: Vec<ServiceName> = self.services.keys().cloned().collect();
@@ -586,14 +646,18 @@
             if busy || resting {
                 continue;
             }
-            if let Some(planned) = self.change_due(&name) {
-                self.begin_attempt(&name, planned);
+            match self.change_due(&name) {
+                Some(Change::Replace { planned }) => self.begin_attempt(&name, planned),
+                Some(Change::Probe(database)) if !self.pool.is_opening(&database) => {
+                    self.ask(&database, NO_ATTEMPT, ControlRequest::Status);
+                }
+                Some(Change::Probe(_)) | None => {}
             }
         }
     }
 
-    /// Whether the service's primary has to be replaced; `Some(true)` where it still serves.
-    fn change_due(&self, name: &ServiceName) -> Option<bool> {
+    /// What is to be done about the service's primary.
+    fn change_due(&self, name: &ServiceName) -> Option<Change> {
         let service = &self.services[name];
         let members = || self.databases.values().filter(|state| state.record.service == *name);
         let could_lead = members().any(|state| {
@@ -605,7 +669,8 @@
         let Some(primary) = service.primary.as_ref().and_then(|name| self.databases.get(name))
         else {
             let lasted = service.leaderless_since.map(|since| self.now.since(since));
-            return lasted.is_some_and(|span| span >= takeover::LEADERLESS_FOR).then_some(false);
+            let overdue = lasted.is_some_and(|span| span >= takeover::LEADERLESS_FOR);
+            return overdue.then_some(Change::Replace { planned: false });
         };
         let own = self.note(name, service);
         let now = self.now;
@@ -616,8 +681,10 @@
             .flat_map(|(_, member)| &member.notes)
             .filter(|note| note.service == *name && note.term == service.term);
         match takeover::judge(std::iter::once(&own).chain(notes)) {
-            Verdict::Lost => Some(false),
-            _ if primary.record.leaving => Some(true),
+            Verdict::Lost if own.failing.is_some() => Some(Change::Replace { planned: false }),
+            // This VM sees for itself before it acts.
+            Verdict::Lost => Some(Change::Probe(primary.record.name.clone())),
+            _ if primary.record.leaving => Some(Change::Replace { planned: true }),
             Verdict::Serving | Verdict::Unknown => None,
         }
     }
@@ -648,7 +715,15 @@
         warn!(self.log, "replacing the primary"; "attempt" => id, "service" => %name,
             "term" => term.0, "planned" => planned, "old" => ?old_primary,
             "candidates" => ?candidates);
-        self.attempts.push(Attempt::new(id, name.clone(), term, planned, old_primary, candidates, now));
+        self.attempts.push(Attempt::new(
+            id,
+            name.clone(),
+            term,
+            planned,
+            old_primary,
+            candidates,
+            now,
+        ));
         self.effects.push(Effect::PrepareToken { attempt: id });
         let me = self.id.vm.clone();
         self.stop_using(name, term, planned, &me);
@@ -758,7 +833,13 @@
     }
 
     /// The store answered the update of the token.
-    pub fn token_raised(&mut self, now: MonoTime, attempt: u64, token: Option<u64>, sent: MonoTime) {
+    pub fn token_raised(
+        &mut self,
+        now: MonoTime,
+        attempt: u64,
+        token: Option<u64>,
+        sent: MonoTime,
+    ) {
         self.now = now;
         let Some(found) = self.attempts.iter_mut().find(|a| a.id == attempt) else { return };
         let service = found.service.clone();
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -166,7 +166,7 @@
 impl Engine {
     /// An engine that knows no configuration yet.
     pub fn new(id: Identity, log: Logger, now: MonoTime) -> Engine {
-        let roster = Roster::new(id.vm.clone());
+        let roster = Roster::new(id.vm.clone(), id.dc.clone());
         Engine {
             id,
             log,
@@ -233,6 +233,18 @@
         self.registry_version
     }
 
+    /// Version of the list of VMs in use.
+    pub fn members_version(&self) -> u64 {
+        self.roster.version()
+    }
+
+    /// Whether this VM has to follow the store itself; otherwise it hears from the witnesses.
+    pub fn must_follow_store(&self) -> bool {
+        self.roster.am_witness()
+            || !self.has_lease()
+            || self.now.since(self.started_at) < FOLLOW_AT_START
+    }
+
     /// When [`Engine::tick`] is due.
     pub fn next_tick(&self, now: MonoTime) -> DurationUs {
         let busy = !self.waiting.is_empty()
@@ -298,10 +310,10 @@
     }
 
     /// Takes the entries of all VMs.
-    pub fn set_members(&mut self, now: MonoTime, records: &[MemberRecord]) {
+    pub fn set_members(&mut self, now: MonoTime, version: u64, records: &[MemberRecord]) {
         self.now = now;
         let before = self.roster.len();
-        self.roster.set_members(records);
+        self.roster.set_members(now, version, records);
         if before != self.roster.len() {
             info!(self.log, "members changed"; "members" => self.roster.len(), "before" => before);
         }
@@ -415,8 +427,7 @@
         let Some(at) = self.stop_asked_at else { return };
         let now = self.now;
         let resting = self.sessions.iter().filter(|(_, session)| {
-            session.is_at_rest()
-                && now.since(at.max(session.last_active)) >= STOP_SESSIONS_AFTER
+            session.is_at_rest() && now.since(at.max(session.last_active)) >= STOP_SESSIONS_AFTER
         });
         let resting: Vec<CallerKey> = resting.map(|(key, _)| key).collect();
         for key in resting {
@@ -463,6 +474,8 @@
     }
 }
 
+/// How long after its start every VM follows the store: the fleet may be starting.
+const FOLLOW_AT_START: DurationUs = DurationUs::from_ms(9_000);
 /// Time between ticks while something waits.
 const TICK_BUSY: DurationUs = DurationUs::from_ms(20);
 /// Time between ticks otherwise.
--- a/crates/gateway/src/engine/placement.rs
+++ b/crates/gateway/src/engine/placement.rs
@@ -3,7 +3,9 @@
 use model::prelude::*;
 use slog::info;
 
-use super::{CONNECT_WITHIN, CONNECTION_IDLE, DatabaseState, Engine, SILENT_FOR, callers::access_of};
+use super::{
+    CONNECT_WITHIN, CONNECTION_IDLE, DatabaseState, Engine, SILENT_FOR, callers::access_of,
+};
 use crate::{
     catalog::Freshness,
     effect::{CallerKey, Effect, UpstreamKey},
@@ -170,9 +172,9 @@
         if access == Access::Write {
             return primary;
         }
-        let own = session
-            .last_commit
-            .filter(|_| own_commits && session.commit_service.as_ref() == Some(&grant.route.service));
+        let own = session.last_commit.filter(|_| {
+            own_commits && session.commit_service.as_ref() == Some(&grant.route.service)
+        });
         let own = match own {
             // A commit of an ended term: what stands for it now is known once the new term is.
             Some(position) => match service.freshness.carried_over(position) {
@@ -285,7 +287,7 @@
     }
 
     /// 0 in the same data centre, 1 in the same region, 2 elsewhere.
-    fn distance(&self, dc: &DcName) -> usize {
+    pub(super) fn distance(&self, dc: &DcName) -> usize {
         if *dc == self.id.dc {
             return 0;
         }
@@ -399,9 +401,10 @@
         self.send(upstream, Awaited::Statement, request);
         let session = &mut self.sessions[key];
         let wrote = pinned
-            && session.current.as_ref().is_some_and(|current| {
-                access_of(session, &current.statement) == Access::Write
-            });
+            && session
+                .current
+                .as_ref()
+                .is_some_and(|current| access_of(session, &current.statement) == Access::Write);
         session.wrote_in_transaction |= wrote;
         if let Some(current) = &mut session.current {
             current.stage = Stage::Running(upstream);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,13 +1,18 @@
 //! Messages between VMs, and the lease that lets a VM speak for the primaries.
 //!
-//! A VM may use a primary only while a majority of the members surely was in touch with it a short time
-//! ago. Whoever replaces a primary first has a majority promise to tell of it, and then waits until
-//! leases given out before have lapsed; majorities share a member, so no VM goes on unknowingly.
+//! A VM may use a primary only while a majority of the witnesses, a few members that all VMs agree on,
+//! surely was in touch with it a short time ago. Whoever replaces a primary first has a majority promise
+//! to tell of it, and then waits until leases given out before have lapsed; majorities share a witness,
+//! so no VM goes on unknowingly. VMs speak regularly to the witnesses only, so that what a VM says does
+//! not grow with the fleet.
 //!
 //! Messages carry the receiver's own last time stamp back, so that a VM dates what it hears on its own
 //! clock, never later than it was said, however long a message was under way.
 
-use std::{collections::BTreeMap, net::SocketAddr};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+};
 
 use model::{prelude::*, request::stable_hash};
 use serde::{Deserialize, Serialize};
@@ -23,6 +28,11 @@
 /// It is waited out when a primary has died with a VM, so it is part of the ten seconds in which a
 /// change of primary has to be over.
 pub const LEASE: DurationUs = DurationUs::from_ms(1_200);
+/// Members that give leases. Their majority outlives the loss of three, and a VM that speaks to seven
+/// stays near 3 KB a second.
+pub const WITNESSES_MAX: usize = 7;
+/// How long after the members changed VMs may disagree on the witnesses.
+pub const MEMBERS_SETTLE: DurationUs = DurationUs::from_ms(5_000);
 /// How long after the last word a member counts as live.
 pub const LIVE_FOR: DurationUs = DurationUs::from_ms(1_000);
 
@@ -96,6 +106,10 @@
     pub demands: Vec<Demand>,
     /// What the receiver gets of rates whose home the sender is.
     pub grants: Vec<Grant>,
+    /// Version of the sender's list of VMs.
+    pub members: u64,
+    /// Whether the sender wants to hear of all services, not only news.
+    pub wants_notes: bool,
     /// Whether the sender is ending.
     pub stopping: bool,
 }
@@ -123,6 +137,8 @@
         workspace: WorkspaceName,
         /// How many.
         tokens: u32,
+        /// Whether that is as many as were asked for.
+        all: bool,
     },
     /// Asks to stop using a service's primary, since a new term is being prepared.
     Stop {
@@ -194,17 +210,46 @@
 #[derive(Debug)]
 pub struct Roster {
     me: VmName,
+    dc: DcName,
     members: BTreeMap<VmName, Member>,
+    /// Members that give leases, this VM possibly among them.
+    witnesses: BTreeSet<VmName>,
+    /// When the members last changed; `None` before they are known.
+    changed_at: Option<MonoTime>,
+    /// Version of the list that the members are from.
+    version: u64,
+    /// Homes of workspaces, for the members that are live.
+    homes: FxHashMap<WorkspaceName, VmName>,
+    homes_live: Vec<VmName>,
 }
 
 impl Roster {
     /// Only this VM is known.
-    pub fn new(me: VmName) -> Roster {
-        Roster { me, members: BTreeMap::new() }
+    pub fn new(me: VmName, dc: DcName) -> Roster {
+        Roster {
+            me,
+            dc,
+            members: BTreeMap::new(),
+            witnesses: BTreeSet::new(),
+            changed_at: None,
+            version: 0,
+            homes: FxHashMap::default(),
+            homes_live: Vec::new(),
+        }
+    }
+
+    /// Version of the list that the members are from.
+    pub fn version(&self) -> u64 {
+        self.version
     }
 
     /// Takes the entries of all VMs. What was heard of those that stay is kept.
-    pub fn set_members(&mut self, records: &[MemberRecord]) {
+    pub fn set_members(&mut self, now: MonoTime, version: u64, records: &[MemberRecord]) {
+        if version < self.version {
+            return;
+        }
+        self.version = version;
+        let before: Vec<VmName> = self.members.keys().cloned().collect();
         self.members.retain(|vm, _| records.iter().any(|record| record.vm == *vm));
         for record in records.iter().filter(|record| record.vm != self.me) {
             match self.members.get_mut(&record.vm) {
@@ -214,6 +259,54 @@
                 }
             }
         }
+        if self.changed_at.is_none() || !before.iter().eq(self.members.keys()) {
+            self.changed_at = Some(now);
+            self.choose_witnesses();
+        }
+    }
+
+    /// Chooses the witnesses: the same on every VM with the same members, spread over data centres.
+    fn choose_witnesses(&mut self) {
+        let mut by_dc: BTreeMap<&DcName, Vec<(u64, &VmName)>> = BTreeMap::new();
+        let others = self.members.iter().map(|(vm, member)| (vm, &member.dc));
+        for (vm, dc) in others.chain([(&self.me, &self.dc)]) {
+            by_dc.entry(dc).or_default().push((stable_hash(vm.as_str()), vm));
+        }
+        for vms in by_dc.values_mut() {
+            vms.sort_unstable_by(|a, b| b.cmp(a));
+        }
+        let mut chosen = BTreeSet::new();
+        while chosen.len() < WITNESSES_MAX && by_dc.values().any(|vms| !vms.is_empty()) {
+            for vms in by_dc.values_mut() {
+                if chosen.len() < WITNESSES_MAX {
+                    chosen.extend(vms.pop().map(|(_, vm)| vm.clone()));
+                }
+            }
+        }
+        self.witnesses = chosen;
+    }
+
+    /// Whether a member gives leases.
+    pub fn is_witness(&self, vm: &VmName) -> bool {
+        self.witnesses.contains(vm)
+    }
+
+    /// The live witness that is nearest: VMs tell each other all they know by way of it.
+    pub(crate) fn nearest_witness(
+        &self,
+        now: MonoTime,
+        distance: impl Fn(&DcName) -> usize,
+    ) -> Option<&VmName> {
+        let others = self.members.iter().filter(|(vm, _)| self.is_witness(vm));
+        others
+            .filter(|(vm, _)| self.is_live(now, vm))
+            .min_by_key(|(_, member)| distance(&member.dc))
+            .map(|(vm, _)| vm)
+    }
+
+    /// Whether this VM gives leases.
+    pub(crate) fn am_witness(&self) -> bool {
+        self.witnesses.contains(&self.me)
     }
 
     /// Takes a heartbeat's stamps. Returns whether the sender is a member in its present run.
@@ -225,10 +318,12 @@
         stamps: Stamps,
     ) -> bool {
         let Some(member) = self.members.get_mut(from) else { return false };
-        if incarnation < member.incarnation {
+        let silent = member.heard.is_none_or(|(_, at)| now.since(at) >= LIVE_FOR);
+        // The clock that runs are numbered by may have been set back meanwhile.
+        if incarnation < member.incarnation && !silent {
             return false;
         }
-        if incarnation > member.incarnation {
+        if incarnation != member.incarnation {
             let (address, dc) = (member.address, member.dc.clone());
             let record = MemberRecord { vm: from.clone(), address, incarnation, dc };
             *member = Member::new(&record);
@@ -255,15 +350,27 @@
 
     /// Until when this VM may use primaries, as far as it knows of no change.
     pub fn lease_until(&self, now: MonoTime) -> Option<MonoTime> {
-        let mut proven: Vec<MonoTime> = self.members.values().filter_map(|m| m.proven).collect();
-        proven.push(now);
+        self.changed_at?;
+        let others = self.members.iter().filter(|(vm, _)| self.is_witness(vm));
+        let mut proven: Vec<MonoTime> = others.filter_map(|(_, member)| member.proven).collect();
+        if self.am_witness() {
+            proven.push(now);
+        }
         proven.sort_unstable_by(|a, b| b.cmp(a));
         proven.get(self.majority() - 1).map(|&at| at + LEASE)
     }
 
-    /// Members that make a majority, this VM among them.
+    /// Witnesses that make a majority.
     pub fn majority(&self) -> usize {
-        (self.members.len() + 1) / 2 + 1
+        self.witnesses.len() / 2 + 1
+    }
+
+    /// Witnesses that have to promise before a primary is replaced. While VMs may disagree on one of
+    /// the witnesses, one more than a majority.
+    pub fn promises_needed(&self, now: MonoTime) -> usize {
+        let settled = self.changed_at.is_some_and(|at| now.since(at) >= MEMBERS_SETTLE);
+        let more = usize::from(!settled && self.majority() < self.witnesses.len());
+        self.majority() + more
     }
 
     /// Whether a member spoke lately.
@@ -274,17 +381,26 @@
             })
     }
 
-    /// The live member that comes first: it carries out what only one may do.
-    pub fn first_live(&self, now: MonoTime) -> &VmName {
-        let first = self.members.keys().find(|vm| self.is_live(now, vm));
-        first.filter(|vm| **vm < self.me).unwrap_or(&self.me)
+    /// The live witness that comes first: it carries out what only one may do.
+    pub fn first_live(&self, now: MonoTime) -> Option<&VmName> {
+        self.witnesses.iter().find(|vm| self.is_live(now, vm))
     }
 
-    /// The live member that hands out a workspace's rate.
-    pub(crate) fn home_of(&self, now: MonoTime, workspace: &WorkspaceName) -> VmName {
-        let weight = |vm: &VmName| stable_hash(&format!("{workspace}/{vm}"));
-        let live = self.members.keys().filter(|vm| self.is_live(now, vm));
-        live.chain([&self.me]).max_by_key(|vm| weight(vm)).unwrap_or(&self.me).clone()
+    /// The live witness that hands out a workspace's rate.
+    pub(crate) fn home_of(&mut self, now: MonoTime, workspace: &WorkspaceName) -> VmName {
+        let witnesses = self.witnesses.iter().filter(|vm| self.is_live(now, vm));
+        let live: Vec<VmName> = witnesses.cloned().collect();
+        if live != self.homes_live {
+            self.homes.clear();
+            self.homes_live = live;
+        }
+        if let Some(home) = self.homes.get(workspace) {
+            return home.clone();
+        }
+        let weight = |vm: &&VmName| stable_hash(&format!("{workspace}/{vm}"));
+        let home = self.homes_live.iter().max_by_key(weight).unwrap_or(&self.me).clone();
+        self.homes.insert(workspace.clone(), home.clone());
+        home
     }
 
     /// How many VMs are live, this one among them.
--- a/crates/gateway/src/rates.rs
+++ b/crates/gateway/src/rates.rs
@@ -24,6 +24,8 @@
 const BORROW_EVERY: DurationUs = DurationUs::from_ms(40);
 /// Most tokens asked for at once.
 const BORROW_MAX: u32 = 64;
+/// How long a home that lent less than was asked is held to have nothing to lend.
+const SHORT_FOR: DurationUs = DurationUs::from_ms(300);
 /// How long borrowed tokens can be spent.
 const LOAN_FOR: DurationUs = DurationUs::from_ms(500);
 /// Part of a rate that demand is assumed to be on top of what was seen, split evenly, so that a VM
@@ -58,6 +60,8 @@
     /// Tokens lent to this VM, and until when they can be spent.
     borrowed: (u32, MonoTime),
     borrow_asked: Option<MonoTime>,
+    /// Until when the home is held to have nothing to lend.
+    short_until: MonoTime,
     /// Operations that wait here for a token.
     waiting: u32,
     /// As the home: what is left to lend.
@@ -108,6 +112,7 @@
                 granted: None,
                 borrowed: (0, now),
                 borrow_asked: None,
+                short_until: now,
                 waiting: 0,
                 reserve: Bucket::new(now),
                 handed_out: BTreeMap::new(),
@@ -139,7 +144,8 @@
         account.note_demand(now);
         account.refresh(now, members);
         let wait = account.expected_wait(now);
-        if wait > patience {
+        let is_short = account.short_until > now || account.waiting >= BORROW_MAX;
+        if is_short && wait > patience {
             return Err(wait);
         }
         account.waiting += 1;
@@ -190,9 +196,12 @@
         lent
     }
 
-    /// The home has lent tokens.
-    pub fn borrow(&mut self, now: MonoTime, workspace: &WorkspaceName, tokens: u32) {
+    /// The home has lent tokens; `all` says whether that is as many as were asked for.
+    pub fn borrow(&mut self, now: MonoTime, workspace: &WorkspaceName, tokens: u32, all: bool) {
         if let Some(account) = self.accounts.get_mut(workspace) {
+            if !all {
+                account.short_until = now + SHORT_FOR;
+            }
             let held = if account.borrowed.1 > now { account.borrowed.0 } else { 0 };
             account.borrowed = (held + tokens, now + LOAN_FOR);
         }
@@ -204,8 +213,7 @@
         for (workspace, account) in &mut self.accounts {
             account.decay(now);
             if account.demand >= DEMAND_MIN_PER_S {
-                demands
-                    .push(Demand { workspace: workspace.clone(), per_s: account.demand as f32 });
+                demands.push(Demand { workspace: workspace.clone(), per_s: account.demand as f32 });
             }
         }
         demands
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -126,7 +126,9 @@
     pub phase: Phase,
     /// VMs that have stopped.
     pub stopped: BTreeSet<VmName>,
-    /// When a majority had stopped.
+    /// How many of them are witnesses.
+    pub witnesses: usize,
+    /// When a majority of the witnesses had stopped.
     pub majority_at: Option<MonoTime>,
     /// When the stop was last asked for.
     pub stop_sent: Option<MonoTime>,
@@ -162,6 +164,7 @@
             started: now,
             phase: Phase::Stopping,
             stopped: BTreeSet::new(),
+            witnesses: 0,
             majority_at: None,
             stop_sent: None,
             candidates,
@@ -174,14 +177,16 @@
 
     /// Whether all VMs that could use the primary have stopped, or their leases have lapsed.
     pub fn all_stopped(&self, now: MonoTime, members: usize) -> bool {
-        self.stopped.len() >= members
-            || self.majority_at.is_some_and(|at| now.since(at) >= LEASE)
+        self.stopped.len() >= members || self.majority_at.is_some_and(|at| now.since(at) >= LEASE)
     }
 
-    /// Notes that a VM has stopped.
-    pub fn note_stopped(&mut self, now: MonoTime, vm: VmName, majority: usize) {
-        self.stopped.insert(vm);
-        if self.stopped.len() >= majority && self.majority_at.is_none() {
+    /// Notes that a VM has stopped, and whether it is a witness, of which some number is needed.
+    pub fn note_stopped(&mut self, now: MonoTime, vm: VmName, is_witness: bool, needed: usize) {
+        if !self.stopped.insert(vm) || !is_witness {
+            return;
+        }
+        self.witnesses += 1;
+        if self.witnesses >= needed && self.majority_at.is_none() {
             self.majority_at = Some(now);
         }
     }
@@ -249,9 +254,7 @@
                 self.phase = Phase::RaisingToken { since: now, candidate };
                 Step::RaiseToken
             }
-            None if now.since(since).0 > 2 * SURVEY_WITHIN.0 => {
-                Step::GiveUp("no replica answers")
-            }
+            None if now.since(since).0 > 2 * SURVEY_WITHIN.0 => Step::GiveUp("no replica answers"),
             None => self.ask(now),
         }
     }
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -30,7 +30,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Ending {
     Open,
-    /// Once everything is sent.
+    /// Once everything is sent, and the other side could read it.
     Flush,
     Now,
 }
@@ -79,10 +79,12 @@
         }
     }
 
-    /// Ends the connection once everything is sent.
+    /// Ends the connection once everything is sent. Where nothing is, it ends at once: what the other
+    /// side sends meanwhile must not be read and left without an answer.
     pub(crate) fn close_flushed(&self) {
         if self.ending.get() == Ending::Open {
-            self.ending.set(Ending::Flush);
+            let last_words = !self.unsent.borrow().is_empty();
+            self.ending.set(if last_words { Ending::Flush } else { Ending::Now });
         }
         self.wake.notify_one();
     }
@@ -200,8 +202,10 @@
 pub(crate) fn tune(stream: &TcpStream, silent_for: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    let keepalive =
-        TcpKeepalive::new().with_time(KEEPALIVE).with_interval(KEEPALIVE).with_retries(KEEPALIVE_PROBES);
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE)
+        .with_retries(KEEPALIVE_PROBES);
     socket.set_tcp_keepalive(&keepalive)?;
     socket.set_tcp_user_timeout(Some(silent_for))
 }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -124,9 +124,8 @@
     ) -> eyre::Result<(Node<D>, mpsc::UnboundedReceiver<Command>)> {
         let (commands, received) = mpsc::unbounded_channel();
         let bind = |what: &str, address| format!("{what} address {address} can't be bound");
-        let datagrams = UdpSocket::bind(settings.peers)
-            .await
-            .wrap_err_with(|| bind("peer", settings.peers))?;
+        let datagrams =
+            UdpSocket::bind(settings.peers).await.wrap_err_with(|| bind("peer", settings.peers))?;
         let internal = TcpListener::bind(settings.peers)
             .await
             .wrap_err_with(|| bind("peer", settings.peers))?;
@@ -178,8 +177,8 @@
     }
 
     /// Takes the entries of all VMs.
-    pub fn set_members(&self, records: &[MemberRecord]) {
-        self.drive(|engine, now| engine.set_members(now, records));
+    pub fn set_members(&self, version: u64, records: &[MemberRecord]) {
+        self.drive(|engine, now| engine.set_members(now, version, records));
     }
 
     /// Changes what peers are handed.
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -62,10 +62,8 @@
 
 /// Serves `GET /ready` and `GET /metrics` until the process ends.
 pub async fn serve(listener: TcpListener, shown: Arc<Shown>) {
-    let routes = Router::new()
-        .route("/ready", get(ready))
-        .route("/metrics", get(metrics))
-        .with_state(shown);
+    let routes =
+        Router::new().route("/ready", get(ready)).route("/metrics", get(metrics)).with_state(shown);
     serve_forever(listener, routes).await;
 }
 
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -18,7 +18,7 @@
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// What a VM knows of the configuration and the databases, as read from the store. Only the program
-/// that made it knows the shapes of the two documents.
+/// that made it knows the shapes of the documents.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 pub struct Snapshot {
     /// Generation of the configuration.
@@ -31,6 +31,11 @@
     /// The databases.
     #[serde(with = "serde_bytes_as_vec")]
     pub databases: Bytes,
+    /// Version of the list of VMs.
+    pub members_version: u64,
+    /// The VMs.
+    #[serde(with = "serde_bytes_as_vec")]
+    pub members: Bytes,
 }
 
 mod serde_bytes_as_vec {
@@ -61,9 +66,8 @@
 /// Fetches a peer's state.
 pub(crate) async fn fetch(client: &Client, peer: SocketAddr) -> Result<Snapshot, SendError> {
     let address = peer.to_string();
-    let reply = client
-        .send(&address, Method::GET, STATE_PATH, &[], Bytes::new(), FETCH_TIMEOUT)
-        .await?;
+    let reply =
+        client.send(&address, Method::GET, STATE_PATH, &[], Bytes::new(), FETCH_TIMEOUT).await?;
     let unreadable = |reason: String| SendError::Unreadable { address: address.clone(), reason };
     if reply.status != StatusCode::OK {
         return Err(unreadable(format!("status {}", reply.status)));
