Test sessions, freshness and replacement of primaries on virtual time

A world of engines, a statement database as plain state (standin::statements), peers, cuts and freezes.

--- a/crates/gateway/src/engine/answers.rs
+++ b/crates/gateway/src/engine/answers.rs
@@ -307,17 +307,16 @@
         }
         let latest = grant.route.freshness == Freshness::Latest;
         let sure = self.services.get(&service_name).is_some_and(|s| leads && self.has_authority(s));
-        if sure {
-            if let (Some(position), Some(service)) =
-                (position, self.services.get_mut(&service_name))
-            {
-                service.freshness.observe(sent_at, position);
-            }
+        if let (true, Some(position), Some(service)) =
+            (sure, position, self.services.get_mut(&service_name))
+        {
+            service.freshness.observe(sent_at, position);
         }
         if !leads {
             self.counts.replica_reads += u64::from(!writes);
         }
-        let must_be_sure = writes || (latest && !(pinned && !commits));
+        let ends_operation = commits || !pinned;
+        let must_be_sure = writes || (latest && ends_operation);
         if must_be_sure && !sure {
             let answer = ParkedAnswer { service: service_name, term, rows, position, writes };
             if let Some(current) = &mut self.sessions[key].current {
@@ -441,6 +440,9 @@
         if code == ErrorCode::ReadOnly {
             self.note_deposed(upstream);
         }
+        if code == ErrorCode::NoSuchStatement {
+            self.pool.connections[upstream].uncertain = true;
+        }
         let session = &mut self.sessions[key];
         let single_read = session.current.as_ref().is_some_and(|current| {
             session.transaction == Transaction::None
--- a/crates/gateway/src/engine/control.rs
+++ b/crates/gateway/src/engine/control.rs
@@ -131,7 +131,7 @@
         {
             let by = self.id.vm.clone();
             service.stopped =
-                Some(StoppedFor { term, planned: false, by, since: now, confirmed: true });
+                Some(StoppedFor { term, by, since: now, confirmed: true });
         }
     }
 
@@ -534,7 +534,7 @@
                     "planned" => planned, "by" => %by);
                 let confirmed = !planned;
                 let by = by.clone();
-                service.stopped = Some(StoppedFor { term, planned, by, since: now, confirmed });
+                service.stopped = Some(StoppedFor { term, by, since: now, confirmed });
             }
         }
         self.confirm_stops();
@@ -715,11 +715,14 @@
         warn!(self.log, "replacing the primary"; "attempt" => id, "service" => %name,
             "term" => term.0, "planned" => planned, "old" => ?old_primary,
             "candidates" => ?candidates);
+        let limits = self.catalog.services.get(name);
+        let synchronous = limits.is_some_and(|limits| limits.synchronous);
         self.attempts.push(Attempt::new(
             id,
             name.clone(),
             term,
             planned,
+            synchronous,
             old_primary,
             candidates,
             now,
@@ -750,8 +753,12 @@
             match attempt.step(now, members) {
                 Step::Wait => {}
                 Step::Ask(databases) => {
+                    let request = match attempt.pauses() {
+                        true => ControlRequest::Pause(term),
+                        false => ControlRequest::Status,
+                    };
                     for database in databases {
-                        self.ask(&database, id, ControlRequest::Status);
+                        self.ask(&database, id, request);
                     }
                 }
                 Step::Demote(database) => self.ask(&database, id, ControlRequest::Demote(term)),
@@ -808,6 +815,11 @@
         warn!(self.log, "primary not replaced"; "attempt" => attempt.id,
             "service" => %attempt.service, "reason" => reason, "rows" => ?attempt.rows,
             "stopped" => attempt.stopped.len());
+        if attempt.synchronous {
+            for database in attempt.candidates.clone() {
+                self.ask(&database, NO_ATTEMPT, ControlRequest::Resume);
+            }
+        }
         if let Some(service) = self.services.get_mut(&attempt.service) {
             service.rest_until = self.now + takeover::REST_AFTER_FAILURE;
         }
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -107,7 +107,6 @@
 #[derive(Clone, Debug)]
 pub(crate) struct StoppedFor {
     pub(crate) term: Term,
-    pub(crate) planned: bool,
     pub(crate) by: VmName,
     pub(crate) since: MonoTime,
     pub(crate) confirmed: bool,
--- a/crates/gateway/src/engine/placement.rs
+++ b/crates/gateway/src/engine/placement.rs
@@ -309,6 +309,8 @@
             purpose,
             started: false,
             in_transaction: false,
+            set_in_transaction: false,
+            uncertain: false,
             holder: None,
             values: Default::default(),
             prepared: Default::default(),
@@ -346,10 +348,10 @@
             return self.forward(key, upstream, need);
         };
         let values = session.values.clone();
-        self.pool.connections[upstream].in_transaction = true;
         for request in self.pool.connections[upstream].fit(&values, None) {
             self.send(upstream, Awaited::Setup, request);
         }
+        self.pool.connections[upstream].in_transaction = true;
         let after = after_of(need);
         self.send(upstream, Awaited::Begin, UpstreamRequest::Begin { access, after });
         if let Some(current) = &mut self.sessions[key].current {
@@ -426,6 +428,7 @@
         if let Some(connection) = self.pool.connections.get_mut(upstream) {
             connection.holder = None;
             connection.in_transaction = false;
+            connection.set_in_transaction = false;
             connection.idle_since = self.now;
         }
     }
@@ -433,6 +436,10 @@
     /// Rolls back the transaction on a connection and gives it back.
     pub(super) fn roll_back(&mut self, upstream: UpstreamKey) {
         self.send(upstream, Awaited::Setup, UpstreamRequest::Rollback);
+        if let Some(connection) = self.pool.connections.get_mut(upstream) {
+            // Some databases undo settings with the transaction in which they were made.
+            connection.uncertain |= connection.set_in_transaction;
+        }
         self.free(upstream);
     }
 
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -68,6 +68,10 @@
     pub(crate) holder: Option<CallerKey>,
     pub(crate) values: Values,
     pub(crate) prepared: FxHashSet<ShapeKey>,
+    /// Whether a value or a prepared statement was set inside the open transaction.
+    pub(crate) set_in_transaction: bool,
+    /// Whether its values and prepared statements are not known for sure.
+    pub(crate) uncertain: bool,
     pub(crate) outstanding: VecDeque<Outstanding>,
     pub(crate) opened_at: MonoTime,
     pub(crate) idle_since: MonoTime,
@@ -96,8 +100,9 @@
         shape: Option<(ShapeKey, &Shape)>,
     ) -> Vec<UpstreamRequest> {
         let mut requests = Vec::new();
-        if self.values.keys().any(|name| !values.contains_key(name)) {
+        if self.uncertain || self.values.keys().any(|name| !values.contains_key(name)) {
             requests.push(UpstreamRequest::Reset);
+            self.uncertain = false;
             self.values.clear();
             self.prepared.clear();
         }
@@ -112,6 +117,7 @@
         {
             requests.push(UpstreamRequest::Prepare { key, shape: shape.clone() });
         }
+        self.set_in_transaction |= self.in_transaction && !requests.is_empty();
         requests
     }
 
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -24,6 +24,8 @@
 pub const PLANNED_STOP_WITHIN: DurationUs = DurationUs::from_ms(1_500);
 /// How long a database is waited for when it is asked for its position.
 pub const SURVEY_WITHIN: DurationUs = DurationUs::from_ms(400);
+/// How long all replicas are waited for where commits were acknowledged on the word of one of them.
+pub const SYNCHRONOUS_SURVEY_WITHIN: DurationUs = DurationUs::from_ms(4_000);
 /// How long a replica may take to receive everything in a planned change.
 pub const CATCH_UP_WITHIN: DurationUs = DurationUs::from_ms(1_500);
 /// The order leaves within this time after the token's update was sent, or not at all.
@@ -118,6 +120,9 @@
     pub term: Term,
     /// Whether the old primary still serves.
     pub planned: bool,
+    /// Whether a commit is acknowledged only once a replica has received it: the replica that received
+    /// most holds all that was acknowledged, if none of them receives any more.
+    pub synchronous: bool,
     /// The primary that is replaced.
     pub old_primary: Option<DatabaseName>,
     /// When it began.
@@ -151,6 +156,7 @@
         service: ServiceName,
         term: Term,
         planned: bool,
+        synchronous: bool,
         old_primary: Option<DatabaseName>,
         candidates: Vec<DatabaseName>,
         now: MonoTime,
@@ -160,6 +166,7 @@
             service,
             term,
             planned,
+            synchronous,
             old_primary,
             started: now,
             phase: Phase::Stopping,
@@ -191,6 +198,11 @@
         }
     }
 
+    /// Whether databases are told to receive nothing more when they are asked.
+    pub fn pauses(&self) -> bool {
+        self.synchronous && !self.planned && matches!(self.phase, Phase::Surveying { .. })
+    }
+
     /// Notes what a database said.
     pub fn note_row(&mut self, database: &DatabaseName, row: StatusRow) {
         self.rows.insert(database.clone(), row);
@@ -242,7 +254,8 @@
             return self.step_catching_up(now, since);
         }
         let all_answered = eligible.iter().all(|name| self.rows.contains_key(*name));
-        if !all_answered && now.since(since) < SURVEY_WITHIN {
+        let within = if self.synchronous { SYNCHRONOUS_SURVEY_WITHIN } else { SURVEY_WITHIN };
+        if !all_answered && now.since(since) < within {
             return self.ask(now);
         }
         let best = eligible
--- /dev/null
+++ b/crates/gateway/tests/takeover.rs
@@ -0,0 +1,232 @@
+//! Primaries that are lost, leave or are cut off, and who may use them meanwhile.
+
+mod world;
+
+use gateway::{
+    message::{Access, ErrorCode, Statement},
+    peers::LEASE,
+};
+use model::prelude::*;
+use world::{End, HOST, KEY, LATEST, World, begin, database_name, read, write};
+
+/// Terms of the members, the highest last.
+fn leaders(world: &World) -> Vec<usize> {
+    (0..3).filter(|member| world.group.members[*member].is_primary).collect()
+}
+
+#[test]
+fn dark_primary_is_replaced_once() {
+    let mut world = World::new(5);
+    let a = world.open(2, LATEST, KEY);
+    assert!(world.ask(a, "a0", write("1")).succeeded());
+    world.darken(0);
+    for id in ["a1", "a2", "a3", "a4", "a5", "a6"] {
+        world.ask(a, id, write("1"));
+    }
+    world.run_for(2_000);
+    assert_eq!(world.promotions.len(), 1, "{:?}", world.promotions);
+    assert!(world.ask(a, "a7", write("1")).succeeded());
+    let holder = (1..3).find(|member| world.group.holds(*member, "a7"));
+    assert!(holder.is_some(), "the new primary has it");
+    assert!(world.group.holds(holder.unwrap_or(0), "a0"), "what was replicated is kept");
+}
+
+#[test]
+fn dark_primary_gap_stays_below_four_seconds() {
+    let mut world = World::new(5);
+    let a = world.open(2, LATEST, KEY);
+    assert!(world.ask(a, "a0", write("1")).succeeded());
+    world.darken(0);
+    let began = world.now;
+    for round in 0..40 {
+        if world.ask(a, &format!("a{round}"), write("1")).succeeded() {
+            break;
+        }
+    }
+    let gap = world.now.since(began);
+    assert!(gap < DurationUs::from_ms(4_000), "{} ms", gap.as_ms());
+}
+
+/// A VM that is cut off from its peers, but not from the old primary, must not go on with it.
+fn check_cut_off_vm(statement: impl Fn(&str) -> Statement) {
+    let mut world = World::new(5);
+    let (inside, outside) = (world.open(0, LATEST, KEY), world.open(4, LATEST, KEY));
+    assert!(world.ask(inside, "i0", write("1")).succeeded());
+    assert!(world.ask(outside, "o0", write("1")).succeeded());
+    world.isolate(4);
+    for vm in 0..4 {
+        world.cut(End::Vm(vm), End::Database(0));
+    }
+    world.cut(End::Database(0), End::Database(1));
+    world.cut(End::Database(0), End::Database(2));
+    let mut acknowledged = Vec::new();
+    for round in 0..30 {
+        let id = format!("i{}", round + 1);
+        if world.ask(inside, &id, write("1")).succeeded() {
+            acknowledged.push(id);
+        }
+        let id = format!("o{}", round + 1);
+        let told = world.ask(outside, &id, statement("1"));
+        if !told.succeeded() {
+            continue;
+        }
+        let run = world.group.runs.iter().find(|run| *run.id == *id).expect("it ran");
+        let member = world.group.index(&run.database).expect("a member");
+        for commit in &acknowledged {
+            let missing = !world.group.holds(member, commit);
+            assert!(!missing, "{id} succeeded at {} without {commit}", run.database);
+        }
+    }
+    assert_eq!(world.promotions.len(), 1);
+    assert!(!acknowledged.is_empty(), "the majority goes on");
+}
+
+#[test]
+fn cut_off_vm_reads_nothing_old() {
+    check_cut_off_vm(read);
+}
+
+#[test]
+fn cut_off_vm_acknowledges_nothing_that_is_lost() {
+    check_cut_off_vm(write);
+}
+
+#[test]
+fn minority_appoints_nobody() {
+    let mut world = World::new(5);
+    for vm in [3, 4] {
+        for other in 0..3 {
+            world.cut(End::Vm(vm), End::Vm(other));
+        }
+        world.cut(End::Vm(vm), End::Database(0));
+    }
+    let a = world.open(4, LATEST, KEY);
+    for round in 0..6 {
+        let told = world.ask(a, &format!("a{round}"), write("1"));
+        assert!(!told.succeeded());
+    }
+    assert!(world.promotions.is_empty());
+}
+
+#[test]
+fn vm_that_knows_no_other_appoints_nobody() {
+    let mut world = World::cold(3);
+    let catalog = std::sync::Arc::new(world::catalog(1, 1e6, 100));
+    let (now, records) = (world.now, world.records.clone());
+    // It has read everything but the list of VMs.
+    world.engines[1].set_databases(now, 1, records, false);
+    world.engines[1].set_catalog(now, catalog);
+    world.darken(0);
+    world.run_for(5_000);
+    assert!(world.promotions.is_empty());
+    assert!(!world.engines[1].is_ready());
+}
+
+#[test]
+fn frozen_vm_wakes_without_a_lease() {
+    let mut world = World::new(5);
+    let (a, b) = (world.open(4, LATEST, KEY), world.open(1, LATEST, KEY));
+    assert!(world.ask(a, "a0", write("1")).succeeded());
+    world.freeze(4);
+    for vm in 0..4 {
+        world.cut(End::Vm(vm), End::Database(0));
+    }
+    world.cut(End::Database(0), End::Database(1));
+    world.cut(End::Database(0), End::Database(2));
+    for round in 0..10 {
+        world.ask(b, &format!("b{round}"), write("1"));
+    }
+    assert_eq!(world.promotions.len(), 1);
+    world.wake(4);
+    // The statement reaches it before any heartbeat does.
+    world.send(a, "a1", read("1"));
+    world.run_for(1_500);
+    let told = world.answer(a).expect("it is answered");
+    let run = world.group.runs.iter().find(|run| &*run.id == "a1");
+    let stale = run.is_some_and(|run| run.database == database_name(0));
+    assert!(!(told.succeeded() && stale), "{told:?} {run:?}");
+}
+
+#[test]
+fn leaving_primary_is_handed_over_without_loss() {
+    let mut world = World::new(5);
+    let callers: Vec<_> = (0..5).map(|vm| world.open(vm, LATEST, KEY)).collect();
+    for (vm, caller) in callers.iter().enumerate() {
+        assert!(world.ask(*caller, &format!("before{vm}"), write("1")).succeeded());
+    }
+    world.records[0].leaving = true;
+    world.publish_databases(2);
+    let mut acknowledged = Vec::new();
+    for round in 0..20 {
+        for (vm, caller) in callers.iter().enumerate() {
+            let id = format!("w{vm}-{round}");
+            let told = world.ask(*caller, &id, write("1"));
+            if told.succeeded() {
+                acknowledged.push(id);
+            }
+        }
+    }
+    assert_eq!(world.promotions.len(), 1);
+    let leader = leaders(&world);
+    assert_eq!(leader.len(), 1, "the old primary was demoted");
+    for id in acknowledged {
+        assert!(world.group.holds(leader[0], &id), "{id} is lost");
+    }
+}
+
+#[test]
+fn promotion_waits_for_a_vm_that_has_not_stopped() {
+    let mut world = World::new(5);
+    let a = world.open(1, LATEST, KEY);
+    assert!(world.ask(a, "a0", write("1")).succeeded());
+    // Nobody can ask it to stop, and its last heartbeat has just been answered.
+    world.isolate(4);
+    world.darken(0);
+    let began = world.now;
+    while world.promotions.is_empty() && world.now.since(began) < DurationUs::from_ms(6_000) {
+        world.send(a, "a1", write("1"));
+        world.run_for(100);
+    }
+    let gap = world.now.since(began);
+    assert!(!world.promotions.is_empty());
+    assert!(gap >= LEASE, "{} ms", gap.as_ms());
+}
+
+#[test]
+fn tokens_of_orders_only_rise() {
+    let mut world = World::new(5);
+    let a = world.open(1, LATEST, KEY);
+    let mut round = 0;
+    for lost in [0, 1] {
+        world.darken(lost);
+        for _ in 0..12 {
+            round += 1;
+            world.ask(a, &format!("a{round}"), write("1"));
+        }
+    }
+    assert!(world.promotions.len() >= 2, "{:?}", world.promotions);
+    let tokens: Vec<u64> = world.orders.iter().map(|(_, token)| *token).collect();
+    assert!(tokens.is_sorted_by(|a, b| a < b), "{tokens:?}");
+}
+
+#[test]
+fn transaction_at_a_lost_primary_is_aborted() {
+    let mut world = World::new(5);
+    let a = world.open(1, HOST, KEY);
+    world.ask(a, "a0", begin(Access::Write));
+    assert!(world.ask(a, "a1", write("1")).succeeded());
+    world.darken(0);
+    let told = world.ask(a, "a2", write("2"));
+    assert_eq!(told.error, Some(ErrorCode::Aborted));
+    assert!(world.ask(a, "a3", Statement::Rollback).succeeded());
+}
+
+#[test]
+fn commit_without_an_answer_is_in_doubt() {
+    let mut world = World::new(5);
+    let a = world.open(1, HOST, KEY);
+    world.ask(a, "a0", begin(Access::Write));
+    assert!(world.ask(a, "a1", write("1")).succeeded());
+    world.darken(0);
+    assert_eq!(world.ask(a, "a2", Statement::Commit).error, Some(ErrorCode::InDoubt));
+}
--- /dev/null
+++ b/crates/gateway/tests/world/mod.rs
@@ -0,0 +1,524 @@
+//! A fleet of engines with databases, peers and callers, on virtual time.
+
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet, BinaryHeap},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use gateway::{
+    CallerKey, Effect, Engine, Identity, UpstreamKey,
+    catalog::{Catalog, Database, Freshness, Role, Route, ServiceLimits, Workspace},
+    message::{
+        Access, CallerMessage, ErrorCode, Reply, Shape, Statement, TransactionState,
+        UpstreamRequest,
+    },
+    peers::{MemberRecord, PeerMessage},
+    takeover::OrderOutcome,
+};
+use model::prelude::*;
+use slog::{Discard, Logger, o};
+use standin::statements::{self, ConnectionId, Group};
+
+/// One way between any two ends, in microseconds.
+const ONE_WAY_US: u64 = 1_000;
+/// Between two ticks, in microseconds.
+const TICK_US: u64 = 10_000;
+/// From an order to the new primary, in microseconds.
+const PROMOTE_US: u64 = 300_000;
+/// A reply of the store, in microseconds.
+const STORE_US: u64 = 5_000;
+
+pub const HOST: &str = "orders";
+pub const LATEST: &str = "latest";
+pub const BOUNDED: &str = "bounded";
+pub const KEY: &str = "key-a";
+
+/// An end of a path that can be cut.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum End {
+    Vm(usize),
+    Database(usize),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Caller {
+    pub vm: usize,
+    pub key: CallerKey,
+}
+
+enum Happening {
+    Peer { to: usize, message: PeerMessage },
+    Request { vm: usize, key: UpstreamKey, request: UpstreamRequest },
+    Reply { vm: usize, key: UpstreamKey, reply: Reply },
+    Closed { vm: usize, key: UpstreamKey },
+    Token { vm: usize, attempt: u64, token: u64, sent: MonoTime },
+    Promote { database: DatabaseName },
+    Ordered { vm: usize, attempt: u64 },
+}
+
+struct Link {
+    database: usize,
+    id: ConnectionId,
+    dead: bool,
+}
+
+/// What a caller was told of one statement.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Told {
+    pub rows: Vec<Box<str>>,
+    pub complete: Option<Option<Box<str>>>,
+    pub error: Option<ErrorCode>,
+    pub state: Option<TransactionState>,
+}
+
+impl Told {
+    pub fn succeeded(&self) -> bool {
+        self.complete.is_some() && self.error.is_none()
+    }
+}
+
+pub struct World {
+    pub now: MonoTime,
+    pub engines: Vec<Engine>,
+    pub frozen: BTreeSet<usize>,
+    pub group: Group,
+    pub records: Vec<Database>,
+    pub cuts: BTreeSet<(End, End)>,
+    /// Tokens of orders, with the VM, in the order in which they left.
+    pub orders: Vec<(usize, u64)>,
+    pub promotions: Vec<DatabaseName>,
+    pub replicating: bool,
+    pub closed: BTreeSet<Caller>,
+    /// Added to the time in which databases accept connections.
+    pub slow_connects_ms: u64,
+    queue: BinaryHeap<Reverse<(MonoTime, u64)>>,
+    happenings: BTreeMap<u64, Happening>,
+    next: u64,
+    links: BTreeMap<(usize, UpstreamKey), Link>,
+    told: BTreeMap<Caller, Vec<Told>>,
+    token: u64,
+}
+
+fn name<T, E: std::fmt::Debug>(made: Result<T, E>) -> T {
+    made.expect("a good name")
+}
+
+pub fn database_name(index: usize) -> DatabaseName {
+    name(DatabaseName::new(format!("db-{index}")))
+}
+
+pub fn vm_name(index: usize) -> VmName {
+    name(VmName::new(format!("vm-{index}")))
+}
+
+pub fn service() -> ServiceName {
+    name(ServiceName::new("ledger"))
+}
+
+fn vm_address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, index as u8 + 1], 7000))
+}
+
+fn database_address(index: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 1, index as u8 + 1], 8000))
+}
+
+pub fn dc(index: usize) -> DcName {
+    name(DcName::new(format!("dc-{}", index % 3)))
+}
+
+fn route(freshness: Freshness) -> Route {
+    Route {
+        service: service(),
+        freshness,
+        statement_timeout: DurationUs::from_ms(1_000),
+        target_latency: DurationUs::from_ms(600),
+        priority: 1,
+        open: false,
+    }
+}
+
+/// Three routes, two workspaces of the given rate.
+pub fn catalog(generation: u64, rate_per_s: f64, connections: u32) -> Catalog {
+    let own = Freshness::Bounded { max_age: Some(DurationUs::from_ms(2_000)), own_commits: true };
+    let bounded =
+        Freshness::Bounded { max_age: Some(DurationUs::from_ms(500)), own_commits: false };
+    let workspace = |text: &str| Workspace {
+        name: name(WorkspaceName::new(text)),
+        rate_per_s: Some(rate_per_s),
+        burst: rate_per_s,
+    };
+    Catalog {
+        generation,
+        routes: [(HOST, own), (LATEST, Freshness::Latest), (BOUNDED, bounded)]
+            .into_iter()
+            .map(|(host, freshness)| (host.into(), route(freshness)))
+            .collect(),
+        services: [(service(), ServiceLimits { connections, synchronous: false })]
+            .into_iter()
+            .collect(),
+        workspaces: vec![workspace("alpha"), workspace("beta")],
+        keys: [(KEY.into(), 0), ("key-b".into(), 1)].into_iter().collect(),
+        transaction_idle: Some(DurationUs::from_ms(3_000)),
+    }
+}
+
+impl World {
+    /// A fleet of `vms` engines before three databases, up and running.
+    pub fn new(vms: usize) -> World {
+        let mut world = World::cold(vms);
+        world.configure(catalog(1, 1e6, 100));
+        world.run_for(3_000);
+        world
+    }
+
+    /// The same without a configuration.
+    pub fn cold(vms: usize) -> World {
+        let now = MonoTime(1_000_000_000);
+        let names: Vec<DatabaseName> = (0..3).map(database_name).collect();
+        let records = (0..3)
+            .map(|index| Database {
+                name: database_name(index),
+                incarnation: 1,
+                service: service(),
+                address: database_address(index),
+                dc: dc(index),
+                slots: 3,
+                leaving: false,
+                role: if index == 0 { Role::Primary } else { Role::Replica },
+            })
+            .collect();
+        let mut world = World {
+            now,
+            engines: Vec::new(),
+            frozen: BTreeSet::new(),
+            group: Group::new(service(), &names),
+            records,
+            cuts: BTreeSet::new(),
+            orders: Vec::new(),
+            promotions: Vec::new(),
+            replicating: true,
+            closed: BTreeSet::new(),
+            slow_connects_ms: 0,
+            queue: BinaryHeap::new(),
+            happenings: BTreeMap::new(),
+            next: 0,
+            links: BTreeMap::new(),
+            told: BTreeMap::new(),
+            token: 0,
+        };
+        world.engines = (0..vms).map(|vm| world.engine(vm, true)).collect();
+        world
+    }
+
+    fn engine(&self, vm: usize, first_start: bool) -> Engine {
+        let id = Identity {
+            vm: vm_name(vm),
+            incarnation: Incarnation(self.now.0),
+            dc: dc(vm),
+            regions: FxHashMap::default(),
+            first_start,
+            decode_status: statements::status_row,
+        };
+        Engine::new(id, Logger::root(Discard, o!()), self.now)
+    }
+
+    pub fn configure(&mut self, catalog: Catalog) {
+        let catalog = Arc::new(catalog);
+        let members = self.members();
+        for vm in 0..self.engines.len() {
+            let (now, records) = (self.now, self.records.clone());
+            self.drive(vm, |engine| {
+                engine.set_members(now, 1, &members);
+                engine.set_databases(now, 1, records, false);
+                engine.set_catalog(now, catalog.clone());
+            });
+        }
+    }
+
+    pub fn members(&self) -> Vec<MemberRecord> {
+        let record = |vm| MemberRecord {
+            vm: vm_name(vm),
+            address: vm_address(vm),
+            incarnation: Incarnation(0),
+            dc: dc(vm),
+        };
+        (0..self.engines.len()).map(record).collect()
+    }
+
+    /// Tells all engines of the databases as they are listed now.
+    pub fn publish_databases(&mut self, version: u64) {
+        for vm in 0..self.engines.len() {
+            let (now, records) = (self.now, self.records.clone());
+            self.drive(vm, |engine| engine.set_databases(now, version, records, false));
+        }
+    }
+
+    pub fn cut(&mut self, a: End, b: End) {
+        self.cuts.insert((a.min(b), a.max(b)));
+    }
+
+    /// Cuts a VM off from all other VMs.
+    pub fn isolate(&mut self, vm: usize) {
+        for other in (0..self.engines.len()).filter(|other| *other != vm) {
+            self.cut(End::Vm(vm), End::Vm(other));
+        }
+    }
+
+    /// Cuts a database off from all VMs.
+    pub fn darken(&mut self, database: usize) {
+        for vm in 0..self.engines.len() {
+            self.cut(End::Vm(vm), End::Database(database));
+        }
+    }
+
+    fn is_cut(&self, a: End, b: End) -> bool {
+        self.cuts.contains(&(a.min(b), a.max(b)))
+    }
+
+    pub fn open(&mut self, vm: usize, host: &str, key: &str) -> Caller {
+        let now = self.now;
+        let key_of_session = self.engines[vm].caller_opened(now);
+        let caller = Caller { vm, key: key_of_session };
+        self.told.insert(caller, Vec::new());
+        let message =
+            CallerMessage::Start { host: host.into(), credential: Some(key.into()) };
+        self.say(caller, message);
+        self.told.insert(caller, Vec::new());
+        caller
+    }
+
+    pub fn say(&mut self, caller: Caller, message: CallerMessage) {
+        let now = self.now;
+        self.drive(caller.vm, |engine| engine.caller_message(now, caller.key, message));
+    }
+
+    /// Asks for a statement without waiting for its answer.
+    pub fn send(&mut self, caller: Caller, id: &str, statement: Statement) {
+        self.told.entry(caller).or_default().push(Told::default());
+        self.say(caller, CallerMessage::Query { id: id.into(), statement: Some(statement) });
+    }
+
+    /// Asks for a statement and waits for its answer.
+    pub fn ask(&mut self, caller: Caller, id: &str, statement: Statement) -> Told {
+        self.send(caller, id, statement);
+        for _ in 0..400 {
+            if let Some(told) = self.answer(caller) {
+                return told;
+            }
+            self.run_for(10);
+        }
+        panic!("no answer to {id} within 4 s");
+    }
+
+    /// The answer to the last statement, once it is whole.
+    pub fn answer(&self, caller: Caller) -> Option<Told> {
+        self.told[&caller].last().filter(|told| told.state.is_some()).cloned()
+    }
+
+    pub fn freeze(&mut self, vm: usize) {
+        self.frozen.insert(vm);
+    }
+
+    pub fn wake(&mut self, vm: usize) {
+        self.frozen.remove(&vm);
+    }
+
+    /// Starts a VM's process anew; nothing of the old one is left.
+    pub fn restart(&mut self, vm: usize, catalog: Catalog) {
+        self.links.retain(|(at, _), _| *at != vm);
+        self.engines[vm] = self.engine(vm, false);
+        let (now, members, records) = (self.now, self.members(), self.records.clone());
+        self.drive(vm, |engine| {
+            engine.set_members(now, 1, &members);
+            engine.set_databases(now, 1, records, false);
+            engine.set_catalog(now, Arc::new(catalog));
+        });
+    }
+
+    pub fn run_for(&mut self, ms: u64) {
+        let end = self.now + DurationUs::from_ms(ms);
+        while self.now < end {
+            self.now = self.now + DurationUs(TICK_US);
+            if self.replicating {
+                self.replicate();
+            }
+            while self.queue.peek().is_some_and(|Reverse((at, _))| *at <= self.now) {
+                let Some(Reverse((_, number))) = self.queue.pop() else { break };
+                if let Some(happening) = self.happenings.remove(&number) {
+                    self.happen(happening);
+                }
+            }
+            for vm in 0..self.engines.len() {
+                if !self.frozen.contains(&vm) {
+                    let now = self.now;
+                    self.drive(vm, |engine| engine.tick(now));
+                }
+            }
+        }
+    }
+
+    fn replicate(&mut self) {
+        let newest = (0..3).filter(|member| self.group.members[*member].is_primary);
+        let Some(primary) = newest.max_by_key(|member| self.group.members[*member].term) else {
+            return;
+        };
+        for replica in (0..3).filter(|replica| *replica != primary) {
+            let cut = self.is_cut(End::Database(primary), End::Database(replica));
+            if !cut && !self.group.members[replica].is_primary {
+                self.group.replicate(primary, replica);
+            }
+        }
+    }
+
+    fn later(&mut self, us: u64, happening: Happening) {
+        self.next += 1;
+        self.queue.push(Reverse((self.now + DurationUs(us), self.next)));
+        self.happenings.insert(self.next, happening);
+    }
+
+    fn happen(&mut self, happening: Happening) {
+        let now = self.now;
+        match happening {
+            Happening::Peer { to, message } if !self.frozen.contains(&to) => {
+                self.drive(to, |engine| engine.peer_message(now, message));
+            }
+            Happening::Peer { .. } => {}
+            Happening::Request { vm, key, request } => self.request(vm, key, request),
+            Happening::Reply { vm, key, reply } => {
+                if self.frozen.contains(&vm) {
+                    return self.later(TICK_US, Happening::Reply { vm, key, reply });
+                }
+                self.drive(vm, |engine| engine.upstream_reply(now, key, reply));
+            }
+            Happening::Closed { vm, key } => {
+                self.drive(vm, |engine| engine.upstream_closed(now, key));
+            }
+            Happening::Token { vm, attempt, token, sent } => {
+                self.drive(vm, |engine| engine.token_raised(now, attempt, Some(token), sent));
+            }
+            Happening::Promote { database } => {
+                self.group.promote(&database);
+                self.promotions.push(database);
+            }
+            Happening::Ordered { vm, attempt } => {
+                let accepted = OrderOutcome::Accepted;
+                self.drive(vm, |engine| engine.order_answered(now, attempt, accepted));
+            }
+        }
+    }
+
+    fn request(&mut self, vm: usize, key: UpstreamKey, request: UpstreamRequest) {
+        let Some(link) = self.links.get(&(vm, key)) else { return };
+        let (database, id) = (link.database, link.id);
+        if link.dead || self.is_cut(End::Vm(vm), End::Database(database)) {
+            return;
+        }
+        let replies = self.group.execute(database, id, request);
+        let (replies, closes) = match replies {
+            Ok(replies) => (replies, false),
+            Err(replies) => (replies, true),
+        };
+        for reply in replies {
+            self.later(ONE_WAY_US, Happening::Reply { vm, key, reply });
+        }
+        if closes {
+            self.later(ONE_WAY_US, Happening::Closed { vm, key });
+        }
+    }
+
+    fn drive(&mut self, vm: usize, event: impl FnOnce(&mut Engine)) {
+        event(&mut self.engines[vm]);
+        for effect in self.engines[vm].take_effects() {
+            self.carry_out(vm, effect);
+        }
+    }
+
+    fn carry_out(&mut self, vm: usize, effect: Effect) {
+        match effect {
+            Effect::ToCaller(key, reply) => self.note_told(Caller { vm, key }, reply),
+            Effect::CloseCaller(key) => {
+                self.closed.insert(Caller { vm, key });
+            }
+            Effect::Connect(key, address) => {
+                let database = (0..3).find(|index| database_address(*index) == address);
+                let id = ConnectionId(self.next);
+                self.next += 1;
+                if let Some(database) = database {
+                    self.links.insert((vm, key), Link { database, id, dead: false });
+                }
+            }
+            Effect::ToUpstream(key, request) => {
+                let opens = matches!(request, UpstreamRequest::Start { .. });
+                let extra = if opens { self.slow_connects_ms * 1_000 } else { 0 };
+                self.later(ONE_WAY_US + extra, Happening::Request { vm, key, request });
+            }
+            Effect::CloseUpstream(key) => {
+                if let Some(link) = self.links.get_mut(&(vm, key)) {
+                    link.dead = true;
+                    let (database, id) = (link.database, link.id);
+                    self.group.close(database, id);
+                }
+            }
+            Effect::ToPeer(address, message) => {
+                let to = (0..self.engines.len()).find(|index| vm_address(*index) == address);
+                if let Some(to) = to.filter(|to| !self.is_cut(End::Vm(vm), End::Vm(*to))) {
+                    self.later(ONE_WAY_US, Happening::Peer { to, message });
+                }
+            }
+            Effect::RaiseToken { attempt } => {
+                self.token += 1;
+                let (token, sent) = (self.token, self.now);
+                self.later(STORE_US, Happening::Token { vm, attempt, token, sent });
+            }
+            Effect::Promote { attempt, database, token, not_after, .. } => {
+                if self.now <= not_after {
+                    self.orders.push((vm, token));
+                    self.later(PROMOTE_US, Happening::Promote { database });
+                    self.later(ONE_WAY_US, Happening::Ordered { vm, attempt });
+                }
+            }
+            Effect::PrepareToken { .. } | Effect::FetchFromPeer(_) => {}
+        }
+    }
+
+    fn note_told(&mut self, caller: Caller, reply: Reply) {
+        let Some(told) = self.told.get_mut(&caller) else { return };
+        let open = told.iter_mut().find(|told| told.state.is_none());
+        let Some(told) = open else { return };
+        match reply {
+            Reply::Row(row) => told.rows.push(row),
+            Reply::Complete { receipt } => told.complete = Some(receipt),
+            Reply::Error { code, .. } => told.error = Some(code),
+            Reply::Ready { state, .. } => told.state = Some(state),
+        }
+    }
+}
+
+pub fn read(item: &str) -> Statement {
+    Statement::Plain { access: Access::Read, text: format!("READ {item}").into() }
+}
+
+pub fn write(item: &str) -> Statement {
+    Statement::Plain { access: Access::Write, text: format!("WRITE {item} x").into() }
+}
+
+pub fn begin(access: Access) -> Statement {
+    Statement::Begin { access }
+}
+
+pub fn set(name: &str, value: &str) -> Statement {
+    Statement::Set { name: name.into(), value: value.into() }
+}
+
+pub fn prepare(name: &str, access: Access, shape: &str) -> Statement {
+    Statement::Prepare { name: name.into(), shape: Shape { access, text: shape.into() } }
+}
+
+pub fn execute(name: &str, arguments: &str) -> Statement {
+    Statement::Execute { name: name.into(), arguments: arguments.into() }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod database;
 pub mod platform;
 pub mod program;
+pub mod statements;
--- /dev/null
+++ b/crates/standin/src/statements.rs
@@ -0,0 +1,372 @@
+//! A replicated database that speaks sessions of statements, as plain state: who drives it gives the
+//! requests and decides when replicas receive.
+//!
+//! It notes everything that ran, so that tests can check what callers were told against it.
+
+use std::collections::BTreeMap;
+
+use gateway::{
+    message::{
+        Access, ErrorCode, ForwardedStatement, Reply, Shape, ShapeKey, TransactionState,
+        UpstreamRequest,
+    },
+    takeover::StatusRow,
+};
+use model::prelude::*;
+
+/// A commit in a log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Entry {
+    /// Term in which it was made.
+    pub term: Term,
+    /// Identifiers of the writes.
+    pub ids: Vec<Box<str>>,
+}
+
+/// A statement of a caller that ran.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// The caller's identifier.
+    pub id: Box<str>,
+    /// Where it ran.
+    pub database: DatabaseName,
+    /// For whom the connection was opened.
+    pub workspace: Option<WorkspaceName>,
+    /// Session values of the connection at that time.
+    pub values: BTreeMap<Box<str>, Box<str>>,
+    /// What it ran, with prepared statements written out.
+    pub text: Box<str>,
+    /// Whether it ran inside a transaction.
+    pub in_transaction: bool,
+    /// The log's position at that time.
+    pub position: Position,
+}
+
+/// A member of a group.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// Its name.
+    pub name: DatabaseName,
+    /// Whether it takes writes.
+    pub is_primary: bool,
+    /// Its term.
+    pub term: Term,
+    /// Its log.
+    pub log: Vec<Entry>,
+    /// Whether it receives nothing until it is promoted or resumed.
+    pub paused: bool,
+    /// Statements that it refuses as too many before it runs one again.
+    pub busy_for: u32,
+}
+
+/// A connection's state at a member.
+#[derive(Clone, Debug, Default)]
+struct Session {
+    workspace: Option<WorkspaceName>,
+    values: BTreeMap<Box<str>, Box<str>>,
+    prepared: BTreeMap<ShapeKey, Shape>,
+    /// Access of the open transaction.
+    transaction: Option<Access>,
+    failed: bool,
+    writes: Vec<Box<str>>,
+    /// Values and prepared statements when the transaction began.
+    before: Option<Box<Settings>>,
+}
+
+#[derive(Clone, Debug)]
+struct Settings {
+    values: BTreeMap<Box<str>, Box<str>>,
+    prepared: BTreeMap<ShapeKey, Shape>,
+}
+
+/// Names a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConnectionId(pub u64);
+
+/// A service's databases.
+#[derive(Clone, Debug)]
+pub struct Group {
+    /// The service.
+    pub service: ServiceName,
+    /// Its members.
+    pub members: Vec<Member>,
+    /// What ran, in order.
+    pub runs: Vec<Run>,
+    /// Whether a roll-back also undoes settings.
+    pub undoes_settings: bool,
+    /// Connections that a member takes at once.
+    pub connections_max: usize,
+    sessions: BTreeMap<(usize, ConnectionId), Session>,
+    receipts: u64,
+}
+
+impl Group {
+    /// A group whose first member leads the first term.
+    pub fn new(service: ServiceName, names: &[DatabaseName]) -> Group {
+        let member = |(index, name): (usize, &DatabaseName)| Member {
+            name: name.clone(),
+            is_primary: index == 0,
+            term: Term(1),
+            log: vec![Entry { term: Term(1), ids: Vec::new() }],
+            paused: false,
+            busy_for: 0,
+        };
+        Group {
+            service,
+            members: names.iter().enumerate().map(member).collect(),
+            runs: Vec::new(),
+            undoes_settings: false,
+            connections_max: usize::MAX,
+            sessions: BTreeMap::new(),
+            receipts: 0,
+        }
+    }
+
+    /// The index of a member.
+    pub fn index(&self, name: &DatabaseName) -> Option<usize> {
+        self.members.iter().position(|member| member.name == *name)
+    }
+
+    /// The last position of a member's log.
+    pub fn position(&self, member: usize) -> Position {
+        let log = &self.members[member].log;
+        let term = log.last().map_or(Term(0), |entry| entry.term);
+        Position::new(term, log.len() as u64)
+    }
+
+    /// Lets a replica receive all that a primary has.
+    pub fn replicate(&mut self, primary: usize, replica: usize) {
+        let source = &self.members[primary];
+        let (log, term) = (source.log.clone(), source.term);
+        let target = &mut self.members[replica];
+        if target.paused || target.term > term {
+            return;
+        }
+        target.log = log;
+        target.term = term;
+    }
+
+    /// Appoints a member, which leads the next term with what it has received.
+    pub fn promote(&mut self, name: &DatabaseName) {
+        let Some(index) = self.index(name) else { return };
+        let newest = self.members.iter().map(|member| member.term).max().unwrap_or(Term(0));
+        let member = &mut self.members[index];
+        if !member.is_primary {
+            member.is_primary = true;
+            member.paused = false;
+            member.term = newest.next();
+        }
+    }
+
+    /// Whether a write is in a member's log.
+    pub fn holds(&self, member: usize, id: &str) -> bool {
+        self.members[member].log.iter().any(|entry| entry.ids.iter().any(|own| &**own == id))
+    }
+
+    /// A connection ended: its transaction is rolled back.
+    pub fn close(&mut self, member: usize, connection: ConnectionId) {
+        self.sessions.remove(&(member, connection));
+    }
+
+    /// Carries a request out. `Err` holds the last words before the connection is closed.
+    pub fn execute(
+        &mut self,
+        member: usize,
+        connection: ConnectionId,
+        request: UpstreamRequest,
+    ) -> Result<Vec<Reply>, Vec<Reply>> {
+        let key = (member, connection);
+        if let UpstreamRequest::Start { service, workspace, database } = request {
+            let held = self.sessions.keys().filter(|(at, _)| *at == member).count();
+            if service != self.service || database != self.members[member].name {
+                return Err(vec![error(ErrorCode::Misrouted)]);
+            }
+            if held >= self.connections_max {
+                return Err(vec![error(ErrorCode::TooMany)]);
+            }
+            self.sessions.insert(key, Session { workspace, ..Session::default() });
+            return Ok(vec![self.ready(key)]);
+        }
+        let Some(mut session) = self.sessions.remove(&key) else { return Err(Vec::new()) };
+        let mut replies = match self.run(member, &mut session, request) {
+            Ok(replies) => replies,
+            Err(code) => {
+                session.failed |= session.transaction.is_some() && code != ErrorCode::Busy;
+                vec![error(code)]
+            }
+        };
+        self.sessions.insert(key, session);
+        replies.push(self.ready(key));
+        Ok(replies)
+    }
+
+    fn ready(&self, key: (usize, ConnectionId)) -> Reply {
+        let session = &self.sessions[&key];
+        let state = match (session.transaction, session.failed) {
+            (None, _) => TransactionState::Idle,
+            (Some(_), false) => TransactionState::Open,
+            (Some(_), true) => TransactionState::Failed,
+        };
+        Reply::Ready { state, position: Some(self.position(key.0)) }
+    }
+
+    fn run(
+        &mut self,
+        member: usize,
+        session: &mut Session,
+        request: UpstreamRequest,
+    ) -> Result<Vec<Reply>, ErrorCode> {
+        let done = || Ok(vec![Reply::Complete { receipt: None }]);
+        match request {
+            UpstreamRequest::Start { .. } => Err(ErrorCode::Malformed),
+            UpstreamRequest::Begin { access, after } => {
+                self.check_position(member, after)?;
+                if access == Access::Write && !self.members[member].is_primary {
+                    return Err(ErrorCode::ReadOnly);
+                }
+                session.transaction = Some(access);
+                session.failed = false;
+                session.writes.clear();
+                let (values, prepared) = (session.values.clone(), session.prepared.clone());
+                session.before = Some(Box::new(Settings { values, prepared }));
+                done()
+            }
+            UpstreamRequest::Rollback => {
+                session.transaction = None;
+                if let Some(before) = session.before.take().filter(|_| self.undoes_settings) {
+                    session.values = before.values;
+                    session.prepared = before.prepared;
+                }
+                session.writes.clear();
+                done()
+            }
+            UpstreamRequest::Set { name, value } => {
+                session.values.insert(name, value);
+                done()
+            }
+            UpstreamRequest::Prepare { key, shape } => {
+                session.prepared.insert(key, shape);
+                done()
+            }
+            UpstreamRequest::Reset => {
+                session.values.clear();
+                session.prepared.clear();
+                done()
+            }
+            UpstreamRequest::Status => Ok(self.status(member)),
+            UpstreamRequest::Pause(term) => {
+                self.members[member].paused |= term > self.members[member].term;
+                Ok(self.status(member))
+            }
+            UpstreamRequest::Resume => {
+                self.members[member].paused = false;
+                Ok(self.status(member))
+            }
+            UpstreamRequest::Demote(term) => {
+                let state = &mut self.members[member];
+                state.is_primary &= state.term >= term;
+                Ok(self.status(member))
+            }
+            UpstreamRequest::Forward { id, after, statement } => {
+                self.forward(member, session, id, after, statement)
+            }
+        }
+    }
+
+    fn check_position(&self, member: usize, after: Option<Position>) -> Result<(), ErrorCode> {
+        match after {
+            Some(after) if self.position(member) < after => Err(ErrorCode::Lagging),
+            _ => Ok(()),
+        }
+    }
+
+    fn forward(
+        &mut self,
+        member: usize,
+        session: &mut Session,
+        id: Box<str>,
+        after: Option<Position>,
+        statement: ForwardedStatement,
+    ) -> Result<Vec<Reply>, ErrorCode> {
+        if session.failed && session.transaction.is_some() {
+            return Err(ErrorCode::Malformed);
+        }
+        let state = &mut self.members[member];
+        if state.busy_for > 0 {
+            state.busy_for -= 1;
+            return Err(ErrorCode::Busy);
+        }
+        self.check_position(member, after)?;
+        let leads = self.members[member].is_primary;
+        if session.transaction == Some(Access::Write) && !leads {
+            return Err(ErrorCode::ReadOnly);
+        }
+        let (access, text): (Access, Box<str>) = match statement {
+            ForwardedStatement::Plain(text) if text.starts_with("WRITE") => (Access::Write, text),
+            ForwardedStatement::Plain(text) => (Access::Read, text),
+            ForwardedStatement::Execute { key, arguments } => {
+                let shape = session.prepared.get(&key).ok_or(ErrorCode::NoSuchStatement)?;
+                (shape.access, format!("{} {arguments}", shape.text).into())
+            }
+            ForwardedStatement::Commit => return Ok(self.commit(member, session)),
+        };
+        if access == Access::Write && !leads {
+            return Err(ErrorCode::ReadOnly);
+        }
+        self.runs.push(Run {
+            id: id.clone(),
+            database: self.members[member].name.clone(),
+            workspace: session.workspace.clone(),
+            values: session.values.clone(),
+            text,
+            in_transaction: session.transaction.is_some(),
+            position: self.position(member),
+        });
+        if access == Access::Write {
+            session.writes.push(id.clone());
+            if session.transaction.is_none() {
+                self.append(member, session);
+            }
+        }
+        self.receipts += 1;
+        let receipt = format!("{}.{}", self.members[member].name, self.receipts);
+        Ok(vec![Reply::Row(id), Reply::Complete { receipt: Some(receipt.into()) }])
+    }
+
+    fn commit(&mut self, member: usize, session: &mut Session) -> Vec<Reply> {
+        session.transaction = None;
+        if !session.writes.is_empty() {
+            self.append(member, session);
+        }
+        self.receipts += 1;
+        let receipt = format!("{}.{}", self.members[member].name, self.receipts);
+        vec![Reply::Complete { receipt: Some(receipt.into()) }]
+    }
+
+    fn append(&mut self, member: usize, session: &mut Session) {
+        let state = &mut self.members[member];
+        let ids = std::mem::take(&mut session.writes);
+        state.log.push(Entry { term: state.term, ids });
+    }
+
+    fn status(&self, member: usize) -> Vec<Reply> {
+        let state = &self.members[member];
+        let role = if state.is_primary { "primary" } else { "replica" };
+        let row = format!("{role} {} {}", state.term, self.position(member));
+        vec![Reply::Row(row.into()), Reply::Complete { receipt: None }]
+    }
+}
+
+/// Reads a row of [`UpstreamRequest::Status`].
+pub fn status_row(text: &str) -> Option<StatusRow> {
+    let mut fields = text.split(' ');
+    let is_primary = fields.next()? == "primary";
+    let term = Term(fields.next()?.parse().ok()?);
+    let (log_term, index) = fields.next()?.split_once('.')?;
+    let received = Position::new(Term(log_term.parse().ok()?), index.parse().ok()?);
+    Some(StatusRow { is_primary, term, received })
+}
+
+fn error(code: ErrorCode) -> Reply {
+    Reply::Error { code, text: "".into() }
+}
