Go on accepting callers for 2.5 s after a stop was asked for

Change: the listener stays open until two probes have surely missed, then closes before the process ends.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -22,7 +22,7 @@
 use slotmap::SecondaryMap;
 use tokio::{
     net::{TcpListener, TcpStream, UdpSocket},
-    sync::mpsc,
+    sync::{Semaphore, mpsc},
     task::spawn_local,
 };
 
@@ -107,6 +107,8 @@
     commands: mpsc::UnboundedSender<Command>,
     /// Whether effects are being carried out: one thing at a time.
     performing: Cell<bool>,
+    /// Closed once callers are no longer accepted.
+    accepts: Semaphore,
     lost_datagrams: Cell<u64>,
 }
 
@@ -146,6 +148,7 @@
                 snapshot,
                 commands,
                 performing: Cell::new(false),
+                accepts: Semaphore::new(0),
                 lost_datagrams: Cell::new(0),
             }),
         };
@@ -198,18 +201,28 @@
         self.drive(|engine, now| engine.order_answered(now, attempt, outcome));
     }
 
-    /// Stops taking work and returns once none is left, or after `grace`.
+    /// Stops taking work and returns once none is left, or after `grace`. Callers are still accepted
+    /// until balancers have surely noticed that this VM is not ready.
     pub async fn stop(&self, grace: Duration) {
         self.drive(|engine, now| engine.stop(now));
         let began = tokio::time::Instant::now();
+        let accept_for = ACCEPT_AFTER_STOP.min(grace / 2);
         let mut transactions_ended = false;
-        while began.elapsed() < grace && !self.with_engine(Engine::is_stopped) {
+        while began.elapsed() < grace {
             tokio::time::sleep(STOP_POLL).await;
             if !transactions_ended && began.elapsed() >= grace / 2 {
                 transactions_ended = true;
                 self.drive(|engine, now| engine.stop_transactions(now));
             }
+            if began.elapsed() >= accept_for {
+                self.inner.accepts.close();
+                if self.with_engine(Engine::is_stopped) {
+                    break;
+                }
+            }
         }
+        info!(self.inner.log, "no longer serving"; "took_ms" => began.elapsed().as_millis() as u64,
+            "sessions_cut" => self.with_engine(|engine| engine.load().0));
         // Last answers leave before the process does.
         tokio::time::sleep(STOP_POLL).await;
     }
@@ -308,7 +321,11 @@
 
     async fn accept(self, listener: TcpListener, callers_max: usize) {
         loop {
-            let accepted = listener.accept().await;
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                // It never has permits: this returns when it is closed.
+                _ = self.inner.accepts.acquire() => return,
+            };
             let full = self.inner.callers.borrow().len() >= callers_max;
             let Ok((stream, _)) = accepted else {
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -393,5 +410,7 @@
     }
 }
 
+/// How long callers are accepted after a stop: balancers ask once a second and believe the second miss.
+const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_500);
 /// How often a stop looks whether it is done.
 const STOP_POLL: Duration = Duration::from_millis(20);
