Hold starts until the configuration is known; learn promotions under way from the store

Change: a start waits for the configuration; the update of the promotions' token names service and term, and a VM that starts anew reads it: it does not use a primary that may be about to be replaced, and gives leases at once.

--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -6,6 +6,7 @@
 use slotmap::new_key_type;
 
 use crate::{
+    Intent,
     message::{Reply, UpstreamRequest},
     peers::PeerMessage,
 };
@@ -39,10 +40,13 @@
         /// Names the attempt.
         attempt: u64,
     },
-    /// Raise the token of promotions by a conditional update of the value that was read last.
+    /// Raise the token of promotions by a conditional update of the value that was read last, and note
+    /// the intent with it: a VM that starts anew learns from it what may be under way.
     RaiseToken {
         /// Names the attempt in the answer.
         attempt: u64,
+        /// What is about to be ordered.
+        intent: Intent,
     },
     /// Order a promotion, unless it is later than `not_after`.
     Promote {
--- a/crates/gateway/src/engine/callers.rs
+++ b/crates/gateway/src/engine/callers.rs
@@ -62,11 +62,30 @@
 
     fn start(&mut self, key: CallerKey, host: Box<str>, credential: Option<Box<str>>) {
         let session = &mut self.sessions[key];
-        if session.started {
+        if session.started || session.start_held {
             return self.refuse_session(key, ErrorCode::Malformed, "the session has started");
         }
         session.host = host;
         session.credential = credential;
+        if self.catalog.generation == 0 {
+            // Nothing is known yet: the configuration decides, in a moment.
+            session.start_held = true;
+            return;
+        }
+        self.answer_start(key);
+    }
+
+    /// Answers callers that came before the configuration did.
+    pub(super) fn take_up_held_starts(&mut self) {
+        let held = self.sessions.iter().filter(|(_, session)| session.start_held);
+        let held: Vec<CallerKey> = held.map(|(key, _)| key).collect();
+        for key in held {
+            self.sessions[key].start_held = false;
+            self.answer_start(key);
+        }
+    }
+
+    fn answer_start(&mut self, key: CallerKey) {
         if let Err(code) = self.authorize(&self.sessions[key]) {
             return self.refuse_session(key, code, "check the host and the key");
         }
--- a/crates/gateway/src/engine/control.rs
+++ b/crates/gateway/src/engine/control.rs
@@ -15,7 +15,7 @@
     pool::{Awaited, ControlRequest, Outstanding, Purpose},
     rates::Grant as RateGrant,
     session::Transaction,
-    takeover::{self, Attempt, OrderOutcome, Phase, StatusRow, Step, Verdict},
+    takeover::{self, Attempt, Intent, OrderOutcome, Phase, StatusRow, Step, Verdict},
 };
 
 /// Attempt number of questions that belong to none.
@@ -166,7 +166,7 @@
         let Some(address) = self.roster.member_mut(to).map(|member| member.address) else { return };
         let mut stamps = self.roster.stamps_for(now, to);
         // A run that has just begun may have promised something in the run before.
-        if !self.id.first_start && now.since(self.started_at) < LEASE {
+        if !self.intents_known && now.since(self.started_at) < LEASE {
             stamps.echo = None;
         }
         let grants = self.grants_for(to);
@@ -762,7 +762,8 @@
                 Step::RaiseToken => {
                     info!(self.log, "raising the token"; "attempt" => id, "service" => %service,
                         "rows" => ?attempt.rows, "stopped" => attempt.stopped.len());
-                    self.effects.push(Effect::RaiseToken { attempt: id });
+                    let intent = Intent { service, term };
+                    self.effects.push(Effect::RaiseToken { attempt: id, intent });
                 }
                 Step::GiveUp(reason) => self.give_up(index, reason),
                 Step::Announce(database, term) => {
@@ -841,6 +842,21 @@
         }
     }
 
+    /// Takes the promotions that were ordered before this run began: one may still take effect.
+    pub fn set_intents(&mut self, now: MonoTime, intents: Vec<Intent>) {
+        self.now = now;
+        self.intents_known = true;
+        for Intent { service: name, term } in intents {
+            let by = self.id.vm.clone();
+            let service =
+                self.services.entry(name.clone()).or_insert_with(|| ServiceState::new(now));
+            if term > service.term && service.stopped.is_none() {
+                info!(self.log, "promotion may be under way"; "service" => %name, "term" => term.0);
+                service.stopped = Some(StoppedFor { term, by, since: now, confirmed: true });
+            }
+        }
+    }
+
     /// The store answered the update of the token.
     pub fn token_raised(
         &mut self,
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -136,6 +136,8 @@
     heartbeats: u64,
     fetched_at: MonoTime,
     had_lease: bool,
+    /// Whether promotions that an earlier run knew of are known again.
+    intents_known: bool,
     stop_asked_at: Option<MonoTime>,
     counts: Counts,
     effects: Vec<Effect>,
@@ -165,6 +167,7 @@
 impl Engine {
     /// An engine that knows no configuration yet.
     pub fn new(id: Identity, log: Logger, now: MonoTime) -> Engine {
+        let intents_known = id.first_start;
         let roster = Roster::new(id.vm.clone(), id.dc.clone());
         Engine {
             id,
@@ -188,6 +191,7 @@
             heartbeats: 0,
             fetched_at: MonoTime(0),
             had_lease: false,
+            intents_known,
             stop_asked_at: None,
             counts: Counts::default(),
             effects: Vec::new(),
@@ -270,6 +274,7 @@
             self.services.entry(service).or_insert_with(|| ServiceState::new(now));
         }
         self.close_unauthorized();
+        self.take_up_held_starts();
         self.pump();
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,3 +17,4 @@
 
 pub use effect::{CallerKey, Effect, UpstreamKey};
 pub use engine::{Engine, Identity};
+pub use takeover::Intent;
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -120,6 +120,8 @@
     pub(crate) host: Box<str>,
     pub(crate) credential: Option<Box<str>>,
     pub(crate) started: bool,
+    /// Whether its start waits for the configuration.
+    pub(crate) start_held: bool,
     /// What the operation in progress may use: changes apply from the next one.
     pub(crate) granted: Option<Grant>,
     pub(crate) values: Values,
@@ -140,6 +142,7 @@
             host: "".into(),
             credential: None,
             started: false,
+            start_held: false,
             granted: None,
             values: Values::new(),
             prepared: FxHashMap::default(),
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -389,6 +389,15 @@
     }
 }
 
+/// A promotion that is ordered, or may be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Intent {
+    /// The service.
+    pub service: ServiceName,
+    /// The term that begins.
+    pub term: Term,
+}
+
 /// What became of an order.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OrderOutcome {
--- a/crates/gateway/tests/sessions.rs
+++ b/crates/gateway/tests/sessions.rs
@@ -171,3 +171,16 @@
         assert!(world.group.holds(member, &w), "{run:?} lacks {w}");
     }
 }
+
+#[test]
+fn start_before_the_configuration_is_held() {
+    let mut world = World::cold(1);
+    let a = world.open(0, LATEST, KEY);
+    world.run_for(200);
+    assert!(!world.closed.contains(&a), "nothing is known of its host yet");
+    world.configure(world::catalog(1, 1e6, 100));
+    world.run_for(1_000);
+    assert!(world.ask(a, "a1", read("1")).succeeded());
+    let unknown = world.open(0, "nowhere", KEY);
+    assert!(world.closed.contains(&unknown));
+}
--- a/crates/gateway/tests/takeover.rs
+++ b/crates/gateway/tests/takeover.rs
@@ -3,11 +3,12 @@
 mod world;
 
 use gateway::{
+    Intent,
     message::{Access, ErrorCode, Statement},
     peers::LEASE,
 };
 use model::prelude::*;
-use world::{End, HOST, KEY, LATEST, World, begin, database_name, read, write};
+use world::{End, HOST, KEY, LATEST, World, begin, database_name, read, service, write};
 
 /// Terms of the members, the highest last.
 fn leaders(world: &World) -> Vec<usize> {
@@ -291,3 +292,25 @@
     world.darken(0);
     assert_eq!(world.ask(a, "a2", Statement::Commit).error, Some(ErrorCode::InDoubt));
 }
+
+/// A VM that starts anew has forgotten what it promised; the store tells it what may be under way.
+#[test]
+fn vm_that_starts_anew_does_not_use_a_primary_that_may_be_replaced() {
+    let mut world = World::new(1);
+    let a = world.open(0, LATEST, KEY);
+    assert!(world.ask(a, "a0", write("1")).succeeded());
+    world.restart(0, world::catalog(1, 1e6, 100));
+    let now = world.now;
+    world.engines[0].set_intents(now, vec![Intent { service: service(), term: Term(2) }]);
+    let b = world.open(0, LATEST, KEY);
+    world.run_for(100);
+    assert!(!world.ask(b, "b0", read("1")).succeeded());
+    world.group.promote(&database_name(1));
+    world.records[0].role = gateway::catalog::Role::Replica;
+    world.records[1].role = gateway::catalog::Role::Primary;
+    world.publish_databases(2);
+    world.run_for(1_000);
+    assert!(world.ask(b, "b1", read("1")).succeeded());
+    let run = world.group.runs.last().expect("it ran");
+    assert_eq!(run.database, database_name(1));
+}
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -495,7 +495,7 @@
                     self.later(ONE_WAY_US, Happening::Peer { to, message });
                 }
             }
-            Effect::RaiseToken { attempt } => {
+            Effect::RaiseToken { attempt, .. } => {
                 self.token += 1;
                 let (token, sent) = (self.token, self.now);
                 self.later(STORE_US, Happening::Token { vm, attempt, token, sent });
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,7 +14,7 @@
 use edge::client::Client;
 use eyre::WrapErr;
 use gateway::{
-    CallerKey, Effect, Engine, UpstreamKey, catalog::Catalog, peers::MemberRecord,
+    CallerKey, Effect, Engine, Intent, UpstreamKey, catalog::Catalog, peers::MemberRecord,
     takeover::OrderOutcome,
 };
 use model::prelude::*;
@@ -66,6 +66,8 @@
     RaiseToken {
         /// Names the attempt.
         attempt: u64,
+        /// What is about to be ordered.
+        intent: Intent,
     },
     /// Order a promotion; [`Node::order_answered`] takes the answer.
     Promote {
@@ -191,6 +193,11 @@
         self.inner.snapshot.store(Arc::new(snapshot));
     }
 
+    /// Takes the promotions that were ordered before this process started.
+    pub fn set_intents(&self, intents: Vec<Intent>) {
+        self.drive(|engine, now| engine.set_intents(now, intents));
+    }
+
     /// The token was raised to a value by an update sent at a moment, or was not raised.
     pub fn token_raised(&self, attempt: u64, token: Option<u64>, sent: MonoTime) {
         self.drive(|engine, now| engine.token_raised(now, attempt, token, sent));
@@ -287,7 +294,9 @@
                 spawn_local(self.clone().fetch(address));
             }
             Effect::PrepareToken { attempt } => self.command(Command::PrepareToken { attempt }),
-            Effect::RaiseToken { attempt } => self.command(Command::RaiseToken { attempt }),
+            Effect::RaiseToken { attempt, intent } => {
+                self.command(Command::RaiseToken { attempt, intent });
+            }
             Effect::Promote { attempt, service, database, token, not_after } => {
                 self.command(Command::Promote { attempt, service, database, token, not_after });
             }
