--- /dev/null
+++ b/crates/gateway/src/engine/attempts.rs
@@ -0,0 +1,258 @@
+//! Replacing primaries: whether it is due, and the steps of an attempt.
+
+use model::prelude::*;
+use slog::{info, warn};
+
+use super::{DatabaseState, Engine, leaders::NO_ATTEMPT};
+use crate::{
+    effect::Effect,
+    peers::PeerBody,
+    pool::ControlRequest,
+    takeover::{self, Attempt, Intent, OrderOutcome, Phase, Step, Verdict},
+};
+
+/// What is to be done about a primary.
+enum Change {
+    /// It has to be asked whether it still serves.
+    Probe(DatabaseName),
+    /// It has to be replaced.
+    Replace {
+        /// Whether it still serves.
+        planned: bool,
+    },
+}
+
+impl Engine {
+    /// Begins attempts for services whose primary is lost or leaving, if that is this VM's duty.
+    pub(super) fn consider_attempts(&mut self) {
+        self.confirm_stops();
+        self.drop_old_stops();
+        if !self.has_lease() || self.roster.first_live(self.now) != Some(&self.id.vm) {
+            return;
+        }
+        let services: Vec<ServiceName> = self.services.keys().cloned().collect();
+        for name in services {
+            let busy = self.attempts.iter().any(|attempt| attempt.service == name);
+            let resting = self.services[&name].rest_until > self.now;
+            if busy || resting {
+                continue;
+            }
+            match self.change_due(&name) {
+                Some(Change::Replace { planned }) => self.begin_attempt(&name, planned),
+                Some(Change::Probe(database)) if !self.pool.is_opening(&database) => {
+                    self.ask(&database, NO_ATTEMPT, ControlRequest::Status);
+                }
+                Some(Change::Probe(_)) | None => {}
+            }
+        }
+    }
+
+    /// What is to be done about the service's primary.
+    fn change_due(&self, name: &ServiceName) -> Option<Change> {
+        let service = &self.services[name];
+        let members = || self.databases.values().filter(|state| state.record.service == *name);
+        let could_lead = members().any(|state| {
+            !state.record.leaving && Some(&state.record.name) != service.primary.as_ref()
+        });
+        if !could_lead {
+            return None;
+        }
+        let Some(primary) = service.primary.as_ref().and_then(|name| self.databases.get(name))
+        else {
+            let lasted = service.leaderless_since.map(|since| self.now.since(since));
+            let overdue = lasted.is_some_and(|span| span >= takeover::LEADERLESS_FOR);
+            return overdue.then_some(Change::Replace { planned: false });
+        };
+        let own = self.note(name, service);
+        let now = self.now;
+        let notes = self
+            .roster
+            .members()
+            .filter(|(vm, _)| self.roster.is_live(now, vm))
+            .flat_map(|(_, member)| &member.notes)
+            .filter(|note| note.service == *name && note.term == service.term);
+        match takeover::judge(std::iter::once(&own).chain(notes)) {
+            Verdict::Lost if own.failing.is_some() => Some(Change::Replace { planned: false }),
+            // This VM sees for itself before it acts.
+            Verdict::Lost => Some(Change::Probe(primary.record.name.clone())),
+            _ if primary.record.leaving => Some(Change::Replace { planned: true }),
+            Verdict::Serving | Verdict::Unknown => None,
+        }
+    }
+
+    fn begin_attempt(&mut self, name: &ServiceName, planned: bool) {
+        let now = self.now;
+        let service = &self.services[name];
+        let stopped_term = service.stopped.as_ref().map_or(Term(0), |stopped| stopped.term);
+        let term = service.term.next().max(stopped_term);
+        let old_primary = service.primary.clone();
+        let mut candidates: Vec<&DatabaseState> = self
+            .databases
+            .values()
+            .filter(|state| state.record.service == *name && !state.record.leaving)
+            .filter(|state| Some(&state.record.name) != old_primary.as_ref())
+            .collect();
+        let old_dc = old_primary
+            .as_ref()
+            .and_then(|name| self.databases.get(name))
+            .map(|state| state.record.dc.clone());
+        candidates.sort_by_key(|state| {
+            (state.failing_since.is_some(), Some(&state.record.dc) != old_dc.as_ref())
+        });
+        let candidates = candidates.into_iter().map(|state| state.record.name.clone()).collect();
+        let id = self.next_attempt;
+        self.next_attempt += 1;
+        self.counts.takeovers += 1;
+        warn!(self.log, "replacing the primary"; "attempt" => id, "service" => %name,
+            "term" => term.0, "planned" => planned, "old" => ?old_primary,
+            "candidates" => ?candidates);
+        let limits = self.catalog.services.get(name);
+        let synchronous = limits.is_some_and(|limits| limits.synchronous);
+        let attempt = Attempt::new(id, name.clone(), term, now)
+            .with_old_primary(old_primary, planned)
+            .with_candidates(candidates)
+            .with_synchronous(synchronous);
+        self.attempts.push(attempt);
+        self.effects.push(Effect::PrepareToken { attempt: id });
+        let me = self.id.vm.clone();
+        self.stop_using(name, term, planned, &me);
+        self.run_attempts();
+    }
+
+    /// Carries attempts on.
+    pub(super) fn run_attempts(&mut self) {
+        let now = self.now;
+        let members = self.roster.len();
+        let ids: Vec<u64> = self.attempts.iter().map(|attempt| attempt.id).collect();
+        for id in ids {
+            let Some(index) = self.attempts.iter().position(|attempt| attempt.id == id) else {
+                continue;
+            };
+            self.repeat_stop(index);
+            let attempt = &mut self.attempts[index];
+            let service = attempt.service.clone();
+            let term = attempt.term;
+            if self.services.get(&service).is_some_and(|state| state.term >= term) {
+                self.attempts.remove(index);
+                continue;
+            }
+            match attempt.step(now, members) {
+                Step::Wait => {}
+                Step::Ask(databases) => {
+                    let request = match attempt.pauses() {
+                        true => ControlRequest::Pause(term),
+                        false => ControlRequest::Status,
+                    };
+                    for database in databases {
+                        self.ask(&database, id, request);
+                    }
+                }
+                Step::Demote(database) => self.ask(&database, id, ControlRequest::Demote(term)),
+                Step::RaiseToken => {
+                    info!(self.log, "raising the token"; "attempt" => id, "service" => %service,
+                        "rows" => ?attempt.rows, "stopped" => attempt.stopped.len());
+                    let intent = Intent { service, term };
+                    self.effects.push(Effect::RaiseToken { attempt: id, intent });
+                }
+                Step::GiveUp(reason) => self.give_up(index, reason),
+                Step::Announce(database, term) => {
+                    self.attempts.remove(index);
+                    info!(self.log, "primary replaced"; "attempt" => id, "service" => %service,
+                        "database" => %database, "term" => term.0);
+                    self.begin_term(&service, term, Some(database.clone()), "this VM replaced it");
+                    let primary = Some(database);
+                    self.tell_all(PeerBody::Decided { service, term, primary });
+                    self.send_heartbeats();
+                }
+            }
+        }
+    }
+
+    fn repeat_stop(&mut self, index: usize) {
+        let now = self.now;
+        let attempt = &mut self.attempts[index];
+        let due = attempt.stop_sent.is_none_or(|at| now.since(at) >= takeover::STOP_AGAIN_AFTER);
+        if attempt.phase != Phase::Stopping || !due {
+            return;
+        }
+        attempt.stop_sent = Some(now);
+        let (service, term, planned) = (attempt.service.clone(), attempt.term, attempt.planned);
+        let stopped = attempt.stopped.clone();
+        let addresses: Vec<_> = self
+            .roster
+            .members()
+            .filter(|(vm, _)| !stopped.contains(*vm))
+            .map(|(_, member)| member.address)
+            .collect();
+        for address in addresses {
+            let service = service.clone();
+            self.tell(address, PeerBody::Stop { service, term, planned });
+        }
+    }
+
+    /// A VM has stopped using the primary for an attempt of this VM.
+    pub(super) fn note_stopped(&mut self, service: &ServiceName, term: Term, vm: VmName) {
+        let needed = self.roster.promises_needed(self.now);
+        let is_witness = self.roster.is_witness(&vm);
+        for attempt in &mut self.attempts {
+            if attempt.service == *service && attempt.term == term {
+                attempt.note_stopped(self.now, vm.clone(), is_witness, needed);
+            }
+        }
+    }
+
+    fn give_up(&mut self, index: usize, reason: &str) {
+        let attempt = &self.attempts[index];
+        if attempt.ordered {
+            // A new leader may come of the order: nobody may use the old primary.
+            let now = self.now;
+            self.attempts[index].restart_survey(now);
+            return;
+        }
+        let attempt = self.attempts.remove(index);
+        warn!(self.log, "primary not replaced"; "attempt" => attempt.id,
+            "service" => %attempt.service, "reason" => reason, "rows" => ?attempt.rows,
+            "stopped" => attempt.stopped.len());
+        if attempt.synchronous {
+            for database in attempt.candidates.clone() {
+                self.ask(&database, NO_ATTEMPT, ControlRequest::Resume);
+            }
+        }
+        if let Some(service) = self.services.get_mut(&attempt.service) {
+            service.rest_until = self.now + takeover::REST_AFTER_FAILURE;
+        }
+        self.decided(&attempt.service, attempt.term, None);
+        let (service, term) = (attempt.service, attempt.term);
+        self.tell_all(PeerBody::Decided { service, term, primary: None });
+    }
+
+    /// The store answered the update of the token.
+    pub fn token_raised(
+        &mut self,
+        now: MonoTime,
+        attempt: u64,
+        token: Option<u64>,
+        sent: MonoTime,
+    ) {
+        self.now = now;
+        let Some(found) = self.attempts.iter_mut().find(|a| a.id == attempt) else { return };
+        let service = found.service.clone();
+        info!(self.log, "token"; "attempt" => attempt, "token" => ?token,
+            "age_ms" => now.since(sent).as_ms());
+        if let (Some(database), Some(token)) = (found.token_raised(now, token), token) {
+            let not_after = sent + takeover::ORDER_WITHIN;
+            self.effects.push(Effect::Promote { attempt, service, database, token, not_after });
+        }
+        self.run_attempts();
+    }
+
+    /// The platform answered an order.
+    pub fn order_answered(&mut self, now: MonoTime, attempt: u64, outcome: OrderOutcome) {
+        self.now = now;
+        info!(self.log, "order answered"; "attempt" => attempt, "outcome" => ?outcome);
+        if let Some(attempt) = self.attempts.iter_mut().find(|a| a.id == attempt) {
+            attempt.order_answered(now, outcome);
+        }
+        self.run_attempts();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engine/connections.rs
@@ -0,0 +1,142 @@
+//! Opening, using and ending connections to upstreams.
+
+use model::prelude::*;
+use slog::info;
+
+use super::Engine;
+use crate::{
+    effect::{Effect, UpstreamKey},
+    message::UpstreamRequest,
+    pool::{Awaited, Connection, Outstanding, Purpose},
+};
+
+/// First pause after a connection to a database failed; doubles up to `RETRY_MAX`.
+const RETRY_MIN: DurationUs = DurationUs::from_ms(50);
+/// Longest pause between tries to reach a database.
+const RETRY_MAX: DurationUs = DurationUs::from_ms(800);
+/// How long a free connection is kept.
+const CONNECTION_IDLE: DurationUs = DurationUs::from_ms(20_000);
+/// Time in which an upstream has to accept a connection.
+const CONNECT_WITHIN: DurationUs = DurationUs::from_ms(800);
+/// Silence on a connection with a statement in progress after which its database is suspected, if no
+/// other connection to it hears anything either.
+const SILENT_FOR: DurationUs = DurationUs::from_ms(500);
+
+impl Engine {
+    /// Opens a connection to a database.
+    pub(super) fn open(&mut self, database: &DatabaseName, purpose: Purpose) -> UpstreamKey {
+        let now = self.now;
+        let state = &self.databases[database];
+        let workspace = match &purpose {
+            Purpose::Statements(workspace) => workspace.clone(),
+            Purpose::Control { .. } => None,
+        };
+        let key = self.pool.connections.insert(Connection {
+            database: database.clone(),
+            incarnation: state.record.incarnation,
+            purpose,
+            started: false,
+            in_transaction: false,
+            set_in_transaction: false,
+            uncertain: false,
+            holder: None,
+            values: Default::default(),
+            prepared: Default::default(),
+            outstanding: Default::default(),
+            opened_at: now,
+            idle_since: now,
+            last_heard: now,
+        });
+        self.counts.connections_opened += 1;
+        let service = state.record.service.clone();
+        self.effects.push(Effect::Connect(key, state.record.address));
+        let database = database.clone();
+        self.send(key, Awaited::Start, UpstreamRequest::Start { service, workspace, database });
+        key
+    }
+
+    /// Sends to an upstream and notes that an answer is awaited.
+    pub(super) fn send(&mut self, key: UpstreamKey, awaited: Awaited, request: UpstreamRequest) {
+        let Some(connection) = self.pool.connections.get_mut(key) else { return };
+        connection.outstanding.push_back(Outstanding {
+            awaited,
+            sent_at: self.now,
+            rows: Vec::new(),
+            outcome: None,
+        });
+        self.effects.push(Effect::ToUpstream(key, request));
+    }
+
+    /// Gives a connection back.
+    pub(super) fn free(&mut self, upstream: UpstreamKey) {
+        if let Some(connection) = self.pool.connections.get_mut(upstream) {
+            connection.holder = None;
+            connection.in_transaction = false;
+            connection.set_in_transaction = false;
+            connection.idle_since = self.now;
+        }
+    }
+
+    /// Rolls back the transaction on a connection and gives it back.
+    pub(super) fn roll_back(&mut self, upstream: UpstreamKey) {
+        self.send(upstream, Awaited::Setup, UpstreamRequest::Rollback);
+        if let Some(connection) = self.pool.connections.get_mut(upstream) {
+            // Some databases undo settings with the transaction in which they were made.
+            connection.uncertain |= connection.set_in_transaction;
+        }
+        self.free(upstream);
+    }
+
+    /// Ends a connection at once.
+    pub(super) fn close_connection(&mut self, key: UpstreamKey) {
+        if self.pool.connections.remove(key).is_some() {
+            self.effects.push(Effect::CloseUpstream(key));
+        }
+    }
+
+    /// Notes that a database did not do what it should.
+    pub(super) fn note_failure(&mut self, database: &DatabaseName, since: MonoTime, reason: &str) {
+        let now = self.now;
+        let Some(state) = self.databases.get_mut(database) else { return };
+        state.failures += 1;
+        let pause = RETRY_MIN.0 << state.failures.min(5);
+        state.retry_at = now + DurationUs(pause.min(RETRY_MAX.0));
+        if state.failing_since.is_none() {
+            state.failing_since = Some(since);
+            info!(self.log, "database suspected"; "database" => %database,
+                "service" => %state.record.service, "reason" => reason,
+                "heard_ms" => state.last_heard.map(|at| now.since(at).as_ms()));
+        }
+    }
+
+    /// Ends connections that were not accepted in time, that went silent, or that nobody needs.
+    pub(super) fn expire_connections(&mut self) {
+        let now = self.now;
+        let mut late = Vec::new();
+        let mut silent = Vec::new();
+        let mut idle = Vec::new();
+        for (key, connection) in &self.pool.connections {
+            let oldest = connection.outstanding.front().map(|outstanding| outstanding.sent_at);
+            if !connection.started && now.since(connection.opened_at) >= CONNECT_WITHIN {
+                late.push(key);
+            } else if let Some(sent_at) = oldest {
+                let heard = self.databases.get(&connection.database).and_then(|s| s.last_heard);
+                let unheard = heard.is_none_or(|heard| heard < sent_at);
+                if unheard && connection.started && now.since(sent_at) >= SILENT_FOR {
+                    silent.push((connection.database.clone(), sent_at));
+                }
+            } else if connection.is_free() && now.since(connection.idle_since) >= CONNECTION_IDLE {
+                idle.push(key);
+            }
+        }
+        for (database, sent_at) in silent {
+            self.note_failure(&database, sent_at, "silent");
+        }
+        for key in late {
+            self.lose_connection(key, "not accepted in time");
+        }
+        for key in idle {
+            self.close_connection(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engine/expiry.rs
@@ -0,0 +1,60 @@
+//! Statements whose time is up.
+
+use slog::info;
+
+use super::Engine;
+use crate::{
+    effect::{CallerKey, UpstreamKey},
+    message::ErrorCode,
+    session::Stage,
+};
+
+impl Engine {
+    /// Refuses statements that waited too long, and answers for those that got no answer in time.
+    pub(super) fn expire_statements(&mut self) {
+        let now = self.now;
+        let keys: Vec<CallerKey> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| session.current.as_ref().is_some_and(|c| c.is_overdue(now)))
+            .map(|(key, _)| key)
+            .collect();
+        for key in keys {
+            let Some(current) = &self.sessions[key].current else { continue };
+            match current.stage {
+                Stage::Waiting | Stage::Connecting(_) => self.give_up_waiting(key),
+                Stage::Beginning(upstream) | Stage::Running(upstream) => {
+                    self.give_up_running(key, upstream)
+                }
+                Stage::Parked => self.fail(key, ErrorCode::InDoubt, "the primary was replaced"),
+            }
+        }
+    }
+
+    fn give_up_waiting(&mut self, key: CallerKey) {
+        let Some(current) = &mut self.sessions[key].current else { return };
+        let needs_token = current.needs_token;
+        if let Stage::Connecting(upstream) = current.stage {
+            current.stage = Stage::Waiting;
+            // Once it is open, others can use it.
+            self.free(upstream);
+        }
+        self.waiting.retain(|waiting| *waiting != key);
+        if needs_token {
+            let grant = self.sessions[key].granted.as_ref();
+            if let Some(workspace) = grant.and_then(|grant| grant.workspace.clone()) {
+                self.rates.withdraw(&workspace);
+            }
+            self.counts.rate_limited += 1;
+            return self.fail(key, ErrorCode::TooMany, "no turn in the workspace's rate in time");
+        }
+        self.fail(key, ErrorCode::Busy, "no upstream had room in time");
+    }
+
+    fn give_up_running(&mut self, key: CallerKey, upstream: UpstreamKey) {
+        let database = self.pool.connections.get(upstream).map(|c| c.database.clone());
+        info!(self.log, "statement timed out"; "database" => ?database);
+        self.close_connection(upstream);
+        self.lose_statement(key, ErrorCode::Timeout, "no answer within the statement's time");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engine/gossip.rs
@@ -0,0 +1,219 @@
+//! What VMs tell each other regularly, and what is learned from it.
+
+use std::net::SocketAddr;
+
+use model::prelude::*;
+
+use super::{Engine, ServiceState, StoppedFor};
+use crate::{
+    effect::Effect,
+    peers::{
+        AgedPosition, Demand, HEARTBEAT_PERIOD, Heartbeat, LEASE, PeerBody, PeerMessage,
+        ServiceNote,
+    },
+};
+
+/// How often a newer state is fetched from peers.
+const FETCH_EVERY: DurationUs = DurationUs::from_ms(200);
+/// One heartbeat in so many says who leads each service, for VMs that have just started.
+const LEADERS_EVERY: u64 = 8;
+/// Services that a heartbeat tells of at most, so that it stays below a kilobyte.
+const NOTES_MAX: usize = 16;
+/// A leader that is known for less than this is said in every heartbeat.
+const LEADER_NEWS: DurationUs = DurationUs::from_ms(2_000);
+
+impl Engine {
+    /// A peer said something.
+    pub fn peer_message(&mut self, now: MonoTime, message: PeerMessage) {
+        self.now = now;
+        let PeerMessage { from, incarnation, body } = message;
+        match body {
+            PeerBody::Heartbeat(heartbeat) => self.hear(from, incarnation, heartbeat),
+            PeerBody::Short { database } => self.give_up_connection(&database),
+            PeerBody::Borrow { workspace, tokens } => self.lend(&from, workspace, tokens),
+            PeerBody::Lend { workspace, tokens, all } => {
+                self.rates.borrow(now, &workspace, tokens, all);
+            }
+            PeerBody::Stop { service, term, planned } => {
+                self.stop_using(&service, term, planned, &from)
+            }
+            PeerBody::Stopped { service, term } => {
+                self.note_stopped(&service, term, from);
+                self.run_attempts();
+            }
+            PeerBody::Decided { service, term, primary } => self.decided(&service, term, primary),
+        }
+        self.settle_parked();
+        self.pump();
+    }
+
+    fn hear(&mut self, from: VmName, incarnation: Incarnation, heartbeat: Heartbeat) {
+        let now = self.now;
+        if !self.roster.hear(now, &from, incarnation, heartbeat.stamps) {
+            return;
+        }
+        let said_at = heartbeat.stamps.echo.map(|echo| echo.stamp + echo.held);
+        let Some(member) = self.roster.member_mut(&from) else { return };
+        member.stopping = heartbeat.stopping;
+        member.terms_total = heartbeat.terms_total;
+        member.demands = heartbeat.demands;
+        let address = member.address;
+        for note in &heartbeat.services {
+            self.learn(note, said_at);
+        }
+        if let Some(member) = self.roster.member_mut(&from) {
+            member.notes = heartbeat.services;
+        }
+        if let Some(said_at) = said_at {
+            self.rates.accept(now, said_at, &heartbeat.grants);
+        }
+        if self.roster.am_witness() && !self.roster.is_witness(&from) {
+            let services = self.notes(heartbeat.wants_notes);
+            self.send_heartbeat(&from, services, &[], false);
+        }
+        let newer = heartbeat.generation > self.catalog.generation
+            || heartbeat.registry > self.registry_version
+            || heartbeat.members > self.roster.version();
+        if newer && now.since(self.fetched_at) >= FETCH_EVERY {
+            self.fetched_at = now;
+            self.effects.push(Effect::FetchFromPeer(address));
+        }
+    }
+
+    /// Takes what a peer knows of a service.
+    fn learn(&mut self, note: &ServiceNote, said_at: Option<MonoTime>) {
+        let now = self.now;
+        let service =
+            self.services.entry(note.service.clone()).or_insert_with(|| ServiceState::new(now));
+        if note.term > service.term {
+            self.begin_term(&note.service, note.term, note.primary.clone(), "a peer said so");
+        }
+        let Some(service) = self.services.get_mut(&note.service) else { return };
+        if note.term == service.term && service.primary.is_none() && note.primary.is_some() {
+            service.primary = note.primary.clone();
+        }
+        if let (Some(AgedPosition { position, age }), Some(said_at)) = (note.position, said_at)
+            && position.term == service.term
+            && said_at.0 > age.0
+        {
+            service.freshness.observe(said_at - age, position);
+        }
+        if let Some(term) = note.stopped_for
+            && term > service.term
+            && service.stopped.as_ref().is_none_or(|stopped| stopped.term < term)
+        {
+            let by = self.id.vm.clone();
+            service.stopped = Some(StoppedFor { term, by, since: now, confirmed: true });
+        }
+    }
+
+    /// Says to every member what this VM knows.
+    pub(super) fn send_heartbeats(&mut self) {
+        let now = self.now;
+        self.heartbeat_at = now + HEARTBEAT_PERIOD;
+        self.heartbeats += 1;
+        let nearest = self.roster.nearest_witness(now, |dc| self.distance(dc)).cloned();
+        let demands = self.rates.demands(now);
+        self.grant_to_self(&demands);
+        let witnesses: Vec<VmName> = self
+            .roster
+            .members()
+            .filter(|(vm, _)| self.roster.is_witness(vm))
+            .map(|(vm, _)| vm.clone())
+            .collect();
+        let behind = self.is_behind();
+        let (all, news) = (self.notes(true), self.notes(false));
+        let am_witness = self.roster.am_witness();
+        for vm in witnesses {
+            let wants_notes = nearest.as_ref() == Some(&vm) || behind;
+            let services = if am_witness || wants_notes { &all } else { &news };
+            self.send_heartbeat(&vm, services.clone(), &demands, wants_notes);
+        }
+    }
+
+    fn send_heartbeat(
+        &mut self,
+        to: &VmName,
+        services: Vec<ServiceNote>,
+        demands: &[Demand],
+        wants_notes: bool,
+    ) {
+        let now = self.now;
+        let Some(address) = self.roster.member_mut(to).map(|member| member.address) else { return };
+        let mut stamps = self.roster.stamps_for(now, to);
+        // A run that has just begun may have promised something in the run before.
+        if !self.intents_known && now.since(self.started_at) < LEASE {
+            stamps.echo = None;
+        }
+        let grants = self.grants_for(to);
+        let demands = demands
+            .iter()
+            .filter(|demand| self.roster.home_of(now, &demand.workspace) == *to)
+            .cloned()
+            .collect();
+        let heartbeat = Heartbeat {
+            stamps,
+            generation: self.catalog.generation,
+            registry: self.registry_version,
+            services,
+            demands,
+            grants,
+            terms_total: self.terms_total(),
+            members: self.roster.version(),
+            wants_notes,
+            stopping: self.stop_asked_at.is_some(),
+        };
+        self.tell(address, PeerBody::Heartbeat(heartbeat));
+    }
+
+    /// What this VM knows of the services, as far as it fits: what matters most goes first, the rest,
+    /// if wanted, takes turns.
+    fn notes(&self, all: bool) -> Vec<ServiceNote> {
+        let now = self.now;
+        let say_leaders = self.heartbeats.is_multiple_of(LEADERS_EVERY);
+        let mut notes: Vec<(bool, ServiceNote)> = Vec::new();
+        for (name, service) in &self.services {
+            let mut note = self.note(name, service);
+            let is_news = now.since(service.term_since) < LEADER_NEWS;
+            note.primary = note.primary.filter(|_| say_leaders || is_news);
+            notes.push((is_news || note.stopped_for.is_some() || note.failing.is_some(), note));
+        }
+        notes.retain(|(urgent, _)| all || *urgent);
+        if notes.len() > NOTES_MAX {
+            let turn = self.heartbeats as usize * NOTES_MAX % notes.len();
+            notes.rotate_left(turn);
+            notes.sort_by_key(|(urgent, _)| !urgent);
+            notes.truncate(NOTES_MAX);
+        }
+        notes.into_iter().map(|(_, note)| note).collect()
+    }
+
+    pub(super) fn note(&self, name: &ServiceName, service: &ServiceState) -> ServiceNote {
+        let now = self.now;
+        let primary = service.primary.as_ref().and_then(|name| self.databases.get(name));
+        let latest = service.freshness.latest();
+        ServiceNote {
+            service: name.clone(),
+            term: service.term,
+            primary: service.primary.clone(),
+            stopped_for: service.stopped.as_ref().map(|stopped| stopped.term),
+            failing: primary.and_then(|p| p.failing_since).map(|since| now.since(since)),
+            answered: primary.and_then(|p| p.last_heard).map(|at| now.since(at)),
+            position: latest
+                .map(|bound| AgedPosition { position: bound.position, age: now.since(bound.at) }),
+        }
+    }
+
+    pub(super) fn tell(&mut self, address: SocketAddr, body: PeerBody) {
+        let from = self.id.vm.clone();
+        let incarnation = self.id.incarnation;
+        self.effects.push(Effect::ToPeer(address, PeerMessage { from, incarnation, body }));
+    }
+
+    pub(super) fn tell_all(&mut self, body: PeerBody) {
+        let addresses: Vec<_> = self.roster.members().map(|(_, member)| member.address).collect();
+        for address in addresses {
+            self.tell(address, body.clone());
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engine/leaders.rs
@@ -0,0 +1,180 @@
+//! Who leads each service, and questions to its databases.
+
+use model::prelude::*;
+use slog::info;
+
+use super::Engine;
+use crate::{
+    catalog::Role,
+    effect::{CallerKey, UpstreamKey},
+    message::{Access, Reply, UpstreamRequest},
+    pool::{Awaited, ControlRequest, Outstanding, Purpose},
+    session::Transaction,
+    takeover::StatusRow,
+};
+
+/// Attempt number of questions that belong to none.
+pub(super) const NO_ATTEMPT: u64 = 0;
+/// How often the databases of a service without a known leader are asked.
+const ASK_LEADER_EVERY: DurationUs = DurationUs::from_ms(300);
+
+impl Engine {
+    /// Finds out who leads services whose leader is not known.
+    pub(super) fn learn_leaders(&mut self) {
+        let now = self.now;
+        for service in self.services.values_mut() {
+            match service.primary {
+                Some(_) => service.leaderless_since = None,
+                None => drop(service.leaderless_since.get_or_insert(now)),
+            }
+        }
+        let unknown: Vec<ServiceName> = self
+            .services
+            .iter()
+            .filter(|(_, service)| service.primary.is_none())
+            .filter(|(_, s)| s.asked_leader.is_none_or(|at| now.since(at) >= ASK_LEADER_EVERY))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for service in unknown {
+            if let Some(state) = self.services.get_mut(&service) {
+                state.asked_leader = Some(now);
+            }
+            let claimants: Vec<DatabaseName> = self
+                .databases
+                .iter()
+                .filter(|(_, state)| {
+                    state.record.service == service && state.record.role == Role::Primary
+                })
+                .map(|(name, _)| name.clone())
+                .collect();
+            for database in claimants {
+                self.ask(&database, NO_ATTEMPT, ControlRequest::Status);
+            }
+        }
+        self.probe_failing();
+    }
+
+    /// Asks databases that failed whether they are back.
+    fn probe_failing(&mut self) {
+        let now = self.now;
+        let due: Vec<DatabaseName> = self
+            .databases
+            .iter()
+            .filter(|(_, state)| state.failing_since.is_some() && state.retry_at <= now)
+            .filter(|(name, _)| !self.pool.is_opening(name))
+            .map(|(name, _)| name.clone())
+            .collect();
+        for database in due {
+            self.ask(&database, NO_ATTEMPT, ControlRequest::Status);
+        }
+    }
+
+    /// Puts a question or an order to a database, on a connection of its own.
+    pub(super) fn ask(&mut self, database: &DatabaseName, attempt: u64, request: ControlRequest) {
+        if self.databases.contains_key(database) {
+            self.open(database, Purpose::Control { attempt, request });
+        }
+    }
+
+    /// A connection for a question or an order was accepted.
+    pub(super) fn send_control(&mut self, key: UpstreamKey) {
+        let Purpose::Control { request, .. } = self.pool.connections[key].purpose else { return };
+        let request = match request {
+            ControlRequest::Status => UpstreamRequest::Status,
+            ControlRequest::Pause(term) => UpstreamRequest::Pause(term),
+            ControlRequest::Resume => UpstreamRequest::Resume,
+            ControlRequest::Demote(term) => UpstreamRequest::Demote(term),
+        };
+        self.send(key, Awaited::Control, request);
+    }
+
+    /// A database answered a question or an order.
+    pub(super) fn finish_control(&mut self, key: UpstreamKey, done: Outstanding) {
+        let connection = &self.pool.connections[key];
+        let database = connection.database.clone();
+        let Purpose::Control { attempt, .. } = connection.purpose else { return };
+        self.close_connection(key);
+        let row = done.rows.iter().find_map(|row| match row {
+            Reply::Row(text) => (self.id.decode_status)(text),
+            _ => None,
+        });
+        let Some(row) = row else {
+            info!(self.log, "status not given"; "database" => %database,
+                "outcome" => ?done.outcome);
+            return;
+        };
+        self.note_status(&database, row);
+        if let Some(attempt) = self.attempts.iter_mut().find(|a| a.id == attempt) {
+            attempt.note_row(&database, row);
+            self.run_attempts();
+        }
+    }
+
+    pub(super) fn note_status(&mut self, database: &DatabaseName, row: StatusRow) {
+        let Some(state) = self.databases.get_mut(database) else { return };
+        state.applied = state.applied.max(Some(row.received));
+        let service = state.record.service.clone();
+        let Some(known) = self.services.get(&service) else { return };
+        let stopped = known.stopped.as_ref().is_some_and(|stopped| row.term < stopped.term);
+        if !row.is_primary || row.term < known.term || stopped {
+            return;
+        }
+        if row.term > known.term {
+            self.begin_term(&service, row.term, Some(database.clone()), "its status says so");
+        } else if known.primary.is_none() {
+            info!(self.log, "leader known"; "service" => %service, "database" => %database,
+                "term" => row.term.0);
+            if let Some(known) = self.services.get_mut(&service) {
+                known.primary = Some(database.clone());
+            }
+        }
+    }
+
+    pub(super) fn begin_term(
+        &mut self,
+        name: &ServiceName,
+        term: Term,
+        primary: Option<DatabaseName>,
+        reason: &str,
+    ) {
+        let now = self.now;
+        let Some(service) = self.services.get_mut(name) else { return };
+        if term <= service.term {
+            return;
+        }
+        info!(self.log, "term began"; "service" => %name, "term" => term.0,
+            "before" => service.term.0, "primary" => ?primary, "reason" => reason,
+            "stopped_ms" => service.stopped.as_ref().map(|s| now.since(s.since).as_ms()));
+        service.term = term;
+        service.term_since = now;
+        service.primary = primary;
+        service.freshness.begin_term(term);
+        if service.stopped.as_ref().is_some_and(|stopped| stopped.term <= term) {
+            service.stopped = None;
+        }
+        self.abort_on_old_primary(name);
+    }
+
+    /// Rolls back transactions that may write at a database that no longer leads.
+    fn abort_on_old_primary(&mut self, service: &ServiceName) {
+        let primary = self.services.get(service).and_then(|s| s.primary.clone());
+        let stranded: Vec<CallerKey> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| {
+                let Transaction::Pinned { access, upstream } = session.transaction else {
+                    return false;
+                };
+                let connection = self.pool.connections.get(upstream);
+                session.current.is_none()
+                    && access == Access::Write
+                    && session.granted.as_ref().is_some_and(|g| g.route.service == *service)
+                    && connection.is_some_and(|c| Some(&c.database) != primary.as_ref())
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in stranded {
+            self.abandon_transaction(key, "its primary was replaced");
+        }
+    }
+}
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -1,9 +1,16 @@
 //! The engine: one VM's sessions, connections, peers and attempts, driven by events.
 
 mod answers;
+mod attempts;
 mod callers;
-mod control;
+mod connections;
+mod expiry;
+mod gossip;
+mod leaders;
 mod placement;
+mod registry;
+mod sharing;
+mod stops;
 
 pub(crate) use callers::Grant;
 
@@ -25,15 +32,6 @@
     takeover::{Attempt, StatusRow},
 };
 
-/// How long a database that left the list is still used if the store was away: its entry may return.
-pub const MISSING_FOR: DurationUs = DurationUs::from_ms(2_500);
-/// How long a free connection is kept.
-const CONNECTION_IDLE: DurationUs = DurationUs::from_ms(20_000);
-/// Time in which an upstream has to accept a connection.
-const CONNECT_WITHIN: DurationUs = DurationUs::from_ms(800);
-/// Silence on a connection with a statement in progress after which its database is suspected, if no
-/// other connection to it hears anything either.
-const SILENT_FOR: DurationUs = DurationUs::from_ms(500);
 /// How long sessions at rest are kept open after a stop was asked for: a statement may be under way.
 const STOP_SESSIONS_AFTER: DurationUs = DurationUs::from_ms(300);
 
@@ -278,41 +276,6 @@
         self.pump();
     }
 
-    /// Takes the databases. `store_was_away`: entries may be missing only because their databases
-    /// could not renew them.
-    pub fn set_databases(
-        &mut self,
-        now: MonoTime,
-        version: u64,
-        databases: Vec<Database>,
-        store_was_away: bool,
-    ) {
-        self.now = now;
-        if version < self.registry_version {
-            return;
-        }
-        self.registry_version = version;
-        self.registry_known = true;
-        let mut gone: Vec<DatabaseName> = Vec::new();
-        for (name, state) in &mut self.databases {
-            if databases.iter().any(|record| record.name == *name) {
-                state.missing_since = None;
-            } else if store_was_away {
-                state.missing_since.get_or_insert(now);
-            } else {
-                gone.push(name.clone());
-            }
-        }
-        for name in gone {
-            self.drop_database(&name, "it left the list");
-        }
-        for record in databases {
-            self.set_database(record);
-        }
-        self.learn_leaders();
-        self.pump();
-    }
-
     /// Takes the entries of all VMs.
     pub fn set_members(&mut self, now: MonoTime, version: u64, records: &[MemberRecord]) {
         self.now = now;
@@ -366,66 +329,6 @@
         self.close_resting_sessions();
     }
 
-    fn set_database(&mut self, record: Database) {
-        let name = record.name.clone();
-        let restarted = self.databases.get(&name).is_some_and(|state| {
-            state.record.incarnation != record.incarnation
-                || state.record.address != record.address
-                || state.record.service != record.service
-        });
-        if restarted {
-            self.drop_database(&name, "it was started again");
-        }
-        match self.databases.get_mut(&name) {
-            Some(state) => {
-                if state.record != record {
-                    info!(self.log, "database changed"; "database" => %name,
-                        "service" => %record.service, "role" => ?record.role,
-                        "leaving" => record.leaving);
-                }
-                state.record = record;
-            }
-            None => {
-                info!(self.log, "database listed"; "database" => %name,
-                    "service" => %record.service, "role" => ?record.role, "dc" => %record.dc,
-                    "leaving" => record.leaving, "incarnation" => record.incarnation);
-                let service = record.service.clone();
-                self.databases.insert(name, DatabaseState::new(record, self.now));
-                let now = self.now;
-                self.services.entry(service).or_insert_with(|| ServiceState::new(now));
-            }
-        }
-    }
-
-    fn drop_database(&mut self, name: &DatabaseName, reason: &str) {
-        info!(self.log, "database dropped"; "database" => %name, "reason" => reason);
-        let held = self.pool.connections.iter().filter(|(_, c)| c.database == *name);
-        let held: Vec<_> = held.map(|(key, c)| (key, c.is_free())).collect();
-        for (key, free) in held {
-            // A statement in progress may still be answered.
-            if free {
-                self.close_connection(key);
-            }
-        }
-        if let Some(state) = self.databases.remove(name) {
-            let service = self.services.get_mut(&state.record.service);
-            if let Some(service) = service.filter(|s| s.primary.as_ref() == Some(name)) {
-                service.primary = None;
-            }
-        }
-    }
-
-    fn expire_missing(&mut self) {
-        let now = self.now;
-        let gone = self.databases.iter().filter(|(_, state)| {
-            state.missing_since.is_some_and(|since| now.since(since) >= MISSING_FOR)
-        });
-        let gone: Vec<DatabaseName> = gone.map(|(name, _)| name.clone()).collect();
-        for name in gone {
-            self.drop_database(&name, "its entry did not return after the store's outage");
-        }
-    }
-
     /// Closes sessions that rest, once a stop was asked for.
     fn close_resting_sessions(&mut self) {
         let Some(at) = self.stop_asked_at else { return };
@@ -460,7 +363,17 @@
     }
 
     fn has_lease(&self) -> bool {
-        self.roster.lease_until(self.now).is_some_and(|until| self.now < until)
+        self.roster.lease_until(self.now).is_some_and(|until| self.now < until) && !self.is_behind()
+    }
+
+    /// Terms of all services, added up.
+    fn terms_total(&self) -> u64 {
+        self.services.values().map(|service| service.term.0).sum()
+    }
+
+    /// Whether a witness knows of a change that this VM has not heard of.
+    fn is_behind(&self) -> bool {
+        self.terms_total() < self.roster.terms_total(self.now)
     }
 
     fn note_lease(&mut self) {
--- a/crates/gateway/src/engine/placement.rs
+++ b/crates/gateway/src/engine/placement.rs
@@ -1,16 +1,13 @@
 //! Which upstream and which connection a waiting statement gets.
 
 use model::prelude::*;
-use slog::info;
 
-use super::{
-    CONNECT_WITHIN, CONNECTION_IDLE, DatabaseState, Engine, SILENT_FOR, callers::access_of,
-};
+use super::{DatabaseState, Engine, callers::access_of};
 use crate::{
     catalog::Freshness,
-    effect::{CallerKey, Effect, UpstreamKey},
-    message::{Access, ErrorCode, ForwardedStatement, ShapeKey, Statement, UpstreamRequest},
-    pool::{Awaited, Connection, Outstanding, Purpose},
+    effect::{CallerKey, UpstreamKey},
+    message::{Access, ForwardedStatement, ShapeKey, Statement, UpstreamRequest},
+    pool::{Awaited, Purpose},
     queue,
     session::{Session, Stage, Transaction},
 };
@@ -58,10 +55,6 @@
 const KEEP_OTHERS_FOR: DurationUs = DurationUs::from_ms(80);
 /// How long a statement waits before connections past the even part are opened for it.
 const BORROW_AFTER: DurationUs = DurationUs::from_ms(30);
-/// First pause after a connection to a database failed; doubles up to `RETRY_MAX`.
-const RETRY_MIN: DurationUs = DurationUs::from_ms(50);
-/// Longest pause between tries to reach a database.
-const RETRY_MAX: DurationUs = DurationUs::from_ms(800);
 
 impl Engine {
     /// Gives waiting statements to upstreams as far as there is room. Connections that are open go first
@@ -301,50 +294,6 @@
         if region.is_some() && region == self.id.regions.get(&self.id.dc) { 1 } else { 2 }
     }
 
-    /// Opens a connection to a database.
-    pub(super) fn open(&mut self, database: &DatabaseName, purpose: Purpose) -> UpstreamKey {
-        let now = self.now;
-        let state = &self.databases[database];
-        let workspace = match &purpose {
-            Purpose::Statements(workspace) => workspace.clone(),
-            Purpose::Control { .. } => None,
-        };
-        let key = self.pool.connections.insert(Connection {
-            database: database.clone(),
-            incarnation: state.record.incarnation,
-            purpose,
-            started: false,
-            in_transaction: false,
-            set_in_transaction: false,
-            uncertain: false,
-            holder: None,
-            values: Default::default(),
-            prepared: Default::default(),
-            outstanding: Default::default(),
-            opened_at: now,
-            idle_since: now,
-            last_heard: now,
-        });
-        self.counts.connections_opened += 1;
-        let service = state.record.service.clone();
-        self.effects.push(Effect::Connect(key, state.record.address));
-        let database = database.clone();
-        self.send(key, Awaited::Start, UpstreamRequest::Start { service, workspace, database });
-        key
-    }
-
-    /// Sends to an upstream and notes that an answer is awaited.
-    pub(super) fn send(&mut self, key: UpstreamKey, awaited: Awaited, request: UpstreamRequest) {
-        let Some(connection) = self.pool.connections.get_mut(key) else { return };
-        connection.outstanding.push_back(Outstanding {
-            awaited,
-            sent_at: self.now,
-            rows: Vec::new(),
-            outcome: None,
-        });
-        self.effects.push(Effect::ToUpstream(key, request));
-    }
-
     /// Runs a session's current statement on a connection that is free and now its own.
     pub(super) fn run_on(&mut self, key: CallerKey, upstream: UpstreamKey) {
         let session = &self.sessions[key];
@@ -428,127 +377,6 @@
         }
         self.free(upstream);
     }
-
-    /// Gives a connection back.
-    pub(super) fn free(&mut self, upstream: UpstreamKey) {
-        if let Some(connection) = self.pool.connections.get_mut(upstream) {
-            connection.holder = None;
-            connection.in_transaction = false;
-            connection.set_in_transaction = false;
-            connection.idle_since = self.now;
-        }
-    }
-
-    /// Rolls back the transaction on a connection and gives it back.
-    pub(super) fn roll_back(&mut self, upstream: UpstreamKey) {
-        self.send(upstream, Awaited::Setup, UpstreamRequest::Rollback);
-        if let Some(connection) = self.pool.connections.get_mut(upstream) {
-            // Some databases undo settings with the transaction in which they were made.
-            connection.uncertain |= connection.set_in_transaction;
-        }
-        self.free(upstream);
-    }
-
-    /// Ends a connection at once.
-    pub(super) fn close_connection(&mut self, key: UpstreamKey) {
-        if self.pool.connections.remove(key).is_some() {
-            self.effects.push(Effect::CloseUpstream(key));
-        }
-    }
-
-    /// Notes that a database did not do what it should.
-    pub(super) fn note_failure(&mut self, database: &DatabaseName, since: MonoTime, reason: &str) {
-        let now = self.now;
-        let Some(state) = self.databases.get_mut(database) else { return };
-        state.failures += 1;
-        let pause = RETRY_MIN.0 << state.failures.min(5);
-        state.retry_at = now + DurationUs(pause.min(RETRY_MAX.0));
-        if state.failing_since.is_none() {
-            state.failing_since = Some(since);
-            info!(self.log, "database suspected"; "database" => %database,
-                "service" => %state.record.service, "reason" => reason,
-                "heard_ms" => state.last_heard.map(|at| now.since(at).as_ms()));
-        }
-    }
-
-    /// Ends connections that were not accepted in time, that went silent, or that nobody needs.
-    pub(super) fn expire_connections(&mut self) {
-        let now = self.now;
-        let mut late = Vec::new();
-        let mut silent = Vec::new();
-        let mut idle = Vec::new();
-        for (key, connection) in &self.pool.connections {
-            let oldest = connection.outstanding.front().map(|outstanding| outstanding.sent_at);
-            if !connection.started && now.since(connection.opened_at) >= CONNECT_WITHIN {
-                late.push(key);
-            } else if let Some(sent_at) = oldest {
-                let heard = self.databases.get(&connection.database).and_then(|s| s.last_heard);
-                let unheard = heard.is_none_or(|heard| heard < sent_at);
-                if unheard && connection.started && now.since(sent_at) >= SILENT_FOR {
-                    silent.push((connection.database.clone(), sent_at));
-                }
-            } else if connection.is_free() && now.since(connection.idle_since) >= CONNECTION_IDLE {
-                idle.push(key);
-            }
-        }
-        for (database, sent_at) in silent {
-            self.note_failure(&database, sent_at, "silent");
-        }
-        for key in late {
-            self.lose_connection(key, "not accepted in time");
-        }
-        for key in idle {
-            self.close_connection(key);
-        }
-    }
-
-    /// Refuses statements that waited too long, and answers for those that got no answer in time.
-    pub(super) fn expire_statements(&mut self) {
-        let now = self.now;
-        let keys: Vec<CallerKey> = self
-            .sessions
-            .iter()
-            .filter(|(_, session)| session.current.as_ref().is_some_and(|c| c.is_overdue(now)))
-            .map(|(key, _)| key)
-            .collect();
-        for key in keys {
-            let Some(current) = &self.sessions[key].current else { continue };
-            match current.stage {
-                Stage::Waiting | Stage::Connecting(_) => self.give_up_waiting(key),
-                Stage::Beginning(upstream) | Stage::Running(upstream) => {
-                    self.give_up_running(key, upstream)
-                }
-                Stage::Parked => self.fail(key, ErrorCode::InDoubt, "the primary was replaced"),
-            }
-        }
-    }
-
-    fn give_up_waiting(&mut self, key: CallerKey) {
-        let Some(current) = &mut self.sessions[key].current else { return };
-        let needs_token = current.needs_token;
-        if let Stage::Connecting(upstream) = current.stage {
-            current.stage = Stage::Waiting;
-            // Once it is open, others can use it.
-            self.free(upstream);
-        }
-        self.waiting.retain(|waiting| *waiting != key);
-        if needs_token {
-            let grant = self.sessions[key].granted.as_ref();
-            if let Some(workspace) = grant.and_then(|grant| grant.workspace.clone()) {
-                self.rates.withdraw(&workspace);
-            }
-            self.counts.rate_limited += 1;
-            return self.fail(key, ErrorCode::TooMany, "no turn in the workspace's rate in time");
-        }
-        self.fail(key, ErrorCode::Busy, "no upstream had room in time");
-    }
-
-    fn give_up_running(&mut self, key: CallerKey, upstream: UpstreamKey) {
-        let database = self.pool.connections.get(upstream).map(|c| c.database.clone());
-        info!(self.log, "statement timed out"; "database" => ?database);
-        self.close_connection(upstream);
-        self.lose_statement(key, ErrorCode::Timeout, "no answer within the statement's time");
-    }
 }
 
 fn after_of(need: Need) -> Option<Position> {
--- /dev/null
+++ b/crates/gateway/src/engine/registry.rs
@@ -0,0 +1,107 @@
+//! The databases that there are.
+
+use model::prelude::*;
+use slog::info;
+
+use super::{DatabaseState, Engine, ServiceState};
+use crate::catalog::Database;
+
+/// How long a database that left the list is still used if the store was away: its entry may return.
+pub const MISSING_FOR: DurationUs = DurationUs::from_ms(2_500);
+
+impl Engine {
+    /// Takes the databases. `store_was_away`: entries may be missing only because their databases
+    /// could not renew them.
+    pub fn set_databases(
+        &mut self,
+        now: MonoTime,
+        version: u64,
+        databases: Vec<Database>,
+        store_was_away: bool,
+    ) {
+        self.now = now;
+        if version < self.registry_version {
+            return;
+        }
+        self.registry_version = version;
+        self.registry_known = true;
+        let mut gone: Vec<DatabaseName> = Vec::new();
+        for (name, state) in &mut self.databases {
+            if databases.iter().any(|record| record.name == *name) {
+                state.missing_since = None;
+            } else if store_was_away {
+                state.missing_since.get_or_insert(now);
+            } else {
+                gone.push(name.clone());
+            }
+        }
+        for name in gone {
+            self.drop_database(&name, "it left the list");
+        }
+        for record in databases {
+            self.set_database(record);
+        }
+        self.learn_leaders();
+        self.pump();
+    }
+
+    fn set_database(&mut self, record: Database) {
+        let name = record.name.clone();
+        let restarted = self.databases.get(&name).is_some_and(|state| {
+            state.record.incarnation != record.incarnation
+                || state.record.address != record.address
+                || state.record.service != record.service
+        });
+        if restarted {
+            self.drop_database(&name, "it was started again");
+        }
+        match self.databases.get_mut(&name) {
+            Some(state) => {
+                if state.record != record {
+                    info!(self.log, "database changed"; "database" => %name,
+                        "service" => %record.service, "role" => ?record.role,
+                        "leaving" => record.leaving);
+                }
+                state.record = record;
+            }
+            None => {
+                info!(self.log, "database listed"; "database" => %name,
+                    "service" => %record.service, "role" => ?record.role, "dc" => %record.dc,
+                    "leaving" => record.leaving, "incarnation" => record.incarnation);
+                let service = record.service.clone();
+                self.databases.insert(name, DatabaseState::new(record, self.now));
+                let now = self.now;
+                self.services.entry(service).or_insert_with(|| ServiceState::new(now));
+            }
+        }
+    }
+
+    fn drop_database(&mut self, name: &DatabaseName, reason: &str) {
+        info!(self.log, "database dropped"; "database" => %name, "reason" => reason);
+        let held = self.pool.connections.iter().filter(|(_, c)| c.database == *name);
+        let held: Vec<_> = held.map(|(key, c)| (key, c.is_free())).collect();
+        for (key, free) in held {
+            // A statement in progress may still be answered.
+            if free {
+                self.close_connection(key);
+            }
+        }
+        if let Some(state) = self.databases.remove(name) {
+            let service = self.services.get_mut(&state.record.service);
+            if let Some(service) = service.filter(|s| s.primary.as_ref() == Some(name)) {
+                service.primary = None;
+            }
+        }
+    }
+
+    pub(super) fn expire_missing(&mut self) {
+        let now = self.now;
+        let gone = self.databases.iter().filter(|(_, state)| {
+            state.missing_since.is_some_and(|since| now.since(since) >= MISSING_FOR)
+        });
+        let gone: Vec<DatabaseName> = gone.map(|(name, _)| name.clone()).collect();
+        for name in gone {
+            self.drop_database(&name, "its entry did not return after the store's outage");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engine/sharing.rs
@@ -0,0 +1,124 @@
+//! What VMs share: parts of rates, and connections that one needs and another does not.
+
+use model::prelude::*;
+use slog::debug;
+
+use super::Engine;
+use crate::{
+    peers::{Demand, PeerBody},
+    rates::Grant as RateGrant,
+};
+
+/// Peers that are asked for a connection at once.
+const SHORT_ASKS: usize = 3;
+/// A connection used more recently is not given up for a peer.
+const GIVE_UP_IDLE: DurationUs = DurationUs::from_ms(60);
+
+impl Engine {
+    /// Asks some peers for a connection to a database that refused one for their number.
+    pub(super) fn ask_for_connection(&mut self, database: &DatabaseName) {
+        let addresses: Vec<_> = self.roster.members().map(|(_, member)| member.address).collect();
+        if addresses.is_empty() {
+            return;
+        }
+        // Others are asked each time.
+        let first = self.now.0 as usize % addresses.len();
+        for step in 0..SHORT_ASKS.min(addresses.len()) {
+            let database = database.clone();
+            let address = addresses[(first + step) % addresses.len()];
+            self.tell(address, PeerBody::Short { database });
+        }
+    }
+
+    /// Closes the connection to the database that has been idle longest.
+    pub(super) fn give_up_connection(&mut self, database: &DatabaseName) {
+        let Some(key) = self.pool.longest_idle(database) else { return };
+        let idle = self.now.since(self.pool.connections[key].idle_since);
+        if idle >= GIVE_UP_IDLE {
+            debug!(self.log, "connection given up"; "database" => %database,
+                "idle_ms" => idle.as_ms());
+            self.close_connection(key);
+        }
+    }
+
+    /// Asks the homes of workspaces whose operations wait for tokens.
+    pub(super) fn borrow_tokens(&mut self) {
+        let now = self.now;
+        let mut short: Vec<WorkspaceName> = Vec::new();
+        for key in &self.waiting {
+            let Some(session) = self.sessions.get(*key) else { continue };
+            let waits = session.current.as_ref().is_some_and(|current| current.needs_token);
+            let workspace = session.granted.as_ref().and_then(|grant| grant.workspace.as_ref());
+            if let Some(workspace) = workspace.filter(|_| waits)
+                && !short.contains(workspace)
+            {
+                short.push(workspace.clone());
+            }
+        }
+        for workspace in short {
+            let Some(tokens) = self.rates.to_borrow(now, &workspace) else { continue };
+            let home = self.roster.home_of(now, &workspace);
+            if home == self.id.vm {
+                let lent =
+                    if self.has_lease() { self.rates.lend(now, &workspace, tokens) } else { 0 };
+                self.rates.borrow(now, &workspace, lent, lent >= tokens);
+            } else if let Some(address) = self.roster.member_mut(&home).map(|m| m.address) {
+                self.tell(address, PeerBody::Borrow { workspace, tokens });
+            }
+        }
+    }
+
+    pub(super) fn lend(&mut self, to: &VmName, workspace: WorkspaceName, asked: u32) {
+        if !self.has_lease() {
+            return;
+        }
+        let tokens = self.rates.lend(self.now, &workspace, asked);
+        if let Some(address) = self.roster.member_mut(to).map(|member| member.address) {
+            let all = tokens >= asked;
+            self.tell(address, PeerBody::Lend { workspace, tokens, all });
+        }
+    }
+
+    pub(super) fn grant_to_self(&mut self, demands: &[Demand]) {
+        let me = self.id.vm.clone();
+        let grants = self.grants(&me, demands);
+        self.rates.accept(self.now, self.now, &grants);
+    }
+
+    pub(super) fn grants_for(&mut self, vm: &VmName) -> Vec<RateGrant> {
+        let demands = self.roster.member_mut(vm).map(|m| m.demands.clone()).unwrap_or_default();
+        self.grants(vm, &demands)
+    }
+
+    /// As the home of workspaces: what a VM gets of their rates.
+    fn grants(&mut self, vm: &VmName, demands: &[Demand]) -> Vec<RateGrant> {
+        if !self.has_lease() {
+            return Vec::new();
+        }
+        let now = self.now;
+        let workspaces: Vec<WorkspaceName> = self.rates.workspaces().cloned().collect();
+        let mut homes = Vec::new();
+        for workspace in workspaces {
+            if self.roster.home_of(now, &workspace) == self.id.vm {
+                homes.push(workspace);
+            }
+        }
+        let own = self.rates.demands(now);
+        let of = |demands: &[Demand], workspace: &WorkspaceName| {
+            let demand = demands.iter().find(|demand| demand.workspace == *workspace);
+            demand.map_or(0.0, |demand| f64::from(demand.per_s))
+        };
+        let mut grants = Vec::new();
+        for workspace in homes {
+            let asked = of(demands, &workspace);
+            if asked == 0.0 {
+                continue;
+            }
+            let others = self.roster.members().filter(|(vm, _)| self.roster.is_live(now, vm));
+            let all: f64 = of(&own, &workspace)
+                + others.map(|(_, member)| of(&member.demands, &workspace)).sum::<f64>();
+            grants.extend(self.rates.hand_out(now, &workspace, vm, asked, all));
+        }
+        grants
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/engine/stops.rs
@@ -0,0 +1,172 @@
+//! Not using a primary while a new term is prepared.
+
+use model::prelude::*;
+use slog::{info, warn};
+
+use super::{Engine, ServiceState, StoppedFor};
+use crate::{
+    effect::CallerKey,
+    message::TransactionState,
+    peers::PeerBody,
+    session::Transaction,
+    takeover::{self, Intent},
+};
+
+/// How long a stop holds if nothing is heard of its outcome. An attempt is over much sooner.
+const STOP_FOR: DurationUs = DurationUs::from_ms(12_000);
+
+impl Engine {
+    /// A VM prepares a new term: the primary is not used until it is decided.
+    pub(super) fn stop_using(
+        &mut self,
+        name: &ServiceName,
+        term: Term,
+        planned: bool,
+        by: &VmName,
+    ) {
+        let now = self.now;
+        let Some(service) = self.services.get_mut(name) else {
+            // Nothing of the service is used here.
+            return self.confirm_stop(name, term, by);
+        };
+        if term <= service.term {
+            let primary = service.primary.clone();
+            let known = service.term;
+            let address = self.roster.members().find(|(vm, _)| *vm == by).map(|(_, m)| m.address);
+            if let Some(address) = address {
+                let service = name.clone();
+                self.tell(address, PeerBody::Decided { service, term: known, primary });
+            }
+            return;
+        }
+        match &service.stopped {
+            Some(stopped) if stopped.term >= term && stopped.confirmed => {}
+            Some(stopped) if stopped.term >= term => return,
+            _ => {
+                info!(self.log, "primary stopped"; "service" => %name, "term" => term.0,
+                    "planned" => planned, "by" => %by);
+                let confirmed = !planned;
+                let by = by.clone();
+                service.stopped = Some(StoppedFor { term, by, since: now, confirmed });
+            }
+        }
+        self.confirm_stops();
+        let confirmed = self.services[name].stopped.as_ref().is_some_and(|s| s.confirmed);
+        if confirmed {
+            self.confirm_stop(name, term, by);
+        }
+    }
+
+    /// Confirms planned stops once nothing is in progress at the primary any more.
+    pub(super) fn confirm_stops(&mut self) {
+        let now = self.now;
+        let mut confirmed = Vec::new();
+        let mut overdue = Vec::new();
+        for (name, service) in &self.services {
+            let Some(stopped) = service.stopped.as_ref().filter(|s| !s.confirmed) else { continue };
+            let Some(primary) = &service.primary else {
+                confirmed.push(name.clone());
+                continue;
+            };
+            let busy = self.pool.connections.values().any(|connection| {
+                connection.database == *primary
+                    && connection.is_for_statements()
+                    && !connection.is_free()
+                    && connection.started
+            });
+            if !busy {
+                confirmed.push(name.clone());
+            } else if now.since(stopped.since) >= takeover::PLANNED_STOP_WITHIN {
+                overdue.push((name.clone(), primary.clone()));
+            }
+        }
+        for (_, primary) in &overdue {
+            self.end_transactions_at(primary);
+        }
+        confirmed.extend(overdue.into_iter().map(|(name, _)| name));
+        for name in confirmed {
+            let Some(service) = self.services.get_mut(&name) else { continue };
+            let Some(stopped) = &mut service.stopped else { continue };
+            stopped.confirmed = true;
+            let (term, by) = (stopped.term, stopped.by.clone());
+            self.confirm_stop(&name, term, &by);
+        }
+    }
+
+    fn end_transactions_at(&mut self, database: &DatabaseName) {
+        let open: Vec<CallerKey> = self
+            .sessions
+            .iter()
+            .filter(|(_, session)| {
+                let Transaction::Pinned { upstream, .. } = session.transaction else {
+                    return false;
+                };
+                session.transaction.state() == TransactionState::Open
+                    && session.current.is_none()
+                    && self.pool.connections.get(upstream).is_some_and(|c| c.database == *database)
+            })
+            .map(|(key, _)| key)
+            .collect();
+        for key in open {
+            self.abandon_transaction(key, "its primary is handed over");
+        }
+    }
+
+    pub(super) fn confirm_stop(&mut self, service: &ServiceName, term: Term, by: &VmName) {
+        if *by == self.id.vm {
+            return self.note_stopped(service, term, self.id.vm.clone());
+        }
+        let address = self.roster.members().find(|(vm, _)| *vm == by).map(|(_, m)| m.address);
+        if let Some(address) = address {
+            self.tell(address, PeerBody::Stopped { service: service.clone(), term });
+        }
+    }
+
+    pub(super) fn decided(
+        &mut self,
+        name: &ServiceName,
+        term: Term,
+        primary: Option<DatabaseName>,
+    ) {
+        if primary.is_some() {
+            self.begin_term(name, term, primary, "the change was announced");
+            return;
+        }
+        let Some(service) = self.services.get_mut(name) else { return };
+        if service.stopped.as_ref().is_some_and(|stopped| stopped.term == term) {
+            info!(self.log, "primary in use again"; "service" => %name, "term" => service.term.0);
+            service.stopped = None;
+        }
+    }
+
+    /// Ends stops whose outcome was never heard.
+    pub(super) fn drop_old_stops(&mut self) {
+        let now = self.now;
+        for (name, service) in &mut self.services {
+            let is_old = service.stopped.as_ref().is_some_and(|s| now.since(s.since) >= STOP_FOR);
+            if is_old {
+                warn!(self.log, "stop ended without an outcome"; "service" => %name,
+                    "term" => service.term.0);
+                service.stopped = None;
+                // Whoever leads now has to be found out anew.
+                service.primary = None;
+                service.asked_leader = None;
+            }
+        }
+    }
+
+    /// Takes the promotions that were ordered before this run began: one may still take effect.
+    pub fn set_intents(&mut self, now: MonoTime, intents: Vec<Intent>) {
+        self.now = now;
+        self.intents_known = true;
+        for Intent { service: name, term } in intents {
+            let by = self.id.vm.clone();
+            let service =
+                self.services.entry(name.clone()).or_insert_with(|| ServiceState::new(now));
+            if term > service.term && service.stopped.is_none() {
+                info!(self.log, "promotion may be under way"; "service" => %name, "term" => term.0);
+                service.stopped = Some(StoppedFor { term, by, since: now, confirmed: true });
+            }
+        }
+    }
+}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -106,6 +106,8 @@
     pub demands: Vec<Demand>,
     /// What the receiver gets of rates whose home the sender is.
     pub grants: Vec<Grant>,
+    /// Terms of all services, added up: who says less than another has missed a change.
+    pub terms_total: u64,
     /// Version of the sender's list of VMs.
     pub members: u64,
     /// Whether the sender wants to hear of all services, not only news.
@@ -203,6 +205,7 @@
     heard: Option<(MonoTime, MonoTime)>,
     pub(crate) notes: Vec<ServiceNote>,
     pub(crate) demands: Vec<Demand>,
+    pub(crate) terms_total: u64,
     pub(crate) stopping: bool,
 }
 
@@ -360,6 +363,14 @@
         proven.get(self.majority() - 1).map(|&at| at + LEASE)
     }
 
+    /// The most that a witness that was in touch lately says of the terms of all services.
+    pub(crate) fn terms_total(&self, now: MonoTime) -> u64 {
+        let recent = self.members.iter().filter(|(vm, member)| {
+            self.is_witness(vm) && member.proven.is_some_and(|at| now.since(at) < LEASE)
+        });
+        recent.map(|(_, member)| member.terms_total).max().unwrap_or(0)
+    }
+
     /// Witnesses that make a majority.
     pub fn majority(&self) -> usize {
         self.witnesses.len() / 2 + 1
@@ -442,6 +453,7 @@
             heard: None,
             notes: Vec::new(),
             demands: Vec::new(),
+            terms_total: 0,
             stopping: false,
         }
     }
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -150,31 +150,22 @@
 }
 
 impl Attempt {
-    /// An attempt that begins now.
-    pub fn new(
-        id: u64,
-        service: ServiceName,
-        term: Term,
-        planned: bool,
-        synchronous: bool,
-        old_primary: Option<DatabaseName>,
-        candidates: Vec<DatabaseName>,
-        now: MonoTime,
-    ) -> Attempt {
+    /// An attempt that begins now, after a primary that is not known or no longer serves.
+    pub fn new(id: u64, service: ServiceName, term: Term, now: MonoTime) -> Attempt {
         Attempt {
             id,
             service,
             term,
-            planned,
-            synchronous,
-            old_primary,
+            planned: false,
+            synchronous: false,
+            old_primary: None,
             started: now,
             phase: Phase::Stopping,
             stopped: BTreeSet::new(),
             witnesses: 0,
             majority_at: None,
             stop_sent: None,
-            candidates,
+            candidates: Vec::new(),
             rows: BTreeMap::new(),
             asked: BTreeMap::new(),
             excluded: BTreeSet::new(),
@@ -182,6 +173,21 @@
         }
     }
 
+    /// Names the primary that is replaced; `planned` where it still serves.
+    pub fn with_old_primary(self, old_primary: Option<DatabaseName>, planned: bool) -> Attempt {
+        Attempt { old_primary, planned, ..self }
+    }
+
+    /// Names those that could lead, in order of preference.
+    pub fn with_candidates(self, candidates: Vec<DatabaseName>) -> Attempt {
+        Attempt { candidates, ..self }
+    }
+
+    /// Says whether commits are acknowledged only once a replica has received them.
+    pub fn with_synchronous(self, synchronous: bool) -> Attempt {
+        Attempt { synchronous, ..self }
+    }
+
     /// Whether all VMs that could use the primary have stopped, or their leases have lapsed.
     pub fn all_stopped(&self, now: MonoTime, members: usize) -> bool {
         self.stopped.len() >= members || self.majority_at.is_some_and(|at| now.since(at) >= LEASE)
--- a/crates/gateway/tests/takeover.rs
+++ b/crates/gateway/tests/takeover.rs
@@ -314,3 +314,38 @@
     let run = world.group.runs.last().expect("it ran");
     assert_eq!(run.database, database_name(1));
 }
+
+/// A VM comes back after a primary was replaced, and reaches only the old one at first.
+#[test]
+fn vm_that_comes_back_learns_of_the_change_before_it_reads() {
+    let mut world = World::new(5);
+    let (a, b) = (world.open(4, LATEST, KEY), world.open(1, LATEST, KEY));
+    assert!(world.ask(a, "a0", write("1")).succeeded());
+    world.isolate(4);
+    for vm in 0..4 {
+        world.cut(End::Vm(vm), End::Database(0));
+    }
+    world.cut(End::Database(0), End::Database(1));
+    world.cut(End::Database(0), End::Database(2));
+    for round in 0..12 {
+        world.ask(b, &format!("b{round}"), write("1"));
+    }
+    assert_eq!(world.promotions.len(), 1);
+    // The change is no longer news.
+    world.run_for(6_000);
+    for other in 0..4 {
+        world.heal(End::Vm(4), End::Vm(other));
+    }
+    let mut served = 0;
+    for round in 1..60 {
+        let id = format!("a{round}");
+        let told = world.ask(a, &id, read("1"));
+        if !told.succeeded() {
+            continue;
+        }
+        served += 1;
+        let run = world.group.runs.iter().find(|run| *run.id == *id).expect("it ran");
+        assert_ne!(run.database, database_name(0), "{id} saw nothing of the new term");
+    }
+    assert!(served > 10, "{served}");
+}
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -268,6 +268,10 @@
         self.cuts.insert((a.min(b), a.max(b)));
     }
 
+    pub fn heal(&mut self, a: End, b: End) {
+        self.cuts.remove(&(a.min(b), a.max(b)));
+    }
+
     /// Cuts a VM off from all other VMs.
     pub fn isolate(&mut self, vm: usize) {
         for other in (0..self.engines.len()).filter(|other| *other != vm) {
--- /dev/null
+++ b/crates/xtask/src/bench_gateway.rs
@@ -0,0 +1,236 @@
+//! What control costs a VM in the gateway: bytes and processor time, by the number of VMs, with the
+//! engines alone on virtual time.
+
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Instant,
+};
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use gateway::{
+    Effect, Engine, Identity, UpstreamKey,
+    catalog::{Catalog, Database, Role, ServiceLimits, Workspace},
+    message::{Reply, TransactionState, UpstreamRequest},
+    peers::{MemberRecord, PeerMessage},
+    takeover::StatusRow,
+};
+use model::prelude::*;
+use slog::{Discard, Logger, o};
+
+/// Databases of a service.
+const COPIES: usize = 3;
+/// Bytes that UDP and IP add to a datagram.
+const DATAGRAM_BYTES: u64 = 28;
+/// Virtual time before counting begins, in milliseconds: all VMs are in touch by then.
+const WARM_UP_MS: u64 = 3_000;
+/// Virtual time that is counted, in milliseconds.
+const COUNTED_MS: u64 = 5_000;
+/// Virtual time between ticks, in milliseconds.
+const TICK_MS: u64 = 100;
+/// Workspaces of the fleet.
+const WORKSPACES: usize = 73;
+
+/// The command line.
+pub fn command() -> Command {
+    Command::new("bench-gateway")
+        .about("Measures the bytes and the processor time of control in the gateway")
+        .arg(
+            Arg::new("vms")
+                .long("vms")
+                .value_delimiter(',')
+                .value_parser(value_parser!(usize))
+                .default_value("50,100,200,400")
+                .help("Numbers of VMs"),
+        )
+        .arg(
+            Arg::new("databases")
+                .long("databases")
+                .value_parser(value_parser!(usize))
+                .default_value("670")
+                .help("Databases of all services together"),
+        )
+}
+
+/// Runs it and prints a row for each number of VMs.
+pub fn run(matches: &ArgMatches) -> eyre::Result<()> {
+    let databases = matches.get_one::<usize>("databases").copied().unwrap_or(670);
+    println!("| VMs | sent B/s, mean | sent B/s, most | messages/s, mean | processor us/s, mean |");
+    println!("| --- | --- | --- | --- | --- |");
+    for vms in matches.get_many::<usize>("vms").into_iter().flatten() {
+        let cost = measure(*vms, databases)?;
+        println!(
+            "| {vms} | {:.0} | {:.0} | {:.1} | {:.0} |",
+            cost.mean_bytes, cost.most_bytes, cost.messages, cost.processor_us
+        );
+    }
+    Ok(())
+}
+
+/// Costs of a VM and second.
+struct Cost {
+    mean_bytes: f64,
+    most_bytes: f64,
+    messages: f64,
+    processor_us: f64,
+}
+
+fn measure(vms: usize, databases: usize) -> eyre::Result<Cost> {
+    let mut now = MonoTime(1_000_000_000);
+    let mut engines = (0..vms).map(|vm| engine(vm, now)).collect::<eyre::Result<Vec<_>>>()?;
+    let members = (0..vms).map(member).collect::<eyre::Result<Vec<_>>>()?;
+    let catalog = Arc::new(catalog(databases / COPIES)?);
+    let listed = listed(databases / COPIES)?;
+    let index: BTreeMap<SocketAddr, usize> = (0..vms).map(|vm| (address(vm), vm)).collect();
+    for engine in &mut engines {
+        engine.set_members(now, 1, &members);
+        engine.set_databases(now, 1, listed.clone(), false);
+        engine.set_catalog(now, catalog.clone());
+    }
+    let mut bytes = vec![0u64; vms];
+    let mut messages = 0u64;
+    let mut processor = std::time::Duration::ZERO;
+    let end = WARM_UP_MS + COUNTED_MS;
+    for at in (0..end).step_by(TICK_MS as usize) {
+        now = now + DurationUs::from_ms(TICK_MS);
+        let counted = at >= WARM_UP_MS;
+        let mut queue: Vec<(usize, PeerMessage)> = Vec::new();
+        for (vm, engine) in engines.iter_mut().enumerate() {
+            let began = Instant::now();
+            engine.tick(now);
+            processor += if counted { began.elapsed() } else { Default::default() };
+            collect(engine, now, vm, &index, counted, &mut bytes, &mut messages, &mut queue)?;
+        }
+        while let Some((to, message)) = queue.pop() {
+            let began = Instant::now();
+            engines[to].peer_message(now, message);
+            processor += if counted { began.elapsed() } else { Default::default() };
+            collect(
+                &mut engines[to],
+                now,
+                to,
+                &index,
+                counted,
+                &mut bytes,
+                &mut messages,
+                &mut queue,
+            )?;
+        }
+    }
+    let per_vm_second = vms as f64 * COUNTED_MS as f64 / 1_000.0;
+    Ok(Cost {
+        mean_bytes: bytes.iter().sum::<u64>() as f64 / per_vm_second,
+        most_bytes: bytes.iter().max().copied().unwrap_or(0) as f64 * 1_000.0 / COUNTED_MS as f64,
+        messages: messages as f64 / per_vm_second,
+        processor_us: processor.as_micros() as f64 / per_vm_second,
+    })
+}
+
+/// What every database says of itself: only primaries are asked.
+const LEADS: StatusRow =
+    StatusRow { is_primary: true, term: Term(1), received: Position { term: Term(1), index: 1 } };
+
+/// Answers for a database that does well.
+fn answer(engine: &mut Engine, now: MonoTime, key: UpstreamKey, request: &UpstreamRequest) {
+    if *request == UpstreamRequest::Status {
+        engine.upstream_reply(now, key, Reply::Row("".into()));
+        engine.upstream_reply(now, key, Reply::Complete { receipt: None });
+    }
+    let ready = Reply::Ready { state: TransactionState::Idle, position: Some(LEADS.received) };
+    engine.upstream_reply(now, key, ready);
+}
+
+/// Takes an engine's messages to peers, and answers for databases.
+fn collect(
+    engine: &mut Engine,
+    now: MonoTime,
+    vm: usize,
+    index: &BTreeMap<SocketAddr, usize>,
+    counted: bool,
+    bytes: &mut [u64],
+    messages: &mut u64,
+    queue: &mut Vec<(usize, PeerMessage)>,
+) -> eyre::Result<()> {
+    let mut effects = engine.take_effects();
+    while !effects.is_empty() {
+        for effect in effects {
+            match effect {
+                Effect::ToPeer(address, message) => {
+                    if counted {
+                        bytes[vm] += rmp_serde::to_vec(&message)?.len() as u64 + DATAGRAM_BYTES;
+                        *messages += 1;
+                    }
+                    queue.extend(index.get(&address).map(|to| (*to, message)));
+                }
+                Effect::ToUpstream(key, request) => answer(engine, now, key, &request),
+                _ => {}
+            }
+        }
+        effects = engine.take_effects();
+    }
+    Ok(())
+}
+
+fn engine(vm: usize, now: MonoTime) -> eyre::Result<Engine> {
+    let id = Identity {
+        vm: vm_name(vm)?,
+        incarnation: Incarnation(1),
+        dc: dc(vm)?,
+        regions: FxHashMap::default(),
+        first_start: true,
+        decode_status: |_| Some(LEADS),
+    };
+    Ok(Engine::new(id, Logger::root(Discard, o!()), now))
+}
+
+fn vm_name(vm: usize) -> eyre::Result<VmName> {
+    Ok(VmName::new(format!("front-uusimaa-a-{vm}"))?)
+}
+
+fn dc(index: usize) -> eyre::Result<DcName> {
+    Ok(DcName::new(format!("dc-{}", index % 4))?)
+}
+
+fn address(vm: usize) -> SocketAddr {
+    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, (vm / 250) as u8, (vm % 250) as u8)), 7000)
+}
+
+fn member(vm: usize) -> eyre::Result<MemberRecord> {
+    let (vm_name, dc) = (vm_name(vm)?, dc(vm)?);
+    Ok(MemberRecord { vm: vm_name, address: address(vm), incarnation: Incarnation(1), dc })
+}
+
+fn service(index: usize) -> eyre::Result<ServiceName> {
+    Ok(ServiceName::new(format!("svc{index}"))?)
+}
+
+fn catalog(services: usize) -> eyre::Result<Catalog> {
+    let mut catalog = Catalog { generation: 1, ..Catalog::default() };
+    for index in 0..services {
+        let limits = ServiceLimits { connections: 70, synchronous: false };
+        catalog.services.insert(service(index)?, limits);
+    }
+    for index in 0..WORKSPACES {
+        let name = WorkspaceName::new(format!("space{index}"))?;
+        catalog.workspaces.push(Workspace { name, rate_per_s: Some(100.0), burst: 100.0 });
+    }
+    Ok(catalog)
+}
+
+fn listed(services: usize) -> eyre::Result<Vec<Database>> {
+    let mut databases = Vec::new();
+    for index in 0..services * COPIES {
+        databases.push(Database {
+            name: DatabaseName::new(format!("i-{index:010x}"))?,
+            incarnation: 1,
+            service: service(index / COPIES)?,
+            address: SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 9, 0, 1)), 8000),
+            dc: dc(index)?,
+            slots: 5,
+            leaving: false,
+            role: if index % COPIES == 0 { Role::Primary } else { Role::Replica },
+        });
+    }
+    Ok(databases)
+}
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -5,6 +5,7 @@
 mod bench_failover;
 mod bench_fairness;
 mod bench_fleet;
+mod bench_gateway;
 mod bench_load;
 mod bench_memory;
 mod bench_promotion;
@@ -30,6 +31,7 @@
         .subcommand(bench_quota::command())
         .subcommand(bench_failover::command())
         .subcommand(bench_fleet::command())
+        .subcommand(bench_gateway::command())
         .subcommand(bench_memory::command())
         .subcommand(bench_load::command())
         .subcommand(
@@ -49,6 +51,7 @@
         Some(("bench-load", sub)) => runtime()?.block_on(bench_load::run(sub)),
         Some(("bench-accounting", _)) => bench_accounting::run(),
         Some(("bench-promotion", sub)) => runtime()?.block_on(bench_promotion::run(sub)),
+        Some(("bench-gateway", sub)) => bench_gateway::run(sub),
         Some(("bench-memory", sub)) => runtime()?.block_on(bench_memory::run(sub)),
         Some(("bench-replica-share", sub)) => runtime()?.block_on(bench_replica_share::run(sub)),
         _ => Err(eyre!("say what to do: see --help")),
