Run no end of a transaction again; tell of a new term at once; appoint nobody while databases start

(3) The VM that had replaced a primary learned that from the database's status and ended its attempt without telling the others: they heard with the next heartbeat.

Change: such a COMMIT is aborted; a service that never had a leader waits 8 s (3 s after a restart); a term that has begun already is not prepared again; every attempt that succeeds is announced.

Tests: primary_that_starts_last_is_not_replaced, service_without_a_leader_gets_one_of_a_new_term and late_end_of_a_reading_transaction_runs_once (this one was not seen to fail: open).

--- a/crates/gateway/src/engine/answers.rs
+++ b/crates/gateway/src/engine/answers.rs
@@ -368,8 +368,12 @@
             if service.term > answer.term {
                 info!(self.log, "answer of an ended term dropped"; "id" => &*current.id,
                     "term" => answer.term.0, "now" => service.term.0);
+                let reason = "the primary was replaced meanwhile";
                 if answer.writes {
-                    self.fail(key, ErrorCode::InDoubt, "the primary was replaced meanwhile");
+                    self.fail(key, ErrorCode::InDoubt, reason);
+                } else if current.statement == Statement::Commit {
+                    // Its transaction is over and can't be run again here.
+                    self.fail(key, ErrorCode::Aborted, reason);
                 } else {
                     if let Some(current) = &mut self.sessions[key].current {
                         current.parked = None;
--- a/crates/gateway/src/engine/attempts.rs
+++ b/crates/gateway/src/engine/attempts.rs
@@ -60,7 +60,12 @@
         let Some(primary) = service.primary.as_ref().and_then(|name| self.databases.get(name))
         else {
             let lasted = service.leaderless_since.map(|since| self.now.since(since));
-            let overdue = lasted.is_some_and(|span| span >= takeover::LEADERLESS_FOR);
+            let bound = match (service.term, self.id.first_start) {
+                (Term(0), true) => takeover::LEADERLESS_AT_START,
+                (Term(0), false) => takeover::LEADERLESS_AFTER_RESTART,
+                _ => takeover::LEADERLESS_FOR,
+            };
+            let overdue = lasted.is_some_and(|span| span >= bound);
             return overdue.then_some(Change::Replace { planned: false });
         };
         let own = self.note(name, service);
@@ -132,8 +137,14 @@
             let attempt = &mut self.attempts[index];
             let service = attempt.service.clone();
             let term = attempt.term;
-            if self.services.get(&service).is_some_and(|state| state.term >= term) {
+            let state = self.services.get(&service).filter(|state| state.term >= term);
+            if let Some((term, primary)) = state.map(|state| (state.term, state.primary.clone())) {
                 self.attempts.remove(index);
+                info!(self.log, "primary replaced"; "attempt" => id, "service" => %service,
+                    "database" => ?primary, "term" => term.0);
+                if primary.is_some() {
+                    self.tell_all(PeerBody::Decided { service, term, primary });
+                }
                 continue;
             }
             match attempt.step(now, members) {
@@ -156,13 +167,8 @@
                 }
                 Step::GiveUp(reason) => self.give_up(index, reason),
                 Step::Announce(database, term) => {
-                    self.attempts.remove(index);
-                    info!(self.log, "primary replaced"; "attempt" => id, "service" => %service,
-                        "database" => %database, "term" => term.0);
-                    self.begin_term(&service, term, Some(database.clone()), "this VM replaced it");
-                    let primary = Some(database);
-                    self.tell_all(PeerBody::Decided { service, term, primary });
-                    self.send_heartbeats();
+                    // The next round tells everyone.
+                    self.begin_term(&service, term, Some(database), "this VM replaced it");
                 }
             }
         }
--- a/crates/gateway/src/engine/leaders.rs
+++ b/crates/gateway/src/engine/leaders.rs
@@ -105,7 +105,12 @@
         };
         self.note_status(&database, row);
         if let Some(attempt) = self.attempts.iter_mut().find(|a| a.id == attempt) {
-            attempt.note_row(&database, row);
+            attempt.note_row(self.now, &database, row);
+            let (service, term, planned) = (attempt.service.clone(), attempt.term, attempt.planned);
+            let me = self.id.vm.clone();
+            if attempt.stopped.is_empty() {
+                self.stop_using(&service, term, planned, &me);
+            }
             self.run_attempts();
         }
     }
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -20,6 +20,11 @@
 /// How long a service may be without a known leader before one is appointed: a claimant answers a
 /// question for its status much sooner.
 pub const LEADERLESS_FOR: DurationUs = DurationUs::from_ms(1_500);
+/// The same where no leader was known since this VM started: databases may still be starting, and the
+/// first to enter themselves need not be those that hold most.
+pub const LEADERLESS_AT_START: DurationUs = DurationUs::from_ms(8_000);
+/// The same where the fleet has run before: only this VM is new.
+pub const LEADERLESS_AFTER_RESTART: DurationUs = DurationUs::from_ms(3_000);
 /// How long statements in progress may hold up a planned change.
 pub const PLANNED_STOP_WITHIN: DurationUs = DurationUs::from_ms(1_500);
 /// How long a database is waited for when it is asked for its position.
@@ -209,8 +214,18 @@
         self.synchronous && !self.planned && matches!(self.phase, Phase::Surveying { .. })
     }
 
-    /// Notes what a database said.
-    pub fn note_row(&mut self, database: &DatabaseName, row: StatusRow) {
+    /// Notes what a database said. A term that has begun already can't be prepared: the VMs are told to
+    /// stop for the next one.
+    pub fn note_row(&mut self, now: MonoTime, database: &DatabaseName, row: StatusRow) {
+        if row.term >= self.term && !row.is_primary && !self.ordered {
+            let (old_primary, planned) = (self.old_primary.take(), self.planned);
+            let candidates = std::mem::take(&mut self.candidates);
+            *self = Attempt::new(self.id, self.service.clone(), row.term.next(), now)
+                .with_old_primary(old_primary, planned)
+                .with_candidates(candidates)
+                .with_synchronous(self.synchronous);
+            return;
+        }
         self.rows.insert(database.clone(), row);
     }
 
--- a/crates/gateway/tests/takeover.rs
+++ b/crates/gateway/tests/takeover.rs
@@ -236,6 +236,32 @@
     late.count()
 }
 
+/// The end of a transaction that only read is under way while another primary is appointed.
+#[test]
+fn late_end_of_a_reading_transaction_runs_once() {
+    for delay_ms in (300..900).step_by(20) {
+        let mut world = World::new(5);
+        let (a, b) = (world.open(4, LATEST, KEY), world.open(1, LATEST, KEY));
+        assert!(world.ask(a, "a0", write("1")).succeeded());
+        for vm in 0..4 {
+            world.cut(End::Vm(vm), End::Database(0));
+        }
+        world.cut(End::Database(0), End::Database(1));
+        world.cut(End::Database(0), End::Database(2));
+        world.ask(a, "a1", begin(Access::Read));
+        assert!(world.ask(a, "a2", read("1")).succeeded());
+        world.delays_ms.insert((End::Vm(4), End::Database(0)), delay_ms);
+        for round in 0..12 {
+            world.send(b, &format!("b{round}"), write("1"));
+            world.run_for(100);
+        }
+        world.send(a, "a3", Statement::Commit);
+        world.run_for(4_000);
+        let strays = world.group.stray_commits;
+        assert_eq!(strays, 0, "an end without a transaction, {delay_ms} ms late");
+    }
+}
+
 #[test]
 fn promotion_waits_for_a_vm_that_has_not_stopped() {
     let mut world = World::new(5);
@@ -349,3 +375,43 @@
     }
     assert!(served > 10, "{served}");
 }
+
+/// Databases enter themselves one after the other, the primary last.
+#[test]
+fn primary_that_starts_last_is_not_replaced() {
+    let mut world = World::cold(5);
+    let all = world.records.clone();
+    world.records = vec![all[1].clone()];
+    world.configure(world::catalog(1, 1e6, 100));
+    world.run_for(3_000);
+    world.records = all;
+    world.publish_databases(2);
+    world.run_for(3_000);
+    assert!(world.promotions.is_empty());
+    let a = world.open(1, LATEST, KEY);
+    assert!(world.ask(a, "a0", write("1")).succeeded());
+    assert!(world.group.holds(0, "a0"));
+}
+
+/// No VM has known a leader, and none enters itself: the term that is prepared is above all that began.
+#[test]
+fn service_without_a_leader_gets_one_of_a_new_term() {
+    let mut world = World::cold(3);
+    world.darken(0);
+    let all = world.records.clone();
+    world.records = all[1..].to_vec();
+    world.configure(world::catalog(1, 1e6, 100));
+    world.run_for(10_000);
+    assert_eq!(world.promotions.len(), 1);
+    // The old primary is back and takes itself for one.
+    world.cuts.clear();
+    world.records = all;
+    world.replicating = false;
+    world.publish_databases(2);
+    let a = world.open(1, LATEST, KEY);
+    for round in 0..5 {
+        let id = format!("a{round}");
+        assert!(world.ask(a, &id, write("1")).succeeded());
+        assert!(!world.group.holds(0, &id), "it was replaced");
+    }
+}
--- a/crates/standin/src/statements.rs
+++ b/crates/standin/src/statements.rs
@@ -92,6 +92,8 @@
     pub members: Vec<Member>,
     /// What ran, in order.
     pub runs: Vec<Run>,
+    /// Commits that came without a transaction.
+    pub stray_commits: usize,
     /// Whether a roll-back also undoes settings.
     pub undoes_settings: bool,
     /// Connections that a member takes at once.
@@ -115,6 +117,7 @@
             service,
             members: names.iter().enumerate().map(member).collect(),
             runs: Vec::new(),
+            stray_commits: 0,
             undoes_settings: false,
             connections_max: usize::MAX,
             sessions: BTreeMap::new(),
@@ -334,7 +337,7 @@
     }
 
     fn commit(&mut self, member: usize, session: &mut Session) -> Vec<Reply> {
-        session.transaction = None;
+        self.stray_commits += usize::from(session.transaction.take().is_none());
         if !session.writes.is_empty() {
             self.append(member, session);
         }
