Keep databases whose entries may return; take over attempts of VMs that are gone

Traced: the store was silent, the watch simply waited, and its first answer said that all entries had lapsed; no call had failed, so all databases were dropped at once. Their services had no leader, attempts began, one chose the present primary, the order changed nothing, and the attempt went on until, 12 s later, the other VMs ended their stop by themselves and used the old primary while the attempt replaced it.

Change: a database that was not leaving is kept 2.5 s after its entry is gone, whatever the store seemed to do (the parameter that said so is gone); an attempt that finds an unknown leader is given up; a stop is kept up by the VM that prepares the term and taken over by another when that one is gone.

Tests: entries_that_return_... fails without its mechanism; attempt_of_a_vm_that_is_gone_is_taken_over passes without it too, since a dark primary is judged anew: what it alone covers is not shown.

--- a/crates/gateway/src/engine/attempts.rs
+++ b/crates/gateway/src/engine/attempts.rs
@@ -3,7 +3,7 @@
 use model::prelude::*;
 use slog::{info, warn};
 
-use super::{DatabaseState, Engine, leaders::NO_ATTEMPT};
+use super::{DatabaseState, Engine, ServiceState, leaders::NO_ATTEMPT};
 use crate::{
     effect::Effect,
     peers::PeerBody,
@@ -11,6 +11,9 @@
     takeover::{self, Attempt, Intent, OrderOutcome, Phase, Step, Verdict},
 };
 
+/// How long a stop is left to the VM that asked for it before another VM may take over.
+const ORPHANED_AFTER: DurationUs = DurationUs::from_ms(1_500);
+
 /// What is to be done about a primary.
 enum Change {
     /// It has to be asked whether it still serves.
@@ -57,6 +60,9 @@
         if !could_lead {
             return None;
         }
+        if self.stop_is_orphaned(service) {
+            return Some(Change::Replace { planned: false });
+        }
         let Some(primary) = service.primary.as_ref().and_then(|name| self.databases.get(name))
         else {
             let lasted = service.leaderless_since.map(|since| self.now.since(since));
@@ -85,6 +91,15 @@
         }
     }
 
+    /// Whether a new term was being prepared by a VM that is gone: its order may have left.
+    fn stop_is_orphaned(&self, service: &ServiceState) -> bool {
+        let Some(stopped) = &service.stopped else { return false };
+        let is_own = stopped.by == self.id.vm;
+        stopped.confirmed
+            && self.now.since(stopped.since) >= ORPHANED_AFTER
+            && (is_own || !self.roster.is_live(self.now, &stopped.by))
+    }
+
     fn begin_attempt(&mut self, name: &ServiceName, planned: bool) {
         let now = self.now;
         let service = &self.services[name];
--- a/crates/gateway/src/engine/gossip.rs
+++ b/crates/gateway/src/engine/gossip.rs
@@ -9,7 +9,7 @@
     effect::Effect,
     peers::{
         AgedPosition, Demand, HEARTBEAT_PERIOD, Heartbeat, LEASE, PeerBody, PeerMessage,
-        ServiceNote,
+        ServiceNote, StopNote,
     },
 };
 
@@ -59,7 +59,7 @@
         member.demands = heartbeat.demands;
         let address = member.address;
         for note in &heartbeat.services {
-            self.learn(note, said_at);
+            self.learn(&from, note, said_at);
         }
         if let Some(member) = self.roster.member_mut(&from) {
             member.notes = heartbeat.services;
@@ -81,7 +81,7 @@
     }
 
     /// Takes what a peer knows of a service.
-    fn learn(&mut self, note: &ServiceNote, said_at: Option<MonoTime>) {
+    fn learn(&mut self, from: &VmName, note: &ServiceNote, said_at: Option<MonoTime>) {
         let now = self.now;
         let service =
             self.services.entry(note.service.clone()).or_insert_with(|| ServiceState::new(now));
@@ -98,12 +98,15 @@
         {
             service.freshness.observe(said_at - age, position);
         }
-        if let Some(term) = note.stopped_for
-            && term > service.term
-            && service.stopped.as_ref().is_none_or(|stopped| stopped.term < term)
-        {
-            let by = self.id.vm.clone();
-            service.stopped = Some(StoppedFor { term, by, since: now, confirmed: true });
+        let Some(StopNote { term, by }) = note.stopped_for.clone() else { return };
+        match &mut service.stopped {
+            // Whoever prepares it is at it still.
+            Some(stopped) if stopped.term == term && by == *from => stopped.since = now,
+            Some(stopped) if stopped.term >= term => {}
+            _ if term > service.term => {
+                service.stopped = Some(StoppedFor { term, by, since: now, confirmed: true });
+            }
+            _ => {}
         }
     }
 
@@ -196,7 +199,10 @@
             service: name.clone(),
             term: service.term,
             primary: service.primary.clone(),
-            stopped_for: service.stopped.as_ref().map(|stopped| stopped.term),
+            stopped_for: service
+                .stopped
+                .as_ref()
+                .map(|stopped| StopNote { term: stopped.term, by: stopped.by.clone() }),
             failing: primary.and_then(|p| p.failing_since).map(|since| now.since(since)),
             answered: primary.and_then(|p| p.last_heard).map(|at| now.since(at)),
             position: latest
--- a/crates/gateway/src/engine/registry.rs
+++ b/crates/gateway/src/engine/registry.rs
@@ -6,19 +6,14 @@
 use super::{DatabaseState, Engine, ServiceState};
 use crate::catalog::Database;
 
-/// How long a database that left the list is still used if the store was away: its entry may return.
+/// How long a database that left the list without notice is still used: after an outage of the store
+/// its entry may return within two seconds.
 pub const MISSING_FOR: DurationUs = DurationUs::from_ms(2_500);
 
 impl Engine {
-    /// Takes the databases. `store_was_away`: entries may be missing only because their databases
-    /// could not renew them.
-    pub fn set_databases(
-        &mut self,
-        now: MonoTime,
-        version: u64,
-        databases: Vec<Database>,
-        store_was_away: bool,
-    ) {
+    /// Takes the databases. One that is missing and was not leaving may only have been kept from
+    /// renewing its entry, so it is used a little longer.
+    pub fn set_databases(&mut self, now: MonoTime, version: u64, databases: Vec<Database>) {
         self.now = now;
         if version < self.registry_version {
             return;
@@ -29,14 +24,14 @@
         for (name, state) in &mut self.databases {
             if databases.iter().any(|record| record.name == *name) {
                 state.missing_since = None;
-            } else if store_was_away {
+            } else if !state.record.leaving {
                 state.missing_since.get_or_insert(now);
             } else {
                 gone.push(name.clone());
             }
         }
         for name in gone {
-            self.drop_database(&name, "it left the list");
+            self.drop_database(&name, "it has left");
         }
         for record in databases {
             self.set_database(record);
@@ -101,7 +96,7 @@
         });
         let gone: Vec<DatabaseName> = gone.map(|(name, _)| name.clone()).collect();
         for name in gone {
-            self.drop_database(&name, "its entry did not return after the store's outage");
+            self.drop_database(&name, "its entry has not returned");
         }
     }
 }
--- a/crates/gateway/src/engine/stops.rs
+++ b/crates/gateway/src/engine/stops.rs
@@ -13,7 +13,7 @@
 };
 
 /// How long a stop holds if nothing is heard of its outcome. An attempt is over much sooner.
-const STOP_FOR: DurationUs = DurationUs::from_ms(12_000);
+const STOP_FOR: DurationUs = DurationUs::from_ms(30_000);
 
 impl Engine {
     /// A VM prepares a new term: the primary is not used until it is decided.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -46,7 +46,7 @@
     /// Who leads it; left out mostly, since it rarely changes.
     pub primary: Option<DatabaseName>,
     /// A term that is being prepared, for which the sender has stopped using the primary.
-    pub stopped_for: Option<Term>,
+    pub stopped_for: Option<StopNote>,
     /// For how long the primary has not answered the sender.
     pub failing: Option<DurationUs>,
     /// How long ago the primary last answered the sender.
@@ -55,6 +55,15 @@
     pub position: Option<AgedPosition>,
 }
 
+/// A term that is being prepared.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StopNote {
+    /// The term.
+    pub term: Term,
+    /// The VM that prepares it.
+    pub by: VmName,
+}
+
 /// A position that holds all that was confirmed at a moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgedPosition {
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -261,11 +261,16 @@
     }
 
     fn step_surveying(&mut self, now: MonoTime, since: MonoTime) -> Step {
-        if let Some((leader, row)) = self.rows.iter().find(|(name, row)| {
-            row.is_primary && row.term >= self.term && self.old_primary.as_ref() != Some(*name)
-        }) {
+        let mut leaders = self
+            .rows
+            .iter()
+            .filter(|(name, row)| row.is_primary && self.old_primary.as_ref() != Some(*name));
+        if let Some((leader, row)) = leaders.clone().find(|(_, row)| row.term >= self.term) {
             return Step::Announce(leader.clone(), row.term);
         }
+        if !self.ordered && !self.planned && leaders.next().is_some() {
+            return Step::GiveUp("a database leads that was not known to");
+        }
         let eligible: Vec<&DatabaseName> =
             self.candidates.iter().filter(|name| !self.excluded.contains(*name)).collect();
         if eligible.is_empty() {
--- a/crates/gateway/tests/takeover.rs
+++ b/crates/gateway/tests/takeover.rs
@@ -115,7 +115,7 @@
     let catalog = std::sync::Arc::new(world::catalog(1, 1e6, 100));
     let (now, records) = (world.now, world.records.clone());
     // It has read everything but the list of VMs.
-    world.engines[1].set_databases(now, 1, records, false);
+    world.engines[1].set_databases(now, 1, records);
     world.engines[1].set_catalog(now, catalog);
     world.darken(0);
     world.run_for(5_000);
@@ -415,3 +415,54 @@
         assert!(!world.group.holds(0, &id), "it was replaced");
     }
 }
+
+/// The store was silent, and every entry lapsed meanwhile.
+#[test]
+fn entries_that_return_replace_nobody() {
+    let mut world = World::new(5);
+    let a = world.open(1, LATEST, KEY);
+    assert!(world.ask(a, "a0", write("1")).succeeded());
+    let all = std::mem::take(&mut world.records);
+    world.publish_databases(2);
+    world.run_for(1_500);
+    assert!(world.ask(a, "a1", write("1")).succeeded());
+    world.records = all;
+    world.publish_databases(3);
+    world.run_for(3_000);
+    assert!(world.ask(a, "a2", write("1")).succeeded());
+    assert!(world.promotions.is_empty());
+}
+
+/// The VM that replaces a primary stops at some moment of its attempt.
+#[test]
+fn attempt_of_a_vm_that_is_gone_is_taken_over() {
+    for after_ms in [0, 20, 60, 150, 300, 400] {
+        let mut world = World::new(5);
+        let a = world.open(3, LATEST, KEY);
+        assert!(world.ask(a, "a0", write("1")).succeeded());
+        world.darken(0);
+        while world.engines[0].counts().takeovers == 0 {
+            world.send(a, "lost", write("1"));
+            world.run_for(50);
+        }
+        world.run_for(after_ms);
+        world.freeze(0);
+        let b = world.open(3, LATEST, KEY);
+        let began = world.now;
+        let mut round = 0;
+        loop {
+            round += 1;
+            if world.ask(b, &format!("b{round}"), write("1")).succeeded() {
+                break;
+            }
+            let gap = world.now.since(began);
+            assert!(
+                gap < DurationUs::from_ms(9_000),
+                "{after_ms} ms in: none after {}",
+                gap.as_ms()
+            );
+        }
+        let tokens: Vec<u64> = world.orders.iter().map(|(_, token)| *token).collect();
+        assert!(tokens.is_sorted_by(|a, b| a < b), "{tokens:?}");
+    }
+}
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -240,7 +240,7 @@
             let (now, records) = (self.now, self.records.clone());
             self.drive(vm, |engine| {
                 engine.set_members(now, 1, &members);
-                engine.set_databases(now, 1, records, false);
+                engine.set_databases(now, 1, records);
                 engine.set_catalog(now, catalog.clone());
             });
         }
@@ -260,7 +260,7 @@
     pub fn publish_databases(&mut self, version: u64) {
         for vm in 0..self.engines.len() {
             let (now, records) = (self.now, self.records.clone());
-            self.drive(vm, |engine| engine.set_databases(now, version, records, false));
+            self.drive(vm, |engine| engine.set_databases(now, version, records));
         }
     }
 
@@ -356,7 +356,7 @@
         let (now, members, records) = (self.now, self.members(), self.records.clone());
         self.drive(vm, |engine| {
             engine.set_members(now, 1, &members);
-            engine.set_databases(now, 1, records, false);
+            engine.set_databases(now, 1, records);
             engine.set_catalog(now, Arc::new(catalog));
         });
     }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -172,13 +172,8 @@
     }
 
     /// Takes the databases; see [`Engine::set_databases`].
-    pub fn set_databases(
-        &self,
-        version: u64,
-        databases: Vec<gateway::catalog::Database>,
-        store_was_away: bool,
-    ) {
-        self.drive(|engine, now| engine.set_databases(now, version, databases, store_was_away));
+    pub fn set_databases(&self, version: u64, databases: Vec<gateway::catalog::Database>) {
+        self.drive(|engine, now| engine.set_databases(now, version, databases));
     }
 
     /// Takes the entries of all VMs.
--- a/crates/xtask/src/bench_gateway.rs
+++ b/crates/xtask/src/bench_gateway.rs
@@ -76,6 +76,16 @@
     processor_us: f64,
 }
 
+/// Messages between VMs, and what of them is counted.
+struct Traffic {
+    counted: bool,
+    /// Bytes sent, by VM.
+    bytes: Vec<u64>,
+    messages: u64,
+    /// Messages under way, with the VM that they go to.
+    queue: Vec<(usize, PeerMessage)>,
+}
+
 fn measure(vms: usize, databases: usize) -> eyre::Result<Cost> {
     let mut now = MonoTime(1_000_000_000);
     let mut engines = (0..vms).map(|vm| engine(vm, now)).collect::<eyre::Result<Vec<_>>>()?;
@@ -85,44 +95,36 @@
     let index: BTreeMap<SocketAddr, usize> = (0..vms).map(|vm| (address(vm), vm)).collect();
     for engine in &mut engines {
         engine.set_members(now, 1, &members);
-        engine.set_databases(now, 1, listed.clone(), false);
+        engine.set_databases(now, 1, listed.clone());
         engine.set_catalog(now, catalog.clone());
     }
-    let mut bytes = vec![0u64; vms];
-    let mut messages = 0u64;
+    let mut traffic =
+        Traffic { counted: false, bytes: vec![0; vms], messages: 0, queue: Vec::new() };
     let mut processor = std::time::Duration::ZERO;
     let end = WARM_UP_MS + COUNTED_MS;
     for at in (0..end).step_by(TICK_MS as usize) {
         now = now + DurationUs::from_ms(TICK_MS);
         let counted = at >= WARM_UP_MS;
-        let mut queue: Vec<(usize, PeerMessage)> = Vec::new();
+        traffic.counted = counted;
         for (vm, engine) in engines.iter_mut().enumerate() {
             let began = Instant::now();
             engine.tick(now);
             processor += if counted { began.elapsed() } else { Default::default() };
-            collect(engine, now, vm, &index, counted, &mut bytes, &mut messages, &mut queue)?;
+            collect(engine, now, vm, &index, &mut traffic)?;
         }
-        while let Some((to, message)) = queue.pop() {
+        while let Some((to, message)) = traffic.queue.pop() {
             let began = Instant::now();
             engines[to].peer_message(now, message);
             processor += if counted { began.elapsed() } else { Default::default() };
-            collect(
-                &mut engines[to],
-                now,
-                to,
-                &index,
-                counted,
-                &mut bytes,
-                &mut messages,
-                &mut queue,
-            )?;
+            collect(&mut engines[to], now, to, &index, &mut traffic)?;
         }
     }
     let per_vm_second = vms as f64 * COUNTED_MS as f64 / 1_000.0;
     Ok(Cost {
-        mean_bytes: bytes.iter().sum::<u64>() as f64 / per_vm_second,
-        most_bytes: bytes.iter().max().copied().unwrap_or(0) as f64 * 1_000.0 / COUNTED_MS as f64,
-        messages: messages as f64 / per_vm_second,
+        mean_bytes: traffic.bytes.iter().sum::<u64>() as f64 / per_vm_second,
+        most_bytes: traffic.bytes.iter().max().copied().unwrap_or(0) as f64 * 1_000.0
+            / COUNTED_MS as f64,
+        messages: traffic.messages as f64 / per_vm_second,
         processor_us: processor.as_micros() as f64 / per_vm_second,
     })
 }
@@ -147,21 +149,19 @@
     now: MonoTime,
     vm: usize,
     index: &BTreeMap<SocketAddr, usize>,
-    counted: bool,
-    bytes: &mut [u64],
-    messages: &mut u64,
-    queue: &mut Vec<(usize, PeerMessage)>,
+    traffic: &mut Traffic,
 ) -> eyre::Result<()> {
     let mut effects = engine.take_effects();
     while !effects.is_empty() {
         for effect in effects {
             match effect {
                 Effect::ToPeer(address, message) => {
-                    if counted {
-                        bytes[vm] += rmp_serde::to_vec(&message)?.len() as u64 + DATAGRAM_BYTES;
-                        *messages += 1;
+                    if traffic.counted {
+                        let len = rmp_serde::to_vec(&message)?.len() as u64;
+                        traffic.bytes[vm] += len + DATAGRAM_BYTES;
+                        traffic.messages += 1;
                     }
-                    queue.extend(index.get(&address).map(|to| (*to, message)));
+                    traffic.queue.extend(index.get(&address).map(|to| (*to, message)));
                 }
                 Effect::ToUpstream(key, request) => answer(engine, now, key, &request),
                 _ => {}
