--- /dev/null
+++ b/crates/gateway/tests/load.rs
@@ -0,0 +1,84 @@
+//! Heavy load: what callers get, and what it costs the databases.
+
+mod world;
+
+use gateway::message::ErrorCode;
+use model::prelude::*;
+use world::{BOUNDED, End, KEY, LATEST, World, read, write};
+
+/// The load: two workspaces at once over one or two connections, as on days when databases are short of them.
+/// Opening a connection costs a database half of what a statement does.
+#[test]
+fn connections_stay_with_their_workspace() {
+    let mut world = World::cold(1);
+    world.configure(world::catalog(1, 1e6, 1));
+    world.run_for(3_000);
+    let sessions: Vec<_> = (0..8)
+        .map(|index| world.open(0, LATEST, if index % 2 == 0 { KEY } else { "key-b" }))
+        .collect();
+    let opened_before = world.engines[0].counts().connections_opened;
+    let mut succeeded = 0;
+    for round in 0..50 {
+        for session in &sessions {
+            world.send(*session, &format!("r{round}"), read("1"));
+        }
+        world.run_for(150);
+        succeeded += sessions
+            .iter()
+            .filter(|session| world.answer(**session).is_some_and(|told| told.succeeded()))
+            .count();
+    }
+    let opened = world.engines[0].counts().connections_opened - opened_before;
+    assert_eq!(succeeded, 400);
+    assert!(opened * 5 <= 400, "{opened} connections for 400 statements");
+}
+
+/// The load: more statements than one database can run. Each is answered or refused within its time,
+/// and a refusal is true.
+#[test]
+fn overload_is_refused_in_time_and_truly() {
+    let mut world = World::cold(1);
+    world.configure(world::catalog(1, 1e6, 2));
+    world.run_for(3_000);
+    // Every statement takes a fifth of a second.
+    world.delays_ms.insert((End::Database(0), End::Vm(0)), 200);
+    let sessions: Vec<_> = (0..30).map(|_| world.open(0, LATEST, KEY)).collect();
+    for (index, session) in sessions.iter().enumerate() {
+        world.send(*session, &format!("w{index}"), write("1"));
+    }
+    let began = world.now;
+    while sessions.iter().any(|session| world.answer(*session).is_none()) {
+        world.run_for(10);
+        assert!(world.now.since(began) <= DurationUs::from_ms(1_050), "a caller still waits");
+    }
+    let mut refused = 0;
+    for (index, session) in sessions.iter().enumerate() {
+        let told = world.answer(*session).expect("it was answered");
+        let id = format!("w{index}");
+        match told.error {
+            None => assert!(world.group.holds(0, &id), "{id}"),
+            Some(ErrorCode::Busy) => {
+                refused += 1;
+                assert!(!world.group.holds(0, &id), "{id} was refused and ran");
+            }
+            other => panic!("{other:?}"),
+        }
+    }
+    assert!((1..30).contains(&refused), "{refused}");
+}
+
+/// The load: replicas far behind. Reads that accept the age of what replicas have go on there.
+#[test]
+fn reads_go_to_the_primary_while_replicas_are_behind() {
+    let mut world = World::new(3);
+    let (writer, reader) = (world.open(0, LATEST, KEY), world.open(1, BOUNDED, KEY));
+    world.replicating = false;
+    let mut succeeded = 0;
+    for round in 0..30 {
+        assert!(world.ask(writer, &format!("w{round}"), write("1")).succeeded());
+        let told = world.ask(reader, &format!("r{round}"), read("1"));
+        succeeded += usize::from(told.succeeded());
+        world.run_for(40);
+    }
+    assert_eq!(succeeded, 30);
+}
