--- a/crates/gateway/src/engine/gossip.rs
+++ b/crates/gateway/src/engine/gossip.rs
@@ -8,7 +8,7 @@
 use crate::{
     effect::Effect,
     peers::{
-        AgedPosition, Demand, HEARTBEAT_PERIOD, Heartbeat, LEASE, PeerBody, PeerMessage,
+        AgedPosition, Demand, HEARTBEAT_PERIOD, Heard, Heartbeat, LEASE, PeerBody, PeerMessage,
         ServiceNote, StopNote,
     },
 };
@@ -49,10 +49,8 @@
 
     fn hear(&mut self, from: VmName, incarnation: Incarnation, heartbeat: Heartbeat) {
         let now = self.now;
-        if !self.roster.hear(now, &from, incarnation, heartbeat.stamps) {
-            return;
-        }
-        let said_at = heartbeat.stamps.echo.map(|echo| echo.stamp + echo.held);
+        let heard = self.roster.hear(now, &from, incarnation, heartbeat.stamps);
+        let Some(Heard { is_newer: true, said_after: said_at }) = heard else { return };
         let Some(member) = self.roster.member_mut(&from) else { return };
         member.stopping = heartbeat.stopping;
         member.terms_total = heartbeat.terms_total;
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -166,7 +166,7 @@
     /// An engine that knows no configuration yet.
     pub fn new(id: Identity, log: Logger, now: MonoTime) -> Engine {
         let intents_known = id.first_start;
-        let roster = Roster::new(id.vm.clone(), id.dc.clone());
+        let roster = Roster::new(id.vm.clone(), id.incarnation, id.dc.clone());
         Engine {
             id,
             log,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -98,6 +98,17 @@
     pub stamp: MonoTime,
     /// How long the sender held it.
     pub held: DurationUs,
+    /// Which run of the receiver gave it: the clock of another run says nothing here.
+    pub run: Incarnation,
+}
+
+/// What a message shows by its stamps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Heard {
+    /// Whether it is newer than what was heard before.
+    pub is_newer: bool,
+    /// A moment on the receiver's clock that it was surely not said before.
+    pub said_after: Option<MonoTime>,
 }
 
 /// What a VM says regularly.
@@ -222,6 +233,7 @@
 #[derive(Debug)]
 pub struct Roster {
     me: VmName,
+    run: Incarnation,
     dc: DcName,
     members: BTreeMap<VmName, Member>,
     /// Members that give leases, this VM possibly among them.
@@ -237,9 +249,10 @@
 
 impl Roster {
     /// Only this VM is known.
-    pub fn new(me: VmName, dc: DcName) -> Roster {
+    pub fn new(me: VmName, run: Incarnation, dc: DcName) -> Roster {
         Roster {
             me,
+            run,
             dc,
             members: BTreeMap::new(),
             witnesses: BTreeSet::new(),
@@ -321,42 +334,43 @@
         self.witnesses.contains(&self.me)
     }
 
-    /// Takes a heartbeat's stamps. Returns whether the sender is a member in its present run.
+    /// Takes a heartbeat's stamps; `None` where the sender is no member, or an earlier run of one.
     pub fn hear(
         &mut self,
         now: MonoTime,
         from: &VmName,
         incarnation: Incarnation,
         stamps: Stamps,
-    ) -> bool {
-        let Some(member) = self.members.get_mut(from) else { return false };
+    ) -> Option<Heard> {
+        let run = self.run;
+        let member = self.members.get_mut(from)?;
         let silent = member.heard.is_none_or(|(_, at)| now.since(at) >= LIVE_FOR);
         // The clock that runs are numbered by may have been set back meanwhile.
         if incarnation < member.incarnation && !silent {
-            return false;
+            return None;
         }
         if incarnation != member.incarnation {
             let (address, dc) = (member.address, member.dc.clone());
             let record = MemberRecord { vm: from.clone(), address, incarnation, dc };
             *member = Member::new(&record);
         }
-        let newer = member.heard.is_none_or(|(stamp, _)| stamps.sent > stamp);
-        if newer {
+        let is_newer = member.heard.is_none_or(|(stamp, _)| stamps.sent > stamp);
+        if is_newer {
             member.heard = Some((stamps.sent, now));
         }
-        if let Some(echo) = stamps.echo {
-            let proven = echo.stamp + echo.held;
-            if proven <= now && member.proven.is_none_or(|known| proven > known) {
-                member.proven = Some(proven);
-            }
-        }
-        newer
+        let echo = stamps.echo.filter(|echo| echo.run == run);
+        let said_after = echo.map(|echo| echo.stamp + echo.held).filter(|moment| *moment <= now);
+        member.proven = member.proven.max(said_after);
+        Some(Heard { is_newer, said_after })
     }
 
     /// The stamps for a message to a member.
     pub(crate) fn stamps_for(&self, now: MonoTime, vm: &VmName) -> Stamps {
-        let heard = self.members.get(vm).and_then(|member| member.heard);
-        let echo = heard.map(|(stamp, at)| Echo { stamp, held: now.since(at) });
+        let member = self.members.get(vm);
+        let echo = member.and_then(|member| {
+            let (stamp, at) = member.heard?;
+            Some(Echo { stamp, held: now.since(at), run: member.incarnation })
+        });
         Stamps { sent: now, echo }
     }
 
