Play generated schedules against the gateway: 40 seeds of cuts, freezes, restarts and dark databases

Each checks reads of the latest state, writes that run once, refusals that are true, tokens that rise, and that everybody is served again at the end.

--- /dev/null
+++ b/crates/gateway/tests/schedules.rs
@@ -0,0 +1,186 @@
+//! Generated schedules of cuts, freezes, restarts and dark databases, with callers at every VM. Each
+//! seed gives the same schedule on every run.
+
+mod world;
+
+use std::collections::BTreeSet;
+
+use gateway::message::{Access, ErrorCode, Statement};
+use model::prelude::*;
+use world::{Caller, End, KEY, LATEST, Told, World, begin, read, write};
+
+const VMS: usize = 5;
+const ROUNDS: usize = 120;
+const ROUND_MS: u64 = 100;
+
+/// A small generator of pseudo-random numbers (a linear congruential one).
+struct Random(u64);
+
+impl Random {
+    fn below(&mut self, bound: usize) -> usize {
+        self.0 =
+            self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (self.0 >> 33) as usize % bound
+    }
+}
+
+/// A statement of a caller that is under way.
+struct Asked {
+    caller: Caller,
+    id: String,
+    writes: bool,
+    at: MonoTime,
+    number: usize,
+}
+
+/// What callers were told.
+#[derive(Default)]
+struct Record {
+    /// Writes that were acknowledged, with the time.
+    acknowledged: Vec<(MonoTime, String)>,
+    /// Writes of which callers were told that nothing is kept.
+    refused: Vec<String>,
+    reads: usize,
+}
+
+#[test]
+fn schedules_keep_the_promises() {
+    let mut answered = 0;
+    for seed in 0..40 {
+        answered += play(seed);
+    }
+    assert!(answered > 5_000, "{answered}");
+}
+
+fn play(seed: u64) -> usize {
+    let mut random = Random(seed.wrapping_mul(7_919) + 1);
+    let mut world = World::new(VMS);
+    let mut record = Record::default();
+    let mut under_way: Vec<Asked> = Vec::new();
+    let mut callers: Vec<Caller> = (0..VMS).map(|vm| world.open(vm, LATEST, KEY)).collect();
+    let mut sent = 0;
+    for round in 0..ROUNDS {
+        if round % 8 == 3 {
+            disturb(&mut world, &mut random, &mut callers, &mut under_way);
+        }
+        for vm in 0..VMS {
+            if world.frozen.contains(&vm) || under_way.iter().any(|a| a.caller == callers[vm]) {
+                continue;
+            }
+            sent += 1;
+            let writes = random.below(2) == 0;
+            let id = format!("{}{sent}", if writes { "w" } else { "r" });
+            let number = world.answers(callers[vm]).len();
+            world.send(callers[vm], &id, if writes { write("1") } else { read("1") });
+            let caller = callers[vm];
+            under_way.push(Asked { caller, id, writes, at: world.now, number });
+        }
+        world.run_for(ROUND_MS);
+        under_way.retain(|asked| {
+            let told = world.answers(asked.caller)[asked.number].clone();
+            let open = told.state.is_none();
+            if !open {
+                take(&world, &mut record, asked, &told, seed);
+            }
+            open
+        });
+    }
+    check_end(&mut world, &record, seed);
+    record.reads + record.acknowledged.len()
+}
+
+fn disturb(
+    world: &mut World,
+    random: &mut Random,
+    callers: &mut [Caller],
+    under_way: &mut Vec<Asked>,
+) {
+    let vm = random.below(VMS);
+    let database = random.below(3);
+    match random.below(7) {
+        0 => world.isolate(vm),
+        1 => world.darken(database),
+        2 => world.cut(End::Vm(vm), End::Database(database)),
+        3 => {
+            for other in (0..3).filter(|other| *other != database) {
+                world.cut(End::Database(database), End::Database(other));
+            }
+        }
+        4 if world.frozen.is_empty() => world.freeze(vm),
+        5 => {
+            under_way.retain(|asked| asked.caller.vm != vm);
+            world.wake(vm);
+            world.restart(vm, world::catalog(1, 1e6, 100));
+            callers[vm] = world.open(vm, LATEST, KEY);
+        }
+        _ => {
+            world.cuts.clear();
+            let frozen: Vec<usize> = world.frozen.iter().copied().collect();
+            frozen.into_iter().for_each(|vm| world.wake(vm));
+        }
+    }
+}
+
+fn take(world: &World, record: &mut Record, asked: &Asked, told: &Told, seed: u64) {
+    let id = &asked.id;
+    match told.error {
+        None if asked.writes => record.acknowledged.push((world.now, id.clone())),
+        None => {
+            record.reads += 1;
+            check_read(world, record, asked, seed);
+        }
+        Some(ErrorCode::InDoubt | ErrorCode::Timeout | ErrorCode::Failed) => {}
+        Some(_) if asked.writes => record.refused.push(id.clone()),
+        Some(_) => {}
+    }
+}
+
+/// A read of the latest state sees every write that was acknowledged before and is not lost.
+fn check_read(world: &World, record: &Record, asked: &Asked, seed: u64) {
+    let run = world.group.runs.iter().rev().find(|run| *run.id == *asked.id).expect("it ran");
+    let member = world.group.index(&run.database).expect("a member");
+    let leader = leader(world);
+    for (at, write) in &record.acknowledged {
+        let earlier = *at <= asked.at;
+        if earlier && world.group.holds(leader, write) {
+            let seen = world.group.holds(member, write);
+            assert!(seen, "seed {seed}: {} at {} lacks {write}", asked.id, run.database);
+        }
+    }
+}
+
+fn leader(world: &World) -> usize {
+    let leads = (0..3).filter(|member| world.group.members[*member].is_primary);
+    leads.max_by_key(|member| world.group.members[*member].term).expect("one leads")
+}
+
+fn check_end(world: &mut World, record: &Record, seed: u64) {
+    let ran: Vec<&str> = world
+        .group
+        .runs
+        .iter()
+        .filter(|run| run.text.starts_with("WRITE"))
+        .map(|run| &*run.id)
+        .collect();
+    let distinct: BTreeSet<&&str> = ran.iter().collect();
+    assert_eq!(distinct.len(), ran.len(), "seed {seed}: a write ran twice");
+    for id in &record.refused {
+        for member in 0..3 {
+            assert!(!world.group.holds(member, id), "seed {seed}: {id} was refused and is kept");
+        }
+    }
+    assert_eq!(world.group.stray_commits, 0, "seed {seed}");
+    let tokens: Vec<u64> = world.orders.iter().map(|(_, token)| *token).collect();
+    assert!(tokens.is_sorted_by(|a, b| a < b), "seed {seed}: {tokens:?}");
+    // Once all is whole again, everybody is served.
+    world.cuts.clear();
+    (0..VMS).for_each(|vm| world.wake(vm));
+    world.run_for(12_000);
+    for vm in 0..VMS {
+        let caller = world.open(vm, LATEST, KEY);
+        assert!(world.ask(caller, "end", begin(Access::Write)).succeeded(), "seed {seed}: VM {vm}");
+        let told = world.ask(caller, "end-w", write("1"));
+        assert!(told.succeeded(), "seed {seed}: VM {vm}: {told:?}");
+        assert!(world.ask(caller, "end-c", Statement::Commit).succeeded(), "seed {seed}: VM {vm}");
+    }
+}
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -390,7 +390,9 @@
         };
         for replica in (0..3).filter(|replica| *replica != primary) {
             let cut = self.is_cut(End::Database(primary), End::Database(replica));
-            if !cut && !self.group.members[replica].is_primary {
+            if !cut {
+                // An old primary that reaches the new one follows it.
+                self.group.members[replica].is_primary = false;
                 self.group.replicate(primary, replica);
             }
         }
