Tell a VM that missed it that an attempt was given up; ask all databases who leads

Change: a stop names the run that asked for it, and that run answers a stop it no longer wants with its end; all databases of a leaderless service are asked.

--- a/crates/gateway/src/engine/attempts.rs
+++ b/crates/gateway/src/engine/attempts.rs
@@ -135,7 +135,7 @@
         self.attempts.push(attempt);
         self.effects.push(Effect::PrepareToken { attempt: id });
         let me = self.id.vm.clone();
-        self.stop_using(name, term, planned, &me);
+        self.stop_using(name, term, planned, &me, self.id.incarnation);
         self.run_attempts();
     }
 
--- a/crates/gateway/src/engine/gossip.rs
+++ b/crates/gateway/src/engine/gossip.rs
@@ -35,7 +35,7 @@
                 self.rates.borrow(now, &workspace, tokens, all);
             }
             PeerBody::Stop { service, term, planned } => {
-                self.stop_using(&service, term, planned, &from)
+                self.stop_using(&service, term, planned, &from, incarnation)
             }
             PeerBody::Stopped { service, term } => {
                 self.note_stopped(&service, term, from);
@@ -96,13 +96,24 @@
         {
             service.freshness.observe(said_at - age, position);
         }
-        let Some(StopNote { term, by }) = note.stopped_for.clone() else { return };
+        let Some(StopNote { term, by, run }) = note.stopped_for.clone() else { return };
+        let is_own = by == self.id.vm && run == self.id.incarnation;
+        let given_up = !self.attempts.iter().any(|a| a.service == note.service && a.term == term);
+        if is_own && given_up && term > service.term {
+            // The sender has missed that this VM gave up.
+            let (service, primary) = (note.service.clone(), None);
+            let address = self.roster.member_mut(from).map(|member| member.address);
+            if let Some(address) = address {
+                self.tell(address, PeerBody::Decided { service, term, primary });
+            }
+            return;
+        }
         match &mut service.stopped {
             // Whoever prepares it is at it still.
             Some(stopped) if stopped.term == term && by == *from => stopped.since = now,
             Some(stopped) if stopped.term >= term => {}
             _ if term > service.term => {
-                service.stopped = Some(StoppedFor { term, by, since: now, confirmed: true });
+                service.stopped = Some(StoppedFor { term, by, run, since: now, confirmed: true });
             }
             _ => {}
         }
@@ -197,10 +208,11 @@
             service: name.clone(),
             term: service.term,
             primary: service.primary.clone(),
-            stopped_for: service
-                .stopped
-                .as_ref()
-                .map(|stopped| StopNote { term: stopped.term, by: stopped.by.clone() }),
+            stopped_for: service.stopped.as_ref().map(|stopped| StopNote {
+                term: stopped.term,
+                by: stopped.by.clone(),
+                run: stopped.run,
+            }),
             failing: primary.and_then(|p| p.failing_since).map(|since| now.since(since)),
             answered: primary.and_then(|p| p.last_heard).map(|at| now.since(at)),
             position: latest
--- a/crates/gateway/src/engine/leaders.rs
+++ b/crates/gateway/src/engine/leaders.rs
@@ -5,7 +5,6 @@
 
 use super::Engine;
 use crate::{
-    catalog::Role,
     effect::{CallerKey, UpstreamKey},
     message::{Access, Reply, UpstreamRequest},
     pool::{Awaited, ControlRequest, Outstanding, Purpose},
@@ -39,15 +38,11 @@
             if let Some(state) = self.services.get_mut(&service) {
                 state.asked_leader = Some(now);
             }
-            let claimants: Vec<DatabaseName> = self
-                .databases
-                .iter()
-                .filter(|(_, state)| {
-                    state.record.service == service && state.record.role == Role::Primary
-                })
-                .map(|(name, _)| name.clone())
-                .collect();
-            for database in claimants {
+            // What they entered may be out of date while the store is away: all are asked.
+            let members =
+                self.databases.iter().filter(|(_, state)| state.record.service == service);
+            let members: Vec<DatabaseName> = members.map(|(name, _)| name.clone()).collect();
+            for database in members {
                 self.ask(&database, NO_ATTEMPT, ControlRequest::Status);
             }
         }
@@ -109,7 +104,7 @@
             let (service, term, planned) = (attempt.service.clone(), attempt.term, attempt.planned);
             let me = self.id.vm.clone();
             if attempt.stopped.is_empty() {
-                self.stop_using(&service, term, planned, &me);
+                self.stop_using(&service, term, planned, &me, self.id.incarnation);
             }
             self.run_attempts();
         }
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -106,6 +106,7 @@
 pub(crate) struct StoppedFor {
     pub(crate) term: Term,
     pub(crate) by: VmName,
+    pub(crate) run: Incarnation,
     pub(crate) since: MonoTime,
     pub(crate) confirmed: bool,
 }
--- a/crates/gateway/src/engine/stops.rs
+++ b/crates/gateway/src/engine/stops.rs
@@ -23,6 +23,7 @@
         term: Term,
         planned: bool,
         by: &VmName,
+        run: Incarnation,
     ) {
         let now = self.now;
         let Some(service) = self.services.get_mut(name) else {
@@ -47,7 +48,7 @@
                     "planned" => planned, "by" => %by);
                 let confirmed = !planned;
                 let by = by.clone();
-                service.stopped = Some(StoppedFor { term, by, since: now, confirmed });
+                service.stopped = Some(StoppedFor { term, by, run, since: now, confirmed });
             }
         }
         self.confirm_stops();
@@ -165,7 +166,8 @@
                 self.services.entry(name.clone()).or_insert_with(|| ServiceState::new(now));
             if term > service.term && service.stopped.is_none() {
                 info!(self.log, "promotion may be under way"; "service" => %name, "term" => term.0);
-                service.stopped = Some(StoppedFor { term, by, since: now, confirmed: true });
+                service.stopped =
+                    Some(StoppedFor { term, by, run: Incarnation(0), since: now, confirmed: true });
             }
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -62,6 +62,8 @@
     pub term: Term,
     /// The VM that prepares it.
     pub by: VmName,
+    /// Which run of it.
+    pub run: Incarnation,
 }
 
 /// A position that holds all that was confirmed at a moment.
--- a/crates/gateway/tests/schedules.rs
+++ b/crates/gateway/tests/schedules.rs
@@ -97,8 +97,23 @@
 ) {
     let vm = random.below(VMS);
     let database = random.below(3);
-    match random.below(7) {
-        0 => world.isolate(vm),
+    match random.below(10) {
+        // The leader and one VM on one side, everything else on the other.
+        0 | 7 => {
+            let leader = leader(world);
+            world.isolate(vm);
+            for other in (0..VMS).filter(|other| *other != vm) {
+                world.cut(End::Vm(other), End::Database(leader));
+            }
+            for other in (0..3).filter(|other| *other != leader) {
+                world.cut(End::Database(leader), End::Database(other));
+            }
+        }
+        8 => {
+            let ms = 200 + 100 * random.below(8) as u64;
+            world.delays_ms.insert((End::Vm(vm), End::Database(database)), ms);
+        }
+        9 => world.delays_ms.clear(),
         1 => world.darken(database),
         2 => world.cut(End::Vm(vm), End::Database(database)),
         3 => {
@@ -174,6 +189,7 @@
     assert!(tokens.is_sorted_by(|a, b| a < b), "seed {seed}: {tokens:?}");
     // Once all is whole again, everybody is served.
     world.cuts.clear();
+    world.delays_ms.clear();
     (0..VMS).for_each(|vm| world.wake(vm));
     world.run_for(12_000);
     for vm in 0..VMS {
