--- a/crates/gateway/tests/schedules.rs
+++ b/crates/gateway/tests/schedules.rs
@@ -63,16 +63,16 @@
         if round % 8 == 3 {
             disturb(&mut world, &mut random, &mut callers, &mut under_way);
         }
-        for vm in 0..VMS {
-            if world.frozen.contains(&vm) || under_way.iter().any(|a| a.caller == callers[vm]) {
+        for caller in callers.iter().copied() {
+            let waits = under_way.iter().any(|asked| asked.caller == caller);
+            if waits || world.frozen.contains(&caller.vm) {
                 continue;
             }
             sent += 1;
             let writes = random.below(2) == 0;
             let id = format!("{}{sent}", if writes { "w" } else { "r" });
-            let number = world.answers(callers[vm]).len();
-            world.send(callers[vm], &id, if writes { write("1") } else { read("1") });
-            let caller = callers[vm];
+            let number = world.answers(caller).len();
+            world.send(caller, &id, if writes { write("1") } else { read("1") });
             under_way.push(Asked { caller, id, writes, at: world.now, number });
         }
         world.run_for(ROUND_MS);
