--- a/crates/gateway/tests/schedules.rs
+++ b/crates/gateway/tests/schedules.rs
@@ -102,12 +102,7 @@
         0 | 7 => {
             let leader = leader(world);
             world.isolate(vm);
-            for other in (0..VMS).filter(|other| *other != vm) {
-                world.cut(End::Vm(other), End::Database(leader));
-            }
-            for other in (0..3).filter(|other| *other != leader) {
-                world.cut(End::Database(leader), End::Database(other));
-            }
+            world.strand(leader, vm);
         }
         8 => {
             let ms = 200 + 100 * random.below(8) as u64;
--- a/crates/gateway/tests/takeover.rs
+++ b/crates/gateway/tests/takeover.rs
@@ -55,11 +55,7 @@
     assert!(world.ask(inside, "i0", write("1")).succeeded());
     assert!(world.ask(outside, "o0", write("1")).succeeded());
     world.isolate(4);
-    for vm in 0..4 {
-        world.cut(End::Vm(vm), End::Database(0));
-    }
-    world.cut(End::Database(0), End::Database(1));
-    world.cut(End::Database(0), End::Database(2));
+    world.strand(0, 4);
     let mut acknowledged = Vec::new();
     for round in 0..30 {
         let id = format!("i{}", round + 1);
@@ -129,11 +125,7 @@
     let (a, b) = (world.open(4, LATEST, KEY), world.open(1, LATEST, KEY));
     assert!(world.ask(a, "a0", write("1")).succeeded());
     world.freeze(4);
-    for vm in 0..4 {
-        world.cut(End::Vm(vm), End::Database(0));
-    }
-    world.cut(End::Database(0), End::Database(1));
-    world.cut(End::Database(0), End::Database(2));
+    world.strand(0, 4);
     for round in 0..10 {
         world.ask(b, &format!("b{round}"), write("1"));
     }
@@ -207,11 +199,7 @@
     let (a, b) = (world.open(4, LATEST, KEY), world.open(1, LATEST, KEY));
     assert!(world.ask(a, "a0", write("1")).succeeded());
     world.run_for(100);
-    for vm in 0..4 {
-        world.cut(End::Vm(vm), End::Database(0));
-    }
-    world.cut(End::Database(0), End::Database(1));
-    world.cut(End::Database(0), End::Database(2));
+    world.strand(0, 4);
     // The write leaves before its VM is told to stop, and arrives after the promotion.
     world.delays_ms.insert((End::Vm(4), End::Database(0)), delay_ms);
     for round in 1..12 {
@@ -243,11 +231,7 @@
         let mut world = World::new(5);
         let (a, b) = (world.open(4, LATEST, KEY), world.open(1, LATEST, KEY));
         assert!(world.ask(a, "a0", write("1")).succeeded());
-        for vm in 0..4 {
-            world.cut(End::Vm(vm), End::Database(0));
-        }
-        world.cut(End::Database(0), End::Database(1));
-        world.cut(End::Database(0), End::Database(2));
+        world.strand(0, 4);
         world.ask(a, "a1", begin(Access::Read));
         assert!(world.ask(a, "a2", read("1")).succeeded());
         world.delays_ms.insert((End::Vm(4), End::Database(0)), delay_ms);
@@ -348,11 +332,7 @@
     let (a, b) = (world.open(4, LATEST, KEY), world.open(1, LATEST, KEY));
     assert!(world.ask(a, "a0", write("1")).succeeded());
     world.isolate(4);
-    for vm in 0..4 {
-        world.cut(End::Vm(vm), End::Database(0));
-    }
-    world.cut(End::Database(0), End::Database(1));
-    world.cut(End::Database(0), End::Database(2));
+    world.strand(0, 4);
     for round in 0..12 {
         world.ask(b, &format!("b{round}"), write("1"));
     }
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -279,6 +279,16 @@
         }
     }
 
+    /// Cuts a database off from everything but one VM.
+    pub fn strand(&mut self, database: usize, vm: usize) {
+        for other in (0..self.engines.len()).filter(|other| *other != vm) {
+            self.cut(End::Vm(other), End::Database(database));
+        }
+        for other in (0..3).filter(|other| *other != database) {
+            self.cut(End::Database(database), End::Database(other));
+        }
+    }
+
     /// Cuts a database off from all VMs.
     pub fn darken(&mut self, database: usize) {
         for vm in 0..self.engines.len() {
