Keep the witnesses as a set in the store that follows VMs as they come and go

Cause: VMs that were gone stayed in the list for good, and the witnesses followed from the list. After four of seven were gone nobody could get a lease.

Ruled out: taking VMs out of the list alone. It changes several witnesses at once, so majorities of before and after may share no VM, and two leaders could be used.

Change: the set is an object of the store that changes by one VM at a time, by conditional update, only once a majority uses the present one and leases of before have lapsed. A VM counts no lease from a witness with a later set. A set without a possible majority is replaced as a whole. VMs take themselves out of the list at a planned stop, others take them out after 20 s of silence; one that was taken out enters again. The one more promise during changes of the list is gone with its 5 s. What only the platform can do is one effect, `Effect::Ask`, that the node hands on as it is.

Not seen to fail: the wait between two changes, the count of promises that begins anew with another set, and the look at others' versions of the list.

--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -9,6 +9,7 @@
     Intent,
     message::{Reply, UpstreamRequest},
     peers::PeerMessage,
+    witnesses::WitnessSet,
 };
 
 new_key_type! {
@@ -35,11 +36,15 @@
     ToPeer(SocketAddr, PeerMessage),
     /// Fetch configuration and databases from a peer that knows newer ones.
     FetchFromPeer(SocketAddr),
+    /// Ask the platform for something.
+    Ask(Request),
+}
+
+/// What only the platform's store or its call for promotions can do.
+#[derive(Clone, Debug)]
+pub enum Request {
     /// Read the token of promotions, so that it can be raised soon.
-    PrepareToken {
-        /// Names the attempt.
-        attempt: u64,
-    },
+    ReadToken,
     /// Raise the token of promotions by a conditional update of the value that was read last, and note
     /// the intent with it: a VM that starts anew learns from it what may be under way.
     RaiseToken {
@@ -61,4 +66,17 @@
         /// After this moment the order must not leave.
         not_after: MonoTime,
     },
+    /// Read which promotions were ordered so far.
+    ReadIntents,
+    /// Enter this VM in the list of VMs.
+    Enter,
+    /// Replace the set of witnesses, if it is still at the step before.
+    SetWitnesses(WitnessSet),
+    /// Take a VM out of the list, if it has not entered itself again since.
+    RemoveMember {
+        /// The VM.
+        vm: VmName,
+        /// Its last run that is known.
+        incarnation: Incarnation,
+    },
 }
--- a/crates/gateway/src/engine/attempts.rs
+++ b/crates/gateway/src/engine/attempts.rs
@@ -5,7 +5,7 @@
 
 use super::{DatabaseState, Engine, ServiceState, leaders::NO_ATTEMPT};
 use crate::{
-    effect::Effect,
+    effect::{Effect, Request},
     peers::PeerBody,
     pool::ControlRequest,
     takeover::{self, Attempt, Intent, OrderOutcome, Phase, Step, Verdict},
@@ -133,7 +133,7 @@
             .with_candidates(candidates)
             .with_synchronous(synchronous);
         self.attempts.push(attempt);
-        self.effects.push(Effect::PrepareToken { attempt: id });
+        self.effects.push(Effect::Ask(Request::ReadToken));
         let me = self.id.vm.clone();
         self.stop_using(name, term, planned, &me, self.id.incarnation);
         self.run_attempts();
@@ -142,7 +142,6 @@
     /// Carries attempts on.
     pub(super) fn run_attempts(&mut self) {
         let now = self.now;
-        let members = self.roster.len();
         let ids: Vec<u64> = self.attempts.iter().map(|attempt| attempt.id).collect();
         for id in ids {
             let Some(index) = self.attempts.iter().position(|attempt| attempt.id == id) else {
@@ -162,7 +161,9 @@
                 }
                 continue;
             }
-            match attempt.step(now, members) {
+            attempt.note_majority(now, self.roster.is_majority(&attempt.stopped));
+            let all_said_so = self.roster.are_all(&attempt.stopped);
+            match attempt.step(now, all_said_so) {
                 Step::Wait => {}
                 Step::Ask(databases) => {
                     let request = match attempt.pauses() {
@@ -178,7 +179,7 @@
                     info!(self.log, "raising the token"; "attempt" => id, "service" => %service,
                         "rows" => ?attempt.rows, "stopped" => attempt.stopped.len());
                     let intent = Intent { service, term };
-                    self.effects.push(Effect::RaiseToken { attempt: id, intent });
+                    self.effects.push(Effect::Ask(Request::RaiseToken { attempt: id, intent }));
                 }
                 Step::GiveUp(reason) => self.give_up(index, reason),
                 Step::Announce(database, term) => {
@@ -213,11 +214,9 @@
 
     /// A VM has stopped using the primary for an attempt of this VM.
     pub(super) fn note_stopped(&mut self, service: &ServiceName, term: Term, vm: VmName) {
-        let needed = self.roster.promises_needed(self.now);
-        let is_witness = self.roster.is_witness(&vm);
         for attempt in &mut self.attempts {
             if attempt.service == *service && attempt.term == term {
-                attempt.note_stopped(self.now, vm.clone(), is_witness, needed);
+                attempt.stopped.insert(vm.clone());
             }
         }
     }
@@ -262,7 +261,8 @@
             "age_ms" => now.since(sent).as_ms());
         if let (Some(database), Some(token)) = (found.token_raised(now, token), token) {
             let not_after = sent + takeover::ORDER_WITHIN;
-            self.effects.push(Effect::Promote { attempt, service, database, token, not_after });
+            let order = Request::Promote { attempt, service, database, token, not_after };
+            self.effects.push(Effect::Ask(order));
         }
         self.run_attempts();
     }
--- a/crates/gateway/src/engine/gossip.rs
+++ b/crates/gateway/src/engine/gossip.rs
@@ -49,11 +49,13 @@
 
     fn hear(&mut self, from: VmName, incarnation: Incarnation, heartbeat: Heartbeat) {
         let now = self.now;
-        let heard = self.roster.hear(now, &from, incarnation, heartbeat.stamps);
+        let Heartbeat { stamps, witness_step, .. } = heartbeat;
+        let heard = self.roster.hear(now, &from, incarnation, stamps, witness_step);
         let Some(Heard { is_newer: true, said_after: said_at }) = heard else { return };
         let Some(member) = self.roster.member_mut(&from) else { return };
         member.stopping = heartbeat.stopping;
         member.terms_total = heartbeat.terms_total;
+        member.list_version = heartbeat.members;
         member.demands = heartbeat.demands;
         let address = member.address;
         for note in &heartbeat.services {
@@ -153,8 +155,9 @@
         let now = self.now;
         let Some(address) = self.roster.member_mut(to).map(|member| member.address) else { return };
         let mut stamps = self.roster.stamps_for(now, to);
-        // A run that has just begun may have promised something in the run before.
-        if !self.intents_known && now.since(self.started_at) < LEASE {
+        // A run that has just begun may have promised something in the run before; without an echo
+        // what it says gives no lease.
+        if !self.intents_known && now.since(self.intents_asked_at) < LEASE {
             stamps.echo = None;
         }
         let grants = self.grants_for(to);
@@ -172,6 +175,7 @@
             grants,
             terms_total: self.terms_total(),
             members: self.roster.version(),
+            witness_step: self.roster.witnesses().step,
             wants_notes,
             stopping: self.stop_asked_at.is_some(),
         };
--- /dev/null
+++ b/crates/gateway/src/engine/membership.rs
@@ -0,0 +1,116 @@
+//! The list of VMs and the witnesses among them: what this VM does to keep both true.
+
+use model::prelude::*;
+use slog::{info, warn};
+
+use super::Engine;
+use crate::{
+    effect::{Effect, Request},
+    peers::{LEASE, MemberList},
+    witnesses::{
+        self, BROKEN_SET_AFTER, CHANGE_EVERY, FIRST_SET_AFTER, FIRST_SET_TURN, WitnessSet,
+    },
+};
+
+/// What this VM remembers of its part in the list and the set.
+#[derive(Debug, Default)]
+pub(super) struct Membership {
+    /// Version of the list that names this VM first; `None` while it is being entered.
+    entered: Option<u64>,
+    /// When a change was last asked for.
+    changed_at: Option<MonoTime>,
+    /// Since when a majority uses the present set.
+    in_use_since: Option<MonoTime>,
+    /// Since when the present set can't have a majority.
+    broken_since: Option<MonoTime>,
+}
+
+impl Engine {
+    /// Takes the list of all VMs.
+    pub fn set_members(&mut self, now: MonoTime, list: &MemberList) {
+        self.now = now;
+        let (before, step) = (self.roster.len(), self.roster.witnesses().step);
+        self.roster.set_members(now, list);
+        if before != self.roster.len() {
+            info!(self.log, "members changed"; "members" => self.roster.len(), "before" => before,
+                "version" => list.version);
+        }
+        let set = self.roster.witnesses();
+        if set.step != step {
+            info!(self.log, "witnesses changed"; "step" => set.step, "before" => step,
+                "witnesses" => ?set.vms);
+            self.membership.in_use_since = None;
+            if self.membership.broken_since.take().is_some() && step > 0 {
+                // What the ended witnesses had promised may be known to nobody else.
+                self.intents_known = false;
+                self.intents_asked_at = now;
+                self.effects.push(Effect::Ask(Request::ReadIntents));
+            }
+        }
+        self.rates.set_members(now, self.roster.len());
+        let named_before = self.membership.entered.is_some_and(|since| list.version >= since);
+        if named_before && !self.roster.is_listed() && self.stop_asked_at.is_none() {
+            warn!(self.log, "this VM was taken out of the list"; "version" => list.version);
+            self.membership.entered = None;
+            self.effects.push(Effect::Ask(Request::Enter));
+        }
+    }
+
+    /// This VM is entered in the list from a version on.
+    pub fn entered(&mut self, now: MonoTime, version: u64) {
+        self.now = now;
+        self.membership.entered = Some(version);
+    }
+
+    /// Asks for the change of the witnesses or of the list that is due, if that is this VM's duty.
+    pub(super) fn tend_members(&mut self) {
+        let now = self.now;
+        let in_use = self.roster.is_set_in_use();
+        self.membership.in_use_since = in_use.then(|| self.membership.in_use_since.unwrap_or(now));
+        let is_broken = self.roster.is_set_broken();
+        self.membership.broken_since =
+            is_broken.then(|| self.membership.broken_since.unwrap_or(now));
+        let lately = self.membership.changed_at.is_some_and(|at| now.since(at) < CHANGE_EVERY);
+        if lately || self.stop_asked_at.is_some() {
+            return;
+        }
+        if let Some(request) = self.change_of_members() {
+            info!(self.log, "change of the members asked for"; "request" => ?request);
+            self.membership.changed_at = Some(now);
+            self.effects.push(Effect::Ask(request));
+        }
+    }
+
+    fn change_of_members(&self) -> Option<Request> {
+        let now = self.now;
+        if let Some(since) = self.membership.broken_since {
+            return self.new_set(since).map(Request::SetWitnesses);
+        }
+        let is_steward = self.has_lease() && self.roster.first_live(now) == Some(&self.id.vm);
+        if !is_steward {
+            return None;
+        }
+        let since = self.membership.in_use_since?;
+        let standings = self.roster.standings(now);
+        // Leases that were given under the set before have lapsed.
+        if now.since(since) >= LEASE
+            && let Some(set) = witnesses::next_set(self.roster.witnesses(), &standings)
+        {
+            return Some(Request::SetWitnesses(set));
+        }
+        let (vm, incarnation) = self.roster.gone(now)?;
+        Some(Request::RemoveMember { vm: vm.clone(), incarnation })
+    }
+
+    /// A set from scratch, where there is none or so many witnesses have ended that nobody can have a
+    /// lease. VMs take turns.
+    fn new_set(&self, broken_since: MonoTime) -> Option<WitnessSet> {
+        let now = self.now;
+        let is_first = self.roster.witnesses().step == 0;
+        let wait = if is_first { FIRST_SET_AFTER } else { BROKEN_SET_AFTER };
+        let turn = DurationUs(FIRST_SET_TURN.0 * self.roster.rank() as u64);
+        let unchanged = self.roster.unchanged_for(now)?.0.min(now.since(broken_since).0);
+        let is_due = self.roster.is_listed() && unchanged >= wait.0 + turn.0;
+        is_due.then(|| self.roster.choose_witnesses())
+    }
+}
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -7,12 +7,14 @@
 mod expiry;
 mod gossip;
 mod leaders;
+mod membership;
 mod placement;
 mod registry;
 mod sharing;
 mod stops;
 
 pub(crate) use callers::Grant;
+use membership::Membership;
 
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -25,7 +27,7 @@
     effect::{CallerKey, Effect},
     freshness::ServiceFreshness,
     message::TransactionState,
-    peers::{MemberRecord, Roster},
+    peers::Roster,
     pool::Pool,
     rates::Rates,
     session::Session,
@@ -137,6 +139,9 @@
     had_lease: bool,
     /// Whether promotions that an earlier run knew of are known again.
     intents_known: bool,
+    /// Since when they are not.
+    intents_asked_at: MonoTime,
+    membership: Membership,
     stop_asked_at: Option<MonoTime>,
     counts: Counts,
     effects: Vec<Effect>,
@@ -191,6 +196,8 @@
             fetched_at: MonoTime(0),
             had_lease: false,
             intents_known,
+            intents_asked_at: now,
+            membership: Membership::default(),
             stop_asked_at: None,
             counts: Counts::default(),
             effects: Vec::new(),
@@ -240,11 +247,19 @@
         self.roster.version()
     }
 
+    /// Step of the set of witnesses in use.
+    pub fn witness_step(&self) -> u64 {
+        self.roster.witnesses().step
+    }
+
     /// Whether this VM has to follow the store itself; otherwise it hears from the witnesses.
     pub fn must_follow_store(&self) -> bool {
-        self.roster.am_witness()
-            || !self.has_lease()
-            || self.now.since(self.started_at) < FOLLOW_AT_START
+        self.roster.am_witness() || !self.has_lease() || self.is_starting()
+    }
+
+    /// Whether this VM has just started, and the fleet perhaps with it.
+    pub fn is_starting(&self) -> bool {
+        self.now.since(self.started_at) < STARTING_FOR
     }
 
     /// When [`Engine::tick`] is due.
@@ -277,17 +292,6 @@
         self.pump();
     }
 
-    /// Takes the entries of all VMs.
-    pub fn set_members(&mut self, now: MonoTime, version: u64, records: &[MemberRecord]) {
-        self.now = now;
-        let before = self.roster.len();
-        self.roster.set_members(now, version, records);
-        if before != self.roster.len() {
-            info!(self.log, "members changed"; "members" => self.roster.len(), "before" => before);
-        }
-        self.rates.set_members(now, self.roster.len());
-    }
-
     /// Stops taking new work; what is in progress goes on.
     pub fn stop(&mut self, now: MonoTime) {
         self.now = now;
@@ -323,6 +327,7 @@
             self.send_heartbeats();
         }
         self.note_lease();
+        self.tend_members();
         self.run_attempts();
         self.consider_attempts();
         self.learn_leaders();
@@ -399,8 +404,8 @@
     }
 }
 
-/// How long after its start every VM follows the store: the fleet may be starting.
-const FOLLOW_AT_START: DurationUs = DurationUs::from_ms(9_000);
+/// How long a VM counts as just started, and follows the store: the others may be starting, too.
+const STARTING_FOR: DurationUs = DurationUs::from_ms(9_000);
 /// Time between ticks while something waits.
 const TICK_BUSY: DurationUs = DurationUs::from_ms(20);
 /// Time between ticks otherwise.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,7 +14,8 @@
 pub mod rates;
 mod session;
 pub mod takeover;
+pub mod witnesses;
 
-pub use effect::{CallerKey, Effect, UpstreamKey};
+pub use effect::{CallerKey, Effect, Request, UpstreamKey};
 pub use engine::{Engine, Identity};
 pub use takeover::Intent;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -17,7 +17,10 @@
 use model::{prelude::*, request::stable_hash};
 use serde::{Deserialize, Serialize};
 
-use crate::rates::Grant;
+use crate::{
+    rates::Grant,
+    witnesses::{GONE_AFTER, Health, Standing, WitnessSet},
+};
 
 /// How often a VM speaks to each member.
 ///
@@ -28,11 +31,6 @@
 /// It is waited out when a primary has died with a VM, so it is part of the ten seconds in which a
 /// change of primary has to be over.
 pub const LEASE: DurationUs = DurationUs::from_ms(1_200);
-/// Members that give leases. Their majority outlives the loss of three, and a VM that speaks to seven
-/// stays near 3 KB a second.
-pub const WITNESSES_MAX: usize = 7;
-/// How long after the members changed VMs may disagree on the witnesses.
-pub const MEMBERS_SETTLE: DurationUs = DurationUs::from_ms(5_000);
 /// How long after the last word a member counts as live.
 pub const LIVE_FOR: DurationUs = DurationUs::from_ms(1_000);
 
@@ -132,6 +130,8 @@
     pub terms_total: u64,
     /// Version of the sender's list of VMs.
     pub members: u64,
+    /// Step of the sender's set of witnesses.
+    pub witness_step: u64,
     /// Whether the sender wants to hear of all services, not only news.
     pub wants_notes: bool,
     /// Whether the sender is ending.
@@ -215,6 +215,17 @@
     pub dc: DcName,
 }
 
+/// All VMs, as the store lists them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct MemberList {
+    /// Version of the list.
+    pub version: u64,
+    /// The entries of VMs.
+    pub records: Vec<MemberRecord>,
+    /// The witnesses; `None` before the first set was written.
+    pub witnesses: Option<WitnessSet>,
+}
+
 /// A member and what was heard of it.
 #[derive(Clone, Debug)]
 pub(crate) struct Member {
@@ -223,8 +234,16 @@
     pub(crate) dc: DcName,
     /// The latest moment on our clock at which it surely spoke.
     pub(crate) proven: Option<MonoTime>,
+    /// When it was entered in the list here.
+    listed_at: MonoTime,
     /// Its last stamp and when that came.
     heard: Option<(MonoTime, MonoTime)>,
+    /// Since when it was never silent for long.
+    in_touch_since: MonoTime,
+    /// Step of its set of witnesses.
+    witness_step: u64,
+    /// Version of its list of VMs.
+    pub(crate) list_version: u64,
     pub(crate) notes: Vec<ServiceNote>,
     pub(crate) demands: Vec<Demand>,
     pub(crate) terms_total: u64,
@@ -239,7 +258,9 @@
     dc: DcName,
     members: BTreeMap<VmName, Member>,
     /// Members that give leases, this VM possibly among them.
-    witnesses: BTreeSet<VmName>,
+    witnesses: WitnessSet,
+    /// Whether the list names this VM.
+    is_listed: bool,
     /// When the members last changed; `None` before they are known.
     changed_at: Option<MonoTime>,
     /// Version of the list that the members are from.
@@ -257,7 +278,8 @@
             run,
             dc,
             members: BTreeMap::new(),
-            witnesses: BTreeSet::new(),
+            witnesses: WitnessSet::default(),
+            is_listed: false,
             changed_at: None,
             version: 0,
             homes: FxHashMap::default(),
@@ -270,52 +292,102 @@
         self.version
     }
 
-    /// Takes the entries of all VMs. What was heard of those that stay is kept.
-    pub fn set_members(&mut self, now: MonoTime, version: u64, records: &[MemberRecord]) {
-        if version < self.version {
+    /// Takes the list of all VMs. What was heard of those that stay is kept.
+    pub fn set_members(&mut self, now: MonoTime, list: &MemberList) {
+        if list.version < self.version {
             return;
         }
-        self.version = version;
+        self.version = list.version;
         let before: Vec<VmName> = self.members.keys().cloned().collect();
-        self.members.retain(|vm, _| records.iter().any(|record| record.vm == *vm));
-        for record in records.iter().filter(|record| record.vm != self.me) {
+        self.members.retain(|vm, _| list.records.iter().any(|record| record.vm == *vm));
+        self.is_listed = list.records.iter().any(|record| record.vm == self.me);
+        for record in list.records.iter().filter(|record| record.vm != self.me) {
             match self.members.get_mut(&record.vm) {
                 Some(member) if member.incarnation >= record.incarnation => {}
                 _ => {
-                    self.members.insert(record.vm.clone(), Member::new(record));
+                    self.members.insert(record.vm.clone(), Member::new(now, record));
                 }
             }
         }
         if self.changed_at.is_none() || !before.iter().eq(self.members.keys()) {
             self.changed_at = Some(now);
-            self.choose_witnesses();
         }
+        let later = list.witnesses.as_ref().filter(|set| set.step > self.witnesses.step);
+        if let Some(witnesses) = later {
+            self.witnesses = witnesses.clone();
+        }
+    }
+
+    /// The set of witnesses in use.
+    pub fn witnesses(&self) -> &WitnessSet {
+        &self.witnesses
+    }
+
+    /// Whether the list names this VM.
+    pub(crate) fn is_listed(&self) -> bool {
+        self.is_listed
+    }
+
+    /// For how long the list has named the same VMs; `None` before it is known.
+    pub(crate) fn unchanged_for(&self, now: MonoTime) -> Option<DurationUs> {
+        self.changed_at.map(|at| now.since(at))
     }
 
-    /// Chooses the witnesses: the same on every VM with the same members, spread over data centres.
-    fn choose_witnesses(&mut self) {
-        let mut by_dc: BTreeMap<&DcName, Vec<(u64, &VmName)>> = BTreeMap::new();
+    /// Whether so many witnesses have ended that the rest is no majority: nobody can get a lease.
+    pub(crate) fn is_set_broken(&self) -> bool {
+        let listed = self.witnesses.vms.iter().filter(|vm| self.lists(vm)).count();
+        listed < self.witnesses.majority()
+    }
+
+    fn lists(&self, vm: &VmName) -> bool {
+        if *vm == self.me { self.is_listed } else { self.members.contains_key(vm) }
+    }
+
+    /// A set chosen anew from the list.
+    pub(crate) fn choose_witnesses(&self) -> WitnessSet {
         let others = self.members.iter().map(|(vm, member)| (vm, &member.dc));
-        for (vm, dc) in others.chain([(&self.me, &self.dc)]) {
-            by_dc.entry(dc).or_default().push((stable_hash(vm.as_str()), vm));
-        }
-        for vms in by_dc.values_mut() {
-            vms.sort_unstable_by(|a, b| b.cmp(a));
-        }
-        let mut chosen = BTreeSet::new();
-        while chosen.len() < WITNESSES_MAX && by_dc.values().any(|vms| !vms.is_empty()) {
-            for vms in by_dc.values_mut() {
-                if chosen.len() < WITNESSES_MAX {
-                    chosen.extend(vms.pop().map(|(_, vm)| vm.clone()));
-                }
-            }
-        }
-        self.witnesses = chosen;
+        let me = self.is_listed.then_some((&self.me, &self.dc));
+        self.witnesses.choose_next(others.chain(me))
+    }
+
+    /// How many VMs of the list come before this one.
+    pub(crate) fn rank(&self) -> usize {
+        self.members.keys().filter(|vm| **vm < self.me).count()
+    }
+
+    /// How all VMs and witnesses fare.
+    pub(crate) fn standings(&self, now: MonoTime) -> Vec<Standing<'_>> {
+        let others = self.members.iter().map(|(vm, member)| Standing {
+            vm,
+            dc: Some(&member.dc),
+            health: member.health(now),
+        });
+        let in_touch = Health::InTouch(DurationUs(u64::MAX));
+        let me = Standing { vm: &self.me, dc: Some(&self.dc), health: in_touch };
+        let unlisted = self.witnesses.vms.iter().filter(|vm| **vm != self.me && !self.lists(vm));
+        let left = unlisted.map(|vm| Standing { vm, dc: None, health: Health::Left });
+        others.chain([me]).chain(left).collect()
+    }
+
+    /// Whether a majority of the witnesses is known to use this VM's set.
+    pub(crate) fn is_set_in_use(&self) -> bool {
+        let others = self.members.iter().filter(|(vm, _)| self.is_witness(vm));
+        let using = others.filter(|(_, member)| member.witness_step >= self.witnesses.step).count();
+        using + usize::from(self.am_witness()) >= self.witnesses.majority()
+    }
+
+    /// A VM of the list that has been silent for so long that it counts as gone.
+    pub(crate) fn gone(&self, now: MonoTime) -> Option<(&VmName, Incarnation)> {
+        let others = self.members.iter().filter(|(vm, _)| !self.is_witness(vm));
+        others
+            .filter(|(_, m)| matches!(m.health(now), Health::Silent(span) if span >= GONE_AFTER))
+            .map(|(vm, member)| (vm, member.incarnation))
+            .next()
     }
 
     /// Whether a member gives leases.
     pub fn is_witness(&self, vm: &VmName) -> bool {
-        self.witnesses.contains(vm)
+        self.witnesses.vms.contains(vm)
     }
 
     /// The live witness that is nearest: VMs tell each other all they know by way of it.
@@ -333,16 +405,17 @@
 
     /// Whether this VM gives leases.
     pub(crate) fn am_witness(&self) -> bool {
-        self.witnesses.contains(&self.me)
+        self.is_witness(&self.me)
     }
 
-    /// Takes a heartbeat's stamps; `None` where the sender is no member, or an earlier run of one.
+    /// Takes a heartbeat's stamps and the step of the sender's set of witnesses; `None` where the sender is no member, or an earlier run of one.
     pub fn hear(
         &mut self,
         now: MonoTime,
         from: &VmName,
         incarnation: Incarnation,
         stamps: Stamps,
+        witness_step: u64,
     ) -> Option<Heard> {
         let run = self.run;
         let member = self.members.get_mut(from)?;
@@ -354,11 +427,15 @@
         if incarnation != member.incarnation {
             let (address, dc) = (member.address, member.dc.clone());
             let record = MemberRecord { vm: from.clone(), address, incarnation, dc };
-            *member = Member::new(&record);
+            *member = Member::new(now, &record);
+        }
+        if silent {
+            member.in_touch_since = now;
         }
         let is_newer = member.heard.is_none_or(|(stamp, _)| stamps.sent > stamp);
         if is_newer {
             member.heard = Some((stamps.sent, now));
+            member.witness_step = witness_step;
         }
         let echo = stamps.echo.filter(|echo| echo.run == run);
         let said_after = echo.map(|echo| echo.stamp + echo.held).filter(|moment| *moment <= now);
@@ -378,14 +455,16 @@
 
     /// Until when this VM may use primaries, as far as it knows of no change.
     pub fn lease_until(&self, now: MonoTime) -> Option<MonoTime> {
-        self.changed_at?;
-        let others = self.members.iter().filter(|(vm, _)| self.is_witness(vm));
+        // A witness that uses a later set may have promised something under that.
+        let others = self.members.iter().filter(|(vm, member)| {
+            self.is_witness(vm) && member.witness_step <= self.witnesses.step
+        });
         let mut proven: Vec<MonoTime> = others.filter_map(|(_, member)| member.proven).collect();
         if self.am_witness() {
             proven.push(now);
         }
         proven.sort_unstable_by(|a, b| b.cmp(a));
-        proven.get(self.majority() - 1).map(|&at| at + LEASE)
+        proven.get(self.witnesses.majority() - 1).map(|&at| at + LEASE)
     }
 
     /// The most that a witness that was in touch lately says of the terms of all services.
@@ -396,17 +475,16 @@
         recent.map(|(_, member)| member.terms_total).max().unwrap_or(0)
     }
 
-    /// Witnesses that make a majority.
-    pub fn majority(&self) -> usize {
-        self.witnesses.len() / 2 + 1
+    /// Whether VMs hold a majority of the witnesses.
+    pub fn is_majority(&self, vms: &BTreeSet<VmName>) -> bool {
+        let witnesses = vms.iter().filter(|vm| self.is_witness(vm)).count();
+        self.witnesses.step > 0 && witnesses >= self.witnesses.majority()
     }
 
-    /// Witnesses that have to promise before a primary is replaced. While VMs may disagree on one of
-    /// the witnesses, one more than a majority.
-    pub fn promises_needed(&self, now: MonoTime) -> usize {
-        let settled = self.changed_at.is_some_and(|at| now.since(at) >= MEMBERS_SETTLE);
-        let more = usize::from(!settled && self.majority() < self.witnesses.len());
-        self.majority() + more
+    /// Whether VMs are all there are, as far as anybody who spoke lately knows.
+    pub(crate) fn are_all(&self, vms: &BTreeSet<VmName>) -> bool {
+        let knows_more = self.members.values().any(|member| member.list_version > self.version);
+        !knows_more && vms.contains(&self.me) && self.members.keys().all(|vm| vms.contains(vm))
     }
 
     /// Whether a member spoke lately.
@@ -419,12 +497,12 @@
 
     /// The live witness that comes first: it carries out what only one may do.
     pub fn first_live(&self, now: MonoTime) -> Option<&VmName> {
-        self.witnesses.iter().find(|vm| self.is_live(now, vm))
+        self.witnesses.vms.iter().find(|vm| self.is_live(now, vm))
     }
 
     /// The live witness that hands out a workspace's rate.
     pub(crate) fn home_of(&mut self, now: MonoTime, workspace: &WorkspaceName) -> VmName {
-        let witnesses = self.witnesses.iter().filter(|vm| self.is_live(now, vm));
+        let witnesses = self.witnesses.vms.iter().filter(|vm| self.is_live(now, vm));
         let live: Vec<VmName> = witnesses.cloned().collect();
         if live != self.homes_live {
             self.homes.clear();
@@ -469,17 +547,32 @@
 }
 
 impl Member {
-    fn new(record: &MemberRecord) -> Member {
+    fn new(now: MonoTime, record: &MemberRecord) -> Member {
         Member {
             address: record.address,
             incarnation: record.incarnation,
             dc: record.dc.clone(),
             proven: None,
+            listed_at: now,
             heard: None,
+            in_touch_since: now,
+            witness_step: 0,
+            list_version: 0,
             notes: Vec::new(),
             demands: Vec::new(),
             terms_total: 0,
             stopping: false,
         }
     }
+
+    fn health(&self, now: MonoTime) -> Health {
+        let silent = now.since(self.heard.map_or(self.listed_at, |(_, at)| at));
+        match (silent < LIVE_FOR, self.stopping) {
+            (true, true) => Health::Stopping,
+            (true, false) if self.heard.is_some() => {
+                Health::InTouch(now.since(self.in_touch_since))
+            }
+            _ => Health::Silent(silent),
+        }
+    }
 }
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -136,9 +136,7 @@
     pub phase: Phase,
     /// VMs that have stopped.
     pub stopped: BTreeSet<VmName>,
-    /// How many of them are witnesses.
-    pub witnesses: usize,
-    /// When a majority of the witnesses had stopped.
+    /// Since when a majority of the witnesses has stopped.
     pub majority_at: Option<MonoTime>,
     /// When the stop was last asked for.
     pub stop_sent: Option<MonoTime>,
@@ -167,7 +165,6 @@
             started: now,
             phase: Phase::Stopping,
             stopped: BTreeSet::new(),
-            witnesses: 0,
             majority_at: None,
             stop_sent: None,
             candidates: Vec::new(),
@@ -193,20 +190,15 @@
         Attempt { synchronous, ..self }
     }
 
-    /// Whether all VMs that could use the primary have stopped, or their leases have lapsed.
-    pub fn all_stopped(&self, now: MonoTime, members: usize) -> bool {
-        self.stopped.len() >= members || self.majority_at.is_some_and(|at| now.since(at) >= LEASE)
+    /// Whether all VMs that could use the primary have stopped, or their leases have lapsed. `all_said_so`
+    /// is whether every VM has confirmed it.
+    pub fn all_stopped(&self, now: MonoTime, all_said_so: bool) -> bool {
+        all_said_so || self.majority_at.is_some_and(|at| now.since(at) >= LEASE)
     }
 
-    /// Notes that a VM has stopped, and whether it is a witness, of which some number is needed.
-    pub fn note_stopped(&mut self, now: MonoTime, vm: VmName, is_witness: bool, needed: usize) {
-        if !self.stopped.insert(vm) || !is_witness {
-            return;
-        }
-        self.witnesses += 1;
-        if self.witnesses >= needed && self.majority_at.is_none() {
-            self.majority_at = Some(now);
-        }
+    /// Notes whether a majority of the witnesses has stopped. Another set of witnesses has to stop anew.
+    pub fn note_majority(&mut self, now: MonoTime, has_stopped: bool) {
+        self.majority_at = has_stopped.then(|| self.majority_at.unwrap_or(now));
     }
 
     /// Whether databases are told to receive nothing more when they are asked.
@@ -229,10 +221,10 @@
         self.rows.insert(database.clone(), row);
     }
 
-    /// What to do at `now`, given how many VMs there are.
-    pub fn step(&mut self, now: MonoTime, members: usize) -> Step {
+    /// What to do at `now`, given whether all VMs have confirmed that they stopped.
+    pub fn step(&mut self, now: MonoTime, all_said_so: bool) -> Step {
         match self.phase.clone() {
-            Phase::Stopping => self.step_stopping(now, members),
+            Phase::Stopping => self.step_stopping(now, all_said_so),
             Phase::Surveying { since } => self.step_surveying(now, since),
             Phase::Demoting { since, candidate } => self.step_demoting(now, since, candidate),
             Phase::RaisingToken { since, .. } if now.since(since) >= CALL_WITHIN => {
@@ -248,8 +240,8 @@
         }
     }
 
-    fn step_stopping(&mut self, now: MonoTime, members: usize) -> Step {
-        if self.all_stopped(now, members) {
+    fn step_stopping(&mut self, now: MonoTime, all_said_so: bool) -> Step {
+        if self.all_stopped(now, all_said_so) {
             self.phase = Phase::Surveying { since: now };
             return self.ask(now);
         }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -1,6 +1,9 @@
 //! Dating what peers say, and leases.
 
-use gateway::peers::{Echo, Heard, LEASE, MemberRecord, Roster, Stamps};
+use gateway::{
+    peers::{Echo, Heard, LEASE, MemberList, MemberRecord, Roster, Stamps},
+    witnesses::WitnessSet,
+};
 use model::prelude::*;
 
 const RUN: Incarnation = Incarnation(7);
@@ -23,13 +26,25 @@
     };
     let mut roster = Roster::new(vm(0), RUN, dc.clone());
     let records: Vec<MemberRecord> = (0..members).map(record).collect();
-    roster.set_members(at(0), 1, &records);
+    let vms = records.iter().map(|record| (&record.vm, &record.dc));
+    let witnesses = Some(WitnessSet::default().choose_next(vms));
+    roster.set_members(at(0), &MemberList { version: 1, records, witnesses });
     roster
 }
 
 fn hear(roster: &mut Roster, now: MonoTime, from: usize, echo: Echo) -> Option<Heard> {
+    hear_with_step(roster, now, from, echo, 1)
+}
+
+fn hear_with_step(
+    roster: &mut Roster,
+    now: MonoTime,
+    from: usize,
+    echo: Echo,
+    step: u64,
+) -> Option<Heard> {
     let stamps = Stamps { sent: now, echo: Some(echo) };
-    roster.hear(now, &vm(from), Incarnation(1), stamps)
+    roster.hear(now, &vm(from), Incarnation(1), stamps, step)
 }
 
 #[test]
@@ -65,3 +80,15 @@
     let roster = Roster::new(vm(0), RUN, DcName::new("dc-a").expect("a name"));
     assert_eq!(roster.lease_until(at(1_000)), None);
 }
+
+#[test]
+fn lease_counts_no_witness_that_uses_a_later_set() {
+    let mut roster = roster(5);
+    let (now, held) = (at(10_000), DurationUs(0));
+    let echo = Echo { stamp: at(9_900), held, run: RUN };
+    hear(&mut roster, now, 1, echo);
+    hear_with_step(&mut roster, now, 2, echo, 2);
+    assert_eq!(roster.lease_until(now), None, "the third may have promised something since");
+    hear(&mut roster, now, 3, echo);
+    assert_eq!(roster.lease_until(now), Some(at(9_900) + LEASE));
+}
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -10,14 +10,15 @@
 };
 
 use gateway::{
-    CallerKey, Effect, Engine, Identity, UpstreamKey,
+    CallerKey, Effect, Engine, Identity, Request, UpstreamKey,
     catalog::{Catalog, Database, Freshness, Role, Route, ServiceLimits, Workspace},
     message::{
         Access, CallerMessage, ErrorCode, Reply, Shape, Statement, TransactionState,
         UpstreamRequest,
     },
-    peers::{MemberRecord, PeerMessage},
+    peers::{MemberList, MemberRecord, PeerMessage},
     takeover::OrderOutcome,
+    witnesses::WitnessSet,
 };
 use model::prelude::*;
 use slog::{Discard, Logger, o};
@@ -58,6 +59,8 @@
     Token { vm: usize, attempt: u64, token: u64, sent: MonoTime },
     Promote { database: DatabaseName },
     Ordered { vm: usize, attempt: u64 },
+    Members { vm: usize },
+    Fetched { vm: usize, list: MemberList },
 }
 
 struct Link {
@@ -99,6 +102,12 @@
     pub delays_ms: BTreeMap<(End, End), u64>,
     /// Added to the time in which databases accept connections.
     pub slow_connects_ms: u64,
+    /// VMs that can't reach the store.
+    pub storeless: BTreeSet<usize>,
+    /// The list of VMs in the store.
+    pub list: MemberList,
+    /// The list that each VM has.
+    lists: Vec<MemberList>,
     queue: BinaryHeap<Reverse<(MonoTime, u64)>>,
     happenings: BTreeMap<u64, Happening>,
     next: u64,
@@ -210,6 +219,9 @@
             closed: BTreeSet::new(),
             delays_ms: BTreeMap::new(),
             slow_connects_ms: 0,
+            storeless: BTreeSet::new(),
+            list: MemberList::default(),
+            lists: vec![MemberList::default(); vms],
             queue: BinaryHeap::new(),
             happenings: BTreeMap::new(),
             next: 0,
@@ -235,11 +247,17 @@
 
     pub fn configure(&mut self, catalog: Catalog) {
         let catalog = Arc::new(catalog);
-        let members = self.members();
+        if self.list.version == 0 {
+            let records = self.members();
+            let vms = records.iter().map(|record| (&record.vm, &record.dc));
+            let witnesses = Some(WitnessSet::default().choose_next(vms));
+            self.list = MemberList { version: 1, records, witnesses };
+        }
         for vm in 0..self.engines.len() {
             let (now, records) = (self.now, self.records.clone());
+            self.read_list(vm);
             self.drive(vm, |engine| {
-                engine.set_members(now, 1, &members);
+                engine.entered(now, 1);
                 engine.set_databases(now, 1, records);
                 engine.set_catalog(now, catalog.clone());
             });
@@ -256,6 +274,54 @@
         (0..self.engines.len()).map(record).collect()
     }
 
+    /// Lets a VM read the list of VMs, and keeps a watch that misses nothing while the store is reached.
+    fn read_list(&mut self, vm: usize) {
+        if !self.storeless.contains(&vm) {
+            self.take_list(vm, self.list.clone());
+        }
+    }
+
+    fn take_list(&mut self, vm: usize, list: MemberList) {
+        if list.version > self.lists[vm].version {
+            let now = self.now;
+            self.lists[vm] = list.clone();
+            self.drive(vm, |engine| engine.set_members(now, &list));
+        }
+    }
+
+    /// Changes the list of VMs in the store; those that follow it are told.
+    pub fn change_list(&mut self, change: impl FnOnce(&mut MemberList)) {
+        change(&mut self.list);
+        self.list.version += 1;
+        for vm in 0..self.engines.len() {
+            self.later(STORE_US, Happening::Members { vm });
+        }
+    }
+
+    /// Ends a VM for good, without a word.
+    pub fn lose_vm(&mut self, vm: usize) {
+        self.freeze(vm);
+        let links: Vec<(usize, UpstreamKey)> =
+            self.links.keys().filter(|(at, _)| *at == vm).copied().collect();
+        for link in links {
+            if let Some(Link { database, id, .. }) = self.links.remove(&link) {
+                self.group.close(database, id);
+            }
+        }
+    }
+
+    /// Asks a VM to end; it does three seconds later, and takes itself out of the list.
+    pub fn stop_vm(&mut self, vm: usize) {
+        let now = self.now;
+        self.drive(vm, |engine| engine.stop(now));
+    }
+
+    pub fn end_stopped_vm(&mut self, vm: usize) {
+        self.lose_vm(vm);
+        let name = vm_name(vm);
+        self.change_list(|list| list.records.retain(|record| record.vm != name));
+    }
+
     /// Tells all engines of the databases as they are listed now.
     pub fn publish_databases(&mut self, version: u64) {
         for vm in 0..self.engines.len() {
@@ -363,9 +429,10 @@
     pub fn restart(&mut self, vm: usize, catalog: Catalog) {
         self.links.retain(|(at, _), _| *at != vm);
         self.engines[vm] = self.engine(vm, false);
-        let (now, members, records) = (self.now, self.members(), self.records.clone());
+        let (now, records) = (self.now, self.records.clone());
+        self.lists[vm] = MemberList::default();
+        self.read_list(vm);
         self.drive(vm, |engine| {
-            engine.set_members(now, 1, &members);
             engine.set_databases(now, 1, records);
             engine.set_catalog(now, Arc::new(catalog));
         });
@@ -439,6 +506,14 @@
                 self.runs_at_promotion.get_or_insert(self.group.runs.len());
                 self.promotions.push(database);
             }
+            Happening::Members { vm } if self.frozen.contains(&vm) => {
+                self.later(TICK_US, Happening::Members { vm });
+            }
+            Happening::Members { vm } if self.engines[vm].must_follow_store() => {
+                self.read_list(vm);
+            }
+            Happening::Members { .. } => {}
+            Happening::Fetched { vm, list } => self.take_list(vm, list),
             Happening::Ordered { vm, attempt } => {
                 let accepted = OrderOutcome::Accepted;
                 self.drive(vm, |engine| engine.order_answered(now, attempt, accepted));
@@ -511,19 +586,50 @@
                     self.later(ONE_WAY_US, Happening::Peer { to, message });
                 }
             }
-            Effect::RaiseToken { attempt, .. } => {
+            Effect::FetchFromPeer(address) => {
+                let from = (0..self.engines.len()).find(|index| vm_address(*index) == address);
+                if let Some(from) = from.filter(|from| !self.is_cut(End::Vm(vm), End::Vm(*from))) {
+                    let list = self.lists[from].clone();
+                    self.later(2 * ONE_WAY_US, Happening::Fetched { vm, list });
+                }
+            }
+            Effect::Ask(request) => self.ask_platform(vm, request),
+        }
+    }
+
+    fn ask_platform(&mut self, vm: usize, request: Request) {
+        if self.storeless.contains(&vm) {
+            return;
+        }
+        match request {
+            Request::RaiseToken { attempt, .. } => {
                 self.token += 1;
                 let (token, sent) = (self.token, self.now);
                 self.later(STORE_US, Happening::Token { vm, attempt, token, sent });
             }
-            Effect::Promote { attempt, database, token, not_after, .. } => {
+            Request::Promote { attempt, database, token, not_after, .. } => {
                 if self.now <= not_after {
                     self.orders.push((vm, token));
                     self.later(PROMOTE_US, Happening::Promote { database });
                     self.later(ONE_WAY_US, Happening::Ordered { vm, attempt });
                 }
             }
-            Effect::PrepareToken { .. } | Effect::FetchFromPeer(_) => {}
+            Request::SetWitnesses(set) => {
+                let step = self.list.witnesses.as_ref().map_or(0, |present| present.step);
+                if set.step == step + 1 {
+                    self.change_list(|list| list.witnesses = Some(set));
+                }
+            }
+            Request::RemoveMember { vm, .. } => {
+                self.change_list(|list| list.records.retain(|record| record.vm != vm));
+            }
+            Request::Enter => {
+                let record = self.members().remove(vm);
+                self.change_list(|list| list.records.push(record));
+                let (now, version) = (self.now, self.list.version);
+                self.drive(vm, |engine| engine.entered(now, version));
+            }
+            Request::ReadToken | Request::ReadIntents => {}
         }
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,7 +14,7 @@
 use edge::client::Client;
 use eyre::WrapErr;
 use gateway::{
-    CallerKey, Effect, Engine, Intent, UpstreamKey, catalog::Catalog, peers::MemberRecord,
+    CallerKey, Effect, Engine, Intent, Request, UpstreamKey, catalog::Catalog, peers::MemberList,
     takeover::OrderOutcome,
 };
 use model::prelude::*;
@@ -57,31 +57,8 @@
 /// What a node asks of the program around it.
 #[derive(Clone, Debug)]
 pub enum Command {
-    /// Read the token of promotions.
-    PrepareToken {
-        /// Names the attempt.
-        attempt: u64,
-    },
-    /// Raise the token of promotions; [`Node::token_raised`] takes the answer.
-    RaiseToken {
-        /// Names the attempt.
-        attempt: u64,
-        /// What is about to be ordered.
-        intent: Intent,
-    },
-    /// Order a promotion; [`Node::order_answered`] takes the answer.
-    Promote {
-        /// Names the attempt.
-        attempt: u64,
-        /// The service.
-        service: ServiceName,
-        /// The database that is to lead.
-        database: DatabaseName,
-        /// The token.
-        token: u64,
-        /// After this moment the order must not leave.
-        not_after: MonoTime,
-    },
+    /// What only the platform can do.
+    Ask(Request),
     /// A peer's state, newer than this VM's.
     Fetched(Snapshot),
 }
@@ -176,9 +153,14 @@
         self.drive(|engine, now| engine.set_databases(now, version, databases));
     }
 
-    /// Takes the entries of all VMs.
-    pub fn set_members(&self, version: u64, records: &[MemberRecord]) {
-        self.drive(|engine, now| engine.set_members(now, version, records));
+    /// Takes the list of all VMs.
+    pub fn set_members(&self, list: &MemberList) {
+        self.drive(|engine, now| engine.set_members(now, list));
+    }
+
+    /// This VM is entered in the list from a version on.
+    pub fn entered(&self, version: u64) {
+        self.drive(|engine, now| engine.entered(now, version));
     }
 
     /// Changes what peers are handed.
@@ -288,13 +270,7 @@
             Effect::FetchFromPeer(address) => {
                 spawn_local(self.clone().fetch(address));
             }
-            Effect::PrepareToken { attempt } => self.command(Command::PrepareToken { attempt }),
-            Effect::RaiseToken { attempt, intent } => {
-                self.command(Command::RaiseToken { attempt, intent });
-            }
-            Effect::Promote { attempt, service, database, token, not_after } => {
-                self.command(Command::Promote { attempt, service, database, token, not_after });
-            }
+            Effect::Ask(request) => self.command(Command::Ask(request)),
         }
         None
     }
--- a/crates/xtask/src/bench_gateway.rs
+++ b/crates/xtask/src/bench_gateway.rs
@@ -13,8 +13,9 @@
     Effect, Engine, Identity, UpstreamKey,
     catalog::{Catalog, Database, Role, ServiceLimits, Workspace},
     message::{Reply, TransactionState, UpstreamRequest},
-    peers::{MemberRecord, PeerMessage},
+    peers::{MemberList, MemberRecord, PeerMessage},
     takeover::StatusRow,
+    witnesses::WitnessSet,
 };
 use model::prelude::*;
 use slog::{Discard, Logger, o};
@@ -93,8 +94,11 @@
     let catalog = Arc::new(catalog(databases / COPIES)?);
     let listed = listed(databases / COPIES)?;
     let index: BTreeMap<SocketAddr, usize> = (0..vms).map(|vm| (address(vm), vm)).collect();
+    let names = members.iter().map(|record| (&record.vm, &record.dc));
+    let witnesses = Some(WitnessSet::default().choose_next(names));
+    let list = MemberList { version: 1, records: members, witnesses };
     for engine in &mut engines {
-        engine.set_members(now, 1, &members);
+        engine.set_members(now, &list);
         engine.set_databases(now, 1, listed.clone());
         engine.set_catalog(now, catalog.clone());
     }
