Search once for all waiting statements that need the same

Cause: each event searched all upstreams for each waiting statement, twice, and each search went through all connections. With a database dark and two of four VMs taking most callers, hundreds waited; the logs show pauses of 0.9 s in which a VM worked off its backlog, databases "not accepted in time" that had spoken 2 ms before, and 1,436 refusals "no upstream had room in time".

Change: in one round over the waiting statements, a search that found no room is not repeated for a statement that needs at least as much and may do no more. The pool knows the connections to each database. Tokens are asked for only when the new statement waits for one. Fields that nobody read are gone (`applied`, `last_heard` of a connection).

Test: `waiting_statements_share_searches`, failing without the mechanism.

--- a/crates/gateway/src/engine/answers.rs
+++ b/crates/gateway/src/engine/answers.rs
@@ -30,8 +30,7 @@
     /// An upstream said something.
     pub fn upstream_reply(&mut self, now: MonoTime, key: UpstreamKey, reply: Reply) {
         self.now = now;
-        let Some(connection) = self.pool.connections.get_mut(key) else { return };
-        connection.last_heard = now;
+        let Some(connection) = self.pool.connections.get(key) else { return };
         let database = connection.database.clone();
         let incarnation = connection.incarnation;
         self.note_heard(&database, incarnation);
@@ -100,7 +99,7 @@
 
     /// Ends a connection that can't be used any more, and settles what was in progress on it.
     pub(super) fn lose_connection(&mut self, key: UpstreamKey, reason: &str) {
-        let Some(connection) = self.pool.connections.remove(key) else { return };
+        let Some(connection) = self.pool.remove(key) else { return };
         self.effects.push(Effect::CloseUpstream(key));
         let database = connection.database.clone();
         let quiet = connection.started && connection.outstanding.is_empty();
@@ -184,7 +183,7 @@
         position: Option<Position>,
     ) {
         match done.awaited {
-            Awaited::Start => self.finish_start(key, position),
+            Awaited::Start => self.finish_start(key),
             Awaited::Setup => {
                 if let Some(Reply::Error { code, text }) = &done.outcome {
                     info!(self.log, "connection can't be prepared"; "code" => %code, "text" => &**text);
@@ -197,14 +196,12 @@
         }
     }
 
-    fn finish_start(&mut self, key: UpstreamKey, position: Option<Position>) {
+    fn finish_start(&mut self, key: UpstreamKey) {
         let now = self.now;
         let connection = &mut self.pool.connections[key];
         connection.started = true;
         connection.idle_since = now;
-        let database = connection.database.clone();
         let holder = connection.holder;
-        self.note_applied(&database, position);
         if let Purpose::Control { .. } = self.pool.connections[key].purpose {
             return self.send_control(key);
         }
@@ -215,12 +212,6 @@
         }
     }
 
-    fn note_applied(&mut self, database: &DatabaseName, position: Option<Position>) {
-        if let Some(state) = self.databases.get_mut(database) {
-            state.applied = state.applied.max(position);
-        }
-    }
-
     fn finish_begin(&mut self, key: UpstreamKey, done: Outstanding, position: Option<Position>) {
         let Some(holder) = self.pool.connections[key].holder else { return };
         let Some(session) = self.sessions.get_mut(holder) else { return };
@@ -253,7 +244,6 @@
         }
         match done.outcome {
             Some(Reply::Complete { receipt: Some(receipt) }) => {
-                self.note_applied(&database, position);
                 if let Some(state) = self.databases.get_mut(&database) {
                     state.lacked = None;
                 }
@@ -436,7 +426,6 @@
         if let Some(state) = self.databases.get_mut(&database)
             && code == ErrorCode::Lagging
         {
-            state.applied = state.applied.max(position);
             let position = position.unwrap_or(Position::ZERO);
             let span = state.lacked.map_or(LACK_MIN, |lack| lack.span.0 * 2).min(LACK_MAX);
             let until = now + DurationUs(span);
--- a/crates/gateway/src/engine/callers.rs
+++ b/crates/gateway/src/engine/callers.rs
@@ -48,7 +48,10 @@
                 session.queued.push_back(Queued { id, statement, arrived: now });
                 self.advance(key);
                 self.pump();
-                self.borrow_tokens();
+                let current = self.sessions.get(key).and_then(|session| session.current.as_ref());
+                if current.is_some_and(|current| current.needs_token) {
+                    self.borrow_tokens();
+                }
             }
             CallerMessage::Terminate => self.close_session(key),
             CallerMessage::Oversized => {
--- a/crates/gateway/src/engine/connections.rs
+++ b/crates/gateway/src/engine/connections.rs
@@ -31,7 +31,7 @@
             Purpose::Statements(workspace) => workspace.clone(),
             Purpose::Control { .. } => None,
         };
-        let key = self.pool.connections.insert(Connection {
+        let key = self.pool.insert(Connection {
             database: database.clone(),
             incarnation: state.record.incarnation,
             purpose,
@@ -45,7 +45,6 @@
             outstanding: Default::default(),
             opened_at: now,
             idle_since: now,
-            last_heard: now,
         });
         self.counts.connections_opened += 1;
         let service = state.record.service.clone();
@@ -89,7 +88,7 @@
 
     /// Ends a connection at once.
     pub(super) fn close_connection(&mut self, key: UpstreamKey) {
-        if self.pool.connections.remove(key).is_some() {
+        if self.pool.remove(key).is_some() {
             self.effects.push(Effect::CloseUpstream(key));
         }
     }
--- a/crates/gateway/src/engine/leaders.rs
+++ b/crates/gateway/src/engine/leaders.rs
@@ -111,8 +111,7 @@
     }
 
     pub(super) fn note_status(&mut self, database: &DatabaseName, row: StatusRow) {
-        let Some(state) = self.databases.get_mut(database) else { return };
-        state.applied = state.applied.max(Some(row.received));
+        let Some(state) = self.databases.get(database) else { return };
         let service = state.record.service.clone();
         let Some(known) = self.services.get(&service) else { return };
         let stopped = known.stopped.as_ref().is_some_and(|stopped| row.term < stopped.term);
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -66,8 +66,6 @@
     pub(crate) retry_at: MonoTime,
     /// When it last refused a connection for their number.
     pub(crate) too_many_at: Option<MonoTime>,
-    /// Newest position that it was seen to have applied.
-    pub(crate) applied: Option<Position>,
     /// What it was seen to lack.
     pub(crate) lacked: Option<Lack>,
     /// Time from sending a statement to its answer, averaged, in microseconds.
@@ -166,6 +164,8 @@
     pub replica_reads: u64,
     /// Attempts to replace a primary that began here.
     pub takeovers: u64,
+    /// Searches of all upstreams for one that has room for a statement.
+    pub searches: u64,
 }
 
 impl Engine {
@@ -435,7 +435,6 @@
             failing_since: None,
             retry_at: now,
             too_many_at: None,
-            applied: None,
             lacked: None,
             answer_us: 0.0,
             answer_at: now,
--- a/crates/gateway/src/engine/placement.rs
+++ b/crates/gateway/src/engine/placement.rs
@@ -32,6 +32,78 @@
     Replace(UpstreamKey),
 }
 
+/// What a statement that has waited for some time may do to get a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Patience {
+    /// Only use this VM's even part of the connections.
+    New,
+    /// Open connections past that.
+    Borrows,
+    /// Take a connection from another workspace, too.
+    Replaces,
+}
+
+impl Patience {
+    fn after(waited: DurationUs) -> Patience {
+        match waited {
+            waited if waited >= KEEP_OTHERS_FOR => Patience::Replaces,
+            waited if waited >= BORROW_AFTER => Patience::Borrows,
+            _ => Patience::New,
+        }
+    }
+}
+
+/// A search that found no upstream with room.
+#[derive(Debug)]
+struct Shortage {
+    service: ServiceName,
+    workspace: Option<WorkspaceName>,
+    need: Need,
+    patience: Patience,
+}
+
+/// What was searched for in vain in one round over the waiting statements.
+///
+/// The load in mind: hundreds of statements wait for a few full databases. Each answer frees one
+/// connection; without this, each answer would have all of them searched for again, and the VM would have
+/// no processor time left for the answers.
+#[derive(Debug, Default)]
+struct Shortages {
+    upstreams: Vec<Shortage>,
+    /// Workspaces that have no token left.
+    rates: Vec<WorkspaceName>,
+}
+
+impl Shortages {
+    /// Whether a search would be in vain: one that may do as much and needs no more was.
+    fn cover(
+        &self,
+        service: &ServiceName,
+        workspace: &Option<WorkspaceName>,
+        need: Need,
+        waited: DurationUs,
+    ) -> bool {
+        let patience = Patience::after(waited);
+        self.upstreams.iter().any(|shortage| {
+            shortage.patience >= patience
+                && shortage.need.is_implied_by(need)
+                && shortage.service == *service
+                && shortage.workspace == *workspace
+        })
+    }
+}
+
+impl Need {
+    /// Whether whatever meets `other` meets this, too.
+    fn is_implied_by(self, other: Need) -> bool {
+        match (self, other) {
+            (Need::Primary, Need::Primary) => true,
+            (Need::AtLeast(own), Need::AtLeast(other)) => own <= other,
+            _ => false,
+        }
+    }
+}
+
 /// Round trip to a database in the same data centre, region or elsewhere, in microseconds, as assumed
 /// until answers are seen.
 const ROUND_TRIP_US: [f64; 3] = [500.0, 2_500.0, 35_000.0];
@@ -60,23 +132,26 @@
     /// Gives waiting statements to upstreams as far as there is room. Connections that are open go first
     /// to statements of their own workspace: under load, opening one costs half of what a statement does.
     pub(super) fn pump(&mut self) {
+        if self.waiting.is_empty() {
+            return;
+        }
+        let mut waiting = std::mem::take(&mut self.waiting);
+        waiting.sort_by_cached_key(|key| self.turn_of(*key));
         for may_open in [false, true] {
-            if self.waiting.is_empty() {
-                return;
-            }
-            let mut waiting = std::mem::take(&mut self.waiting);
-            waiting.sort_by_key(|key| self.turn_of(*key));
+            let mut shortages = Shortages::default();
             for key in waiting {
                 let is_due = self
                     .sessions
                     .get(key)
                     .and_then(|session| session.current.as_ref())
                     .is_some_and(|current| current.stage == Stage::Waiting);
-                if is_due && !self.place(key, may_open) {
+                if is_due && !self.place(key, may_open, &mut shortages) {
                     self.waiting.push(key);
                 }
             }
+            waiting = std::mem::take(&mut self.waiting);
         }
+        self.waiting = waiting;
     }
 
     fn turn_of(&self, key: CallerKey) -> (u32, MonoTime) {
@@ -90,7 +165,7 @@
     }
 
     /// Gives a statement to an upstream. Returns whether it no longer waits.
-    fn place(&mut self, key: CallerKey, may_open: bool) -> bool {
+    fn place(&mut self, key: CallerKey, may_open: bool, shortages: &mut Shortages) -> bool {
         let now = self.now;
         let session = &self.sessions[key];
         let (Some(current), Some(grant)) = (&session.current, &session.granted) else {
@@ -100,9 +175,14 @@
             return false;
         }
         if current.needs_token {
-            let workspace = grant.workspace.clone();
-            if workspace.is_some_and(|workspace| !self.rates.take(now, &workspace)) {
-                return false;
+            if let Some(workspace) = grant.workspace.clone() {
+                if shortages.rates.contains(&workspace) {
+                    return false;
+                }
+                if !self.rates.take(now, &workspace) {
+                    shortages.rates.push(workspace);
+                    return false;
+                }
             }
             if self.token_taken(key) {
                 return true;
@@ -113,9 +193,13 @@
             return true;
         };
         let Some(need) = self.need(session) else { return false };
+        let waited = now.since(current.arrived);
+        if shortages.cover(&grant.route.service, &grant.workspace, need, waited) {
+            return false;
+        }
         let service = grant.route.service.clone();
         let workspace = grant.workspace.clone();
-        let waited = now.since(current.arrived);
+        self.counts.searches += 1;
         let shape = self.shape_of(key);
         let session = &self.sessions[key];
         let mut best: Option<(f64, DatabaseName, Way)> = None;
@@ -131,10 +215,12 @@
                 best = Some((cost, name.clone(), way));
             }
         }
-        let Some((_, database, way)) = best else { return false };
-        if !may_open && !matches!(way, Way::Free(_)) {
+        let usable = best.filter(|(.., way)| may_open || matches!(way, Way::Free(_)));
+        let Some((_, database, way)) = usable else {
+            let patience = Patience::after(waited);
+            shortages.upstreams.push(Shortage { service, workspace, need, patience });
             return false;
-        }
+        };
         let upstream = match way {
             Way::Free(upstream) => upstream,
             Way::New => self.open(&database, Purpose::Statements(workspace)),
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -75,7 +75,6 @@
     pub(crate) outstanding: VecDeque<Outstanding>,
     pub(crate) opened_at: MonoTime,
     pub(crate) idle_since: MonoTime,
-    pub(crate) last_heard: MonoTime,
 }
 
 impl Connection {
@@ -135,10 +134,41 @@
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
     pub(crate) connections: SlotMap<UpstreamKey, Connection>,
+    /// Keys of the connections to each database.
+    by_database: FxHashMap<DatabaseName, Vec<UpstreamKey>>,
     shapes: FxHashMap<Shape, ShapeKey>,
 }
 
 impl Pool {
+    /// Adds a connection.
+    pub(crate) fn insert(&mut self, connection: Connection) -> UpstreamKey {
+        let database = connection.database.clone();
+        let key = self.connections.insert(connection);
+        self.by_database.entry(database).or_default().push(key);
+        key
+    }
+
+    /// Takes a connection out.
+    pub(crate) fn remove(&mut self, key: UpstreamKey) -> Option<Connection> {
+        let connection = self.connections.remove(key)?;
+        if let Some(keys) = self.by_database.get_mut(&connection.database) {
+            keys.retain(|other| *other != key);
+            if keys.is_empty() {
+                self.by_database.remove(&connection.database);
+            }
+        }
+        Some(connection)
+    }
+
+    /// The connections to a database.
+    pub(crate) fn to(
+        &self,
+        database: &DatabaseName,
+    ) -> impl Iterator<Item = (UpstreamKey, &Connection)> {
+        let keys = self.by_database.get(database).map(Vec::as_slice).unwrap_or_default();
+        keys.iter().filter_map(|key| Some((*key, self.connections.get(*key)?)))
+    }
+
     /// The shared name of a shape.
     pub(crate) fn shape_key(&mut self, shape: &Shape) -> ShapeKey {
         let next = ShapeKey(self.shapes.len() as u32);
@@ -153,18 +183,16 @@
         values: &Values,
         shape: Option<ShapeKey>,
     ) -> Option<UpstreamKey> {
-        self.connections
-            .iter()
-            .filter(|(_, c)| c.is_free() && c.database == *database && c.serves(workspace))
+        self.to(database)
+            .filter(|(_, c)| c.is_free() && c.serves(workspace))
             .min_by_key(|(_, c)| (c.misfit(values, shape), std::cmp::Reverse(c.idle_since)))
             .map(|(key, _)| key)
     }
 
     /// The free connection to the database that has been idle longest, of whatever workspace.
     pub(crate) fn longest_idle(&self, database: &DatabaseName) -> Option<UpstreamKey> {
-        self.connections
-            .iter()
-            .filter(|(_, c)| c.is_free() && c.database == *database && c.is_for_statements())
+        self.to(database)
+            .filter(|(_, c)| c.is_free() && c.is_for_statements())
             .min_by_key(|(_, c)| c.idle_since)
             .map(|(key, _)| key)
     }
@@ -175,23 +203,21 @@
         database: &DatabaseName,
         workspace: &Option<WorkspaceName>,
     ) -> bool {
-        self.connections.values().any(|c| {
-            c.database == *database && c.serves(workspace) && c.started && !c.in_transaction
-        })
+        self.to(database).any(|(_, c)| c.serves(workspace) && c.started && !c.in_transaction)
     }
 
     /// Whether a connection to the database is being opened.
     pub(crate) fn is_opening(&self, database: &DatabaseName) -> bool {
-        self.connections.values().any(|c| c.database == *database && !c.started)
+        self.to(database).any(|(_, c)| !c.started)
     }
 
     /// Connections to the database, those being opened among them.
     pub(crate) fn count(&self, database: &DatabaseName) -> usize {
-        self.connections.values().filter(|c| c.database == *database).count()
+        self.to(database).count()
     }
 
     /// Connections to the database that a statement or transaction holds.
     pub(crate) fn busy(&self, database: &DatabaseName) -> usize {
-        self.connections.values().filter(|c| c.database == *database && !c.is_free()).count()
+        self.to(database).filter(|(_, c)| !c.is_free()).count()
     }
 }
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -82,3 +82,31 @@
     }
     assert_eq!(succeeded, 30);
 }
+
+/// The load: hundreds of statements wait for two connections. What an event costs must not grow with their
+/// number: a VM that searches for each of them at each answer has no time left for the answers.
+#[test]
+fn waiting_statements_share_searches() {
+    let searches_for = |sessions: usize| {
+        let mut world = World::cold(1);
+        world.configure(world::catalog(1, 1e6, 2));
+        world.run_for(3_000);
+        world.delays_ms.insert((End::Database(0), End::Vm(0)), 200);
+        let sessions: Vec<_> = (0..sessions)
+            .map(|index| world.open(0, LATEST, if index % 2 == 0 { KEY } else { "key-b" }))
+            .collect();
+        let before = world.engines[0].counts().searches;
+        for (index, session) in sessions.iter().enumerate() {
+            world.send(*session, &format!("w{index}"), write("1"));
+        }
+        let sent = world.engines[0].counts().searches;
+        world.run_for(600);
+        (sent - before, world.engines[0].counts().searches - sent)
+    };
+    let (few_sent, few) = searches_for(20);
+    let (many_sent, many) = searches_for(400);
+    assert!(few_sent > 0 && few > 0);
+    // Twenty times the statements: so many more messages came in, and as many answers as before.
+    assert!(many_sent <= 25 * few_sent, "{many_sent} searches, {few_sent} for a twentieth");
+    assert!(many <= 2 * few, "{many} searches, {few} for a twentieth of the statements");
+}
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -50,6 +50,7 @@
         ("retries", counts.retries),
         ("replica_reads", counts.replica_reads),
         ("takeovers", counts.takeovers),
+        ("searches", counts.searches),
         ("sessions", sessions as u64),
         ("waiting", waiting as u64),
         ("generation", engine.generation()),
