Serve latency histograms, and count and say which messages to peers were lost

Cause: the metrics had counters only, and datagrams that could not be sent were counted where nobody could see the count: an error swallowed.

Counters have the usual ending `_total`.

--- a/crates/gateway/src/engine/answers.rs
+++ b/crates/gateway/src/engine/answers.rs
@@ -169,8 +169,10 @@
             _ => Transaction::Failed { untold: false },
         };
         session.last_active = self.now;
+        let took = self.now.since(current.arrived);
+        self.latencies.errors.record(took);
         info!(self.log, "statement failed"; "id" => &*current.id, "tries" => current.tries,
-            "waited_ms" => self.now.since(current.arrived).as_ms());
+            "waited_ms" => took.as_ms());
         self.answer_error(key, &current.id, code, reason);
         self.advance(key);
     }
@@ -332,7 +334,13 @@
     ) {
         let now = self.now;
         let session = &mut self.sessions[key];
-        session.current = None;
+        if let Some(current) = session.current.take() {
+            let took = now.since(current.arrived);
+            match wrote_at.is_some() || current.statement == Statement::Commit {
+                true => self.latencies.writes.record(took),
+                false => self.latencies.reads.record(took),
+            }
+        }
         session.last_active = now;
         if wrote_at.is_some() {
             session.last_commit = position;
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -26,6 +26,7 @@
     catalog::{Catalog, Database},
     effect::{CallerKey, Effect},
     freshness::ServiceFreshness,
+    histogram::Latencies,
     message::TransactionState,
     peers::Roster,
     pool::Pool,
@@ -142,6 +143,7 @@
     membership: Membership,
     stop_asked_at: Option<MonoTime>,
     counts: Counts,
+    latencies: Latencies,
     effects: Vec<Effect>,
 }
 
@@ -200,6 +202,7 @@
             membership: Membership::default(),
             stop_asked_at: None,
             counts: Counts::default(),
+            latencies: Latencies::default(),
             effects: Vec::new(),
         }
     }
@@ -214,6 +217,11 @@
         self.counts
     }
 
+    /// How long statements took since the start.
+    pub fn latencies(&self) -> &Latencies {
+        &self.latencies
+    }
+
     /// Open sessions, and statements that wait for an upstream.
     pub fn load(&self) -> (usize, usize) {
         (self.sessions.len(), self.waiting.len())
--- a/crates/gateway/src/engine/placement.rs
+++ b/crates/gateway/src/engine/placement.rs
@@ -230,6 +230,7 @@
             }
         };
         self.pool.connections[upstream].holder = Some(key);
+        self.latencies.waits.record(waited);
         match way {
             Way::Free(_) => self.run_on(key, upstream),
             Way::New | Way::Replace(_) => {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod effect;
 mod engine;
 pub mod freshness;
+pub mod histogram;
 pub mod message;
 pub mod peers;
 mod pool;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -40,6 +40,8 @@
 const CALLER_SILENT_FOR: Duration = Duration::from_secs(10);
 /// Pause after the system refused a connection, for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Least time between two lines of log on messages that could not be sent.
+const LOSS_LOG_EVERY: DurationUs = DurationUs::from_ms(1_000);
 /// Descriptors kept back from callers: listeners, upstreams, peers and the store.
 const DESCRIPTORS_RESERVED: usize = 400;
 
@@ -89,6 +91,7 @@
     /// Closed once callers are no longer accepted.
     accepts: Semaphore,
     lost_datagrams: Cell<u64>,
+    loss_logged_at: Cell<Option<MonoTime>>,
 }
 
 impl<D: Dialect> Node<D> {
@@ -129,6 +132,7 @@
                 performing: Cell::new(false),
                 accepts: Semaphore::new(0),
                 lost_datagrams: Cell::new(0),
+                loss_logged_at: Cell::new(None),
             }),
         };
         let callers_max = settings.descriptors_max.saturating_sub(DESCRIPTORS_RESERVED).max(64);
@@ -282,16 +286,28 @@
     }
 
     fn send_datagram(&self, address: SocketAddr, message: &gateway::peers::PeerMessage) {
-        let sent = match peers::encode(message) {
-            Ok(datagram) => self.inner.datagrams.try_send_to(&datagram, address).is_ok(),
-            Err(_) => false,
+        let inner = &self.inner;
+        let error = match peers::encode(message) {
+            Ok(datagram) => inner.datagrams.try_send_to(&datagram, address).err(),
+            Err(e) => Some(io::Error::other(e)),
         };
-        if !sent {
-            // Messages are repeated; a full socket must not hold anything up.
-            self.inner.lost_datagrams.set(self.inner.lost_datagrams.get() + 1);
+        let Some(error) = error else { return };
+        // Messages are repeated; a full socket must not hold anything up.
+        let lost = inner.lost_datagrams.get() + 1;
+        inner.lost_datagrams.set(lost);
+        let now = clock::now();
+        if inner.loss_logged_at.get().is_none_or(|at| now.since(at) >= LOSS_LOG_EVERY) {
+            inner.loss_logged_at.set(Some(now));
+            warn!(inner.log, "message to a peer not sent"; "peer" => %address, "error" => %error,
+                "lost_so_far" => lost);
         }
     }
 
+    /// Messages to peers that could not be sent since the start.
+    pub(crate) fn lost_datagrams(&self) -> u64 {
+        self.inner.lost_datagrams.get()
+    }
+
     async fn fetch(self, peer: SocketAddr) {
         match peers::fetch(&self.inner.client, peer).await {
             Ok(snapshot) => self.command(Command::Fetched(snapshot)),
--- a/crates/rig/tests/path.rs
+++ b/crates/rig/tests/path.rs
@@ -2,7 +2,7 @@
 
 use proto::caller::{CallerError, ErrorKind, Outcome};
 use rig::{Caller, Fleet, FleetSpec};
-use serde_json::{Value, json};
+use serde_json::json;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
