Make the HTTP daemon a library and cut the circle of imports through its App

`App` took the types of state from the modules that act on `App`, and two pairs of modules used each other directly.

Change: the state has modules of its own (`accounts`, `open_transactions`, `quota_state`, `rounds`, `status_desk`, `event`), as have a caller's request and what errors teach (`caller_request`, `learned`). `QuotaState` no longer holds its owner: `App` knows itself and its runtime. `jasminepassd` is a library with a program of a few lines.

Ruled out for now: putting the daemon's edges on `node`. Its databases have terms for each request and know outcomes; the cores differ there (docs/design/platform.md).

--- /dev/null
+++ b/crates/jasminepassd/src/accounts.rs
@@ -0,0 +1,86 @@
+//! What this VM has counted for workspaces, and what it collects from other VMs.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use board::{Board, Catalog};
+use model::prelude::*;
+use proto::report::{TallyReport, VmReport};
+use tally::{
+    book::Book,
+    collector::{Collector, CollectorEvent},
+    day::{self, DayClock},
+    ledger::Source,
+    verdict::{End, counts},
+};
+
+use crate::clock::unix_s;
+
+/// What this VM has counted, and what it collects from others.
+#[derive(Default)]
+pub struct Accounts {
+    counting: Mutex<Counting>,
+    collector: Mutex<Collector>,
+}
+
+#[derive(Default)]
+struct Counting {
+    book: Book,
+    generation: Generation,
+    clocks: FxHashMap<WorkspaceName, DayClock>,
+}
+
+impl Accounts {
+    /// Counts a request's end.
+    pub fn count(&self, board: &Board, workspace: &WorkspaceName, weight: u32, end: End<'_>) {
+        let now_s = unix_s();
+        let mut counting = lock(&self.counting);
+        let Counting { book, generation, clocks } = &mut *counting;
+        let cfg = &board.catalog.cfg;
+        if *generation != cfg.generation {
+            *generation = cfg.generation;
+            clocks.clear();
+        }
+        let clock = match clocks.get_mut(workspace) {
+            Some(clock) => clock,
+            None => {
+                let clock = day_clock(&board.catalog, workspace);
+                clocks.entry(workspace.clone()).or_insert(clock)
+            }
+        };
+        let day = clock.day(now_s);
+        book.record(workspace, day, day::minute(now_s), counts(end, weight));
+    }
+
+    /// Everything that is not known to be stored.
+    pub fn report(&self) -> TallyReport {
+        lock(&self.counting).book.report()
+    }
+
+    /// Takes note that everything in the reports up to `number` is stored.
+    pub fn stored(&self, number: u64) {
+        lock(&self.counting).book.stored(number);
+    }
+
+    /// What is collected from others, for this thread alone.
+    pub fn collector(&self) -> MutexGuard<'_, Collector> {
+        lock(&self.collector)
+    }
+
+    /// Takes the counts that a VM reported, and says up to which of its reports everything is stored.
+    pub fn collect(&self, from: &VmReport, report: TallyReport) -> u64 {
+        let source = Source { vm: from.vm.clone(), incarnation: from.incarnation };
+        let mut collector = lock(&self.collector);
+        collector.handle(CollectorEvent::Report { source: source.clone(), report });
+        collector.stored(&source)
+    }
+}
+
+fn day_clock(catalog: &Catalog, workspace: &WorkspaceName) -> DayClock {
+    let key = catalog.workspace(workspace.as_str());
+    let zone = key.and_then(|key| catalog.workspaces[key].cfg.time_zone.as_deref());
+    DayClock::new(zone.unwrap_or(&catalog.cfg.time_zone))
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/jasminepassd/src/app.rs
+++ b/crates/jasminepassd/src/app.rs
@@ -1,7 +1,7 @@
 //! What the listeners and background tasks of one daemon share.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
     time::Duration,
 };
 
@@ -18,16 +18,20 @@
 use model::prelude::*;
 use route::budget::RetryBudget;
 use slog::Logger;
-use tokio::{sync::watch, time::Instant};
+use tokio::{runtime::Handle, sync::watch, time::Instant};
 
 use crate::{
-    clock::Clock, control::Event, counters::Counters, pools::Pools, quota_io::QuotaState,
-    report_io::StatusDesk, settings::Settings, tally_io::Accounts, transactions::OpenTransactions,
-    verifier::Verifier,
+    accounts::Accounts, clock::Clock, counters::Counters, event::Event,
+    open_transactions::OpenTransactions, pools::Pools, quota_state::QuotaState, rounds::Verifier,
+    settings::Settings, status_desk::StatusDesk,
 };
 
 /// One daemon.
 pub struct App {
+    /// Itself, for tasks that outlive a call.
+    pub me: Weak<App>,
+    /// Runs such tasks, from whatever thread.
+    pub runtime: Handle,
     /// Its settings.
     pub settings: Settings,
     /// Its clock.
--- a/crates/jasminepassd/src/caller.rs
+++ b/crates/jasminepassd/src/caller.rs
@@ -11,14 +11,20 @@
     routing::post,
 };
 use edge::server::Limits;
-use model::{key::PresentedKey, prelude::*, session::SessionError};
+use model::{key::PresentedKey, prelude::*};
 use proto::caller::{
     CallerError, ErrorKind, IDEMPOTENCY_HEADER, Outcome, SESSION_HEADER, TIMEOUT_HEADER,
 };
 use serde::{Serialize, de::DeserializeOwned};
 
 use crate::{
-    app::App, caller_error, counters::Counter, entry, tally_io::Ticket, transaction_entry,
+    app::App,
+    caller_error,
+    caller_request::{CallerAnswer, CallerHead},
+    counters::Counter,
+    entry,
+    tally_io::Ticket,
+    transaction_entry,
 };
 
 /// Body of the answer to a client that does not speak HTTP.
@@ -31,28 +37,6 @@
 const TIMEOUT_DEFAULT_MS: u64 = 10_000;
 const TIMEOUT_MAX_MS: u64 = 60_000;
 
-/// What comes with every request, checked for its shape.
-pub struct CallerHead {
-    /// The service that it names.
-    pub service: String,
-    /// The key that came with it.
-    pub key: Option<PresentedKey>,
-    /// The session token that came with it.
-    pub session: Option<String>,
-    /// Names it, so that its repetition finds the first outcome.
-    pub idempotency_key: Option<String>,
-    /// When its caller stops waiting.
-    pub deadline: MonoTime,
-}
-
-/// What the caller gets.
-pub struct CallerAnswer<T> {
-    /// The body.
-    pub body: T,
-    /// The session token for the next request.
-    pub session: Option<String>,
-}
-
 /// The limits of the callers' listener. Headers are counted here as well, where the answer can say
 /// what to do about them.
 pub fn limits(max_connections: usize) -> Limits {
@@ -261,8 +245,3 @@
 fn bad_request(message: String) -> CallerError {
     CallerError::not_run(ErrorKind::BadRequest, message)
 }
-
-/// A session token that can't be used, as the caller sees it.
-pub fn session_error(error: SessionError) -> CallerError {
-    bad_request(error.to_string())
-}
--- a/crates/jasminepassd/src/clock.rs
+++ b/crates/jasminepassd/src/clock.rs
@@ -10,6 +10,12 @@
     started: Instant,
 }
 
+impl Default for Clock {
+    fn default() -> Clock {
+        Clock::new()
+    }
+}
+
 impl Clock {
     /// A clock that starts now.
     pub fn new() -> Clock {
--- a/crates/jasminepassd/src/confirm.rs
+++ b/crates/jasminepassd/src/confirm.rs
@@ -11,7 +11,7 @@
 };
 use tokio::{task::JoinSet, time::Instant};
 
-use crate::{app::App, control::Event};
+use crate::{app::App, event::Event};
 
 /// What a member said of a position.
 type WaitReply = Result<Result<Waited, DatabaseError>, SendError>;
--- a/crates/jasminepassd/src/control.rs
+++ b/crates/jasminepassd/src/control.rs
@@ -8,7 +8,7 @@
 use failover::{
     limits::Limits,
     observe::{self, Observation},
-    promotion::{PromotionController, PromotionEffect, PromotionEvent},
+    promotion::{PromotionController, PromotionEvent},
 };
 use fleet::{
     distribution::{Distribution, FleetEffect, FleetEvent},
@@ -25,45 +25,15 @@
 };
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::{app::App, counters::Counter, quota_io};
+use crate::{
+    app::App,
+    counters::Counter,
+    event::{Effect, Event},
+    quota_io,
+};
 
 const TICK: Duration = Duration::from_millis(50);
 
-/// What the control thread hears.
-#[derive(Debug)]
-pub enum Event {
-    /// For the controller of the fleet.
-    Fleet(FleetEvent),
-    /// A database was asked for its status.
-    Observed(Observation),
-    /// Somebody said who a slot's primary is.
-    PrimarySeen {
-        /// The slot.
-        slot: SlotDigest,
-        /// Its term.
-        term: Term,
-        /// Its primary, where that is known.
-        primary: Option<DatabaseName>,
-    },
-    /// For the controller of the rates.
-    Portions(PortionEvent),
-    /// For the controller of promotions.
-    Promotion(PromotionEvent),
-}
-
-/// What the control thread asks for.
-#[derive(Debug)]
-pub enum Effect {
-    /// Watch these databases, and no others.
-    Monitor(Vec<config::Database>),
-    /// From the controller of the fleet.
-    Fleet(FleetEffect),
-    /// From the controller of the rates.
-    Portions(PortionEffect),
-    /// From the controller of promotions.
-    Promotion(PromotionEffect),
-}
-
 /// The controllers and the board they share.
 pub struct Control {
     app: Arc<App>,
--- a/crates/jasminepassd/src/effects.rs
+++ b/crates/jasminepassd/src/effects.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::mpsc::UnboundedReceiver;
 
-use crate::{app::App, control::Effect, failover_io, fleet_io, monitor::Monitors, quota_io};
+use crate::{app::App, event::Effect, failover_io, fleet_io, monitor::Monitors, quota_io};
 
 /// Carries out effects until there can be no more.
 pub async fn run(app: Arc<App>, mut effects: UnboundedReceiver<Effect>) {
--- a/crates/jasminepassd/src/entry.rs
+++ b/crates/jasminepassd/src/entry.rs
@@ -18,10 +18,9 @@
 
 use crate::{
     app::App,
-    caller::{CallerAnswer, CallerHead, session_error},
-    control,
+    caller_request::{CallerAnswer, CallerHead, session_error},
     counters::Counter,
-    fleet_io, holder, outcome, transactions,
+    event, fleet_io, holder, outcome, transactions,
 };
 
 const REPLY_MARGIN: Duration = Duration::from_millis(50);
@@ -191,7 +190,7 @@
         if let Event::Reply(PeerReply::Redirect(redirect)) = &event {
             let slot = board.catalog.slots[slot].digest;
             let (term, primary) = (redirect.term, redirect.primary.clone());
-            app.tell(control::Event::PrimarySeen { slot, term, primary });
+            app.tell(event::Event::PrimarySeen { slot, term, primary });
         }
         step = attempt.handle(board, event, &mut app.retries(), app.now());
         if !matches!(step, Step::Done(_)) {
--- a/crates/jasminepassd/src/failover_io.rs
+++ b/crates/jasminepassd/src/failover_io.rs
@@ -9,7 +9,7 @@
 use proto::database::{DatabaseError, Fence, Follow, Promote, SlotStatus};
 use serde::Serialize;
 
-use crate::{app::App, control::Event, counters::Counter};
+use crate::{app::App, counters::Counter, event::Event};
 
 const TIMEOUT: Duration = Duration::from_millis(600);
 
--- a/crates/jasminepassd/src/fleet_io.rs
+++ b/crates/jasminepassd/src/fleet_io.rs
@@ -16,7 +16,7 @@
     platform::VmRecord,
 };
 
-use crate::{app::App, control::Event, counters::Counter};
+use crate::{app::App, counters::Counter, event::Event};
 
 const GOSSIP_TIMEOUT: Duration = Duration::from_millis(800);
 const PULL_TIMEOUT: Duration = Duration::from_millis(1_500);
--- a/crates/jasminepassd/src/holder.rs
+++ b/crates/jasminepassd/src/holder.rs
@@ -5,22 +5,19 @@
 use board::Board;
 use config::RouteKind;
 use edge::client::SendError;
-use model::{prelude::*, session::SlotDigest};
+use model::prelude::*;
 use proto::{
     database::{Access, DatabaseError, Execute, Executed, Wait, Waited},
     peer::{Forward, PeerReply},
 };
-use route::{
-    execution::{Event, Execution, Step, Target},
-    refusal,
-};
+use route::execution::{Event, Execution, Step, Target};
 
 use crate::{
     admission::{admit, connect},
     app::App,
     confirm::confirm,
-    control,
     counters::Counter,
+    learned::learn,
     outcome::{self, Write},
     pools::Lease,
     verifier::verify,
@@ -154,18 +151,6 @@
     matches!(reply.await, Ok(Ok(waited)) if waited.held || waited.status.position > position)
 }
 
-/// Tells the control thread what a database's refusal says of the slot's primary.
-pub fn learn(app: &App, service: &ServiceName, slot: &SlotName, error: &DatabaseError) {
-    if let Some(redirect) = refusal::learned(error) {
-        let slot = SlotDigest::new(service.as_str(), slot.as_str());
-        app.tell(control::Event::PrimarySeen {
-            slot,
-            term: redirect.term,
-            primary: redirect.primary,
-        });
-    }
-}
-
 fn count(app: &App, board: &Board, target: Target, reply: &PeerReply) {
     let PeerReply::Answer(answer) = reply else {
         return;
--- /dev/null
+++ b/crates/jasminepassd/src/lib.rs
@@ -0,0 +1,45 @@
+//! The proxy daemon: one runs on every VM of the fleet.
+//!
+//! [`app::App`] holds what the parts share. Modules of state ([`accounts`], [`open_transactions`], [`pools`],
+//! [`quota_state`], [`rounds`], [`status_desk`]) know nothing of it; modules that act on it import it, and none of
+//! them is imported by it.
+
+pub mod accounts;
+pub mod admission;
+pub mod app;
+pub mod caller;
+pub mod caller_error;
+pub mod caller_request;
+pub mod clock;
+pub mod confirm;
+pub mod control;
+pub mod counters;
+pub mod drain;
+pub mod effects;
+pub mod entry;
+pub mod event;
+pub mod failover_io;
+pub mod fleet_io;
+pub mod holder;
+pub mod learned;
+pub mod logging;
+pub mod monitor;
+pub mod open_transactions;
+pub mod ops;
+pub mod outcome;
+pub mod peer;
+pub mod pools;
+pub mod quota_io;
+pub mod quota_state;
+pub mod report_io;
+pub mod rounds;
+pub mod run;
+pub mod settings;
+pub mod status_desk;
+pub mod stop;
+pub mod tally_io;
+pub mod transaction_entry;
+pub mod transaction_steps;
+pub mod transactions;
+pub mod verifier;
+pub mod watch;
--- a/crates/jasminepassd/src/monitor.rs
+++ b/crates/jasminepassd/src/monitor.rs
@@ -8,7 +8,7 @@
 use proto::database::{DatabaseError, Status, StatusQuery};
 use tokio::task::JoinHandle;
 
-use crate::{app::App, control::Event};
+use crate::{app::App, event::Event};
 
 const TIMEOUT: Duration = Duration::from_millis(400);
 
--- a/crates/jasminepassd/src/outcome.rs
+++ b/crates/jasminepassd/src/outcome.rs
@@ -15,7 +15,7 @@
 };
 use serde_json::Value;
 
-use crate::{app::App, confirm::confirm, counters::Counter, holder::learn};
+use crate::{app::App, confirm::confirm, counters::Counter, learned::learn};
 
 const ASK_TIMEOUT: Duration = Duration::from_secs(1);
 
--- a/crates/jasminepassd/src/quota_io.rs
+++ b/crates/jasminepassd/src/quota_io.rs
@@ -1,10 +1,7 @@
 //! Carries out what the controllers of rates and connections ask for: calls to the platform, messages
 //! to other VMs, and decisions for waiting requests.
 
-use std::{
-    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak},
-    time::Duration,
-};
+use std::{sync::Arc, time::Duration};
 
 use edge::peer::Receiver;
 use model::prelude::*;
@@ -16,50 +13,16 @@
     account::Ticket,
     events::{ObjectKind, PortionEffect, PortionEvent},
     objects::Owner,
-    rates::{Admission, RateEffect, Rates},
+    rates::{Admission, RateEffect},
 };
-use tokio::{runtime::Handle, sync::oneshot};
+use tokio::sync::oneshot;
 
-use crate::{app::App, control::Event, counters::Counter};
+use crate::{app::App, counters::Counter, event::Event, quota_state::Decision};
 
 const GIVE_UP_LIMIT: Duration = Duration::from_secs(3);
 const GIVE_UP_INTERVAL: Duration = Duration::from_millis(20);
 const TELL_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Whether a waiting request may run, or when to come back.
-pub type Decision = Result<(), DurationUs>;
-
-/// The accounts of this VM, and the requests that wait for their decision.
-pub struct QuotaState {
-    rates: Mutex<Rates>,
-    waiting: Mutex<FxHashMap<Ticket, oneshot::Sender<Decision>>>,
-    runtime: Handle,
-    app: OnceLock<Weak<App>>,
-}
-
-impl QuotaState {
-    /// Accounts without tokens.
-    pub fn new(me: Owner, runtime: Handle) -> QuotaState {
-        QuotaState {
-            rates: Mutex::new(Rates::new(me)),
-            waiting: Mutex::default(),
-            runtime,
-            app: OnceLock::new(),
-        }
-    }
-
-    /// Names the daemon that it belongs to. To be called once, before any request.
-    pub fn bind(&self, app: &Arc<App>) {
-        // A second call changes nothing.
-        let _ = self.app.set(Arc::downgrade(app));
-    }
-
-    /// The accounts, for this thread alone.
-    pub fn rates(&self) -> MutexGuard<'_, Rates> {
-        lock(&self.rates)
-    }
-}
-
 /// Asks for the tokens of a request; the receiver gives the decision if it has to wait.
 pub fn admit(
     app: &App,
@@ -72,7 +35,7 @@
     let admission = rates.admit(workspace, weight, app.now(), &mut effects);
     if let Admission::Waiting(ticket) = admission {
         // Before anybody else can decide it.
-        lock(&app.quota.waiting).insert(ticket, sender);
+        app.quota.waiting().insert(ticket, sender);
     }
     drop(rates);
     carry_out(app, effects);
@@ -82,7 +45,7 @@
 /// Forgets a request that no longer waits.
 pub fn cancel(app: &App, workspace: &WorkspaceName, ticket: Ticket) {
     app.quota.rates().cancel(workspace, ticket);
-    lock(&app.quota.waiting).remove(&ticket);
+    app.quota.waiting().remove(&ticket);
 }
 
 /// Answers another VM.
@@ -185,7 +148,7 @@
 }
 
 fn decide(app: &App, ticket: Ticket, decision: Decision) {
-    let waiting = lock(&app.quota.waiting).remove(&ticket);
+    let waiting = app.quota.waiting().remove(&ticket);
     if let Some(waiting) = waiting {
         // The request may have given up: its tokens are lost then.
         let _ = waiting.send(decision);
@@ -196,11 +159,7 @@
 where
     F: Future<Output = ()> + Send + 'static,
 {
-    if let Some(app) = app.quota.app.get().and_then(Weak::upgrade) {
-        app.quota.runtime.clone().spawn(f(app));
+    if let Some(app) = app.me.upgrade() {
+        app.runtime.clone().spawn(f(app));
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- /dev/null
+++ b/crates/jasminepassd/src/quota_state.rs
@@ -0,0 +1,37 @@
+//! The accounts of workspaces' rates on this VM, and the requests that wait for their decision.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use model::prelude::*;
+use quota::{account::Ticket, objects::Owner, rates::Rates};
+use tokio::sync::oneshot;
+
+/// Whether a waiting request may run, or when to come back.
+pub type Decision = Result<(), DurationUs>;
+
+/// The accounts of this VM, and the requests that wait for their decision.
+pub struct QuotaState {
+    rates: Mutex<Rates>,
+    waiting: Mutex<FxHashMap<Ticket, oneshot::Sender<Decision>>>,
+}
+
+impl QuotaState {
+    /// Accounts without tokens.
+    pub fn new(me: Owner) -> QuotaState {
+        QuotaState { rates: Mutex::new(Rates::new(me)), waiting: Mutex::default() }
+    }
+
+    /// The accounts, for this thread alone.
+    pub fn rates(&self) -> MutexGuard<'_, Rates> {
+        lock(&self.rates)
+    }
+
+    /// Where the requests that wait are told of their decision, for this thread alone.
+    pub fn waiting(&self) -> MutexGuard<'_, FxHashMap<Ticket, oneshot::Sender<Decision>>> {
+        lock(&self.waiting)
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/jasminepassd/src/report_io.rs
+++ b/crates/jasminepassd/src/report_io.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -14,7 +14,6 @@
     platform::{Updated, Version, VmRecord, VmState},
     report::{SlotReport, TallyReport, VmReport},
 };
-use tally::status::StatusBook;
 
 use crate::{app::App, clock::unix_s, counters::Counter, fleet_io, tally_io};
 
@@ -26,12 +25,6 @@
 /// How many VMs are tried, the best-ranked first.
 const COLLECTORS_TRIED: usize = 2;
 
-/// What the VMs of the data centre reported to this one.
-#[derive(Default)]
-pub struct StatusDesk {
-    book: Mutex<StatusBook>,
-}
-
 /// What makes a VM report at once.
 type Mark = (Generation, bool, Vec<VmName>);
 
@@ -65,7 +58,7 @@
 /// Takes a VM's report, and says up to which of its reports all counts are stored.
 pub fn take(app: &App, report: VmReport, tally: TallyReport) -> u64 {
     let stored = app.accounts.collect(&report, tally);
-    lock(&app.status_desk.book).take(report, unix_s());
+    app.status_desk.book().take(report, unix_s());
     stored
 }
 
@@ -160,7 +153,7 @@
         let board = app.board();
         let collects = collectors(&board).first().is_some_and(|vm| vm.vm == app.settings.vm);
         let configured = board.catalog.cfg.generation > Generation(0);
-        if collects && configured && lock(&app.status_desk.book).is_due(unix_s()) {
+        if collects && configured && app.status_desk.book().is_due(unix_s()) {
             version = write_status(&app, &board, version).await;
         }
     }
@@ -179,7 +172,7 @@
     let in_dc = board.fleet.vms.iter().filter(|vm| vm.dc == app.settings.dc);
     let listed: Vec<VmName> = in_dc.map(|vm| vm.vm.clone()).collect();
     let now_s = unix_s();
-    let status = lock(&app.status_desk.book).status(&listed, &app.settings.vm, now_s);
+    let status = app.status_desk.book().status(&listed, &app.settings.vm, now_s);
     let value = serde_json::to_value(&status).ok()?;
     let updated = match expected {
         Some(expected) => {
@@ -192,10 +185,6 @@
         Some(Updated::Done { version }) => Some(version),
         _ => None,
     };
-    lock(&app.status_desk.book).written(now_s, version.is_some());
+    app.status_desk.book().written(now_s, version.is_some());
     version
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/jasminepassd/src/run.rs
+++ b/crates/jasminepassd/src/run.rs
@@ -28,17 +28,20 @@
     app::App,
     caller,
     clock::Clock,
-    control::{Control, Event},
+    control::Control,
     counters::{Counters, Reporter},
-    drain, effects, fleet_io, logging, ops, peer,
+    drain, effects,
+    event::Event,
+    fleet_io, logging,
+    open_transactions::OpenTransactions,
+    ops, peer,
     pools::Pools,
-    quota_io::QuotaState,
+    quota_state::QuotaState,
     report_io,
+    rounds::Verifier,
     settings::Settings,
     stop::Stop,
-    transactions::{self, OpenTransactions},
-    verifier::{self, Verifier},
-    watch as platform_watch,
+    transactions, verifier, watch as platform_watch,
 };
 
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_secs(5);
@@ -57,9 +60,8 @@
     let (events_tx, events_rx) = crossbeam_channel::unbounded();
     let (effects_tx, effects_rx) = mpsc::unbounded_channel();
     let (verifier, claims) = Verifier::new();
-    let app = Arc::new(new_app(settings, &peer_address.to_string(), events_tx, verifier, log)?);
+    let app = new_app(settings, &peer_address.to_string(), events_tx, verifier, log);
 
-    app.quota.bind(&app);
     let control = Control::new(app.clone(), effects_tx);
     thread::Builder::new().name("control".to_owned()).spawn(move || control.run(&events_rx))?;
     tokio::spawn(effects::run(app.clone(), effects_rx));
@@ -96,10 +98,10 @@
     events: crossbeam_channel::Sender<Event>,
     verifier: Verifier,
     log: slog::Logger,
-) -> eyre::Result<App> {
+) -> Arc<App> {
     let client = Client::new(settings.vm.as_str());
     let receiver = Receiver { vm: settings.vm.clone(), incarnation: settings.incarnation };
-    let me = VmIdentity {
+    let identity = VmIdentity {
         vm: settings.vm.clone(),
         incarnation: settings.incarnation,
         dc: settings.dc.clone(),
@@ -107,10 +109,12 @@
     };
     let owner = Owner { vm: settings.vm.clone(), incarnation: settings.incarnation };
     let clock = Clock::new();
-    Ok(App {
+    Arc::new_cyclic(|me| App {
+        me: me.clone(),
+        runtime: tokio::runtime::Handle::current(),
         clock,
-        board: ArcSwap::from_pointee(Board::new(me)),
-        quota: QuotaState::new(owner, tokio::runtime::Handle::current()),
+        board: ArcSwap::from_pointee(Board::new(identity)),
+        quota: QuotaState::new(owner),
         retries: Default::default(),
         verifier,
         transactions: OpenTransactions::new(settings.transaction_limits),
--- a/crates/jasminepassd/src/stop.rs
+++ b/crates/jasminepassd/src/stop.rs
@@ -23,7 +23,7 @@
     time::{sleep, timeout},
 };
 
-use crate::{app::App, control::Event, quota_io, report_io, transactions};
+use crate::{app::App, event::Event, quota_io, report_io, transactions};
 
 /// The signals of a planned stop.
 pub struct Stop {
--- a/crates/jasminepassd/src/tally_io.rs
+++ b/crates/jasminepassd/src/tally_io.rs
@@ -1,44 +1,24 @@
 //! Counts callers' requests, and reports the counts inside the data centre and to the platform.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 
 use board::Catalog;
 use config::PUBLIC_WORKSPACE;
 use fleet::access::workspace_of;
 use model::prelude::*;
-use proto::{
-    caller::CallerError,
-    report::{TallyReport, VmReport},
-};
+use proto::caller::CallerError;
 use tally::{
-    book::Book,
-    collector::{Collector, CollectorEffect, CollectorEvent},
-    day::{self, DayClock},
-    ledger::{Source, object_name},
-    verdict::{End, counts},
+    collector::{CollectorEffect, CollectorEvent},
+    ledger::object_name,
+    verdict::End,
 };
 
 use crate::{
     app::App,
-    caller::{CallerAnswer, CallerHead},
-    clock::unix_s,
+    caller_request::{CallerAnswer, CallerHead},
     counters::Counter,
 };
 
-/// What this VM has counted, and what it collects from others.
-#[derive(Default)]
-pub struct Accounts {
-    counting: Mutex<Counting>,
-    collector: Mutex<Collector>,
-}
-
-#[derive(Default)]
-struct Counting {
-    book: Book,
-    generation: Generation,
-    clocks: FxHashMap<WorkspaceName, DayClock>,
-}
-
 /// A caller's request that is being served. Dropped before it is finished, it counts as abandoned.
 pub struct Ticket<'a> {
     app: &'a App,
@@ -70,7 +50,7 @@
 
     fn end(&mut self, end: End<'_>) {
         if let Some((workspace, weight)) = self.charge.take() {
-            self.app.accounts.count(self.app, &workspace, weight, end);
+            self.app.accounts.count(&self.app.board(), &workspace, weight, end);
         }
     }
 }
@@ -103,59 +83,12 @@
     Some((name, route.map_or(0, |route| route.weight)))
 }
 
-impl Accounts {
-    fn count(&self, app: &App, workspace: &WorkspaceName, weight: u32, end: End<'_>) {
-        let now_s = unix_s();
-        let mut counting = lock(&self.counting);
-        let Counting { book, generation, clocks } = &mut *counting;
-        let board = app.board();
-        let cfg = &board.catalog.cfg;
-        if *generation != cfg.generation {
-            *generation = cfg.generation;
-            clocks.clear();
-        }
-        let clock = match clocks.get_mut(workspace) {
-            Some(clock) => clock,
-            None => {
-                let clock = day_clock(&board.catalog, workspace);
-                clocks.entry(workspace.clone()).or_insert(clock)
-            }
-        };
-        let day = clock.day(now_s);
-        book.record(workspace, day, day::minute(now_s), counts(end, weight));
-    }
-
-    /// Everything that is not known to be stored.
-    pub fn report(&self) -> TallyReport {
-        lock(&self.counting).book.report()
-    }
-
-    /// Takes note that everything in the reports up to `number` is stored.
-    pub fn stored(&self, number: u64) {
-        lock(&self.counting).book.stored(number);
-    }
-
-    /// Takes the counts that a VM reported, and says up to which of its reports everything is stored.
-    pub fn collect(&self, from: &VmReport, report: TallyReport) -> u64 {
-        let source = Source { vm: from.vm.clone(), incarnation: from.incarnation };
-        let mut collector = lock(&self.collector);
-        collector.handle(CollectorEvent::Report { source: source.clone(), report });
-        collector.stored(&source)
-    }
-}
-
-fn day_clock(catalog: &Catalog, workspace: &WorkspaceName) -> DayClock {
-    let key = catalog.workspace(workspace.as_str());
-    let zone = key.and_then(|key| catalog.workspaces[key].cfg.time_zone.as_deref());
-    DayClock::new(zone.unwrap_or(&catalog.cfg.time_zone))
-}
-
 /// Stores what was collected.
 pub async fn store(app: &Arc<App>) {
-    let mut effects = lock(&app.accounts.collector).handle(CollectorEvent::Tick);
+    let mut effects = app.accounts.collector().handle(CollectorEvent::Tick);
     while let Some(effect) = effects.pop() {
         let event = carry_out(app, effect).await;
-        effects.extend(lock(&app.accounts.collector).handle(event));
+        effects.extend(app.accounts.collector().handle(event));
     }
 }
 
@@ -179,7 +112,3 @@
         }
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/jasminepassd/src/transaction_entry.rs
+++ b/crates/jasminepassd/src/transaction_entry.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     app::App,
-    caller::{CallerAnswer, CallerHead},
+    caller_request::{CallerAnswer, CallerHead},
     entry::{Finished, Job, drive, find_service, find_slot, no_such, open_session, seal},
     transaction_steps,
 };
--- a/crates/jasminepassd/src/transaction_steps.rs
+++ b/crates/jasminepassd/src/transaction_steps.rs
@@ -16,9 +16,9 @@
     app::App,
     confirm::confirm,
     counters::Counter,
-    holder::learn,
+    learned::learn,
+    open_transactions::RunningStep,
     outcome::{self, Write},
-    transactions::RunningStep,
 };
 
 /// Runs a step of a transaction that is open on this VM.
--- a/crates/jasminepassd/src/verifier.rs
+++ b/crates/jasminepassd/src/verifier.rs
@@ -1,68 +1,17 @@
 //! Asks a majority whether primaries are still the current ones, once for all reads that wait for it.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 
 use board::{Board, DatabaseKey, SlotKey};
-use model::{prelude::*, session::SlotDigest};
+use model::prelude::*;
 use proto::database::Executed;
 use serde_json::Value;
-use tokio::sync::{
-    mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
-    watch,
-};
+use tokio::sync::mpsc::UnboundedReceiver;
 
-use crate::{app::App, confirm::confirm};
+use crate::{app::App, confirm::confirm, rounds::Claim};
 
 const ROUND_LIMIT: DurationUs = DurationUs::from_ms(1_000);
 
-type Answer = watch::Receiver<Option<bool>>;
-
-/// A primary in a term.
-pub type Claim = (SlotDigest, Term, DatabaseName);
-
-/// The rounds of questions that run or are to run.
-pub struct Verifier {
-    rounds: Mutex<FxHashMap<Claim, Rounds>>,
-    starts: UnboundedSender<Claim>,
-}
-
-/// While a round runs, the one that starts after it.
-#[derive(Default)]
-struct Rounds {
-    next: Option<(watch::Sender<Option<bool>>, Answer)>,
-}
-
-impl Verifier {
-    /// No rounds yet; [`run`] is to be given the claims whose rounds start.
-    pub fn new() -> (Verifier, UnboundedReceiver<Claim>) {
-        let (starts, claims) = unbounded_channel();
-        (Verifier { rounds: Mutex::default(), starts }, claims)
-    }
-
-    fn lock(&self) -> MutexGuard<'_, FxHashMap<Claim, Rounds>> {
-        self.rounds.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Joins the round that has not started yet. Says whether the caller has to start it.
-    fn join(&self, claim: &Claim) -> (Answer, bool) {
-        let mut rounds = self.lock();
-        let is_first = !rounds.contains_key(claim);
-        let next = &mut rounds.entry(claim.clone()).or_default().next;
-        let (_, answer) = next.get_or_insert_with(|| watch::channel(None));
-        (answer.clone(), is_first)
-    }
-
-    /// Takes the next round to run it; where nobody waits for one, forgets the claim.
-    fn start_next(&self, claim: &Claim) -> Option<watch::Sender<Option<bool>>> {
-        let mut rounds = self.lock();
-        let next = rounds.get_mut(claim).and_then(|r| r.next.take());
-        if next.is_none() {
-            rounds.remove(claim);
-        }
-        next.map(|(tx, _)| tx)
-    }
-}
-
 /// Whether a majority says, after this call began, that the primary has not been replaced in the term.
 pub async fn verify(
     app: &App,
@@ -76,8 +25,7 @@
         (board.catalog.slots[slot].digest, term, board.catalog.databases[primary].name.clone());
     let (mut answer, is_first) = app.verifier.join(&claim);
     if is_first {
-        // The receiver ends only with the process.
-        let _ = app.verifier.starts.send(claim);
+        app.verifier.start(claim);
     }
     let verified = answer.wait_for(Option::is_some);
     match tokio::time::timeout_at(app.instant(until), verified).await {
--- a/crates/jasminepassd/src/watch.rs
+++ b/crates/jasminepassd/src/watch.rs
@@ -8,7 +8,7 @@
 use proto::platform::{Object, Version};
 use serde_json::Value;
 
-use crate::{app::App, control::Event, counters::Counter};
+use crate::{app::App, counters::Counter, event::Event};
 
 /// Name of the object that holds the configuration.
 pub const CONFIGURATION_OBJECT: &str = "configuration";
