Leave the replacing of primaries to a VM that the store answers

Cause: the first live witness acts. Where the store turned just that one away, it could not raise the token and tried on for as long as it was turned away.

Ruled out: databases short of room (the refusals begin and end with the outage for these VMs), leases (none lost).

Change: heartbeats say whether the store answers their sender; the first live witness that it answers acts, and an attempt that has demoted and ordered nothing is given up where another can go on. A failed call counts for 2 s.

Tests: `lost_primary_is_replaced_by_a_vm_that_the_store_answers`, `leaving_primary_is_replaced_by_a_vm_that_...`, with one and three VMs turned away; both fail without the choice, the second without giving up.

--- a/crates/gateway/src/engine/attempts.rs
+++ b/crates/gateway/src/engine/attempts.rs
@@ -30,7 +30,7 @@
     pub(super) fn consider_attempts(&mut self) {
         self.confirm_stops();
         self.drop_old_stops();
-        if !self.has_lease() || self.roster.first_live(self.now) != Some(&self.id.vm) {
+        if !self.has_lease() || !self.is_acting() {
             return;
         }
         let services: Vec<ServiceName> = self.services.keys().cloned().collect();
@@ -147,6 +147,13 @@
             let Some(index) = self.attempts.iter().position(|attempt| attempt.id == id) else {
                 continue;
             };
+            let attempt = &self.attempts[index];
+            let is_early = matches!(attempt.phase, Phase::Stopping | Phase::Surveying { .. });
+            if is_early && !attempt.ordered && !self.reaches_store() && self.another_reaches_store()
+            {
+                self.give_up(index, "the store does not answer this VM");
+                continue;
+            }
             self.repeat_stop(index);
             let attempt = &mut self.attempts[index];
             let service = attempt.service.clone();
--- a/crates/gateway/src/engine/gossip.rs
+++ b/crates/gateway/src/engine/gossip.rs
@@ -68,6 +68,7 @@
         member.stopping = heartbeat.stopping;
         member.terms_total = heartbeat.terms_total;
         member.list_version = heartbeat.members;
+        member.reaches_store = heartbeat.reaches_store;
         member.demands.clone_from(&heartbeat.demands);
         let address = member.address;
         self.roster.note_witness(&from, said_at, &heartbeat);
@@ -206,6 +207,7 @@
             members: self.roster.version(),
             witness_step: self.roster.witnesses().step,
             wants_notes,
+            reaches_store: self.reaches_store(),
             stopping: self.stop_asked_at.is_some(),
         };
         self.tell(address, PeerBody::Heartbeat(heartbeat));
--- a/crates/gateway/src/engine/membership.rs
+++ b/crates/gateway/src/engine/membership.rs
@@ -12,6 +12,9 @@
     },
 };
 
+/// How long the store is held not to answer a VM after it has not, so that others act meanwhile.
+const STORE_DOUBT: DurationUs = DurationUs::from_ms(2_000);
+
 /// What this VM remembers of its part in the list and the set.
 #[derive(Debug, Default)]
 pub(super) struct Membership {
@@ -21,6 +24,9 @@
     changed_at: Option<MonoTime>,
     /// Since when a majority uses the present set.
     in_use_since: Option<MonoTime>,
+    /// When the store last answered this VM, and when it last did not.
+    store_answered_at: Option<MonoTime>,
+    store_failed_at: Option<MonoTime>,
     /// Since when the present set can't have a majority.
     broken_since: Option<MonoTime>,
 }
@@ -62,6 +68,39 @@
         self.membership.entered = Some(version);
     }
 
+    /// The store answered, or did not.
+    pub fn note_store(&mut self, now: MonoTime, answered: bool) {
+        self.now = now;
+        let before = self.reaches_store();
+        match answered {
+            true => self.membership.store_answered_at = Some(now),
+            false => self.membership.store_failed_at = Some(now),
+        }
+        let after = self.reaches_store();
+        if before != after {
+            info!(self.log, "{}", if after { "store answers" } else { "store does not answer" };
+                "acting" => self.is_acting());
+        }
+    }
+
+    /// Whether the store answers this VM, as far as is known.
+    pub(super) fn reaches_store(&self) -> bool {
+        let Some(failed_at) = self.membership.store_failed_at else { return true };
+        self.membership.store_answered_at.is_some_and(|at| at > failed_at)
+            && self.now.since(failed_at) >= STORE_DOUBT
+    }
+
+    /// Whether it is for this VM to carry out what only one may do.
+    pub(super) fn is_acting(&self) -> bool {
+        self.roster.first_live(self.now, self.reaches_store()) == Some(&self.id.vm)
+    }
+
+    /// Whether the store answers another VM that could act in this one's place.
+    pub(super) fn another_reaches_store(&self) -> bool {
+        let first = self.roster.first_live(self.now, false);
+        first.is_some_and(|vm| *vm != self.id.vm && self.roster.reaches_store(vm))
+    }
+
     /// Asks for the change of the witnesses or of the list that is due, if that is this VM's duty.
     pub(super) fn tend_members(&mut self) {
         let now = self.now;
@@ -90,7 +129,7 @@
         if !self.has_lease() {
             return None;
         }
-        let is_first = self.roster.first_live(now) == Some(&self.id.vm);
+        let is_first = self.is_acting();
         // Leases that were given under the set before have lapsed.
         let is_settled = self.membership.in_use_since.is_some_and(|at| now.since(at) >= LEASE);
         if is_first
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -143,6 +143,8 @@
     pub spare: Option<VmName>,
     /// Whether the sender wants to hear of all services, not only news.
     pub wants_notes: bool,
+    /// Whether the store answers the sender: only then can it replace a primary.
+    pub reaches_store: bool,
     /// Whether the sender is ending.
     pub stopping: bool,
 }
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -42,6 +42,8 @@
     pub(crate) notes: Vec<ServiceNote>,
     pub(crate) demands: Vec<Demand>,
     pub(crate) terms_total: u64,
+    /// Whether the store answers it.
+    pub(crate) reaches_store: bool,
     pub(crate) stopping: bool,
 }
 
@@ -377,6 +379,11 @@
         recent.map(|(_, member)| member.terms_total).max().unwrap_or(0)
     }
 
+    /// Whether the store answers a member.
+    pub(crate) fn reaches_store(&self, vm: &VmName) -> bool {
+        self.members.get(vm).is_some_and(|member| member.reaches_store)
+    }
+
     /// Whether VMs hold a majority of the witnesses.
     pub fn is_majority(&self, vms: &BTreeSet<VmName>) -> bool {
         let witnesses = vms.iter().filter(|vm| self.is_witness(vm)).count();
@@ -422,9 +429,15 @@
         live.fold(0, |bits, (bit, _)| bits | 1 << bit)
     }
 
-    /// The live witness that comes first: it carries out what only one may do.
-    pub fn first_live(&self, now: MonoTime) -> Option<&VmName> {
-        self.witnesses.vms.iter().find(|vm| self.is_live(now, vm))
+    /// The live witness that comes first among those that the store answers: it carries out what only
+    /// one may do. `reaches_store` says whether it answers this VM.
+    pub fn first_live(&self, now: MonoTime, reaches_store: bool) -> Option<&VmName> {
+        let mut live = self.witnesses.vms.iter().filter(|vm| self.is_live(now, vm));
+        let reaches = |vm: &&&VmName| match self.members.get(**vm) {
+            Some(member) => member.reaches_store,
+            None => reaches_store,
+        };
+        live.clone().find(|vm| reaches(&vm)).or_else(|| live.next())
     }
 
     /// The live witness that hands out a workspace's rate.
@@ -491,6 +504,7 @@
             notes: Vec::new(),
             demands: Vec::new(),
             terms_total: 0,
+            reaches_store: true,
             stopping: false,
         }
     }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -121,6 +121,7 @@
         live_witnesses: 0,
         spare: None,
         wants_notes: false,
+        reaches_store: true,
         stopping: false,
     }
 }
@@ -155,7 +156,7 @@
     };
     let service = |index: usize| ServiceName::new(format!("svc-{index}")).expect("a name");
     let limits = ServiceLimits { connections: 10, synchronous: false };
-    let services = (0..40).map(|index| (service(index), limits.clone())).collect();
+    let services = (0..40).map(|index| (service(index), limits)).collect();
     let catalog = Catalog { generation: 1, services, ..Catalog::default() };
     let mut engine = Engine::new(id, Logger::root(Discard, o!()), at(1_000));
     engine.set_members(at(1_000), &list(3));
--- a/crates/gateway/tests/takeover.rs
+++ b/crates/gateway/tests/takeover.rs
@@ -446,3 +446,41 @@
         assert!(tokens.is_sorted_by(|a, b| a < b), "{tokens:?}");
     }
 }
+
+/// The store turns away the VM that would act, and serves the others.
+fn check_replaced_without_the_store(make_due: impl Fn(&mut World)) {
+    for turned_away in [1, 3] {
+        let mut world = World::new(5);
+        let caller = world.open(4, LATEST, KEY);
+        assert!(world.ask(caller, "w0", write("1")).succeeded());
+        world.storeless.extend(0..turned_away);
+        make_due(&mut world);
+        let began = world.now;
+        while world.promotions.is_empty() {
+            world.run_for(100);
+            let gap = world.now.since(began);
+            assert!(gap < DurationUs::from_ms(5_000), "{turned_away} VMs turned away");
+        }
+        world.run_for(1_000);
+        assert!(world.ask(caller, "w1", write("1")).succeeded());
+        assert_eq!(world.promotions.len(), 1);
+    }
+}
+
+#[test]
+fn lost_primary_is_replaced_by_a_vm_that_the_store_answers() {
+    check_replaced_without_the_store(|world| {
+        world.darken(0);
+        // Its silence is noticed by those who use it.
+        let caller = world.open(1, LATEST, KEY);
+        world.send(caller, "x", write("1"));
+    });
+}
+
+#[test]
+fn leaving_primary_is_replaced_by_a_vm_that_the_store_answers() {
+    check_replaced_without_the_store(|world| {
+        world.records[0].leaving = true;
+        world.publish_databases(2);
+    });
+}
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -56,7 +56,8 @@
     Request { vm: usize, key: UpstreamKey, request: UpstreamRequest },
     Reply { vm: usize, key: UpstreamKey, reply: Reply },
     Closed { vm: usize, key: UpstreamKey },
-    Token { vm: usize, attempt: u64, token: u64, sent: MonoTime },
+    Token { vm: usize, attempt: u64, token: Option<u64>, sent: MonoTime },
+    NoStore { vm: usize },
     Promote { database: DatabaseName },
     Ordered { vm: usize, attempt: u64 },
     Members { vm: usize },
@@ -508,7 +509,10 @@
                 self.drive(vm, |engine| engine.upstream_closed(now, key));
             }
             Happening::Token { vm, attempt, token, sent } => {
-                self.drive(vm, |engine| engine.token_raised(now, attempt, Some(token), sent));
+                self.drive(vm, |engine| engine.token_raised(now, attempt, token, sent));
+            }
+            Happening::NoStore { vm } => {
+                self.drive(vm, |engine| engine.note_store(now, false));
             }
             Happening::Promote { database } => {
                 self.group.promote(&database);
@@ -611,12 +615,17 @@
 
     fn ask_platform(&mut self, vm: usize, request: Request) {
         if self.storeless.contains(&vm) {
+            self.later(STORE_US, Happening::NoStore { vm });
+            if let Request::RaiseToken { attempt, .. } = request {
+                let (token, sent) = (None, self.now);
+                self.later(STORE_US, Happening::Token { vm, attempt, token, sent });
+            }
             return;
         }
         match request {
             Request::RaiseToken { attempt, .. } => {
                 self.token += 1;
-                let (token, sent) = (self.token, self.now);
+                let (token, sent) = (Some(self.token), self.now);
                 self.later(STORE_US, Happening::Token { vm, attempt, token, sent });
             }
             Request::Promote { attempt, database, token, not_after, .. } => {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -162,6 +162,11 @@
         self.drive(|engine, now| engine.set_members(now, list));
     }
 
+    /// The store answered, or did not.
+    pub fn note_store(&self, answered: bool) {
+        self.drive(|engine, now| engine.note_store(now, answered));
+    }
+
     /// This VM is entered in the list from a version on.
     pub fn entered(&self, version: u64) {
         self.drive(|engine, now| engine.entered(now, version));
