Keep no connection idle for long while a database has none left for some VM

Change: a refusal for their number, here or told by a peer that asks for a connection, makes the database's connections scarce for 5 s; meanwhile idle ones are closed after 150 ms.

Test: `scarce_connections_are_not_kept_idle` (twelve VMs, six connections), failing without it.

--- a/crates/gateway/src/engine/answers.rs
+++ b/crates/gateway/src/engine/answers.rs
@@ -88,6 +88,7 @@
             state.retry_at = self.now + REFUSED_PAUSE;
         }
         if code == ErrorCode::TooMany {
+            self.note_scarce(&database);
             self.ask_for_connection(&database);
         }
         let holder = self.pool.connections[key].holder;
--- a/crates/gateway/src/engine/connections.rs
+++ b/crates/gateway/src/engine/connections.rs
@@ -16,6 +16,12 @@
 const RETRY_MAX: DurationUs = DurationUs::from_ms(800);
 /// How long a free connection is kept.
 const CONNECTION_IDLE: DurationUs = DurationUs::from_ms(20_000);
+/// The same while the database's connections are scarce.
+///
+/// The load in mind: more VMs than a database has connections for. Each kept one that its next statement,
+/// of another workspace, could not use, and refusals cost as much as openings. Answers come one after
+/// the other in a transaction within less than this.
+const SCARCE_IDLE: DurationUs = DurationUs::from_ms(150);
 /// Time in which an upstream has to accept a connection.
 const CONNECT_WITHIN: DurationUs = DurationUs::from_ms(800);
 /// Silence on a connection with a statement in progress after which its database is suspected, if no
@@ -124,8 +130,13 @@
                 if unheard && connection.started && now.since(sent_at) >= SILENT_FOR {
                     silent.push((connection.database.clone(), sent_at));
                 }
-            } else if connection.is_free() && now.since(connection.idle_since) >= CONNECTION_IDLE {
-                idle.push(key);
+            } else if connection.is_free() {
+                let state = self.databases.get(&connection.database);
+                let is_scarce = state.is_some_and(|state| now < state.scarce_until);
+                let kept_for = if is_scarce { SCARCE_IDLE } else { CONNECTION_IDLE };
+                if now.since(connection.idle_since) >= kept_for {
+                    idle.push(key);
+                }
             }
         }
         for (database, sent_at) in silent {
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -67,6 +67,8 @@
     pub(crate) retry_at: MonoTime,
     /// When it last refused a connection for their number.
     pub(crate) too_many_at: Option<MonoTime>,
+    /// Until when its connections count as scarce: it refused some VM one for their number.
+    pub(crate) scarce_until: MonoTime,
     /// What it was seen to lack.
     pub(crate) lacked: Option<Lack>,
     /// Time from sending a statement to its answer, averaged, in microseconds.
@@ -443,6 +445,7 @@
             failing_since: None,
             retry_at: now,
             too_many_at: None,
+            scarce_until: now,
             lacked: None,
             answer_us: 0.0,
             answer_at: now,
--- a/crates/gateway/src/engine/sharing.rs
+++ b/crates/gateway/src/engine/sharing.rs
@@ -11,10 +11,20 @@
 
 /// Peers that are asked for a connection at once.
 const SHORT_ASKS: usize = 3;
+/// How long a database's connections count as scarce after it refused one for their number: several
+/// times the pause between two refusals on a day when they are.
+const SCARCE_FOR: DurationUs = DurationUs::from_ms(5_000);
 /// A connection used more recently is not given up for a peer.
 const GIVE_UP_IDLE: DurationUs = DurationUs::from_ms(60);
 
 impl Engine {
+    /// Notes that a database has no connection left for some VM.
+    pub(super) fn note_scarce(&mut self, database: &DatabaseName) {
+        if let Some(state) = self.databases.get_mut(database) {
+            state.scarce_until = self.now + SCARCE_FOR;
+        }
+    }
+
     /// Asks some peers for a connection to a database that refused one for their number.
     pub(super) fn ask_for_connection(&mut self, database: &DatabaseName) {
         let addresses: Vec<_> = self.roster.members().map(|(_, member)| member.address).collect();
@@ -30,8 +40,10 @@
         }
     }
 
-    /// Closes the connection to the database that has been idle longest.
+    /// Closes the connection to the database that has been idle longest, and keeps none idle for long
+    /// for a while.
     pub(super) fn give_up_connection(&mut self, database: &DatabaseName) {
+        self.note_scarce(database);
         let Some(key) = self.pool.longest_idle(database) else { return };
         let idle = self.now.since(self.pool.connections[key].idle_since);
         if idle >= GIVE_UP_IDLE {
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -4,7 +4,7 @@
 
 use gateway::message::ErrorCode;
 use model::prelude::*;
-use world::{BOUNDED, End, KEY, LATEST, World, read, write};
+use world::{BOUNDED, End, KEY, LATEST, Told, World, read, write};
 
 /// The load: two workspaces at once over one or two connections, as on days when databases are short of them.
 /// Opening a connection costs a database half of what a statement does.
@@ -110,3 +110,34 @@
     assert!(many_sent <= 25 * few_sent, "{many_sent} searches, {few_sent} for a twentieth");
     assert!(many <= 2 * few, "{many} searches, {few} for a twentieth of the statements");
 }
+
+/// The load: more VMs than a database has connections for, each with a statement now and then, of two
+/// workspaces in turn. A connection kept idle helps nobody: opening one that is refused costs as much as
+/// opening one.
+#[test]
+fn scarce_connections_are_not_kept_idle() {
+    let mut world = World::cold(12);
+    world.configure(world::catalog(1, 1e6, 6));
+    world.group.connections_max = 6;
+    world.run_for(3_000);
+    let callers: Vec<_> = (0..24)
+        .map(|index| world.open(index / 2, LATEST, if index % 2 == 0 { KEY } else { "key-b" }))
+        .collect();
+    let opened = |world: &World| -> u64 {
+        world.engines.iter().map(|engine| engine.counts().connections_opened).sum()
+    };
+    let before = opened(&world);
+    let mut succeeded = 0;
+    for round in 0..20 {
+        for (index, caller) in callers.iter().enumerate() {
+            world.send(*caller, &format!("w{round}-{index}"), write("1"));
+            world.run_for(40);
+        }
+        world.run_for(100);
+        let answers = callers.iter().map(|caller| world.answer(*caller));
+        succeeded += answers.filter(|told| told.as_ref().is_some_and(Told::succeeded)).count();
+    }
+    assert_eq!(succeeded, 480, "all are served");
+    let opened = opened(&world) - before;
+    assert!(opened <= 480 + 480 / 4, "{opened} connections for 480 statements");
+}
