Have the test of a rate at few VMs tell an even part of 4 % from one of 10 %

Cause: it passed with both, so it could not fail for the change that it was written for.

Change: the second without load before counting is counted in, as the workspace's tokens of that time are.

Conclusion: fails with the former part, passes with the present one.

--- a/crates/gateway/tests/rates.rs
+++ b/crates/gateway/tests/rates.rs
@@ -96,5 +96,6 @@
     let weights = [2, 0, 0, 1, 0, 0, 1, 0, 0];
     load(&mut world, &weights, 300, 4);
     let outcome = load(&mut world, &weights, 150, 10);
-    assert!(outcome.admitted >= 800 * 95 / 100, "{outcome:?}");
+    // Ten seconds, and the one before them in which nothing was asked for.
+    assert!(outcome.admitted >= 11 * 80 * 95 / 100, "{outcome:?}");
 }
