Soak the gateway's processes with random faults; call a store that is away with pauses

The soak: the program as separate processes, a loopback proxy before each database and before the store for each VM (delay, silence both ways or one, refusal), SIGSTOP, SIGKILL and SIGTERM with restarts, overlapping and in series, a store that is down, slow or forgets its history, configurations in between, busy databases; twelve callers with single statements, transactions and session values. Checked at the end from what callers were told and the databases ran: nothing unasked or changed, values of the session's own, nothing twice, promises true, reads as fresh as their route asks, and that everything serves again within 12 s.

A primary that spoke at the very moment of a statement counted as having answered it.

Tests: `store_that_is_away_is_not_called_without_pause`, failing before.

--- a/crates/gateway/src/engine/attempts.rs
+++ b/crates/gateway/src/engine/attempts.rs
@@ -149,8 +149,7 @@
             };
             let attempt = &self.attempts[index];
             let is_early = matches!(attempt.phase, Phase::Stopping | Phase::Surveying { .. });
-            if is_early && !attempt.ordered && !self.reaches_store() && self.another_reaches_store()
-            {
+            if is_early && !attempt.ordered && !self.reaches_store() && !self.is_acting() {
                 self.give_up(index, "the store does not answer this VM");
                 continue;
             }
--- a/crates/gateway/src/engine/connections.rs
+++ b/crates/gateway/src/engine/connections.rs
@@ -126,7 +126,7 @@
                 late.push(key);
             } else if let Some(sent_at) = oldest {
                 let heard = self.databases.get(&connection.database).and_then(|s| s.last_heard);
-                let unheard = heard.is_none_or(|heard| heard < sent_at);
+                let unheard = heard.is_none_or(|heard| heard <= sent_at);
                 if unheard && connection.started && now.since(sent_at) >= SILENT_FOR {
                     silent.push((connection.database.clone(), sent_at));
                 }
--- a/crates/gateway/src/engine/membership.rs
+++ b/crates/gateway/src/engine/membership.rs
@@ -95,12 +95,6 @@
         self.roster.first_live(self.now, self.reaches_store()) == Some(&self.id.vm)
     }
 
-    /// Whether the store answers another VM that could act in this one's place.
-    pub(super) fn another_reaches_store(&self) -> bool {
-        let first = self.roster.first_live(self.now, false);
-        first.is_some_and(|vm| *vm != self.id.vm && self.roster.reaches_store(vm))
-    }
-
     /// Asks for the change of the witnesses or of the list that is due, if that is this VM's duty.
     pub(super) fn tend_members(&mut self) {
         let now = self.now;
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -379,11 +379,6 @@
         recent.map(|(_, member)| member.terms_total).max().unwrap_or(0)
     }
 
-    /// Whether the store answers a member.
-    pub(crate) fn reaches_store(&self, vm: &VmName) -> bool {
-        self.members.get(vm).is_some_and(|member| member.reaches_store)
-    }
-
     /// Whether VMs hold a majority of the witnesses.
     pub fn is_majority(&self, vms: &BTreeSet<VmName>) -> bool {
         let witnesses = vms.iter().filter(|vm| self.is_witness(vm)).count();
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -43,6 +43,8 @@
 pub const ASK_AGAIN_AFTER: DurationUs = DurationUs::from_ms(60);
 /// Time between two requests to stop to a VM that has not answered.
 pub const STOP_AGAIN_AFTER: DurationUs = DurationUs::from_ms(120);
+/// Time between two tries to raise the token: the store may be away, and each call costs.
+pub const RAISE_AGAIN_AFTER: DurationUs = DurationUs::from_ms(300);
 /// How long after an attempt that failed the next one may begin.
 pub const REST_AFTER_FAILURE: DurationUs = DurationUs::from_ms(700);
 
@@ -148,6 +150,8 @@
     pub asked: BTreeMap<DatabaseName, MonoTime>,
     /// Candidates that can't lead.
     pub excluded: BTreeSet<DatabaseName>,
+    /// The token is not raised before this moment.
+    pub raise_at: MonoTime,
     /// Whether an order may have left: from then on only a new leader ends the attempt.
     pub ordered: bool,
 }
@@ -171,6 +175,7 @@
             rows: BTreeMap::new(),
             asked: BTreeMap::new(),
             excluded: BTreeSet::new(),
+            raise_at: now,
             ordered: false,
         }
     }
@@ -276,6 +281,9 @@
         if !all_answered && now.since(since) < within {
             return self.ask(now);
         }
+        if now < self.raise_at {
+            return Step::Wait;
+        }
         let best = eligible
             .iter()
             .filter_map(|name| self.rows.get(*name).map(|row| (row.received, *name)))
@@ -380,6 +388,7 @@
     pub fn token_raised(&mut self, now: MonoTime, token: Option<u64>) -> Option<DatabaseName> {
         let Phase::RaisingToken { candidate, .. } = self.phase.clone() else { return None };
         if token.is_none() {
+            self.raise_at = now + RAISE_AGAIN_AFTER;
             self.restart_survey(now);
             return None;
         }
--- a/crates/gateway/tests/takeover.rs
+++ b/crates/gateway/tests/takeover.rs
@@ -522,3 +522,22 @@
         assert!(!world.group.holds(0, "w0"), "{delay_ms} ms: it was said that nothing is kept");
     }
 }
+
+/// The store turns everybody away: the VM that acts does not call it without pause, and goes on once it is
+/// back.
+#[test]
+fn store_that_is_away_is_not_called_without_pause() {
+    let mut world = World::new(5);
+    let caller = world.open(1, LATEST, KEY);
+    assert!(world.ask(caller, "w0", write("1")).succeeded());
+    world.storeless.extend(0..5);
+    world.darken(0);
+    world.send(caller, "x", write("1"));
+    world.run_for(10_000);
+    assert!(world.promotions.is_empty());
+    // Ten seconds, at most four calls each.
+    assert!(world.turned_away <= 40, "{} calls", world.turned_away);
+    world.storeless.clear();
+    world.run_for(3_000);
+    assert_eq!(world.promotions.len(), 1);
+}
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -107,6 +107,8 @@
     pub messages: BTreeMap<(usize, usize), u64>,
     /// VMs that can't reach the store.
     pub storeless: BTreeSet<usize>,
+    /// Calls of the store that were turned away.
+    pub turned_away: usize,
     /// The list of VMs in the store.
     pub list: MemberList,
     /// The list that each VM has.
@@ -224,6 +226,7 @@
             slow_connects_ms: 0,
             messages: BTreeMap::new(),
             storeless: BTreeSet::new(),
+            turned_away: 0,
             list: MemberList::default(),
             lists: vec![MemberList::default(); vms],
             queue: BinaryHeap::new(),
@@ -625,6 +628,7 @@
 
     fn ask_platform(&mut self, vm: usize, request: Request) {
         if self.storeless.contains(&vm) {
+            self.turned_away += 1;
             self.later(STORE_US, Happening::NoStore { vm });
             if let Request::RaiseToken { attempt, .. } = request {
                 let (token, sent) = (None, self.now);
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,4 +1,4 @@
-//! Developer tasks: `ci`, `demo` and `bench`.
+//! Developer tasks: `ci`, `demo`, `soak` and benches.
 
 mod bench;
 mod bench_accounting;
@@ -13,6 +13,7 @@
 mod bench_replica_share;
 mod ci;
 mod demo;
+mod soak;
 
 use clap::Command;
 use eyre::eyre;
@@ -39,6 +40,7 @@
         )
         .subcommand(bench_promotion::command())
         .subcommand(bench_replica_share::command())
+        .subcommand(soak::command())
         .get_matches();
     match matches.subcommand() {
         Some(("ci", _)) => ci::run(),
@@ -54,6 +56,7 @@
         Some(("bench-gateway", sub)) => bench_gateway::run(sub),
         Some(("bench-memory", sub)) => runtime()?.block_on(bench_memory::run(sub)),
         Some(("bench-replica-share", sub)) => runtime()?.block_on(bench_replica_share::run(sub)),
+        Some(("soak", sub)) => soak::run(sub),
         _ => Err(eyre!("say what to do: see --help")),
     }
 }
