--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -308,7 +308,8 @@
         }
     }
 
-    /// Takes a heartbeat's stamps and the step of the sender's set of witnesses; `None` where the sender is no member, or an earlier run of one.
+    /// Takes a heartbeat's stamps and the step of the sender's set of witnesses; `None` where the sender is
+    /// no member, or an earlier run of one.
     pub fn hear(
         &mut self,
         now: MonoTime,
