Take over a promotion that nobody is carrying through

VMs that started anew after that read of the promotion and stopped using the primary, in their own name. The others learned of the stop from them and held them, being alive, to be at it: nobody took over, for 30 s.

Ruled out: leases (all VMs had one), the store (it answered again 10 s before), databases (one led all the time).

--- a/crates/gateway/src/engine/attempts.rs
+++ b/crates/gateway/src/engine/attempts.rs
@@ -3,7 +3,7 @@
 use model::prelude::*;
 use slog::{info, warn};
 
-use super::{DatabaseState, Engine, ServiceState, leaders::NO_ATTEMPT};
+use super::{DatabaseState, Engine, ServiceState, leaders::NO_ATTEMPT, stops::NOBODYS_RUN};
 use crate::{
     effect::{Effect, Request},
     peers::PeerBody,
@@ -94,10 +94,10 @@
     /// Whether a new term was being prepared by a VM that is gone: its order may have left.
     fn stop_is_orphaned(&self, service: &ServiceState) -> bool {
         let Some(stopped) = &service.stopped else { return false };
-        let is_own = stopped.by == self.id.vm;
+        let is_nobodys = stopped.by == self.id.vm || stopped.run == NOBODYS_RUN;
         stopped.confirmed
             && self.now.since(stopped.since) >= ORPHANED_AFTER
-            && (is_own || !self.roster.is_live(self.now, &stopped.by))
+            && (is_nobodys || !self.roster.is_live(self.now, &stopped.by))
     }
 
     fn begin_attempt(&mut self, name: &ServiceName, planned: bool) {
--- a/crates/gateway/src/engine/gossip.rs
+++ b/crates/gateway/src/engine/gossip.rs
@@ -4,7 +4,7 @@
 
 use model::prelude::*;
 
-use super::{Engine, ServiceState, StoppedFor};
+use super::{Engine, ServiceState, StoppedFor, stops::NOBODYS_RUN};
 use crate::{
     effect::Effect,
     peers::{
@@ -126,7 +126,9 @@
         }
         match &mut service.stopped {
             // Whoever prepares it is at it still.
-            Some(stopped) if stopped.term == term && by == *from => stopped.since = now,
+            Some(stopped) if stopped.term == term && by == *from && run != NOBODYS_RUN => {
+                stopped.since = now;
+            }
             Some(stopped) if stopped.term >= term => {}
             _ if term > service.term => {
                 service.stopped = Some(StoppedFor { term, by, run, since: now, confirmed: true });
--- a/crates/gateway/src/engine/stops.rs
+++ b/crates/gateway/src/engine/stops.rs
@@ -15,6 +15,10 @@
 /// How long a stop holds if nothing is heard of its outcome. An attempt is over much sooner.
 const STOP_FOR: DurationUs = DurationUs::from_ms(30_000);
 
+/// The run in a stop that no VM is carrying through: its promotion may have been ordered by a run that is
+/// gone.
+pub(super) const NOBODYS_RUN: Incarnation = Incarnation(0);
+
 impl Engine {
     /// A VM prepares a new term: the primary is not used until it is decided.
     pub(super) fn stop_using(
@@ -166,8 +170,8 @@
                 self.services.entry(name.clone()).or_insert_with(|| ServiceState::new(now));
             if term > service.term && service.stopped.is_none() {
                 info!(self.log, "promotion may be under way"; "service" => %name, "term" => term.0);
-                service.stopped =
-                    Some(StoppedFor { term, by, run: Incarnation(0), since: now, confirmed: true });
+                let run = NOBODYS_RUN;
+                service.stopped = Some(StoppedFor { term, by, run, since: now, confirmed: true });
             }
         }
     }
--- a/crates/gateway/tests/takeover.rs
+++ b/crates/gateway/tests/takeover.rs
@@ -541,3 +541,22 @@
     world.run_for(3_000);
     assert_eq!(world.promotions.len(), 1);
 }
+
+/// The token was raised for a promotion that was given up before its order, and VMs that start anew read of
+/// it. Nobody is at it any more, so somebody has to take it over.
+#[test]
+fn promotion_that_was_never_ordered_does_not_stop_the_service() {
+    let mut world = World::new(5);
+    let caller = world.open(0, LATEST, KEY);
+    assert!(world.ask(caller, "w0", write("1")).succeeded());
+    for vm in [1, 4] {
+        world.restart(vm, world::catalog(1, 1e6, 100));
+        let (now, intent) = (world.now, Intent { service: service(), term: Term(2) });
+        world.engines[vm].set_intents(now, vec![intent]);
+    }
+    world.run_for(5_000);
+    for vm in 0..5 {
+        let caller = world.open(vm, LATEST, KEY);
+        assert!(world.ask(caller, &format!("w{vm}-1"), write("1")).succeeded(), "VM {vm}");
+    }
+}
