--- a/crates/gateway/src/engine/gossip.rs
+++ b/crates/gateway/src/engine/gossip.rs
@@ -64,31 +64,23 @@
         let Heartbeat { stamps, witness_step, .. } = heartbeat;
         let heard = self.roster.hear(now, &from, incarnation, stamps, witness_step);
         let Some(Heard { is_newer: true, said_after: said_at }) = heard else { return };
-        let Some(member) = self.roster.member_mut(&from) else { return };
-        member.stopping = heartbeat.stopping;
-        member.terms_total = heartbeat.terms_total;
-        member.list_version = heartbeat.members;
-        member.reaches_store = heartbeat.reaches_store;
-        member.demands.clone_from(&heartbeat.demands);
-        let address = member.address;
-        self.roster.note_witness(&from, said_at, &heartbeat);
         for note in &heartbeat.services {
             self.learn(&from, note, said_at);
         }
-        if let Some(member) = self.roster.member_mut(&from) {
-            member.notes = heartbeat.services;
-        }
         if let Some(said_at) = said_at {
             self.rates.accept(now, said_at, &heartbeat.grants);
         }
-        if self.roster.am_witness() && !self.roster.is_witness(&from) {
-            let services = self.notes(heartbeat.wants_notes);
-            self.send_heartbeat(&from, services, &[], false);
-        }
+        let wants_notes = heartbeat.wants_notes;
         let newer = heartbeat.generation > self.catalog.generation
             || heartbeat.registry > self.registry_version
             || heartbeat.members > self.roster.version();
-        if newer && now.since(self.fetched_at) >= FETCH_EVERY {
+        self.roster.note_heartbeat(&from, said_at, heartbeat);
+        if self.roster.am_witness() && !self.roster.is_witness(&from) {
+            let services = self.notes(wants_notes);
+            self.send_heartbeat(&from, services, &[], false);
+        }
+        let is_due = newer && now.since(self.fetched_at) >= FETCH_EVERY;
+        if let Some(address) = self.roster.address_of(&from).filter(|_| is_due) {
             self.fetched_at = now;
             self.effects.push(Effect::FetchFromPeer(address));
         }
@@ -118,11 +110,7 @@
         if is_own && given_up && term > service.term {
             // The sender has missed that this VM gave up.
             let (service, primary) = (note.service.clone(), None);
-            let address = self.roster.member_mut(from).map(|member| member.address);
-            if let Some(address) = address {
-                self.tell(address, PeerBody::Decided { service, term, primary });
-            }
-            return;
+            return self.tell_vm(from, PeerBody::Decided { service, term, primary });
         }
         match &mut service.stopped {
             // Whoever prepares it is at it still.
@@ -180,7 +168,7 @@
         wants_notes: bool,
     ) {
         let now = self.now;
-        let Some(address) = self.roster.member_mut(to).map(|member| member.address) else { return };
+        let Some(address) = self.roster.address_of(to) else { return };
         let mut stamps = self.roster.stamps_for(now, to);
         // A run that has just begun may have promised something in the run before; without an echo
         // what it says gives no lease.
@@ -263,6 +251,13 @@
         }
     }
 
+    /// Says something to a VM, if the list has it.
+    pub(super) fn tell_vm(&mut self, vm: &VmName, body: PeerBody) {
+        if let Some(address) = self.roster.address_of(vm) {
+            self.tell(address, body);
+        }
+    }
+
     pub(super) fn tell(&mut self, address: SocketAddr, body: PeerBody) {
         let from = self.id.vm.clone();
         let incarnation = self.id.incarnation;
--- a/crates/gateway/src/engine/membership.rs
+++ b/crates/gateway/src/engine/membership.rs
@@ -123,15 +123,13 @@
         if !self.has_lease() {
             return None;
         }
-        let is_first = self.is_acting();
         // Leases that were given under the set before have lapsed.
         let is_settled = self.membership.in_use_since.is_some_and(|at| now.since(at) >= LEASE);
-        if is_first
-            && is_settled
-            && let standings = self.roster.standings(now)
-            && let Some(set) = witnesses::next_set(self.roster.witnesses(), &standings)
-        {
-            return Some(Request::SetWitnesses(set));
+        if is_settled && self.is_acting() {
+            let standings = self.roster.standings(now);
+            if let Some(set) = witnesses::next_set(self.roster.witnesses(), &standings) {
+                return Some(Request::SetWitnesses(set));
+            }
         }
         let (vm, incarnation) = self.roster.gone(now)?;
         Some(Request::RemoveMember { vm: vm.clone(), incarnation })
--- a/crates/gateway/src/engine/registry.rs
+++ b/crates/gateway/src/engine/registry.rs
@@ -4,7 +4,7 @@
 use slog::info;
 
 use super::{DatabaseState, Engine, ServiceState};
-use crate::catalog::Database;
+use crate::{catalog::Database, effect::UpstreamKey};
 
 /// How long a database that left the list without notice is still used: after an outage of the store
 /// its entry may return within two seconds.
@@ -73,13 +73,11 @@
 
     fn drop_database(&mut self, name: &DatabaseName, reason: &str) {
         info!(self.log, "database dropped"; "database" => %name, "reason" => reason);
-        let held = self.pool.connections.iter().filter(|(_, c)| c.database == *name);
-        let held: Vec<_> = held.map(|(key, c)| (key, c.is_free())).collect();
-        for (key, free) in held {
-            // A statement in progress may still be answered.
-            if free {
-                self.close_connection(key);
-            }
+        // A statement in progress may still be answered.
+        let free = self.pool.to(name).filter(|(_, connection)| connection.is_free());
+        let free: Vec<UpstreamKey> = free.map(|(key, _)| key).collect();
+        for key in free {
+            self.close_connection(key);
         }
         if let Some(state) = self.databases.remove(name) {
             let service = self.services.get_mut(&state.record.service);
--- a/crates/gateway/src/engine/sharing.rs
+++ b/crates/gateway/src/engine/sharing.rs
@@ -74,8 +74,8 @@
                 let lent =
                     if self.has_lease() { self.rates.lend(now, &workspace, tokens) } else { 0 };
                 self.rates.borrow(now, &workspace, lent, lent >= tokens);
-            } else if let Some(address) = self.roster.member_mut(&home).map(|m| m.address) {
-                self.tell(address, PeerBody::Borrow { workspace, tokens });
+            } else {
+                self.tell_vm(&home, PeerBody::Borrow { workspace, tokens });
             }
         }
     }
@@ -85,10 +85,7 @@
             return;
         }
         let tokens = self.rates.lend(self.now, &workspace, asked);
-        if let Some(address) = self.roster.member_mut(to).map(|member| member.address) {
-            let all = tokens >= asked;
-            self.tell(address, PeerBody::Lend { workspace, tokens, all });
-        }
+        self.tell_vm(to, PeerBody::Lend { workspace, tokens, all: tokens >= asked });
     }
 
     pub(super) fn grant_to_self(&mut self, demands: &[Demand]) {
@@ -98,7 +95,7 @@
     }
 
     pub(super) fn grants_for(&mut self, vm: &VmName) -> Vec<RateGrant> {
-        let demands = self.roster.member_mut(vm).map(|m| m.demands.clone()).unwrap_or_default();
+        let demands = self.roster.demands_of(vm).to_vec();
         self.grants(vm, &demands)
     }
 
@@ -108,28 +105,15 @@
             return Vec::new();
         }
         let now = self.now;
-        let workspaces: Vec<WorkspaceName> = self.rates.workspaces().cloned().collect();
-        let mut homes = Vec::new();
-        for workspace in workspaces {
-            if self.roster.home_of(now, &workspace) == self.id.vm {
-                homes.push(workspace);
-            }
-        }
-        let own = self.rates.demands(now);
-        let of = |demands: &[Demand], workspace: &WorkspaceName| {
-            let demand = demands.iter().find(|demand| demand.workspace == *workspace);
-            demand.map_or(0.0, |demand| f64::from(demand.per_s))
-        };
         let mut grants = Vec::new();
-        for workspace in homes {
-            let asked = of(demands, &workspace);
-            if asked == 0.0 {
+        for Demand { workspace, per_s } in demands {
+            if self.roster.home_of(now, workspace) != self.id.vm {
                 continue;
             }
             let others = self.roster.members().filter(|(vm, _)| self.roster.is_live(now, vm));
-            let all: f64 = of(&own, &workspace)
-                + others.map(|(_, member)| of(&member.demands, &workspace)).sum::<f64>();
-            grants.extend(self.rates.hand_out(now, &workspace, vm, asked, all));
+            let others: f64 = others.map(|(_, member)| member.demand_for(workspace)).sum();
+            let all = self.rates.demand_for(now, workspace) + others;
+            grants.extend(self.rates.hand_out(now, workspace, vm, f64::from(*per_s), all));
         }
         grants
     }
--- a/crates/gateway/src/engine/stops.rs
+++ b/crates/gateway/src/engine/stops.rs
@@ -37,12 +37,8 @@
         if term <= service.term {
             let primary = service.primary.clone();
             let known = service.term;
-            let address = self.roster.members().find(|(vm, _)| *vm == by).map(|(_, m)| m.address);
-            if let Some(address) = address {
-                let service = name.clone();
-                self.tell(address, PeerBody::Decided { service, term: known, primary });
-            }
-            return;
+            let service = name.clone();
+            return self.tell_vm(by, PeerBody::Decided { service, term: known, primary });
         }
         match &service.stopped {
             Some(stopped) if stopped.term >= term && stopped.confirmed => {}
@@ -73,11 +69,8 @@
                 confirmed.push(name.clone());
                 continue;
             };
-            let busy = self.pool.connections.values().any(|connection| {
-                connection.database == *primary
-                    && connection.is_for_statements()
-                    && !connection.is_free()
-                    && connection.started
+            let busy = self.pool.to(primary).any(|(_, connection)| {
+                connection.is_for_statements() && !connection.is_free() && connection.started
             });
             if !busy {
                 confirmed.push(name.clone());
@@ -121,10 +114,7 @@
         if *by == self.id.vm {
             return self.note_stopped(service, term, self.id.vm.clone());
         }
-        let address = self.roster.members().find(|(vm, _)| *vm == by).map(|(_, m)| m.address);
-        if let Some(address) = address {
-            self.tell(address, PeerBody::Stopped { service: service.clone(), term });
-        }
+        self.tell_vm(by, PeerBody::Stopped { service: service.clone(), term });
     }
 
     pub(super) fn decided(
--- a/crates/gateway/src/rates.rs
+++ b/crates/gateway/src/rates.rs
@@ -218,6 +218,14 @@
         demands
     }
 
+    /// What this VM is asked for by a workspace, in operations per second; nothing of what is too little
+    /// to say.
+    pub fn demand_for(&mut self, now: MonoTime, workspace: &WorkspaceName) -> f64 {
+        let Some(account) = self.accounts.get_mut(workspace) else { return 0.0 };
+        account.decay(now);
+        if account.demand >= DEMAND_MIN_PER_S { account.demand } else { 0.0 }
+    }
+
     /// As the home of `workspace`: the part for `vm`, given all VMs' demands.
     pub fn hand_out(
         &mut self,
@@ -254,11 +262,6 @@
         }
     }
 
-    /// Names of all workspaces with a limit.
-    pub fn workspaces(&self) -> impl Iterator<Item = &WorkspaceName> {
-        self.accounts.keys()
-    }
-
     fn refresh(&mut self, now: MonoTime) {
         for account in self.accounts.values_mut() {
             account.refresh(now, self.members);
--- a/crates/gateway/src/roster.rs
+++ b/crates/gateway/src/roster.rs
@@ -1,5 +1,7 @@
 //! The VMs and what was heard of them: who is live, who gives leases, and how long this VM's lasts.
 
+mod tending;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
@@ -12,17 +14,17 @@
         Demand, Echo, Heard, Heartbeat, LEASE, LIVE_FOR, MemberList, MemberRecord, NEAR_SILENT,
         ServiceNote, Stamps,
     },
-    witnesses::{GONE_AFTER, Health, IN_TOUCH_FOR, Standing, WITNESSES_MAX, WitnessSet},
+    witnesses::{Health, WitnessSet},
 };
 
 /// A member and what was heard of it.
 #[derive(Clone, Debug)]
 pub(crate) struct Member {
     pub(crate) address: SocketAddr,
-    pub(crate) incarnation: Incarnation,
-    pub(crate) dc: DcName,
+    incarnation: Incarnation,
+    dc: DcName,
     /// The latest moment on our clock at which it surely spoke.
-    pub(crate) proven: Option<MonoTime>,
+    proven: Option<MonoTime>,
     /// When it was entered in the list here.
     listed_at: MonoTime,
     /// Its last stamp and when that came.
@@ -38,13 +40,13 @@
     /// Since when it should speak to this VM.
     expected_since: Option<MonoTime>,
     /// Version of its list of VMs.
-    pub(crate) list_version: u64,
+    list_version: u64,
     pub(crate) notes: Vec<ServiceNote>,
-    pub(crate) demands: Vec<Demand>,
-    pub(crate) terms_total: u64,
+    demands: Vec<Demand>,
+    terms_total: u64,
     /// Whether the store answers it.
-    pub(crate) reaches_store: bool,
-    pub(crate) stopping: bool,
+    reaches_store: bool,
+    stopping: bool,
 }
 
 /// The members and what was heard of them.
@@ -131,123 +133,6 @@
         self.is_listed
     }
 
-    /// For how long the list has named the same VMs; `None` before it is known.
-    pub(crate) fn unchanged_for(&self, now: MonoTime) -> Option<DurationUs> {
-        self.changed_at.map(|at| now.since(at))
-    }
-
-    /// Whether so many witnesses have ended that the rest is no majority: nobody can get a lease.
-    pub(crate) fn is_set_broken(&self) -> bool {
-        let listed = self.witnesses.vms.iter().filter(|vm| self.lists(vm)).count();
-        listed < self.witnesses.majority()
-    }
-
-    fn lists(&self, vm: &VmName) -> bool {
-        if *vm == self.me { self.is_listed } else { self.members.contains_key(vm) }
-    }
-
-    /// A set chosen anew from the list.
-    pub(crate) fn choose_witnesses(&self) -> WitnessSet {
-        let others = self.members.iter().map(|(vm, member)| (vm, &member.dc));
-        let me = self.is_listed.then_some((&self.me, &self.dc));
-        self.witnesses.choose_next(others.chain(me))
-    }
-
-    /// How many VMs of the list come before this one.
-    pub(crate) fn rank(&self) -> usize {
-        self.members.keys().filter(|vm| **vm < self.me).count()
-    }
-
-    /// How VMs and witnesses fare, as far as this VM can tell: those that don't speak to it are left out,
-    /// unless a witness names them as in touch.
-    pub(crate) fn standings(&self, now: MonoTime) -> Vec<Standing<'_>> {
-        let heard = self.members.iter().filter(|(_, member)| member.expected_since.is_some());
-        let heard = heard.map(|(vm, member)| Standing {
-            vm,
-            dc: Some(&member.dc),
-            health: member.health(now),
-        });
-        let in_touch = Health::InTouch(DurationUs(u64::MAX));
-        let named = self
-            .other_witnesses()
-            .filter(|(vm, _)| self.is_proven(now, vm))
-            .filter_map(|(_, witness)| self.members.get_key_value(witness.spare.as_ref()?))
-            .filter(|(_, member)| member.expected_since.is_none())
-            .map(|(vm, member)| Standing { vm, dc: Some(&member.dc), health: in_touch });
-        let me = Standing { vm: &self.me, dc: Some(&self.dc), health: in_touch };
-        let unlisted = self.witnesses.vms.iter().filter(|vm| **vm != self.me && !self.lists(vm));
-        let left = unlisted.map(|vm| Standing { vm, dc: None, health: Health::Left });
-        heard.chain(named).chain([me]).chain(left).collect()
-    }
-
-    /// Notes which members should speak to this VM: as a witness, it hears the witnesses, the VMs of its
-    /// own data centre, and those whose data centre has no live witness.
-    pub(crate) fn note_expected(&mut self, now: MonoTime) {
-        if !self.am_witness() {
-            if std::mem::take(&mut self.expects_any) {
-                self.members.values_mut().for_each(|member| member.expected_since = None);
-            }
-            return;
-        }
-        self.expects_any = true;
-        let served: BTreeSet<DcName> = self.dcs_with_live_witnesses(now);
-        for (vm, member) in &mut self.members {
-            let is_expected = self.witnesses.vms.contains(vm)
-                || member.dc == self.dc
-                || !served.contains(&member.dc);
-            member.expected_since = is_expected.then(|| member.expected_since.unwrap_or(now));
-        }
-    }
-
-    fn dcs_with_live_witnesses(&self, now: MonoTime) -> BTreeSet<DcName> {
-        let live = self.other_witnesses().filter(|(vm, _)| self.is_live(now, vm));
-        let own = self.am_witness().then(|| self.dc.clone());
-        live.map(|(_, member)| member.dc.clone()).chain(own).collect()
-    }
-
-    /// A VM of the own data centre that is in touch and could become a witness, where there are too few.
-    pub(crate) fn spare(&self, now: MonoTime) -> Option<&VmName> {
-        if self.witnesses.vms.len() >= WITNESSES_MAX {
-            return None;
-        }
-        let others = self.members.iter().filter(|(vm, _)| !self.is_witness(vm));
-        others
-            .filter(|(_, member)| member.dc == self.dc)
-            .find(|(_, m)| matches!(m.health(now), Health::InTouch(span) if span >= IN_TOUCH_FOR))
-            .map(|(vm, _)| vm)
-    }
-
-    /// Whether a majority of the witnesses is known to use this VM's set.
-    pub(crate) fn is_set_in_use(&self) -> bool {
-        let others = self.other_witnesses();
-        let using = others.filter(|(_, member)| member.witness_step >= self.witnesses.step).count();
-        using + usize::from(self.am_witness()) >= self.witnesses.majority()
-    }
-
-    /// A VM of the list that has been silent for so long that it counts as gone, if it is for this VM to
-    /// take it out: the first live witness of its data centre does, or the first of all.
-    pub(crate) fn gone(&self, now: MonoTime) -> Option<(&VmName, Incarnation)> {
-        let silent = self.members.iter().filter(|(vm, member)| {
-            let is_silent =
-                matches!(member.health(now), Health::Silent(span) if span >= GONE_AFTER);
-            is_silent && member.expected_since.is_some() && !self.is_witness(vm)
-        });
-        silent
-            .filter(|(_, member)| self.first_live_in(now, &member.dc) == Some(&self.me))
-            .map(|(vm, member)| (vm, member.incarnation))
-            .next()
-    }
-
-    fn first_live_in(&self, now: MonoTime, dc: &DcName) -> Option<&VmName> {
-        let dc_of = |vm: &VmName| match self.members.get(vm) {
-            Some(member) => Some(&member.dc),
-            None => (*vm == self.me).then_some(&self.dc),
-        };
-        let mut live = self.witnesses.vms.iter().filter(|vm| self.is_live(now, vm));
-        let near = live.clone().find(|vm| dc_of(vm) == Some(dc));
-        near.or_else(|| live.next())
-    }
-
     /// The witnesses but for this VM.
     fn other_witnesses(&self) -> impl Iterator<Item = (&VmName, &Member)> + Clone {
         self.witnesses.vms.iter().filter_map(|vm| self.members.get_key_value(vm))
@@ -291,17 +176,23 @@
         self.is_witness(&self.me)
     }
 
-    /// Notes what a witness says besides its stamps.
-    pub fn note_witness(
+    /// Notes what a member says besides its stamps; `said_after` as [`Roster::hear`] gave it.
+    pub fn note_heartbeat(
         &mut self,
         from: &VmName,
         said_after: Option<MonoTime>,
-        heartbeat: &Heartbeat,
+        heartbeat: Heartbeat,
     ) {
         let is_witness = self.is_witness(from);
         let Some(member) = self.members.get_mut(from) else { return };
+        member.stopping = heartbeat.stopping;
+        member.terms_total = heartbeat.terms_total;
+        member.list_version = heartbeat.members;
+        member.reaches_store = heartbeat.reaches_store;
         member.live_witnesses = heartbeat.live_witnesses;
-        member.spare = heartbeat.spare.clone();
+        member.spare = heartbeat.spare;
+        member.demands = heartbeat.demands;
+        member.notes = heartbeat.services;
         if let (true, Some(said_after), Some(left)) = (is_witness, said_after, heartbeat.lease_left)
         {
             self.borrowed_until = self.borrowed_until.max(Some(said_after + left));
@@ -429,20 +320,17 @@
     /// one may do. `reaches_store` says whether it answers this VM.
     pub fn first_live(&self, now: MonoTime, reaches_store: bool) -> Option<&VmName> {
         let mut live = self.witnesses.vms.iter().filter(|vm| self.is_live(now, vm));
-        let reaches = |vm: &&&VmName| match self.members.get(**vm) {
-            Some(member) => member.reaches_store,
-            None => reaches_store,
-        };
-        live.clone().find(|vm| reaches(&vm)).or_else(|| live.next())
+        let reaches =
+            |vm: &VmName| self.members.get(vm).map_or(reaches_store, |member| member.reaches_store);
+        live.clone().find(|vm| reaches(vm)).or_else(|| live.next())
     }
 
     /// The live witness that hands out a workspace's rate.
     pub(crate) fn home_of(&mut self, now: MonoTime, workspace: &WorkspaceName) -> VmName {
-        let witnesses = self.witnesses.vms.iter().filter(|vm| self.is_live(now, vm));
-        let live: Vec<VmName> = witnesses.cloned().collect();
-        if live != self.homes_live {
+        let live = self.witnesses.vms.iter().filter(|vm| self.is_live(now, vm));
+        if !live.clone().eq(&self.homes_live) {
+            self.homes_live = live.cloned().collect();
             self.homes.clear();
-            self.homes_live = live;
         }
         if let Some(home) = self.homes.get(workspace) {
             return home.clone();
@@ -477,8 +365,14 @@
         self.members.iter()
     }
 
-    pub(crate) fn member_mut(&mut self, vm: &VmName) -> Option<&mut Member> {
-        self.members.get_mut(vm)
+    /// Where a member hears peers.
+    pub(crate) fn address_of(&self, vm: &VmName) -> Option<SocketAddr> {
+        self.members.get(vm).map(|member| member.address)
+    }
+
+    /// What a member is asked for by workspaces whose home this VM is.
+    pub(crate) fn demands_of(&self, vm: &VmName) -> &[Demand] {
+        self.members.get(vm).map(|member| member.demands.as_slice()).unwrap_or_default()
     }
 }
 
@@ -505,6 +399,12 @@
         }
     }
 
+    /// What it is asked for by a workspace, in operations per second.
+    pub(crate) fn demand_for(&self, workspace: &WorkspaceName) -> f64 {
+        let demand = self.demands.iter().find(|demand| demand.workspace == *workspace);
+        demand.map_or(0.0, |demand| f64::from(demand.per_s))
+    }
+
     fn health(&self, now: MonoTime) -> Health {
         let heard_at = self.heard.map_or(self.listed_at, |(_, at)| at);
         let silent = now.since(heard_at.max(self.expected_since.unwrap_or(heard_at)));
--- a/crates/gateway/tests/hierarchy.rs
+++ b/crates/gateway/tests/hierarchy.rs
@@ -19,6 +19,18 @@
     (vm, witnesses.into_iter().filter(|witness| dc(*witness) == dc(vm)).collect())
 }
 
+/// Cuts the VMs of a VM's data centre off from all others, which it returns.
+fn cut_data_centre_off(world: &mut World, vm: usize) -> Vec<usize> {
+    let (inside, outside): (Vec<usize>, Vec<usize>) =
+        (0..12).partition(|other| dc(*other) == dc(vm));
+    for a in &inside {
+        for b in &outside {
+            world.cut(End::Vm(*a), End::Vm(*b));
+        }
+    }
+    outside
+}
+
 #[test]
 fn plain_vm_speaks_to_its_data_centre_alone() {
     let mut world = world();
@@ -60,13 +72,7 @@
 fn plain_vm_of_a_data_centre_that_is_cut_off_reads_and_writes_nothing() {
     let mut world = world();
     let (vm, _) = plain_vm(&world);
-    let (inside, outside): (Vec<usize>, Vec<usize>) =
-        (0..12).partition(|other| dc(*other) == dc(vm));
-    for a in &inside {
-        for b in &outside {
-            world.cut(End::Vm(*a), End::Vm(*b));
-        }
-    }
+    let outside = cut_data_centre_off(&mut world, vm);
     for b in &outside {
         world.cut(End::Vm(*b), End::Database(0));
     }
@@ -101,14 +107,8 @@
 fn plain_vm_has_no_lease_longer_than_its_witness() {
     let mut world = world();
     let (vm, near) = plain_vm(&world);
-    let (inside, outside): (Vec<usize>, Vec<usize>) =
-        (0..12).partition(|other| dc(*other) == dc(vm));
     world.run_for(1_000);
-    for a in &inside {
-        for b in &outside {
-            world.cut(End::Vm(*a), End::Vm(*b));
-        }
-    }
+    cut_data_centre_off(&mut world, vm);
     let cut_at = world.now;
     world.run_for(300);
     for witness in &near {
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -131,7 +131,7 @@
     let left = Some(DurationUs::from_ms(700));
     let check = |from: usize, said_after, left, expected: Option<MonoTime>| {
         let mut roster = roster(12);
-        roster.note_witness(&vm(from), said_after, &heartbeat(left));
+        roster.note_heartbeat(&vm(from), said_after, heartbeat(left));
         assert_eq!(roster.lease_until(at(10_000)), expected, "VM {from}, {said_after:?}, {left:?}");
     };
     let witnesses = roster(12).witnesses().vms.clone();
