--- a/crates/jasminepassd/src/accounts.rs
+++ b/crates/jasminepassd/src/accounts.rs
@@ -1,6 +1,6 @@
 //! What this VM has counted for workspaces, and what it collects from other VMs.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 
 use board::{Board, Catalog};
 use model::prelude::*;
@@ -13,7 +13,7 @@
     verdict::{End, counts},
 };
 
-use crate::clock::unix_s;
+use crate::{clock::unix_s, lock::lock};
 
 /// What this VM has counted, and what it collects from others.
 #[derive(Default)]
@@ -80,7 +80,3 @@
     let zone = key.and_then(|key| catalog.workspaces[key].cfg.time_zone.as_deref());
     DayClock::new(zone.unwrap_or(&catalog.cfg.time_zone))
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/jasminepassd/src/app.rs
+++ b/crates/jasminepassd/src/app.rs
@@ -1,7 +1,7 @@
 //! What the listeners and background tasks of one daemon share.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
+    sync::{Arc, Mutex, MutexGuard, Weak},
     time::Duration,
 };
 
@@ -21,7 +21,7 @@
 use tokio::{runtime::Handle, sync::watch, time::Instant};
 
 use crate::{
-    accounts::Accounts, clock::Clock, counters::Counters, event::Event,
+    accounts::Accounts, clock::Clock, counters::Counters, event::Event, lock::lock,
     open_transactions::OpenTransactions, pools::Pools, quota_state::QuotaState, rounds::Verifier,
     settings::Settings, status_desk::StatusDesk,
 };
@@ -101,12 +101,12 @@
 
     /// The retry budget, for this thread alone.
     pub fn retries(&self) -> MutexGuard<'_, RetryBudget> {
-        self.retries.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.retries)
     }
 
     /// The record of peer messages received, for this thread alone.
     pub fn replay_guard(&self) -> MutexGuard<'_, ReplayGuard> {
-        self.replay.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.replay)
     }
 
     /// Who this VM is to other VMs.
--- a/crates/jasminepassd/src/lib.rs
+++ b/crates/jasminepassd/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod fleet_io;
 pub mod holder;
 pub mod learned;
+pub mod lock;
 pub mod logging;
 pub mod monitor;
 pub mod open_transactions;
--- a/crates/jasminepassd/src/open_transactions.rs
+++ b/crates/jasminepassd/src/open_transactions.rs
@@ -1,7 +1,7 @@
 //! The transactions that are open on this VM, and the connections that they hold.
 
 use std::{
-    sync::{Mutex, MutexGuard, PoisonError},
+    sync::{Mutex, MutexGuard},
     time::Duration,
 };
 
@@ -15,7 +15,7 @@
 };
 use route::transaction::{Limits, Owner, Transactions};
 
-use crate::pools::Lease;
+use crate::{lock::lock, pools::Lease};
 
 /// The book of open transactions, with the connection of each that has no step running.
 pub struct OpenTransactions {
@@ -74,7 +74,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.inner)
     }
 }
 
--- a/crates/jasminepassd/src/pools.rs
+++ b/crates/jasminepassd/src/pools.rs
@@ -1,7 +1,7 @@
 //! Connections to upstreams: this VM's share of each database's, opened on demand.
 
 use std::{
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{Arc, Mutex, MutexGuard},
     time::{Duration, Instant},
 };
 
@@ -13,7 +13,7 @@
 };
 use tokio::sync::oneshot;
 
-use crate::clock::Clock;
+use crate::{clock::Clock, lock::lock};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const CLOSE_TIME: Duration = Duration::from_millis(50);
@@ -174,7 +174,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.inner)
     }
 }
 
@@ -316,7 +316,3 @@
         }
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/jasminepassd/src/quota_state.rs
+++ b/crates/jasminepassd/src/quota_state.rs
@@ -1,11 +1,13 @@
 //! The accounts of workspaces' rates on this VM, and the requests that wait for their decision.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 
 use model::prelude::*;
 use quota::{account::Ticket, objects::Owner, rates::Rates};
 use tokio::sync::oneshot;
 
+use crate::lock::lock;
+
 /// Whether a waiting request may run, or when to come back.
 pub type Decision = Result<(), DurationUs>;
 
@@ -31,7 +33,3 @@
         lock(&self.waiting)
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/jasminepassd/src/rounds.rs
+++ b/crates/jasminepassd/src/rounds.rs
@@ -1,6 +1,6 @@
 //! Rounds of questions whether a primary is still the current one, shared by all reads that wait.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 
 use model::{prelude::*, session::SlotDigest};
 use tokio::sync::{
@@ -8,6 +8,8 @@
     watch,
 };
 
+use crate::lock::lock;
+
 /// Whether the primary has not been replaced, once that is known.
 pub type Answer = watch::Receiver<Option<bool>>;
 
@@ -40,7 +42,7 @@
     }
 
     fn lock(&self) -> MutexGuard<'_, FxHashMap<Claim, Rounds>> {
-        self.rounds.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.rounds)
     }
 
     /// Joins the round that has not started yet. Says whether the caller has to start it.
--- a/crates/jasminepassd/src/status_desk.rs
+++ b/crates/jasminepassd/src/status_desk.rs
@@ -1,9 +1,11 @@
 //! What the VMs of the data centre reported to this one.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Mutex, MutexGuard};
 
 use tally::status::StatusBook;
 
+use crate::lock::lock;
+
 /// What the VMs of the data centre reported to this one.
 #[derive(Default)]
 pub struct StatusDesk {
@@ -13,6 +15,6 @@
 impl StatusDesk {
     /// The reports, for this thread alone.
     pub fn book(&self) -> MutexGuard<'_, StatusBook> {
-        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.book)
     }
 }
--- a/crates/xtask/src/bench.rs
+++ b/crates/xtask/src/bench.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{ArgMatches, Command};
 use edge::connection::Connection;
 use http::{HeaderValue, header::AUTHORIZATION};
 use loadgen::closed::{self, Load, Report};
@@ -14,6 +14,8 @@
 use rig::{Fleet, FleetSpec};
 use serde_json::{Value, json};
 
+use crate::args::{number, value};
+
 const ANSWERS: &str = "examples/quoting.toml";
 const SERVICE: &str = "quote-ledger-1";
 const SLOT: &str = "quote-ledger-1-a";
@@ -23,9 +25,6 @@
 
 /// The command line of the bench.
 pub fn command() -> Command {
-    let number = |name, default, help| {
-        Arg::new(name).long(name).default_value(default).value_parser(value_parser!(u64)).help(help)
-    };
     Command::new("bench")
         .about("Measures what the proxy adds: the same load through one daemon and straight at the databases")
         .arg(number("connections", "8", "Connections"))
@@ -75,7 +74,7 @@
 
 /// Runs the bench.
 pub async fn run(matches: &ArgMatches) -> eyre::Result<()> {
-    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let number = |name: &str| value(matches, name);
     let connections = number("connections") as usize;
     let span = Duration::from_secs(number("seconds"));
     let mut spec = FleetSpec::new(&std::fs::read_to_string(ANSWERS)?)?
--- a/crates/xtask/src/bench_failover.rs
+++ b/crates/xtask/src/bench_failover.rs
@@ -5,12 +5,14 @@
     time::{Duration, Instant},
 };
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{ArgMatches, Command};
 use eyre::eyre;
 use model::prelude::*;
 use rig::{Caller, Fault, Fleet, FleetSpec};
 use serde_json::json;
 
+use crate::args::{number, value};
+
 const ANSWERS: &str = "examples/quoting.toml";
 const WRITE: &str = "quote-ledger-1/annotate-quote";
 const WORKSPACE: &str = "calgary-dealer";
@@ -22,9 +24,6 @@
 
 /// The command line of the bench.
 pub fn command() -> Command {
-    let number = |name, default, help| {
-        Arg::new(name).long(name).default_value(default).value_parser(value_parser!(u64)).help(help)
-    };
     Command::new("bench-failover")
         .about("Measures the time from the last write before a primary fails to the first after")
         .arg(number("kills", "20", "Primaries killed, each in a fleet of its own"))
@@ -39,7 +38,7 @@
 
 /// Runs the bench.
 pub async fn run(matches: &ArgMatches) -> eyre::Result<()> {
-    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let number = |name: &str| value(matches, name);
     let spec = FleetSpec::new(&std::fs::read_to_string(ANSWERS)?)?
         .with_rates_unlimited()
         .with_vms_per_dc(number("vms-per-dc") as usize)
--- a/crates/xtask/src/bench_fairness.rs
+++ b/crates/xtask/src/bench_fairness.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{ArgMatches, Command};
 use edge::connection::Connection;
 use http::{HeaderValue, header::AUTHORIZATION};
 use loadgen::closed::{self, Load, Report};
@@ -12,6 +12,8 @@
 use serde_json::json;
 use tokio::time::{Instant, sleep_until};
 
+use crate::args::{number, value};
+
 const ANSWERS: &str = "examples/quoting.toml";
 const READ: &str = "/v1/quote-ledger-1/quote";
 const FLOOD: &str = "calgary-dealer";
@@ -20,9 +22,6 @@
 
 /// The command line of the bench.
 pub fn command() -> Command {
-    let number = |name, default, help| {
-        Arg::new(name).long(name).default_value(default).value_parser(value_parser!(u64)).help(help)
-    };
     Command::new("bench-fairness")
         .about("Measures what a workspace at five times its share costs the others")
         .arg(number("seconds", "8", "Time for each load, in seconds"))
@@ -53,7 +52,7 @@
 
 /// Runs the bench.
 pub async fn run(matches: &ArgMatches) -> eyre::Result<()> {
-    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let number = |name: &str| value(matches, name);
     let span = Duration::from_secs(number("seconds"));
     let mut spec = FleetSpec::new(&std::fs::read_to_string(ANSWERS)?)?
         .with_database_arg("execute-ms", number("execute-ms"))
--- a/crates/xtask/src/bench_fleet.rs
+++ b/crates/xtask/src/bench_fleet.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgAction, ArgMatches, Command};
 use config::KeyState;
 use edge::{client::Client, platform::Platform};
 use eyre::eyre;
@@ -14,6 +14,8 @@
 use rig::{Caller, Fleet, FleetSpec};
 use serde_json::{Value, json};
 
+use crate::args::{number, value};
+
 const ANSWERS: &str = "examples/quoting.toml";
 const OBJECT: &str = "configuration";
 const WORKSPACE: &str = "calgary-dealer";
@@ -27,9 +29,6 @@
 
 /// The command line of the bench.
 pub fn command() -> Command {
-    let number = |name, default, help| {
-        Arg::new(name).long(name).default_value(default).value_parser(value_parser!(u64)).help(help)
-    };
     Command::new("bench-fleet")
         .about("Measures how fast changes come into force and what control costs, by number of VMs")
         .arg(number("changes", "20", "Changes of each kind for each fleet"))
@@ -50,7 +49,7 @@
 
 /// Runs the bench.
 pub async fn run(matches: &ArgMatches) -> eyre::Result<()> {
-    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let number = |name: &str| value(matches, name);
     let span = Duration::from_secs(number("seconds"));
     if matches.get_flag("idle-only") {
         return measure_idle(span).await;
--- a/crates/xtask/src/bench_promotion.rs
+++ b/crates/xtask/src/bench_promotion.rs
@@ -7,7 +7,7 @@
 };
 
 use board::{Board, Catalog, VmIdentity};
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{ArgMatches, Command};
 use config::{Configuration, DataCentre, Database, Service, Slot};
 use eyre::eyre;
 use failover::{
@@ -23,6 +23,8 @@
     net::TcpStream,
 };
 
+use crate::args::{number, value};
+
 const ANSWERS: &str = "examples/quoting.toml";
 const DATABASES_PER_SERVICE: usize = 3;
 const ROUNDS: u64 = 2_000;
@@ -30,9 +32,6 @@
 
 /// The command line of the bench.
 pub fn command() -> Command {
-    let number = |name, default, help| {
-        Arg::new(name).long(name).default_value(default).value_parser(value_parser!(u64)).help(help)
-    };
     Command::new("bench-promotion")
         .about("Measures the controller's time per event and the bytes of a status query")
         .arg(number("services", "223", "Services of three databases and three slots"))
@@ -41,7 +40,7 @@
 
 /// Runs the bench.
 pub async fn run(matches: &ArgMatches) -> eyre::Result<()> {
-    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default() as usize;
+    let number = |name: &str| value(matches, name) as usize;
     let (services, watched) = (number("services"), number("watched"));
     let mut board = board(services)?;
     let answers = answers(&board, watched);
--- a/crates/xtask/src/bench_replica_share.rs
+++ b/crates/xtask/src/bench_replica_share.rs
@@ -3,7 +3,7 @@
 
 use std::time::{Duration, Instant};
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{ArgMatches, Command};
 use edge::client::Client;
 use model::{
     key::FleetSecret,
@@ -16,6 +16,8 @@
 use serde_json::json;
 use tokio::task::JoinSet;
 
+use crate::args::{number, value};
+
 const ANSWERS: &str = "examples/quoting.toml";
 const SERVICE: &str = "quote-ledger-1";
 const WRITE: &str = "quote-ledger-1/annotate-quote";
@@ -30,9 +32,6 @@
 
 /// The command line of the bench.
 pub fn command() -> Command {
-    let number = |name, default, help| {
-        Arg::new(name).long(name).default_value(default).value_parser(value_parser!(u64)).help(help)
-    };
     Command::new("bench-replica-share")
         .about("Measures the share of eligible reads that replicas serve")
         .arg(number("callers", "12", "Callers, each with a session that roams between the VMs"))
@@ -59,7 +58,7 @@
 
 /// Runs the bench.
 pub async fn run(matches: &ArgMatches) -> eyre::Result<()> {
-    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let number = |name: &str| value(matches, name);
     println!(
         "{:>8} {:>8} {:>10} {:>10} {:>10} {:>8} {:>10}",
         "lag ms", "reads", "eligible", "possible", "served", "of it", "p50 us"
--- a/crates/xtask/src/main.rs
+++ b/crates/xtask/src/main.rs
@@ -1,5 +1,6 @@
 //! Developer tasks: `ci`, `demo`, `soak` and benches.
 
+mod args;
 mod bench;
 mod bench_accounting;
 mod bench_failover;
--- a/crates/xtask/src/soak.rs
+++ b/crates/xtask/src/soak.rs
@@ -2,14 +2,13 @@
 
 use std::process::Command;
 
-use clap::{Arg, ArgMatches, value_parser};
+use clap::ArgMatches;
 use eyre::eyre;
 
+use crate::args::{number, value};
+
 /// The command line.
 pub fn command() -> clap::Command {
-    let number = |name: &'static str, usual: &'static str, help: &'static str| {
-        Arg::new(name).long(name).value_parser(value_parser!(u64)).default_value(usual).help(help)
-    };
     clap::Command::new("soak")
         .about("Runs the gateway as processes, harms them by a seed and checks the promises")
         .arg(number("seed", "1", "The first seed"))
@@ -21,7 +20,7 @@
 
 /// Runs the seeds, all of them, and says which failed.
 pub fn run(matches: &ArgMatches) -> eyre::Result<()> {
-    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let number = |name: &str| value(matches, name);
     let first = number("seed");
     let mut failed = Vec::new();
     for seed in first..first + number("seeds") {
