Close connections on which the gateway's own request is not answered

Cause: a status query has no caller, so no time limit closed its connection. Where its answer was lost and the connection stayed open (the proxy of that test keeps such connections silent for good), expire_connections counted the same silence as a new failure at each tick, and each failure moved the next attempt to connect 50 to 800 ms on. So none was ever due, and nothing could show that the database answers.

Ruled out: the lease (other services' statements ran), the registry (the database was listed), the primary's term (the VM knew term 3).

Change: a connection without a caller's statement is closed 500 ms after an unanswered request; the silence of one with a statement counts as one failure.

Before: lost_answer_to_a_status_query_does_not_end_the_use_of_a_database fails where the cut begins 300 ms after the first one's end (Busy, 3 s after all is healed); after: passes at all 40 offsets. The gateway's other tests pass.

--- a/crates/gateway/src/engine/connections.rs
+++ b/crates/gateway/src/engine/connections.rs
@@ -50,6 +50,7 @@
             variables: Default::default(),
             prepared: Default::default(),
             pending: Default::default(),
+            is_silent: false,
             opened_at: now,
             idle_since: now,
         });
@@ -115,8 +116,11 @@
         }
     }
 
-    /// Drops connections that were not accepted in time, suspects databases that don't answer, and closes
-    /// connections that have been idle for too long.
+    /// Drops connections that were not accepted in time, or that don't answer the gateway's own requests,
+    /// suspects databases that don't answer, and closes connections that have been idle for too long.
+    ///
+    /// A connection with a caller's statement stays open until the statement's time limit. Its silence counts
+    /// as one failure, so that it does not delay the queries that show when the database answers again.
     pub(super) fn expire_connections(&mut self) {
         let now = self.now;
         let mut late = Vec::new();
@@ -129,8 +133,11 @@
             } else if let Some(sent_at) = oldest {
                 let heard = self.databases.get(&connection.database).and_then(|s| s.last_heard);
                 let unheard = heard.is_none_or(|heard| heard <= sent_at);
-                if unheard && connection.started && now.since(sent_at) >= SILENCE_TIMEOUT {
-                    silent.push((connection.database.clone(), sent_at));
+                let is_late = now.since(sent_at) >= SILENCE_TIMEOUT;
+                if is_late && connection.holder.is_none() {
+                    late.push(key);
+                } else if is_late && unheard && !connection.is_silent {
+                    silent.push((key, connection.database.clone(), sent_at));
                 }
             } else if connection.is_free() {
                 let state = self.databases.get(&connection.database);
@@ -141,11 +148,12 @@
                 }
             }
         }
-        for (database, sent_at) in silent {
+        for (key, database, sent_at) in silent {
+            self.pool.connections[key].is_silent = true;
             self.note_failure(&database, sent_at, "no answer");
         }
         for key in late {
-            self.lose_connection(key, "not accepted in time");
+            self.lose_connection(key, "no answer in time");
         }
         for key in idle {
             self.close_connection(key);
--- a/crates/gateway/src/engine/replies.rs
+++ b/crates/gateway/src/engine/replies.rs
@@ -36,6 +36,7 @@
         let incarnation = connection.incarnation;
         self.mark_responsive(&database, incarnation);
         let connection = &mut self.pool.connections[key];
+        connection.is_silent = false;
         let Some(front) = connection.pending.front_mut() else {
             return self.lose_connection(key, "unexpected reply");
         };
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -78,6 +78,8 @@
     pub(crate) state_unknown: bool,
     /// Replies to come, in the order of their requests.
     pub(crate) pending: VecDeque<PendingReply>,
+    /// Whether a reply is overdue and was counted as a failure of the database.
+    pub(crate) is_silent: bool,
     pub(crate) opened_at: MonoTime,
     pub(crate) idle_since: MonoTime,
 }
--- a/crates/gateway/tests/failover.rs
+++ b/crates/gateway/tests/failover.rs
@@ -580,3 +580,39 @@
         assert!(world.query(caller, &format!("w{vm}-1"), write("1")).succeeded(), "VM {vm}");
     }
 }
+
+/// A connection on which bytes were lost may stay open and silent for ever. One that carried a status query
+/// has no caller whose time limit would close it.
+#[test]
+fn lost_answer_to_a_status_query_does_not_end_the_use_of_a_database() {
+    for cut_after_ms in (0..400).step_by(10) {
+        let mut world = World::new(5);
+        let (a, other) = (world.open(3, LATEST, KEY), world.open(1, LATEST, KEY));
+        let mut writes = 0;
+        // The other VM keeps the primary in use, so that it is not replaced.
+        let mut run_for = |world: &mut World, ms: u64| {
+            for _ in 0..ms / 10 {
+                if world.responses(other).last().is_none_or(|response| response.state.is_some()) {
+                    writes += 1;
+                    world.send(other, &format!("o{writes}"), write("1"));
+                }
+                world.run_for(10);
+            }
+        };
+        assert!(world.query(a, "a0", write("1")).succeeded());
+        let path = (Endpoint::Vm(3), Endpoint::Database(0));
+        // The VM suspects the primary and queries its status until it answers.
+        world.cut(path.0, path.1);
+        world.send(a, "a1", write("1"));
+        run_for(&mut world, 1_500);
+        world.heal(path.0, path.1);
+        run_for(&mut world, cut_after_ms);
+        world.cut(path.0, path.1);
+        run_for(&mut world, 20);
+        world.heal(path.0, path.1);
+        run_for(&mut world, 3_000);
+        assert!(world.promotions.is_empty(), "cut after {cut_after_ms} ms");
+        let response = world.query(a, "a2", write("1"));
+        assert!(response.succeeded(), "cut after {cut_after_ms} ms: {response:?}");
+    }
+}
