--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -9,3 +9,4 @@
 pub mod platform;
 pub mod replay;
 pub mod server;
+pub mod upgrade;
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -1,12 +1,11 @@
 //! An HTTP/1.1 server with limits and graceful shutdown.
 
-use std::{sync::Arc, time::Duration};
+use std::{pin::pin, sync::Arc, time::Duration};
 
 use axum::Router;
 use hyper::server::conn::http1;
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
-    server::graceful::GracefulShutdown,
     service::TowerToHyperService,
 };
 use tokio::{
@@ -55,7 +54,6 @@
     not_http_body: &'static str,
     mut stop: watch::Receiver<bool>,
 ) {
-    let graceful = GracefulShutdown::new();
     let permits = Arc::new(Semaphore::new(limits.connections));
     loop {
         let permit = match permits.clone().acquire_owned().await {
@@ -74,7 +72,6 @@
             tokio::time::sleep(Duration::from_millis(10)).await;
             continue;
         };
-        let watcher = graceful.watcher();
         let service = TowerToHyperService::new(app.clone());
         let mut stop = stop.clone();
         tokio::spawn(async move {
@@ -93,13 +90,20 @@
                 .header_read_timeout(limits.head_timeout)
                 .max_headers(limits.headers)
                 .max_buf_size(limits.head_bytes)
-                .serve_connection(TokioIo::new(stream), service);
+                .serve_connection(TokioIo::new(stream), service)
+                .with_upgrades();
+            let mut conn = pin!(conn);
             // An error on a connection only concerns its client.
-            let _ = watcher.watch(conn).await;
+            tokio::select! {
+                _ = conn.as_mut() => return,
+                _ = stop.wait_for(|stop| *stop) => conn.as_mut().graceful_shutdown(),
+            }
+            let _ = conn.await;
         });
     }
     drop(listener);
-    graceful.shutdown().await;
+    // Each connection holds a permit until it has ended. The semaphore is never closed.
+    let _ = permits.acquire_many(limits.connections as u32).await;
 }
 
 /// Completes [`FIRST_BYTE_GRACE`] after the stop, so that a request already in transit is read.
--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     PromotionIntent,
+    link::LinkMessage,
     message::{Reply, UpstreamRequest},
     peers::PeerMessage,
     witnesses::WitnessSet,
@@ -17,6 +18,8 @@
     pub struct CallerKey;
     /// Key of a connection to an upstream.
     pub struct UpstreamKey;
+    /// Key of a link to or from another VM.
+    pub struct LinkKey;
 }
 
 /// An action for the process to carry out. Effects are carried out in the order they are queued.
@@ -32,6 +35,12 @@
     ToUpstream(UpstreamKey, UpstreamRequest),
     /// Close a connection to an upstream at once.
     CloseUpstream(UpstreamKey),
+    /// Open a link to a VM.
+    OpenLink(LinkKey, SocketAddr),
+    /// Send a message on a link.
+    ToLink(LinkKey, LinkMessage),
+    /// Close a link at once.
+    CloseLink(LinkKey),
     /// Send a message to another VM.
     ToPeer(SocketAddr, PeerMessage),
     /// Fetch the configuration and the lists of databases and VMs from a VM that has newer ones.
--- a/crates/gateway/src/engine/callers.rs
+++ b/crates/gateway/src/engine/callers.rs
@@ -4,7 +4,7 @@
 use model::prelude::*;
 use slog::info;
 
-use super::Engine;
+use super::{Engine, Waiter};
 use crate::{
     catalog::Route,
     effect::{CallerKey, Effect},
@@ -282,7 +282,7 @@
         });
         match session.transaction {
             Transaction::Pinned { upstream, .. } => self.forward_in_transaction(key, upstream),
-            _ => self.waiting.push(key),
+            _ => self.waiting.push(Waiter::Session(key)),
         }
     }
 
@@ -365,7 +365,7 @@
         } else if let Transaction::Pinned { upstream, .. } = transaction {
             self.roll_back(upstream);
         }
-        self.waiting.retain(|waiting| *waiting != key);
+        self.waiting.retain(|waiting| *waiting != Waiter::Session(key));
         self.unconfirmed.retain(|waiting| *waiting != key);
     }
 
--- /dev/null
+++ b/crates/gateway/src/engine/channels.rs
@@ -0,0 +1,442 @@
+//! Channels of peers: as a holder, this VM finds a connection for each of their requests.
+//!
+//! A channel has its own session variables and prepared statements, and occupies a connection while a
+//! request runs or a transaction is open. What runs where was decided by the peer; this VM refuses a
+//! request only as long as it has not sent it to the database, and passes answers on as they are.
+
+use model::prelude::*;
+use slog::info;
+
+use super::{
+    Engine, Waiter,
+    links::LinkRole,
+    placement::{ConnectionChoice, FailedSearches},
+};
+use crate::{
+    effect::{LinkKey, UpstreamKey},
+    link::{ChannelNumber, LinkMessage, Refusal},
+    message::{
+        ErrorCode, ForwardedStatement, PreparedKey, PreparedStatement, Reply, TransactionState,
+        UpstreamRequest,
+    },
+    pool::{PendingKind, PendingReply, Purpose, User},
+    queue,
+    session::SessionVariables,
+};
+
+slotmap::new_key_type! {
+    /// Key of a peer's channel.
+    pub(crate) struct ChannelKey;
+}
+
+/// Longest time that a request waits for a connection. After that, the peer decides again: another
+/// database may have room, or the primary may have changed.
+const WAIT_MAX: DurationUs = DurationUs::from_ms(250);
+/// Delay before a request is sent again that the database refused as busy.
+const BUSY_RETRY_DELAY: DurationUs = DurationUs::from_ms(15);
+/// Longest time without a message to a peer that waits for answers.
+const ALIVE_INTERVAL: DurationUs = DurationUs::from_ms(150);
+
+/// A peer's channel.
+#[derive(Debug)]
+pub(super) struct Channel {
+    link: LinkKey,
+    number: ChannelNumber,
+    database: DatabaseName,
+    workspace: Option<WorkspaceName>,
+    variables: SessionVariables,
+    /// Prepared statements by the peer's key.
+    prepared: FxHashMap<PreparedKey, PreparedStatement>,
+    /// The connection that it occupies.
+    upstream: Option<UpstreamKey>,
+    /// The request that the peer awaits a reply to.
+    current: Option<ChannelRequest>,
+}
+
+/// A request of a peer in progress.
+#[derive(Clone, Debug)]
+struct ChannelRequest {
+    request: UpstreamRequest,
+    priority: u32,
+    arrived: MonoTime,
+    /// When the caller's VM refuses the statement, if the request has not been sent by then.
+    refuse_at: MonoTime,
+    /// It is not sent again before this time.
+    retry_at: MonoTime,
+    /// Whether it was sent to the database.
+    sent: bool,
+}
+
+/// All channels of peers.
+#[derive(Debug, Default)]
+pub(super) struct Channels {
+    channels: slotmap::SlotMap<ChannelKey, Channel>,
+    by_number: FxHashMap<(LinkKey, ChannelNumber), ChannelKey>,
+}
+
+impl Channels {
+    /// Whether no request is in progress and no transaction is open.
+    pub(super) fn are_idle(&self) -> bool {
+        self.channels.values().all(|c| c.current.is_none() && c.upstream.is_none())
+    }
+}
+
+impl Engine {
+    /// Handles a message of a peer that uses this VM's connections.
+    pub(super) fn handle_channel_message(&mut self, link: LinkKey, message: LinkMessage) {
+        match message {
+            LinkMessage::Open { channel: number, workspace, database } => {
+                let channel = Channel {
+                    link,
+                    number,
+                    database,
+                    workspace,
+                    variables: SessionVariables::new(),
+                    prepared: FxHashMap::default(),
+                    upstream: None,
+                    current: None,
+                };
+                let key = self.channels.channels.insert(channel);
+                self.channels.by_number.insert((link, number), key);
+            }
+            LinkMessage::Request { channel, priority, wait, request } => {
+                let key = self.channels.by_number.get(&(link, channel)).copied();
+                match key {
+                    Some(key) => self.handle_channel_request(key, priority, wait, request),
+                    // Lost meanwhile, which the peer has been told.
+                    None => info!(self.log, "request on an unknown channel"; "channel" => channel),
+                }
+            }
+            LinkMessage::Close { channel } => {
+                if let Some(key) = self.channels.by_number.get(&(link, channel)).copied() {
+                    self.close_channel(key);
+                }
+            }
+            LinkMessage::Replies { .. }
+            | LinkMessage::Refused { .. }
+            | LinkMessage::Lost { .. }
+            | LinkMessage::Silent { .. }
+            | LinkMessage::Alive
+            | LinkMessage::Leaving => {}
+        }
+    }
+
+    fn handle_channel_request(
+        &mut self,
+        key: ChannelKey,
+        priority: u32,
+        wait: DurationUs,
+        request: UpstreamRequest,
+    ) {
+        let now = self.now;
+        let channel = &mut self.channels.channels[key];
+        match request {
+            UpstreamRequest::Set { name, value } => drop(channel.variables.insert(name, value)),
+            UpstreamRequest::Prepare { key, statement } => {
+                channel.prepared.insert(key, statement);
+            }
+            UpstreamRequest::Reset => {
+                channel.variables.clear();
+                channel.prepared.clear();
+            }
+            UpstreamRequest::Rollback => {
+                if let Some(upstream) = channel.upstream.take() {
+                    self.roll_back(upstream);
+                }
+            }
+            UpstreamRequest::Begin { .. } | UpstreamRequest::Forward { .. }
+                if channel.current.is_some() =>
+            {
+                info!(self.log, "request on a channel that has one in progress");
+                self.end_channel(key);
+            }
+            UpstreamRequest::Begin { .. } | UpstreamRequest::Forward { .. } => {
+                channel.current = Some(ChannelRequest {
+                    request,
+                    priority,
+                    arrived: now,
+                    refuse_at: now + wait,
+                    retry_at: now,
+                    sent: false,
+                });
+                match channel.upstream {
+                    Some(upstream) => self.start_channel_on(key, upstream),
+                    None => self.waiting.push(Waiter::Channel(key)),
+                }
+            }
+            UpstreamRequest::Start { .. }
+            | UpstreamRequest::Status
+            | UpstreamRequest::Pause(_)
+            | UpstreamRequest::Resume
+            | UpstreamRequest::Demote(_) => {
+                info!(self.log, "request not allowed on a channel"; "request" => ?request);
+                self.end_channel(key);
+            }
+        }
+    }
+
+    /// Returns the sort key of a channel's waiting request.
+    pub(super) fn channel_order(&self, key: ChannelKey) -> (u32, MonoTime) {
+        let current = self.channels.channels.get(key).and_then(|c| c.current.as_ref());
+        match current {
+            Some(current) => queue::sort_key(current.priority, current.refuse_at),
+            None => (u32::MAX, self.now),
+        }
+    }
+
+    /// Tries to place a channel's waiting request. Returns whether it no longer waits.
+    pub(super) fn try_place_channel(
+        &mut self,
+        key: ChannelKey,
+        may_open: bool,
+        failures: &mut FailedSearches,
+    ) -> bool {
+        let now = self.now;
+        let Some(channel) = self.channels.channels.get(key) else { return true };
+        let Some(current) = channel.current.as_ref().filter(|c| !c.sent) else { return true };
+        if channel.upstream.is_some() {
+            return true;
+        }
+        let waited = now.since(current.arrived);
+        let expired = now >= current.refuse_at || waited >= WAIT_MAX;
+        let retry_at = current.retry_at;
+        let Some(state) = self.databases.get(&channel.database) else {
+            self.refuse_channel_request(key, Refusal::NotHolder);
+            return true;
+        };
+        let Some(limit) = self.own_share(state) else {
+            self.refuse_channel_request(key, Refusal::NotHolder);
+            return true;
+        };
+        if state.failing_since.is_some() {
+            self.refuse_channel_request(key, Refusal::Suspected);
+            return true;
+        }
+        if expired {
+            self.refuse_channel_request(key, Refusal::NoRoom);
+            return true;
+        }
+        let (database, workspace) = (channel.database.clone(), channel.workspace.clone());
+        if retry_at > now || failures.rules_out_channel(&database, &workspace, waited) {
+            return false;
+        }
+        let prepared = self.channel_prepared(key).map(|(key, _)| key);
+        let channel = &self.channels.channels[key];
+        let state = &self.databases[&database];
+        self.counts.searches += 1;
+        let choice = self.choose_own_connection(
+            state,
+            &workspace,
+            &channel.variables,
+            prepared,
+            waited,
+            limit,
+        );
+        let usable =
+            choice.filter(|choice| may_open || matches!(choice, ConnectionChoice::Reuse(_)));
+        let upstream = match usable {
+            Some(ConnectionChoice::Reuse(upstream)) => {
+                self.occupy(key, upstream);
+                self.start_channel_on(key, upstream);
+                return true;
+            }
+            Some(ConnectionChoice::Open) => self.open(&database, Purpose::Statements(workspace)),
+            Some(ConnectionChoice::Evict(other)) => {
+                self.close_connection(other);
+                self.open(&database, Purpose::Statements(workspace))
+            }
+            Some(ConnectionChoice::Channel(_)) | None => {
+                failures.add_channel(database, workspace, waited);
+                return false;
+            }
+        };
+        self.occupy(key, upstream);
+        true
+    }
+
+    fn occupy(&mut self, key: ChannelKey, upstream: UpstreamKey) {
+        self.pool.connections[upstream].user = Some(User::Channel(key));
+        self.channels.channels[key].upstream = Some(upstream);
+    }
+
+    /// Returns the prepared statement that a channel's request executes, with this VM's key for it.
+    fn channel_prepared(&mut self, key: ChannelKey) -> Option<(PreparedKey, PreparedStatement)> {
+        let channel = &self.channels.channels[key];
+        let UpstreamRequest::Forward { statement, .. } = &channel.current.as_ref()?.request else {
+            return None;
+        };
+        let ForwardedStatement::Execute { key, .. } = statement else { return None };
+        let prepared = channel.prepared.get(key)?.clone();
+        Some((self.pool.prepared_key(&prepared), prepared))
+    }
+
+    /// Sends a channel's request on the connection that it occupies.
+    pub(super) fn start_channel_on(&mut self, key: ChannelKey, upstream: UpstreamKey) {
+        let prepared = self.channel_prepared(key);
+        let channel = self.channels.channels.get_mut(key);
+        let Some(channel) = channel.filter(|channel| channel.upstream == Some(upstream)) else {
+            return self.free(upstream);
+        };
+        let Some(current) = channel.current.as_mut() else {
+            channel.upstream = None;
+            return self.free(upstream);
+        };
+        current.sent = true;
+        let mut request = current.request.clone();
+        let variables = channel.variables.clone();
+        if let UpstreamRequest::Forward { statement, .. } = &mut request
+            && let ForwardedStatement::Execute { key: number, .. } = statement
+        {
+            match &prepared {
+                Some((own, _)) => *number = *own,
+                None => return self.end_channel(key),
+            }
+        }
+        let connection = &mut self.pool.connections[upstream];
+        let setup = connection
+            .prepare_for(&variables, prepared.as_ref().map(|(key, prepared)| (*key, prepared)));
+        let kind = match request {
+            UpstreamRequest::Begin { .. } => PendingKind::Begin,
+            _ => PendingKind::Statement,
+        };
+        connection.in_transaction |= kind == PendingKind::Begin;
+        for request in setup {
+            self.send(upstream, PendingKind::Setup, request);
+        }
+        self.send(upstream, kind, request);
+    }
+
+    /// Passes the database's answer to a channel's request on to the peer.
+    pub(super) fn finish_channel_request(
+        &mut self,
+        key: ChannelKey,
+        upstream: UpstreamKey,
+        done: PendingReply,
+        state: TransactionState,
+        position: Option<Position>,
+    ) {
+        let now = self.now;
+        let Some(channel) = self.channels.channels.get_mut(key) else { return };
+        let Some(current) = channel.current.take() else { return };
+        let code = match &done.outcome {
+            Some(Reply::Error { code, .. }) => Some(*code),
+            _ => None,
+        };
+        if state == TransactionState::Idle {
+            channel.upstream = None;
+        }
+        let again = now + BUSY_RETRY_DELAY;
+        let in_time = again < current.refuse_at && now.since(current.arrived) < WAIT_MAX;
+        let retries = code == Some(ErrorCode::Busy) && state == TransactionState::Idle && in_time;
+        if retries {
+            channel.current = Some(ChannelRequest { retry_at: again, sent: false, ..current });
+            self.counts.retries += 1;
+            self.waiting.push(Waiter::Channel(key));
+        } else {
+            let (link, number) = (channel.link, channel.number);
+            let mut replies = done.rows;
+            replies.extend(done.outcome);
+            replies.push(Reply::Ready { state, position });
+            self.send_on_link(link, LinkMessage::Replies { channel: number, replies });
+        }
+        if code == Some(ErrorCode::NoSuchStatement) {
+            self.pool.connections[upstream].state_unknown = true;
+        }
+        if state == TransactionState::Idle {
+            self.free(upstream);
+        }
+    }
+
+    fn refuse_channel_request(&mut self, key: ChannelKey, reason: Refusal) {
+        let channel = &mut self.channels.channels[key];
+        channel.current = None;
+        let (link, number) = (channel.link, channel.number);
+        self.counts.channel_refusals += 1;
+        self.send_on_link(link, LinkMessage::Refused { channel: number, reason });
+    }
+
+    /// Has a channel's request wait again, after its connection was refused.
+    pub(super) fn requeue_channel(&mut self, key: ChannelKey) {
+        if let Some(channel) = self.channels.channels.get_mut(key) {
+            channel.upstream = None;
+            self.waiting.push(Waiter::Channel(key));
+        }
+    }
+
+    /// Decides on a channel whose connection was lost: a request that was not sent waits again, otherwise
+    /// the channel ends.
+    pub(super) fn settle_lost_channel(&mut self, key: ChannelKey) {
+        let Some(channel) = self.channels.channels.get_mut(key) else { return };
+        channel.upstream = None;
+        match &channel.current {
+            Some(current) if !current.sent => self.waiting.push(Waiter::Channel(key)),
+            _ => self.end_channel(key),
+        }
+    }
+
+    /// Ends a channel and tells the peer that its connection was lost.
+    fn end_channel(&mut self, key: ChannelKey) {
+        let Some(channel) = self.channels.channels.get(key) else { return };
+        let (link, number) = (channel.link, channel.number);
+        self.close_channel(key);
+        self.send_on_link(link, LinkMessage::Lost { channel: number });
+    }
+
+    /// Removes a channel. Its transaction is rolled back; a connection with a request in progress is
+    /// closed, since a late answer could be taken for that of its next user.
+    fn close_channel(&mut self, key: ChannelKey) {
+        let Some(channel) = self.channels.channels.remove(key) else { return };
+        self.channels.by_number.remove(&(channel.link, channel.number));
+        let Some(upstream) = channel.upstream else { return };
+        match channel.current {
+            Some(current) if current.sent => self.close_connection(upstream),
+            // The connection goes on opening.
+            Some(_) => self.free(upstream),
+            None => self.roll_back(upstream),
+        }
+    }
+
+    /// Removes the channels of a link that has ended.
+    pub(super) fn close_channels_of(&mut self, link: LinkKey) {
+        let channels = self.channels.channels.iter().filter(|(_, c)| c.link == link);
+        let channels: Vec<ChannelKey> = channels.map(|(key, _)| key).collect();
+        for key in channels {
+            self.close_channel(key);
+        }
+    }
+
+    /// Ends channels with an open transaction and no request in progress, because this VM is stopping.
+    pub(super) fn end_idle_channel_transactions(&mut self) {
+        let open = self.channels.channels.iter();
+        let open = open.filter(|(_, c)| c.upstream.is_some() && c.current.is_none());
+        let open: Vec<ChannelKey> = open.map(|(key, _)| key).collect();
+        for key in open {
+            self.end_channel(key);
+        }
+    }
+
+    /// Tells a peer that the database owes its channel an answer and is silent.
+    pub(super) fn report_silence(&mut self, key: ChannelKey) {
+        let Some(channel) = self.channels.channels.get(key) else { return };
+        let (link, number) = (channel.link, channel.number);
+        self.send_on_link(link, LinkMessage::Silent { channel: number });
+    }
+
+    /// Sends a sign of life to peers that wait for answers.
+    pub(super) fn reassure_users(&mut self) {
+        let now = self.now;
+        let mut quiet: Vec<LinkKey> = Vec::new();
+        for channel in self.channels.channels.values().filter(|c| c.current.is_some()) {
+            let link = self.links.links.get(channel.link);
+            let is_quiet = link.is_some_and(|link| {
+                link.role == LinkRole::Holder && now.since(link.last_sent) >= ALIVE_INTERVAL
+            });
+            if is_quiet && !quiet.contains(&channel.link) {
+                quiet.push(channel.link);
+            }
+        }
+        for link in quiet {
+            self.send_on_link(link, LinkMessage::Alive);
+        }
+    }
+}
--- a/crates/gateway/src/engine/connections.rs
+++ b/crates/gateway/src/engine/connections.rs
@@ -8,7 +8,7 @@
 use crate::{
     effect::{Effect, UpstreamKey},
     message::UpstreamRequest,
-    pool::{Connection, PendingKind, PendingReply, Purpose},
+    pool::{Connection, PendingKind, PendingReply, Purpose, User},
 };
 
 /// Base of the delay before the next connection to a failing database; doubles with each failure.
@@ -17,12 +17,6 @@
 const RETRY_MAX: DurationUs = DurationUs::from_ms(800);
 /// How long a free connection is kept open.
 const IDLE_TIMEOUT: DurationUs = DurationUs::from_ms(20_000);
-/// How long a free connection is kept open while the database's connections are scarce.
-///
-/// With more VMs than a database has connections, a VM would otherwise keep connections that its next
-/// statement, of another workspace, can't use, while others are refused; a refused connection costs as
-/// much as an opened one. The statements of one transaction follow each other faster than this.
-const SCARCE_IDLE_TIMEOUT: DurationUs = DurationUs::from_ms(150);
 /// Time in which a database has to accept a connection.
 const CONNECT_TIMEOUT: DurationUs = DurationUs::from_ms(800);
 /// Time without an answer after which a database is suspected to have failed, provided that it sends
@@ -39,6 +33,7 @@
             Purpose::Control { .. } => None,
         };
         let key = self.pool.insert(Connection {
+            link: None,
             database: database.clone(),
             incarnation: state.record.incarnation,
             purpose,
@@ -46,7 +41,7 @@
             in_transaction: false,
             set_in_transaction: false,
             state_unknown: false,
-            holder: None,
+            user: None,
             variables: Default::default(),
             prepared: Default::default(),
             pending: Default::default(),
@@ -65,19 +60,25 @@
     /// Sends a request on a connection and records that a reply is pending.
     pub(super) fn send(&mut self, key: UpstreamKey, kind: PendingKind, request: UpstreamRequest) {
         let Some(connection) = self.pool.connections.get_mut(key) else { return };
-        connection.pending.push_back(PendingReply {
-            kind,
-            sent_at: self.now,
-            rows: Vec::new(),
-            outcome: None,
-        });
-        self.effects.push(Effect::ToUpstream(key, request));
+        let reply = PendingReply { kind, sent_at: self.now, rows: Vec::new(), outcome: None };
+        match connection.link {
+            None => {
+                connection.pending.push_back(reply);
+                self.effects.push(Effect::ToUpstream(key, request));
+            }
+            // A holder does not reply to these.
+            Some(_) if kind == PendingKind::Setup => self.send_to_holder(key, request),
+            Some(_) => {
+                connection.pending.push_back(reply);
+                self.send_to_holder(key, request);
+            }
+        }
     }
 
-    /// Frees a connection from its holder.
+    /// Frees a connection from its user.
     pub(super) fn free(&mut self, upstream: UpstreamKey) {
         if let Some(connection) = self.pool.connections.get_mut(upstream) {
-            connection.holder = None;
+            connection.user = None;
             connection.in_transaction = false;
             connection.set_in_transaction = false;
             connection.idle_since = self.now;
@@ -96,8 +97,16 @@
 
     /// Closes a connection at once.
     pub(super) fn close_connection(&mut self, key: UpstreamKey) {
-        if self.pool.remove(key).is_some() {
-            self.effects.push(Effect::CloseUpstream(key));
+        if let Some(connection) = self.pool.remove(key) {
+            self.release_path(key, &connection);
+        }
+    }
+
+    /// Closes the socket, or the channel, of a connection that was removed from the pool.
+    pub(super) fn release_path(&mut self, key: UpstreamKey, connection: &Connection) {
+        match connection.link {
+            None => self.effects.push(Effect::CloseUpstream(key)),
+            Some(link) => self.close_channel_at_holder(link, key),
         }
     }
 
@@ -119,8 +128,9 @@
     /// Drops connections that were not accepted in time, or that don't answer the gateway's own requests,
     /// suspects databases that don't answer, and closes connections that have been idle for too long.
     ///
-    /// A connection with a caller's statement stays open until the statement's time limit. Its silence counts
-    /// as one failure, so that it does not delay the queries that show when the database answers again.
+    /// Reads without an answer are repeated elsewhere. Any other statement keeps its connection until its time
+    /// limit; the silence counts as one failure, so that it does not delay the queries that show when the
+    /// database answers again.
     pub(super) fn expire_connections(&mut self) {
         let now = self.now;
         let mut late = Vec::new();
@@ -130,27 +140,29 @@
             let oldest = connection.pending.front().map(|pending| pending.sent_at);
             if !connection.started && now.since(connection.opened_at) >= CONNECT_TIMEOUT {
                 late.push(key);
+            } else if connection.link.is_some() && oldest.is_some() {
+                // The link's silence is judged as a whole.
             } else if let Some(sent_at) = oldest {
                 let heard = self.databases.get(&connection.database).and_then(|s| s.last_heard);
                 let unheard = heard.is_none_or(|heard| heard <= sent_at);
                 let is_late = now.since(sent_at) >= SILENCE_TIMEOUT;
-                if is_late && connection.holder.is_none() {
+                if is_late && connection.user.is_none() {
                     late.push(key);
                 } else if is_late && unheard && !connection.is_silent {
                     silent.push((key, connection.database.clone(), sent_at));
                 }
-            } else if connection.is_free() {
-                let state = self.databases.get(&connection.database);
-                let is_scarce = state.is_some_and(|state| now < state.scarce_until);
-                let kept_for = if is_scarce { SCARCE_IDLE_TIMEOUT } else { IDLE_TIMEOUT };
-                if now.since(connection.idle_since) >= kept_for {
-                    idle.push(key);
-                }
+            } else if connection.is_free() && now.since(connection.idle_since) >= IDLE_TIMEOUT {
+                idle.push(key);
             }
         }
         for (key, database, sent_at) in silent {
             self.pool.connections[key].is_silent = true;
             self.note_failure(&database, sent_at, "no answer");
+            match self.pool.connections[key].user {
+                Some(User::Session(_)) => self.take_back_read(key),
+                Some(User::Channel(channel)) => self.report_silence(channel),
+                None => {}
+            }
         }
         for key in late {
             self.lose_connection(key, "no answer in time");
--- a/crates/gateway/src/engine/expiry.rs
+++ b/crates/gateway/src/engine/expiry.rs
@@ -2,7 +2,7 @@
 
 use slog::info;
 
-use super::Engine;
+use super::{Engine, Waiter};
 use crate::{
     effect::{CallerKey, UpstreamKey},
     message::ErrorCode,
@@ -41,7 +41,7 @@
             // The connection goes on opening, and other statements can use it.
             self.free(upstream);
         }
-        self.waiting.retain(|waiting| *waiting != key);
+        self.waiting.retain(|waiting| *waiting != Waiter::Session(key));
         if needs_token {
             let auth = self.sessions[key].authorization.as_ref();
             if let Some(workspace) = auth.and_then(|auth| auth.workspace.clone()) {
--- a/crates/gateway/src/engine/gossip.rs
+++ b/crates/gateway/src/engine/gossip.rs
@@ -77,12 +77,13 @@
             self.rates.accept_grants(now, sent_after, &heartbeat.grants);
         }
         let wants_notes = heartbeat.wants_notes;
+        let is_behind = heartbeat.terms_total < self.terms_total();
         let newer = heartbeat.generation > self.catalog.generation
             || heartbeat.registry > self.registry_version
             || heartbeat.members > self.fleet.version();
         self.fleet.record_heartbeat(&from, sent_after, heartbeat);
         if self.fleet.self_is_witness() && !self.fleet.is_witness(&from) {
-            let services = self.service_reports(wants_notes);
+            let services = self.service_reports(wants_notes, is_behind);
             self.send_heartbeat(&from, services, &[], false);
         }
         let is_due = newer && now.since(self.last_fetch_at) >= FETCH_INTERVAL;
@@ -154,7 +155,7 @@
         let demands = self.rates.demands(now);
         self.grant_to_self(&demands);
         let behind = self.has_missed_term();
-        let (all, news) = (self.service_reports(true), self.service_reports(false));
+        let (all, news) = (self.service_reports(true, false), self.service_reports(false, false));
         let am_witness = self.fleet.self_is_witness();
         // The coordinator judges a primary by what all VMs report, so every witness is told of one that
         // does not answer this VM.
@@ -226,10 +227,10 @@
     }
 
     /// Returns reports on services, the most urgent first, as many as fit into a heartbeat. With `all`,
-    /// services without news are included in turns.
-    fn service_reports(&self, all: bool) -> Vec<ServiceReport> {
+    /// services without news are included in turns; with `primaries`, all reports name the primary.
+    fn service_reports(&self, all: bool, primaries: bool) -> Vec<ServiceReport> {
         let now = self.now;
-        let include_primaries = self.heartbeats.is_multiple_of(PRIMARIES_EVERY);
+        let include_primaries = primaries || self.heartbeats.is_multiple_of(PRIMARIES_EVERY);
         let mut reports: Vec<(Urgency, ServiceReport)> = Vec::new();
         for (name, service) in &self.services {
             let mut report = self.service_report(name, service);
--- a/crates/gateway/src/engine/membership.rs
+++ b/crates/gateway/src/engine/membership.rs
@@ -58,6 +58,7 @@
             }
         }
         self.rates.set_vm_count(now, self.fleet.vm_count());
+        self.update_holders();
         let named_before =
             self.membership.registered_version.is_some_and(|since| list.version >= since);
         if named_before && !self.fleet.is_listed() && self.stopping_since.is_none() {
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -6,10 +6,12 @@
 //! [`crate::peers`] explains leases and witnesses.
 
 mod callers;
+mod channels;
 mod connections;
 mod expiry;
 mod failovers;
 mod gossip;
+mod links;
 mod membership;
 mod placement;
 mod primaries;
@@ -19,6 +21,9 @@
 mod suspensions;
 
 pub(crate) use callers::Authorization;
+pub(crate) use channels::ChannelKey;
+use channels::Channels;
+use links::Links;
 use membership::Membership;
 
 use std::{collections::BTreeMap, sync::Arc};
@@ -73,10 +78,8 @@
     pub(crate) failing_since: Option<MonoTime>,
     /// Earliest time of the next connection.
     pub(crate) retry_at: MonoTime,
-    /// When it last refused this VM a connection because too many were open.
-    pub(crate) limit_refusal_at: Option<MonoTime>,
-    /// Until when its connections count as scarce, because it refused one to some VM.
-    pub(crate) scarce_until: MonoTime,
+    /// Until when no statement is sent there through a holder, because one reported that it does not answer.
+    pub(crate) avoided_until: MonoTime,
     /// Set while it is avoided as a replica that lags behind.
     pub(crate) lag_backoff: Option<LagBackoff>,
     /// Moving average of the time from sending a statement to its answer, in microseconds; 0 before the
@@ -155,12 +158,16 @@
     databases: BTreeMap<DatabaseName, DatabaseState>,
     services: BTreeMap<ServiceName, ServiceState>,
     sessions: SlotMap<CallerKey, Session>,
-    /// Sessions whose current statement waits for an upstream.
-    waiting: Vec<CallerKey>,
+    /// What waits for an upstream.
+    waiting: Vec<Waiter>,
     /// Sessions whose current statement has an answer that must not be passed on yet.
     unconfirmed: Vec<CallerKey>,
     /// Connections to databases.
     pool: Pool,
+    /// Links to holders, and of peers to this VM.
+    links: Links,
+    /// Channels of peers that use this VM's connections.
+    channels: Channels,
     /// The other VMs, the witnesses and this VM's lease.
     fleet: FleetView,
     rates: RateLimiter,
@@ -187,6 +194,15 @@
     effects: Vec<Effect>,
 }
 
+/// What waits for an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Waiter {
+    /// The current statement of a session.
+    Session(CallerKey),
+    /// The current request of a peer's channel.
+    Channel(ChannelKey),
+}
+
 /// Counters since the process started.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Counts {
@@ -209,6 +225,12 @@
     pub takeovers: u64,
     /// Searches through all upstreams for one with room for a waiting statement.
     pub searches: u64,
+    /// Requests sent to databases through holders.
+    pub forwarded: u64,
+    /// Requests that a holder refused to send to a database.
+    pub holder_refusals: u64,
+    /// Requests of peers that this VM, as a holder, refused to send to a database.
+    pub channel_refusals: u64,
 }
 
 impl Engine {
@@ -230,6 +252,8 @@
             waiting: Vec::new(),
             unconfirmed: Vec::new(),
             pool: Pool::default(),
+            links: Links::default(),
+            channels: Channels::default(),
             fleet,
             rates: RateLimiter::default(),
             failovers: Vec::new(),
@@ -248,6 +272,11 @@
         }
     }
 
+    /// Returns the name of this VM.
+    pub fn vm(&self) -> &VmName {
+        &self.id.vm
+    }
+
     /// Takes the effects that have been queued since the last call.
     pub fn take_effects(&mut self) -> Vec<Effect> {
         std::mem::take(&mut self.effects)
@@ -278,7 +307,7 @@
 
     /// Whether this VM was asked to stop and all its sessions have ended.
     pub fn is_stopped(&self) -> bool {
-        self.stopping_since.is_some() && self.sessions.is_empty()
+        self.stopping_since.is_some() && self.sessions.is_empty() && self.channels.are_idle()
     }
 
     /// Returns the generation of the configuration in force; 0 before there is one.
@@ -349,6 +378,7 @@
         if self.stopping_since.is_none() {
             info!(self.log, "stopping"; "sessions" => self.sessions.len());
             self.stopping_since = Some(now);
+            self.announce_leaving();
             self.send_heartbeats();
         }
     }
@@ -363,6 +393,7 @@
         for key in open {
             self.abandon_transaction(key, "this VM is stopping");
         }
+        self.end_idle_channel_transactions();
     }
 
     /// Handles everything that is due by time: timeouts, heartbeats, failovers and waiting statements.
@@ -371,6 +402,8 @@
         self.expire_missing_databases();
         self.expire_statements();
         self.expire_connections();
+        self.expire_links();
+        self.reassure_users();
         self.expire_transactions();
         self.settle_unconfirmed();
         self.borrow_tokens();
@@ -487,8 +520,7 @@
             last_heard: None,
             failing_since: None,
             retry_at: now,
-            limit_refusal_at: None,
-            scarce_until: now,
+            avoided_until: now,
             lag_backoff: None,
             avg_response_us: 0.0,
             response_measured_at: now,
--- a/crates/gateway/src/engine/placement.rs
+++ b/crates/gateway/src/engine/placement.rs
@@ -5,14 +5,14 @@
 
 use model::prelude::*;
 
-use super::{DatabaseState, Engine, callers::access_of};
+use super::{DatabaseState, Engine, Waiter, callers::access_of, links::Path};
 use crate::{
     catalog::Freshness,
     effect::{CallerKey, UpstreamKey},
     message::{Access, ErrorCode, ForwardedStatement, PreparedKey, Statement, UpstreamRequest},
-    pool::{PendingKind, Purpose},
+    pool::{PendingKind, Purpose, User},
     queue,
-    session::{Session, Stage, Transaction},
+    session::{Session, SessionVariables, Stage, Transaction},
 };
 
 /// Which databases can serve a statement.
@@ -25,24 +25,25 @@
 }
 
 /// How a statement gets a connection.
-#[derive(Clone, Copy, Debug)]
-enum ConnectionChoice {
-    /// Use an open connection that is free.
+#[derive(Clone, Debug)]
+pub(super) enum ConnectionChoice {
+    /// Use an open connection or channel that is free.
     Reuse(UpstreamKey),
+    /// Open a channel to a holder.
+    Channel(VmName),
     /// Open a new connection.
     Open,
     /// Close a free connection of another workspace and open a new one in its place.
     Evict(UpstreamKey),
 }
 
-/// What may be done to get a connection, depending on how long a statement has waited. Later variants
-/// include the earlier ones.
+/// What may be done to get a connection, depending on how long a statement has waited. The later variant
+/// includes the earlier one.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum ConnectionPolicy {
-    /// Open connections up to this VM's fair share.
+    /// Open connections up to this VM's share, or in place of idle ones if none of its own workspace is about
+    /// to become free.
     WithinShare,
-    /// Open connections beyond the fair share.
-    OverShare,
     /// Close connections of other workspaces even if one of its own is about to become free.
     Evict,
 }
@@ -51,7 +52,6 @@
     fn after(waited: DurationUs) -> ConnectionPolicy {
         match waited {
             waited if waited >= EVICT_AFTER => ConnectionPolicy::Evict,
-            waited if waited >= OVER_SHARE_AFTER => ConnectionPolicy::OverShare,
             _ => ConnectionPolicy::WithinShare,
         }
     }
@@ -72,8 +72,10 @@
 /// this record each answer would lead to a search for every waiting statement, which would take the
 /// processor time that the answers need.
 #[derive(Debug, Default)]
-struct FailedSearches {
+pub(super) struct FailedSearches {
     searches: Vec<FailedSearch>,
+    /// Searches for peers' requests, each for one database.
+    channels: Vec<(DatabaseName, Option<WorkspaceName>, ConnectionPolicy)>,
     /// Workspaces without a token left.
     rate_limited: Vec<WorkspaceName>,
 }
@@ -96,6 +98,29 @@
                 && search.workspace == *workspace
         })
     }
+
+    /// Records that there was no room at the database for a peer's request.
+    pub(super) fn add_channel(
+        &mut self,
+        database: DatabaseName,
+        workspace: Option<WorkspaceName>,
+        waited: DurationUs,
+    ) {
+        self.channels.push((database, workspace, ConnectionPolicy::after(waited)));
+    }
+
+    /// Whether a search for a peer's request is bound to fail, as in [`FailedSearches::rules_out`].
+    pub(super) fn rules_out_channel(
+        &self,
+        database: &DatabaseName,
+        workspace: &Option<WorkspaceName>,
+        waited: DurationUs,
+    ) -> bool {
+        let policy = ConnectionPolicy::after(waited);
+        self.channels.iter().any(|(failed_at, failed_for, failed_policy)| {
+            *failed_policy >= policy && failed_at == database && failed_for == workspace
+        })
+    }
 }
 
 impl Requirement {
@@ -120,19 +145,9 @@
 const PRIMARY_PENALTY_US: f64 = 8_000.0;
 /// Time constant with which a measured response time loses its weight, in microseconds.
 const RESPONSE_TIME_DECAY_US: f64 = 2_000_000.0;
-/// Percentage of a database's connections that is left free, for restarted VMs whose earlier run left
-/// connections open.
-const RESERVE_PERCENT: usize = 10;
-/// Percentage of a replica's connections that is shared by the VMs of its own data centre.
-const LOCAL_DC_PERCENT: usize = 70;
-/// How long a VM stays within its fair share after a database refused a connection because too many
-/// were open.
-const OVER_SHARE_PAUSE: DurationUs = DurationUs::from_ms(300);
 /// Waiting time up to which a statement leaves connections of other workspaces open if one of its own
 /// workspace is about to become free.
 const EVICT_AFTER: DurationUs = DurationUs::from_ms(80);
-/// Waiting time from which connections beyond the fair share are opened for a statement.
-const OVER_SHARE_AFTER: DurationUs = DurationUs::from_ms(30);
 
 impl Engine {
     /// Places waiting statements as far as there is room. The first pass only reuses open connections,
@@ -143,17 +158,26 @@
             return;
         }
         let mut waiting = std::mem::take(&mut self.waiting);
-        waiting.sort_by_cached_key(|key| self.queue_order(*key));
+        waiting.sort_by_cached_key(|waiter| self.waiter_order(*waiter));
         for may_open in [false, true] {
             let mut failures = FailedSearches::default();
-            for key in waiting {
+            for waiter in waiting {
+                let key = match waiter {
+                    Waiter::Session(key) => key,
+                    Waiter::Channel(key) => {
+                        if !self.try_place_channel(key, may_open, &mut failures) {
+                            self.waiting.push(waiter);
+                        }
+                        continue;
+                    }
+                };
                 let is_due = self
                     .sessions
                     .get(key)
                     .and_then(|session| session.current.as_ref())
                     .is_some_and(|current| current.stage == Stage::Waiting);
                 if is_due && !self.try_place(key, may_open, &mut failures) {
-                    self.waiting.push(key);
+                    self.waiting.push(waiter);
                 }
             }
             waiting = std::mem::take(&mut self.waiting);
@@ -161,7 +185,7 @@
         self.waiting = waiting;
     }
 
-    fn queue_order(&self, key: CallerKey) -> (u32, MonoTime) {
+    pub(super) fn queue_order(&self, key: CallerKey) -> (u32, MonoTime) {
         let session = self.sessions.get(key);
         let current = session.and_then(|session| session.current.as_ref());
         let auth = session.and_then(|session| session.authorization.as_ref());
@@ -215,17 +239,18 @@
                 continue;
             }
             let Some(choice) =
-                self.choose_connection(name, state, &workspace, session, prepared, waited)
+                self.choose_connection(state, &workspace, &session.variables, prepared, waited)
             else {
                 continue;
             };
-            let cost = self.estimated_us(name, state, choice);
+            let cost = self.estimated_us(name, state, &choice);
             if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
                 best = Some((cost, name.clone(), choice));
             }
         }
-        let usable =
-            best.filter(|(.., choice)| may_open || matches!(choice, ConnectionChoice::Reuse(_)));
+        let usable = best.filter(|(.., choice)| {
+            may_open || !matches!(choice, ConnectionChoice::Open | ConnectionChoice::Evict(_))
+        });
         let Some((_, database, choice)) = usable else {
             let policy = ConnectionPolicy::after(waited);
             failures.searches.push(FailedSearch { service, workspace, requirement, policy });
@@ -233,17 +258,24 @@
         };
         let upstream = match choice {
             ConnectionChoice::Reuse(upstream) => upstream,
+            ConnectionChoice::Channel(holder) => {
+                let opened = self.open_channel(&database, workspace, &holder);
+                let Some(channel) = opened else { return false };
+                channel
+            }
             ConnectionChoice::Open => self.open(&database, Purpose::Statements(workspace)),
             ConnectionChoice::Evict(other) => {
                 self.close_connection(other);
                 self.open(&database, Purpose::Statements(workspace))
             }
         };
-        self.pool.connections[upstream].holder = Some(key);
+        let connection = &mut self.pool.connections[upstream];
+        connection.user = Some(User::Session(key));
+        let is_started = connection.started;
         self.latencies.waits.record(waited);
-        match choice {
-            ConnectionChoice::Reuse(_) => self.start_on(key, upstream),
-            ConnectionChoice::Open | ConnectionChoice::Evict(_) => {
+        match is_started {
+            true => self.start_on(key, upstream),
+            false => {
                 if let Some(current) = &mut self.sessions[key].current {
                     current.stage = Stage::Connecting(upstream);
                 }
@@ -319,20 +351,50 @@
 
     fn choose_connection(
         &self,
-        name: &DatabaseName,
         state: &DatabaseState,
         workspace: &Option<WorkspaceName>,
-        session: &Session,
+        variables: &SessionVariables,
         prepared: Option<PreparedKey>,
         waited: DurationUs,
     ) -> Option<ConnectionChoice> {
-        if let Some(key) = self.pool.best_free(name, workspace, &session.variables, prepared) {
+        let holder = match self.path_to(state) {
+            Path::Own(limit) => {
+                return self
+                    .choose_own_connection(state, workspace, variables, prepared, waited, limit);
+            }
+            Path::Through(holder) => holder,
+        };
+        if state.avoided_until > self.now {
+            return None;
+        }
+        let free = self.links.to(&holder).and_then(|link| {
+            self.pool.best_free(&state.record.name, Some(link), workspace, variables, prepared)
+        });
+        Some(free.map_or(ConnectionChoice::Channel(holder), ConnectionChoice::Reuse))
+    }
+
+    /// Chooses among this VM's own connections to a database, of which it may open `limit`. No more requests
+    /// are sent at a time than the database has slots: it would refuse them, and a queue here is in order.
+    pub(super) fn choose_own_connection(
+        &self,
+        state: &DatabaseState,
+        workspace: &Option<WorkspaceName>,
+        variables: &SessionVariables,
+        prepared: Option<PreparedKey>,
+        waited: DurationUs,
+        limit: usize,
+    ) -> Option<ConnectionChoice> {
+        let name = &state.record.name;
+        if self.pool.running_count(name) >= state.record.slots.max(1) as usize {
+            return None;
+        }
+        if let Some(key) = self.pool.best_free(name, None, workspace, variables, prepared) {
             return Some(ConnectionChoice::Reuse(key));
         }
         if state.retry_at > self.now {
             return None;
         }
-        if self.pool.count(name) < self.connection_limit(state, waited >= OVER_SHARE_AFTER) {
+        if self.pool.count(name) < limit {
             return Some(ConnectionChoice::Open);
         }
         if waited < EVICT_AFTER && self.pool.is_soon_free(name, workspace) {
@@ -341,36 +403,12 @@
         self.pool.longest_idle(name).map(ConnectionChoice::Evict)
     }
 
-    /// Returns how many connections this VM may hold to a database. Most of a replica's connections go to
-    /// the VMs of its data centre, which read there; a primary's are divided evenly among all VMs.
-    fn connection_limit(&self, state: &DatabaseState, may_exceed_share: bool) -> usize {
-        let limits = self.catalog.services.get(&state.record.service);
-        let all = limits.map_or(1, |limits| limits.connections as usize);
-        let shared = all - all * RESERVE_PERCENT / 100;
-        let service = self.services.get(&state.record.service);
-        let is_primary = service.is_some_and(|s| s.primary.as_ref() == Some(&state.record.name));
-        let is_local = state.record.dc == self.id.dc;
-        let in_dc = self.fleet.other_members_in(&state.record.dc) + usize::from(is_local);
-        let elsewhere = self.fleet.vm_count() - in_dc;
-        let share = if is_primary || in_dc == 0 || elsewhere == 0 {
-            shared / self.fleet.vm_count()
-        } else if is_local {
-            shared * LOCAL_DC_PERCENT / 100 / in_dc
-        } else {
-            shared * (100 - LOCAL_DC_PERCENT) / 100 / elsewhere
-        };
-        let share = share.max(1);
-        let refused =
-            state.limit_refusal_at.is_some_and(|at| self.now.since(at) < OVER_SHARE_PAUSE);
-        if may_exceed_share && !refused { share * 2 } else { share }
-    }
-
     /// Returns the estimated time to the answer, in microseconds.
     fn estimated_us(
         &self,
         name: &DatabaseName,
         state: &DatabaseState,
-        choice: ConnectionChoice,
+        choice: &ConnectionChoice,
     ) -> f64 {
         let round_trip = ASSUMED_ROUND_TRIP_US[self.distance(&state.record.dc)];
         let assumed = round_trip + ASSUMED_EXECUTION_US;
@@ -382,7 +420,7 @@
         };
         let busy = self.pool.busy_count(name) as f64 / f64::from(state.record.slots.max(1));
         let open = match choice {
-            ConnectionChoice::Reuse(_) => 0.0,
+            ConnectionChoice::Reuse(_) | ConnectionChoice::Channel(_) => 0.0,
             ConnectionChoice::Open => CONNECT_COST_US + 2.0 * round_trip,
             ConnectionChoice::Evict(_) => CONNECT_COST_US * 1.5 + 2.0 * round_trip,
         };
@@ -503,7 +541,7 @@
     pub(super) fn requeue_and_free(&mut self, key: CallerKey, upstream: UpstreamKey) {
         if let Some(current) = self.sessions.get_mut(key).and_then(|s| s.current.as_mut()) {
             current.stage = Stage::Waiting;
-            self.waiting.push(key);
+            self.waiting.push(Waiter::Session(key));
         }
         self.free(upstream);
     }
--- a/crates/gateway/src/engine/primaries.rs
+++ b/crates/gateway/src/engine/primaries.rs
@@ -17,6 +17,9 @@
 pub(super) const NO_FAILOVER: u64 = 0;
 /// Time between status queries to the databases of a service without a known primary.
 const PRIMARY_QUERY_INTERVAL: DurationUs = DurationUs::from_ms(300);
+/// Time without a known primary after which a VM queries databases that it is no holder of: when no term is
+/// known yet, since all VMs may be starting, and when the primary has changed.
+const QUERY_ALL_AFTER: [DurationUs; 2] = [DurationUs::from_ms(1_000), DurationUs::from_ms(100)];
 
 impl Engine {
     /// Queries the databases of services whose primary is not known, and those that have failed.
@@ -38,13 +41,17 @@
             .map(|(name, _)| name.clone())
             .collect();
         for service in unknown {
-            if let Some(state) = self.services.get_mut(&service) {
-                state.primary_queried_at = Some(now);
-            }
             // The registered roles may be out of date while the store is unavailable, so all are queried.
-            let members =
-                self.databases.iter().filter(|(_, state)| state.record.service == service);
+            let state = &self.services[&service];
+            let wait = QUERY_ALL_AFTER[usize::from(state.term > Term(0))];
+            let overdue = state.no_primary_since.is_some_and(|since| now.since(since) >= wait);
+            let members = self.databases.iter().filter(|(_, state)| {
+                state.record.service == service && (overdue || self.may_query(state))
+            });
             let members: Vec<DatabaseName> = members.map(|(name, _)| name.clone()).collect();
+            if let Some(state) = self.services.get_mut(&service).filter(|_| !members.is_empty()) {
+                state.primary_queried_at = Some(now);
+            }
             for database in members {
                 self.request_control(&database, NO_FAILOVER, ControlRequest::Status);
             }
--- a/crates/gateway/src/engine/registry.rs
+++ b/crates/gateway/src/engine/registry.rs
@@ -37,6 +37,7 @@
         for record in databases {
             self.set_database(record);
         }
+        self.update_holders();
         self.find_primaries();
         self.place_waiting();
     }
--- a/crates/gateway/src/engine/replies.rs
+++ b/crates/gateway/src/engine/replies.rs
@@ -4,12 +4,12 @@
 use model::prelude::*;
 use slog::{debug, info};
 
-use super::{Engine, LagBackoff, callers::access_of};
+use super::{Engine, LagBackoff, Waiter, callers::access_of};
 use crate::{
     catalog::Freshness,
-    effect::{CallerKey, Effect, UpstreamKey},
+    effect::{CallerKey, UpstreamKey},
     message::{Access, ErrorCode, Reply, Statement, TransactionState},
-    pool::{PendingKind, PendingReply, Purpose},
+    pool::{PendingKind, PendingReply, Purpose, User},
     session::{Stage, Transaction, UnconfirmedAnswer},
 };
 
@@ -31,6 +31,11 @@
     /// Handles a reply of a database.
     pub fn upstream_reply(&mut self, now: MonoTime, key: UpstreamKey, reply: Reply) {
         self.now = now;
+        self.handle_reply(key, reply);
+        self.place_waiting();
+    }
+
+    pub(super) fn handle_reply(&mut self, key: UpstreamKey, reply: Reply) {
         let Some(connection) = self.pool.connections.get(key) else { return };
         let database = connection.database.clone();
         let incarnation = connection.incarnation;
@@ -53,7 +58,6 @@
                 }
             }
         }
-        self.place_waiting();
     }
 
     /// Handles the end of a connection to a database.
@@ -84,36 +88,37 @@
         info!(self.log, "connection refused"; "database" => %database, "code" => %code,
             "own" => self.pool.count(&database));
         if let Some(state) = self.databases.get_mut(&database) {
-            if code == ErrorCode::TooMany {
-                state.limit_refusal_at = Some(self.now);
-            }
             state.retry_at = self.now + REFUSED_RETRY_DELAY;
         }
-        if code == ErrorCode::TooMany {
-            self.mark_connections_scarce(&database);
-            self.ask_peers_for_connection(&database);
-        }
-        let holder = self.pool.connections[key].holder;
+        let user = self.pool.connections[key].user;
         self.close_connection(key);
-        if let Some(holder) = holder {
-            self.requeue(holder);
+        match user {
+            Some(User::Session(session)) => self.requeue(session),
+            Some(User::Channel(channel)) => self.requeue_channel(channel),
+            None => {}
         }
     }
 
     /// Drops a connection that failed, and decides on the statement or transaction that held it.
     pub(super) fn lose_connection(&mut self, key: UpstreamKey, reason: &str) {
         let Some(connection) = self.pool.remove(key) else { return };
-        self.effects.push(Effect::CloseUpstream(key));
+        self.release_path(key, &connection);
         let database = connection.database.clone();
         let quiet = connection.started && connection.pending.is_empty();
-        if !quiet {
+        if connection.link.is_some() {
+            debug!(self.log, "channel lost"; "database" => %database, "reason" => reason);
+        } else if !quiet {
             let since = connection.pending.front().map_or(self.now, |o| o.sent_at);
             self.note_failure(&database, since, reason);
         } else {
             debug!(self.log, "idle connection lost"; "database" => %database, "reason" => reason);
         }
-        if let Some(holder) = connection.holder {
-            self.settle_lost_statement(holder, ErrorCode::InDoubt, reason);
+        match connection.user {
+            Some(User::Session(session)) => {
+                self.settle_lost_statement(session, ErrorCode::InDoubt, reason);
+            }
+            Some(User::Channel(channel)) => self.settle_lost_channel(channel),
+            None => {}
         }
     }
 
@@ -154,12 +159,12 @@
     }
 
     /// Queues a session's current statement for an upstream again.
-    fn requeue(&mut self, key: CallerKey) {
+    pub(super) fn requeue(&mut self, key: CallerKey) {
         let Some(current) = self.sessions.get_mut(key).and_then(|s| s.current.as_mut()) else {
             return;
         };
         current.stage = Stage::Waiting;
-        self.waiting.push(key);
+        self.waiting.push(Waiter::Session(key));
     }
 
     /// Ends a session's current statement with an error, and with it the transaction that it was part of.
@@ -188,6 +193,11 @@
         state: TransactionState,
         position: Option<Position>,
     ) {
+        if let (Some(User::Channel(channel)), PendingKind::Begin | PendingKind::Statement) =
+            (self.pool.connections[key].user, done.kind)
+        {
+            return self.finish_channel_request(channel, key, done, state, position);
+        }
         match done.kind {
             PendingKind::Start => self.finish_start(key),
             PendingKind::Setup => {
@@ -202,33 +212,37 @@
         }
     }
 
-    fn finish_start(&mut self, key: UpstreamKey) {
+    pub(super) fn finish_start(&mut self, key: UpstreamKey) {
         let now = self.now;
         let connection = &mut self.pool.connections[key];
         connection.started = true;
         connection.idle_since = now;
-        let holder = connection.holder;
+        let user = connection.user;
         if let Purpose::Control { .. } = self.pool.connections[key].purpose {
             return self.send_control_request(key);
         }
-        let Some(holder) = holder else { return };
-        match self.sessions.get(holder).and_then(|session| session.current.as_ref()) {
-            Some(current) if current.stage == Stage::Connecting(key) => self.start_on(holder, key),
+        let session = match user {
+            Some(User::Session(session)) => session,
+            Some(User::Channel(channel)) => return self.start_channel_on(channel, key),
+            None => return,
+        };
+        match self.sessions.get(session).and_then(|session| session.current.as_ref()) {
+            Some(current) if current.stage == Stage::Connecting(key) => self.start_on(session, key),
             _ => self.free(key),
         }
     }
 
     fn finish_begin(&mut self, key: UpstreamKey, done: PendingReply, position: Option<Position>) {
-        let Some(holder) = self.pool.connections[key].holder else { return };
-        let Some(session) = self.sessions.get_mut(holder) else { return };
+        let Some(User::Session(caller)) = self.pool.connections[key].user else { return };
+        let Some(session) = self.sessions.get_mut(caller) else { return };
         if let Some(Reply::Error { code, text }) = done.outcome {
             let text = text.clone();
-            return self.settle_refusal(holder, key, code, &text, position);
+            return self.settle_refusal(caller, key, code, &text, position);
         }
         if let Transaction::Begun { access } = session.transaction {
             session.transaction = Transaction::Pinned { access, upstream: key };
         }
-        self.forward_in_transaction(holder, key);
+        self.forward_in_transaction(caller, key);
     }
 
     fn finish_statement(
@@ -241,7 +255,7 @@
         let now = self.now;
         let connection = &self.pool.connections[key];
         let database = connection.database.clone();
-        let Some(holder) = connection.holder else { return };
+        let Some(User::Session(caller)) = connection.user else { return };
         if let Some(state) = self.databases.get_mut(&database) {
             let took = now.since(done.sent_at).0 as f64;
             let before = if state.avg_response_us > 0.0 { state.avg_response_us } else { took };
@@ -256,10 +270,10 @@
                 }
                 let mut rows = done.rows;
                 rows.push(Reply::Complete { receipt: Some(receipt) });
-                self.settle_success(holder, key, rows, done.sent_at, state, position);
+                self.settle_success(caller, key, rows, done.sent_at, state, position);
             }
             Some(Reply::Error { code, text }) => {
-                self.settle_error(holder, key, code, &text, state, position);
+                self.settle_error(caller, key, code, &text, state, position);
             }
             _ => self.lose_connection(key, "answer without a receipt"),
         }
@@ -481,7 +495,7 @@
                 current.retry_at = now + STATEMENT_RETRY_DELAY;
             }
             self.counts.retries += 1;
-            self.waiting.push(key);
+            self.waiting.push(Waiter::Session(key));
             return;
         }
         self.fail(key, code, text);
--- a/crates/gateway/src/engine/sharing.rs
+++ b/crates/gateway/src/engine/sharing.rs
@@ -1,48 +1,20 @@
-//! Resources that VMs share: workspaces' rates, and the connections that a database accepts.
+//! Resources that VMs share: workspaces' rates, and connections that a peer of an earlier version needs.
 
 use model::prelude::*;
 use slog::debug;
 
-use super::Engine;
+use super::{Engine, Waiter};
 use crate::{
     peers::{Demand, PeerBody},
     rates::RateGrant,
 };
 
-/// Number of peers that are asked to close a connection at a time.
-const ASKED_PEERS: usize = 3;
-/// How long a database's connections count as scarce after it refused one: several times the interval
-/// between refusals while there are too many.
-const SCARCITY_PERIOD: DurationUs = DurationUs::from_ms(5_000);
 /// Idle time from which a connection is closed for a peer that needs one.
 const RELEASE_MIN_IDLE: DurationUs = DurationUs::from_ms(60);
 
 impl Engine {
-    /// Records that a database refused some VM a connection because too many were open.
-    pub(super) fn mark_connections_scarce(&mut self, database: &DatabaseName) {
-        if let Some(state) = self.databases.get_mut(database) {
-            state.scarce_until = self.now + SCARCITY_PERIOD;
-        }
-    }
-
-    /// Asks some peers to close a connection to a database that refused this VM one.
-    pub(super) fn ask_peers_for_connection(&mut self, database: &DatabaseName) {
-        let addresses: Vec<_> = self.fleet.members().map(|(_, member)| member.address).collect();
-        if addresses.is_empty() {
-            return;
-        }
-        // The time varies which peers are asked.
-        let first = self.now.0 as usize % addresses.len();
-        for step in 0..ASKED_PEERS.min(addresses.len()) {
-            let database = database.clone();
-            let address = addresses[(first + step) % addresses.len()];
-            self.send_to_peer(address, PeerBody::Short { database });
-        }
-    }
-
     /// Closes the connection to the database that has been idle longest, for a peer that needs one.
     pub(super) fn release_idle_connection(&mut self, database: &DatabaseName) {
-        self.mark_connections_scarce(database);
         let Some(key) = self.pool.longest_idle(database) else { return };
         let idle = self.now.since(self.pool.connections[key].idle_since);
         if idle >= RELEASE_MIN_IDLE {
@@ -56,8 +28,9 @@
     pub(super) fn borrow_tokens(&mut self) {
         let now = self.now;
         let mut short: Vec<WorkspaceName> = Vec::new();
-        for key in &self.waiting {
-            let Some(session) = self.sessions.get(*key) else { continue };
+        for waiter in &self.waiting {
+            let Waiter::Session(key) = *waiter else { continue };
+            let Some(session) = self.sessions.get(key) else { continue };
             let waits = session.current.as_ref().is_some_and(|current| current.needs_token);
             let workspace = session.authorization.as_ref().and_then(|auth| auth.workspace.as_ref());
             if let Some(workspace) = workspace.filter(|_| waits)
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -24,6 +24,8 @@
     pub(crate) address: SocketAddr,
     incarnation: Incarnation,
     dc: DcName,
+    /// Whether it accepts links.
+    accepts_links: bool,
     /// When the member was last certainly alive, on this VM's clock: a lower bound of when it sent
     /// the newest message that echoed a timestamp of this VM.
     last_contact: Option<MonoTime>,
@@ -228,7 +230,8 @@
         }
         if incarnation != member.incarnation {
             let (address, dc) = (member.address, member.dc.clone());
-            let record = MemberRecord { vm: from.clone(), address, incarnation, dc };
+            let accepts_links = member.accepts_links;
+            let record = MemberRecord { vm: from.clone(), address, incarnation, dc, accepts_links };
             *member = Member::new(now, &record);
         }
         if silent {
@@ -363,11 +366,6 @@
         1 + self.members.keys().filter(|vm| self.is_live(now, vm)).count()
     }
 
-    /// Number of other members in a data centre.
-    pub(crate) fn other_members_in(&self, dc: &DcName) -> usize {
-        self.members.values().filter(|member| member.dc == *dc).count()
-    }
-
     /// Number of VMs in the fleet, including this one.
     pub fn vm_count(&self) -> usize {
         self.members.len() + 1
@@ -383,6 +381,12 @@
         self.members.iter()
     }
 
+    /// The members that can hold connections for others, with their data centres.
+    pub(crate) fn holders(&self) -> impl Iterator<Item = (&VmName, &DcName)> {
+        let members = self.members.iter().filter(|(_, member)| member.accepts_links);
+        members.map(|(vm, member)| (vm, &member.dc))
+    }
+
     /// The address at which a member receives peer messages.
     pub(crate) fn address_of(&self, vm: &VmName) -> Option<SocketAddr> {
         self.members.get(vm).map(|member| member.address)
@@ -400,6 +404,7 @@
             address: record.address,
             incarnation: record.incarnation,
             dc: record.dc.clone(),
+            accepts_links: record.accepts_links,
             last_contact: None,
             listed_at: now,
             last_heartbeat: None,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,8 @@
 pub mod fleet;
 pub mod freshness;
 pub mod histogram;
+pub mod holders;
+pub mod link;
 pub mod message;
 pub mod peers;
 mod pool;
@@ -20,6 +22,6 @@
 mod session;
 pub mod witnesses;
 
-pub use effect::{CallerKey, Effect, PlatformRequest, UpstreamKey};
+pub use effect::{CallerKey, Effect, LinkKey, PlatformRequest, UpstreamKey};
 pub use engine::{Engine, Identity};
 pub use failover::PromotionIntent;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -3,9 +3,10 @@
 use std::fmt;
 
 use model::prelude::*;
+use serde::{Deserialize, Serialize};
 
 /// The transaction state of a session or of an upstream connection.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TransactionState {
     /// No transaction is open.
     Idle,
@@ -16,7 +17,7 @@
 }
 
 /// Whether a statement or transaction may change data.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Access {
     /// It only reads.
     Read,
@@ -25,7 +26,7 @@
 }
 
 /// The definition of a prepared statement.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct PreparedStatement {
     /// Whether the statement writes.
     pub access: Access,
@@ -107,7 +108,7 @@
 }
 
 /// Why a statement was not answered with success.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum ErrorCode {
     /// Overload; the statement did not run.
     Busy,
@@ -163,7 +164,7 @@
 }
 
 /// A message to a caller or from an upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
     /// The receiver may send its next statement.
     Ready {
@@ -190,11 +191,11 @@
 
 /// Number of a prepared statement on upstream connections, the same for all sessions that prepare
 /// the same statement.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct PreparedKey(pub u32);
 
 /// A message to an upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum UpstreamRequest {
     /// Opens the connection.
     Start {
@@ -251,7 +252,7 @@
 }
 
 /// A caller's statement as it is sent to an upstream.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ForwardedStatement {
     /// A statement as the caller wrote it.
     Plain(Box<str>),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -232,6 +232,8 @@
     pub incarnation: Incarnation,
     /// The data centre that the VM is in.
     pub dc: DcName,
+    /// Whether it accepts links, so that it can hold connections for other VMs.
+    pub accepts_links: bool,
 }
 
 /// The member list and the witness set, as read from the store.
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -6,7 +6,8 @@
 use slotmap::SlotMap;
 
 use crate::{
-    effect::{CallerKey, UpstreamKey},
+    effect::{CallerKey, LinkKey, UpstreamKey},
+    engine::ChannelKey,
     message::{PreparedKey, PreparedStatement, Reply, UpstreamRequest},
     session::SessionVariables,
 };
@@ -20,6 +21,15 @@
     Control { attempt: u64, request: ControlRequest },
 }
 
+/// Who uses a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum User {
+    /// A caller's session.
+    Session(CallerKey),
+    /// A peer, through a channel.
+    Channel(ChannelKey),
+}
+
 /// A status query of the gateway, or a request that changes a database's role or replication.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum ControlRequest {
@@ -56,19 +66,21 @@
     pub(crate) outcome: Option<Reply>,
 }
 
-/// A connection to an upstream.
+/// A connection to an upstream, or a channel to a holder that stands for one.
 #[derive(Debug)]
 pub(crate) struct Connection {
+    /// The link to the holder; `None` for a connection of this VM's own.
+    pub(crate) link: Option<LinkKey>,
     pub(crate) database: DatabaseName,
     /// The incarnation of the database that the connection was opened to.
     pub(crate) incarnation: u64,
     pub(crate) purpose: Purpose,
     /// Whether the upstream has accepted the connection.
     pub(crate) started: bool,
-    /// Whether its holder has an open transaction on it.
+    /// Whether its user has an open transaction on it.
     pub(crate) in_transaction: bool,
-    /// The session that it is assigned to; `None` if it is free or used for control.
-    pub(crate) holder: Option<CallerKey>,
+    /// Who it is assigned to; `None` if it is free or used for control.
+    pub(crate) user: Option<User>,
     /// Variables and prepared statements that were set on it and not reset since.
     pub(crate) variables: SessionVariables,
     pub(crate) prepared: FxHashSet<PreparedKey>,
@@ -87,7 +99,7 @@
 impl Connection {
     /// Whether a statement can start on it now.
     pub(crate) fn is_free(&self) -> bool {
-        self.started && self.holder.is_none() && self.pending.is_empty()
+        self.started && self.user.is_none() && self.pending.is_empty()
     }
 
     pub(crate) fn serves(&self, workspace: &Option<WorkspaceName>) -> bool {
@@ -183,54 +195,69 @@
         *self.prepared_keys.entry(statement.clone()).or_insert(next)
     }
 
-    /// The free connection to the database that needs the least preparation for a statement of the
-    /// workspace.
+    /// The free connection to the database, over the link or of this VM's own, that needs the least
+    /// preparation for a statement of the workspace.
     pub(crate) fn best_free(
         &self,
         database: &DatabaseName,
+        link: Option<LinkKey>,
         workspace: &Option<WorkspaceName>,
         variables: &SessionVariables,
         prepared: Option<PreparedKey>,
     ) -> Option<UpstreamKey> {
         self.connections_to(database)
-            .filter(|(_, c)| c.is_free() && c.serves(workspace))
+            .filter(|(_, c)| c.link == link && c.is_free() && c.serves(workspace))
             .min_by_key(|(_, c)| {
                 (c.setup_cost(variables, prepared), std::cmp::Reverse(c.idle_since))
             })
             .map(|(key, _)| key)
     }
 
-    /// The free connection to the database that has been idle longest, for any workspace.
+    /// The own connections to a database.
+    fn own_connections_to(
+        &self,
+        database: &DatabaseName,
+    ) -> impl Iterator<Item = (UpstreamKey, &Connection)> {
+        self.connections_to(database).filter(|(_, c)| c.link.is_none())
+    }
+
+    /// The free own connection to the database that has been idle longest, for any workspace.
     pub(crate) fn longest_idle(&self, database: &DatabaseName) -> Option<UpstreamKey> {
-        self.connections_to(database)
+        self.own_connections_to(database)
             .filter(|(_, c)| c.is_free() && c.is_for_statements())
             .min_by_key(|(_, c)| c.idle_since)
             .map(|(key, _)| key)
     }
 
-    /// Whether a connection for the workspace will soon be free: it runs a statement outside a
+    /// Whether an own connection for the workspace will soon be free: it runs a statement outside a
     /// transaction.
     pub(crate) fn is_soon_free(
         &self,
         database: &DatabaseName,
         workspace: &Option<WorkspaceName>,
     ) -> bool {
-        self.connections_to(database)
+        self.own_connections_to(database)
             .any(|(_, c)| c.serves(workspace) && c.started && !c.in_transaction)
     }
 
     /// Whether a connection to the database is being opened.
     pub(crate) fn is_opening(&self, database: &DatabaseName) -> bool {
-        self.connections_to(database).any(|(_, c)| !c.started)
+        self.own_connections_to(database).any(|(_, c)| !c.started)
     }
 
-    /// Number of connections to the database, including those being opened.
+    /// Number of own connections to the database, including those being opened.
     pub(crate) fn count(&self, database: &DatabaseName) -> usize {
-        self.connections_to(database).count()
+        self.own_connections_to(database).count()
     }
 
-    /// Number of connections to the database that are not free.
+    /// Number of connections to the database that are not free, channels included.
     pub(crate) fn busy_count(&self, database: &DatabaseName) -> usize {
         self.connections_to(database).filter(|(_, c)| !c.is_free()).count()
     }
+
+    /// Number of own connections on which the database owes a reply: it is accepting them or runs a
+    /// request.
+    pub(crate) fn running_count(&self, database: &DatabaseName) -> usize {
+        self.own_connections_to(database).filter(|(_, c)| !c.pending.is_empty()).count()
+    }
 }
--- a/crates/gateway/tests/failover.rs
+++ b/crates/gateway/tests/failover.rs
@@ -203,12 +203,13 @@
 /// that the old primary committed after the promotion.
 fn check_late_answer(delay_ms: u64) -> usize {
     let mut world = World::new(5);
-    let (a, b) = (world.open(4, LATEST, KEY), world.open(1, LATEST, KEY));
+    let holder = world.holder(0);
+    let (a, b) = (world.open(holder, LATEST, KEY), world.open(1, LATEST, KEY));
     assert!(world.query(a, "a0", write("1")).succeeded());
     world.run_for(100);
-    world.isolate_database_with_vm(0, 4);
+    world.isolate_database_with_vm(0, holder);
     // The write is sent before its VM suspends use of the primary, and arrives after the promotion.
-    world.delays_ms.insert((Endpoint::Vm(4), Endpoint::Database(0)), delay_ms);
+    world.delays_ms.insert((Endpoint::Vm(holder), Endpoint::Database(0)), delay_ms);
     for round in 1..12 {
         world.send(a, &format!("a{round}"), write("1"));
         world.query(b, &format!("b{round}"), write("1"));
@@ -240,12 +241,13 @@
 fn late_commit_of_a_read_only_transaction_is_not_repeated() {
     for delay_ms in (300..900).step_by(20) {
         let mut world = World::new(5);
-        let (a, b) = (world.open(4, LATEST, KEY), world.open(1, LATEST, KEY));
+        let holder = world.holder(0);
+        let (a, b) = (world.open(holder, LATEST, KEY), world.open(1, LATEST, KEY));
         assert!(world.query(a, "a0", write("1")).succeeded());
-        world.isolate_database_with_vm(0, 4);
+        world.isolate_database_with_vm(0, holder);
         world.query(a, "a1", begin(Access::Read));
         assert!(world.query(a, "a2", read("1")).succeeded());
-        world.delays_ms.insert((Endpoint::Vm(4), Endpoint::Database(0)), delay_ms);
+        world.delays_ms.insert((Endpoint::Vm(holder), Endpoint::Database(0)), delay_ms);
         for round in 0..12 {
             world.send(b, &format!("b{round}"), write("1"));
             world.run_for(100);
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -11,7 +11,7 @@
 #[test]
 fn connections_stay_with_their_workspace() {
     let mut world = World::unconfigured(1);
-    world.configure(world::catalog(1, 1e6, 1));
+    world.configure(world::catalog(1, 1e6, 2));
     world.run_for(3_000);
     let sessions: Vec<_> = (0..8)
         .map(|index| world.open(0, LATEST, if index % 2 == 0 { KEY } else { "key-b" }))
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -29,6 +29,7 @@
 fn list(members: usize) -> MemberList {
     let dc = DcName::new("dc-a").expect("a name");
     let record = |index: usize| MemberRecord {
+        accepts_links: true,
         vm: vm(index),
         address: ([10, 0, 0, index as u8], 7000).into(),
         incarnation: Incarnation(1),
--- a/crates/gateway/tests/rates.rs
+++ b/crates/gateway/tests/rates.rs
@@ -45,6 +45,8 @@
 
 fn fleet(vms: usize, rate_per_s: f64) -> World {
     let mut world = World::unconfigured(vms);
+    // Rates are the only limit in these tests.
+    world.databases.iter_mut().for_each(|database| database.slots = 100);
     world.configure(world::catalog(1, rate_per_s, 200));
     world.run_for(5_000);
     world
--- a/crates/gateway/tests/world/fleet.rs
+++ b/crates/gateway/tests/world/fleet.rs
@@ -20,6 +20,7 @@
             address: vm_address(vm),
             incarnation: Incarnation(0),
             dc: dc(vm),
+            accepts_links: true,
         };
         (0..self.engines.len()).map(record).collect()
     }
@@ -68,6 +69,7 @@
     /// Ends a VM for good, without notice, and closes its connections to databases.
     pub fn kill_vm(&mut self, vm: usize) {
         self.freeze(vm);
+        self.close_links_of(vm);
         let connections: Vec<(usize, UpstreamKey)> =
             self.connections.keys().filter(|(at, _)| *at == vm).copied().collect();
         for connection in connections {
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test file uses its part")]
 
 mod fleet;
+mod links;
 
 use std::{
     cmp::Reverse,
@@ -13,9 +14,10 @@
 };
 
 use gateway::{
-    CallerKey, Effect, Engine, Identity, UpstreamKey,
+    CallerKey, Effect, Engine, Identity, LinkKey, UpstreamKey,
     catalog::{Catalog, Database, Freshness, Role, Route, ServiceLimits, Workspace},
     failover::PromotionOutcome,
+    link::LinkMessage,
     message::{
         Access, CallerMessage, ErrorCode, PreparedStatement, Reply, Statement, TransactionState,
         UpstreamRequest,
@@ -65,6 +67,10 @@
     Request { vm: usize, key: UpstreamKey, request: UpstreamRequest },
     Reply { vm: usize, key: UpstreamKey, reply: Reply },
     Closed { vm: usize, key: UpstreamKey },
+    LinkConnects { from: usize, to: usize, key: LinkKey },
+    LinkOpened { vm: usize, key: LinkKey },
+    LinkMessage { vm: usize, key: LinkKey, message: LinkMessage },
+    LinkClosed { vm: usize, key: LinkKey },
     TokenRaised { vm: usize, attempt: u64, token: Option<u64>, sent: MonoTime },
     StoreFailed { vm: usize },
     Promote { database: DatabaseName },
@@ -73,6 +79,19 @@
     ListFetched { vm: usize, list: MemberList },
 }
 
+impl Event {
+    /// Whether it concerns a link of the VM's present run.
+    fn is_for_link_of(&self, of: usize) -> bool {
+        match self {
+            Event::LinkOpened { vm, .. }
+            | Event::LinkMessage { vm, .. }
+            | Event::LinkClosed { vm, .. } => *vm == of,
+            Event::LinkConnects { from, .. } => *from == of,
+            _ => false,
+        }
+    }
+}
+
 /// A connection of a VM to a database.
 struct Connection {
     database: usize,
@@ -139,6 +158,12 @@
     events: BTreeMap<u64, Event>,
     next_id: u64,
     connections: BTreeMap<(usize, UpstreamKey), Connection>,
+    /// The other end of each end of a link.
+    links: BTreeMap<(usize, LinkKey), (usize, LinkKey)>,
+    /// Messages on links that have not opened yet, by the sender's end.
+    unsent: BTreeMap<(usize, LinkKey), Vec<LinkMessage>>,
+    /// Ends of links that send into a cut.
+    broken_links: BTreeSet<(usize, LinkKey)>,
     /// Answers to each caller's statements, in order.
     responses: BTreeMap<Caller, Vec<Response>>,
     /// Value of the fencing token in the store.
@@ -258,6 +283,9 @@
             events: BTreeMap::new(),
             next_id: 0,
             connections: BTreeMap::new(),
+            links: BTreeMap::new(),
+            unsent: BTreeMap::new(),
+            broken_links: BTreeSet::new(),
             responses: BTreeMap::new(),
             token: 0,
         };
@@ -407,6 +435,8 @@
     /// Restarts a VM's process without any of its earlier state.
     pub fn restart(&mut self, vm: usize, catalog: Catalog) {
         self.connections.retain(|(at, _), _| *at != vm);
+        self.close_links_of(vm);
+        self.events.retain(|_, event| !event.is_for_link_of(vm));
         self.engines[vm] = self.engine(vm, false);
         let (now, records) = (self.now, self.databases.clone());
         self.lists_by_vm[vm] = MemberList::default();
@@ -478,6 +508,20 @@
             Event::Closed { vm, key } => {
                 self.drive(vm, |engine| engine.upstream_closed(now, key));
             }
+            Event::LinkConnects { from, to, key } => self.accept_link(from, to, key),
+            Event::LinkOpened { vm, key } => {
+                self.drive(vm, |engine| engine.link_opened(now, key));
+            }
+            Event::LinkMessage { vm, key, message } => {
+                if self.frozen.contains(&vm) {
+                    let event = Event::LinkMessage { vm, key, message };
+                    return self.schedule(TICK_INTERVAL_US, event);
+                }
+                self.drive(vm, |engine| engine.link_message(now, key, message));
+            }
+            Event::LinkClosed { vm, key } => {
+                self.drive(vm, |engine| engine.link_closed(now, key));
+            }
             Event::TokenRaised { vm, attempt, token, sent } => {
                 self.drive(vm, |engine| engine.token_raised(now, attempt, token, sent));
             }
@@ -565,6 +609,9 @@
                     self.group.close(database, id);
                 }
             }
+            Effect::OpenLink(key, address) => self.open_link(vm, key, address),
+            Effect::ToLink(key, message) => self.send_on_link(vm, key, message),
+            Effect::CloseLink(key) => self.close_link(vm, key),
             Effect::ToPeer(address, message) => {
                 let to = (0..self.engines.len()).find(|index| vm_address(*index) == address);
                 if let Some(to) = to {
--- a/crates/node/src/connection.rs
+++ b/crates/node/src/connection.rs
@@ -120,9 +120,21 @@
     pub(crate) async fn run(
         &self,
         stream: Rc<TcpStream>,
+        on_data: impl FnMut(&mut BytesMut) -> ReadOutcome,
+    ) {
+        self.run_after(BytesMut::new(), stream, on_data).await;
+    }
+
+    /// As [`Connection::run`], for a connection of which `buf` has been read already.
+    pub(crate) async fn run_after(
+        &self,
+        mut buf: BytesMut,
+        stream: Rc<TcpStream>,
         mut on_data: impl FnMut(&mut BytesMut) -> ReadOutcome,
     ) {
-        let mut buf = BytesMut::new();
+        if !buf.is_empty() && matches!(on_data(&mut buf), ReadOutcome::Close) {
+            return;
+        }
         loop {
             match self.close_state.get() {
                 CloseState::Now => return,
@@ -172,14 +184,27 @@
     pub(crate) async fn connect(&self, address: SocketAddr) -> io::Result<Rc<TcpStream>> {
         let socket = TcpSocket::new_v4()?;
         let opening = socket.connect(address);
-        let stream = tokio::select! {
-            stream = opening => stream?,
-            () = self.close_requested() => return Err(io::ErrorKind::ConnectionAborted.into()),
-        };
+        let stream = self.unless_closed(opening).await?;
+        Ok(self.attach(stream))
+    }
+
+    /// Waits for `opening`. Fails if the connection is closed before that.
+    pub(crate) async fn unless_closed<T>(
+        &self,
+        opening: impl Future<Output = io::Result<T>>,
+    ) -> io::Result<T> {
+        tokio::select! {
+            opened = opening => opened,
+            () = self.close_requested() => Err(io::ErrorKind::ConnectionAborted.into()),
+        }
+    }
+
+    /// Gives the connection its stream and sends what was written before.
+    pub(crate) fn attach(&self, stream: TcpStream) -> Rc<TcpStream> {
         let stream = Rc::new(stream);
         self.stream.replace(Some(stream.clone()));
         self.flush();
-        Ok(stream)
+        stream
     }
 
     /// Waits until the connection is to be closed.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod codec;
 mod connection;
+mod links;
 mod node;
 pub mod ops;
 mod peers;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,8 +14,8 @@
 use edge::client::Client;
 use eyre::WrapErr;
 use gateway::{
-    CallerKey, Effect, Engine, PlatformRequest, PromotionIntent, UpstreamKey, catalog::Catalog,
-    failover::PromotionOutcome, peers::MemberList,
+    CallerKey, Effect, Engine, LinkKey, PlatformRequest, PromotionIntent, UpstreamKey,
+    catalog::Catalog, failover::PromotionOutcome, peers::MemberList,
 };
 use model::prelude::*;
 use slog::{Logger, info, warn};
@@ -30,12 +30,15 @@
     clock,
     codec::Codec,
     connection::{self, Connection, ReadOutcome},
+    links::{self, IncomingLink},
     ops,
     peers::{self, DATAGRAM_MAX_BYTES, SharedSnapshot, Snapshot, SnapshotVersions},
 };
 
 /// Time after which a connection with unacknowledged bytes to an upstream is closed.
 const UPSTREAM_USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which a link with unacknowledged bytes is closed.
+const LINK_USER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time after which a connection with unacknowledged bytes to a caller is closed.
 const CALLER_USER_TIMEOUT: Duration = Duration::from_secs(10);
 /// Delay before the next attempt after accepting a connection failed, usually for lack of free file
@@ -43,8 +46,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Minimum interval between two log records about datagrams that could not be sent.
 const LOSS_LOG_INTERVAL: DurationUs = DurationUs::from_ms(1_000);
-/// File descriptors that callers can't use: those for listeners, upstreams, peers and the store.
-const DESCRIPTORS_RESERVED: usize = 400;
+/// File descriptors that callers can't use: those for listeners, upstreams, links, peers and the store.
+const DESCRIPTORS_RESERVED: usize = 800;
 
 /// Addresses and limits of a node.
 #[derive(Clone, Debug)]
@@ -83,6 +86,9 @@
     engine: RefCell<Engine>,
     callers: RefCell<SecondaryMap<CallerKey, Rc<Connection>>>,
     upstreams: RefCell<SecondaryMap<UpstreamKey, Rc<Connection>>>,
+    links: RefCell<SecondaryMap<LinkKey, Rc<Connection>>>,
+    /// Name of this VM.
+    vm: VmName,
     datagrams: UdpSocket,
     client: Client,
     snapshot: SharedSnapshot,
@@ -121,14 +127,17 @@
             .await
             .wrap_err_with(|| bind("caller", settings.callers))?;
         let snapshot: SharedSnapshot = Arc::new(ArcSwap::default());
-        tokio::spawn(ops::serve_forever(internal, peers::routes(snapshot.clone())));
+        let (accepted, incoming_links) = mpsc::unbounded_channel();
+        tokio::spawn(ops::serve_forever(internal, peers::routes(snapshot.clone(), accepted)));
         let node = Node {
             inner: Rc::new(Inner {
                 codec,
                 log,
-                engine: RefCell::new(engine),
                 callers: RefCell::default(),
                 upstreams: RefCell::default(),
+                links: RefCell::default(),
+                vm: engine.vm().clone(),
+                engine: RefCell::new(engine),
                 datagrams,
                 client,
                 snapshot,
@@ -141,6 +150,7 @@
         };
         let callers_max = settings.descriptors_max.saturating_sub(DESCRIPTORS_RESERVED).max(64);
         spawn_local(node.clone().accept(callers, callers_max));
+        spawn_local(node.clone().accept_links(incoming_links));
         spawn_local(node.clone().receive_datagrams());
         spawn_local(node.clone().run_ticks());
         Ok((node, received))
@@ -284,6 +294,23 @@
             Effect::CloseUpstream(key) => {
                 inner.upstreams.borrow_mut().remove(key)?.close_now();
             }
+            Effect::OpenLink(key, address) => {
+                let conn = Connection::new(None);
+                inner.links.borrow_mut().insert(key, conn.clone());
+                spawn_local(self.clone().run_link(key, conn, address));
+            }
+            Effect::ToLink(key, message) => {
+                let conn = inner.links.borrow().get(key)?.clone();
+                conn.write(|out| {
+                    if let Err(e) = links::encode(&message, out) {
+                        warn!(inner.log, "message on a link not encoded"; "error" => e);
+                    }
+                });
+                return Some(conn);
+            }
+            Effect::CloseLink(key) => {
+                inner.links.borrow_mut().remove(key)?.close_now();
+            }
             Effect::ToPeer(address, message) => self.send_datagram(address, &message),
             Effect::FetchFromPeer(address) => {
                 spawn_local(self.clone().fetch(address));
@@ -405,6 +432,71 @@
         }
     }
 
+    /// Runs links that peers open, until the node is dropped.
+    async fn accept_links(self, mut incoming: mpsc::UnboundedReceiver<IncomingLink>) {
+        while let Some(IncomingLink { vm, stream }) = incoming.recv().await {
+            let Ok(from) = stream.peer_ip() else { continue };
+            let accepted = self.inner.engine.borrow_mut().link_accepted(clock::now(), &vm, from);
+            let Some(key) = accepted else {
+                info!(self.inner.log, "link refused: not a member"; "vm" => %vm, "from" => %from);
+                continue;
+            };
+            let conn = Connection::new(None);
+            self.inner.links.borrow_mut().insert(key, conn.clone());
+            self.apply_effects();
+            let node = self.clone();
+            spawn_local(async move {
+                if let Err(e) = connection::configure_socket(&stream.stream, LINK_USER_TIMEOUT) {
+                    info!(node.inner.log, "socket of a link not configured"; "error" => %e);
+                }
+                let tcp = conn.attach(stream.stream);
+                let early = BytesMut::from(stream.early);
+                conn.run_after(early, tcp, |buf| node.on_link_data(key, buf)).await;
+                node.end_link(key);
+            });
+        }
+    }
+
+    async fn run_link(self, key: LinkKey, conn: Rc<Connection>, address: SocketAddr) {
+        let opened = async {
+            let stream = conn.unless_closed(links::connect(address, &self.inner.vm)).await?;
+            connection::configure_socket(&stream.stream, LINK_USER_TIMEOUT)?;
+            Ok::<_, io::Error>(stream)
+        };
+        match opened.await {
+            Ok(stream) => {
+                let tcp = conn.attach(stream.stream);
+                self.drive(|engine, now| engine.link_opened(now, key));
+                let early = BytesMut::from(stream.early);
+                conn.run_after(early, tcp, |buf| self.on_link_data(key, buf)).await;
+            }
+            Err(e) => {
+                info!(self.inner.log, "link not opened"; "address" => %address, "error" => %e)
+            }
+        }
+        self.end_link(key);
+    }
+
+    fn on_link_data(&self, key: LinkKey, buf: &mut BytesMut) -> ReadOutcome {
+        loop {
+            match links::decode(buf) {
+                Ok(Some(message)) => {
+                    self.drive(|engine, now| engine.link_message(now, key, message));
+                }
+                Ok(None) => return ReadOutcome::Continue,
+                Err(e) => {
+                    warn!(self.inner.log, "invalid message on a link"; "error" => e);
+                    return ReadOutcome::Close;
+                }
+            }
+        }
+    }
+
+    fn end_link(&self, key: LinkKey) {
+        self.inner.links.borrow_mut().remove(key);
+        self.drive(|engine, now| engine.link_closed(now, key));
+    }
+
     async fn receive_datagrams(self) {
         let mut datagram = vec![0; DATAGRAM_MAX_BYTES];
         loop {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -13,6 +13,9 @@
 use gateway::peers::PeerMessage;
 use http::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
+use tokio::sync::mpsc;
+
+use crate::links::{self, IncomingLink, LINK_PATH};
 
 /// Maximum size of a received datagram, in bytes.
 pub(crate) const DATAGRAM_MAX_BYTES: usize = 16 << 10;
@@ -88,8 +91,12 @@
 pub(crate) type SharedSnapshot = Arc<ArcSwap<Snapshot>>;
 
 /// Returns the routes of the HTTP listener for peers.
-pub(crate) fn routes(snapshot: SharedSnapshot) -> Router {
-    Router::new().route(STATE_PATH, get(get_state)).with_state(snapshot)
+pub(crate) fn routes(
+    snapshot: SharedSnapshot,
+    links: mpsc::UnboundedSender<IncomingLink>,
+) -> Router {
+    let state = Router::new().route(STATE_PATH, get(get_state)).with_state(snapshot);
+    state.merge(Router::new().route(LINK_PATH, get(links::accept)).with_state(links))
 }
 
 async fn get_state(
--- a/crates/xtask/src/bench_gateway.rs
+++ b/crates/xtask/src/bench_gateway.rs
@@ -211,7 +211,8 @@
 
 fn member(vm: usize) -> eyre::Result<MemberRecord> {
     let (vm_name, dc) = (vm_name(vm)?, dc(vm)?);
-    Ok(MemberRecord { vm: vm_name, address: address(vm), incarnation: Incarnation(1), dc })
+    let incarnation = Incarnation(1);
+    Ok(MemberRecord { vm: vm_name, address: address(vm), incarnation, dc, accepts_links: true })
 }
 
 fn service(index: usize) -> eyre::Result<ServiceName> {
