Leave the store and the databases alone while a fleet starts

Cause: each VM watched configuration, databases and VMs in the store for 9 s after its start, which is a call for each batch of registrations and kind, and queried all databases for their role as soon as it had waited 1 s for a primary.

Ruled out: witnesses missing news (they still watch), late configurations (a VM with a lease gets them from a witness within a heartbeat).

Change: a VM with a lease that is no witness no longer watches, also right after its start.

Test: the simulated store now gives a VM that has to watch again the changes since its last one, as the watcher does; most_witnesses_stop_at_once relied on the 9 s.

--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -333,7 +333,7 @@
     /// Whether this VM has to watch the platform's store itself. Otherwise it fetches new versions from
     /// peers whose heartbeats announce them.
     pub fn must_watch_store(&self) -> bool {
-        self.fleet.self_is_witness() || !self.has_lease() || self.is_starting()
+        self.fleet.self_is_witness() || !self.has_lease()
     }
 
     /// Whether this VM started a short time ago.
@@ -490,8 +490,8 @@
     }
 }
 
-/// Time after its start in which a VM watches the store itself: the databases and other VMs may be
-/// starting, too.
+/// Time after its start in which a VM gathers changes of the store for longer: the databases and other VMs may
+/// be starting, too.
 const STARTUP_PERIOD: DurationUs = DurationUs::from_ms(9_000);
 /// Time between ticks while statements, answers or failovers wait.
 const BUSY_TICK_INTERVAL: DurationUs = DurationUs::from_ms(20);
--- a/crates/gateway/src/engine/primaries.rs
+++ b/crates/gateway/src/engine/primaries.rs
@@ -19,7 +19,10 @@
 const PRIMARY_QUERY_INTERVAL: DurationUs = DurationUs::from_ms(300);
 /// Time without a known primary after which a VM queries databases that it is no holder of: when no term is
 /// known yet, since all VMs may be starting, and when the primary has changed.
-const QUERY_ALL_AFTER: [DurationUs; 2] = [DurationUs::from_ms(1_000), DurationUs::from_ms(100)];
+const QUERY_ALL_AFTER: [DurationUs; 2] = [DurationUs::from_ms(3_000), DurationUs::from_ms(100)];
+/// How long the list of VMs has to be unchanged before a holder queries databases of which it knows no term:
+/// while a fleet starts, each VM finds itself a holder of most databases.
+const HOLDERS_SETTLED_AFTER: DurationUs = DurationUs::from_ms(400);
 
 impl Engine {
     /// Queries the databases of services whose primary is not known, and those that have failed.
@@ -45,8 +48,11 @@
             let state = &self.services[&service];
             let wait = QUERY_ALL_AFTER[usize::from(state.term > Term(0))];
             let overdue = state.no_primary_since.is_some_and(|since| now.since(since) >= wait);
+            let is_settled = state.term > Term(0)
+                || self.fleet.unchanged_for(now).is_none_or(|span| span >= HOLDERS_SETTLED_AFTER);
             let members = self.databases.iter().filter(|(_, state)| {
-                state.record.service == service && (overdue || self.may_query(state))
+                let may_query = overdue || (is_settled && self.may_query(state));
+                state.record.service == service && may_query
             });
             let members: Vec<DatabaseName> = members.map(|(name, _)| name.clone()).collect();
             if let Some(state) = self.services.get_mut(&service).filter(|_| !members.is_empty()) {
--- a/crates/gateway/tests/world/fleet.rs
+++ b/crates/gateway/tests/world/fleet.rs
@@ -33,6 +33,16 @@
         }
     }
 
+    /// Gives the changes since its last one to each VM that has to watch the store again.
+    pub(super) fn resume_watches(&mut self) {
+        for vm in 0..self.engines.len() {
+            let is_behind = self.lists_by_vm[vm].version < self.member_list.version;
+            if is_behind && self.engines[vm].must_watch_store() {
+                self.schedule(STORE_DELAY_US, Event::ListChanged { vm });
+            }
+        }
+    }
+
     pub(super) fn deliver_list(&mut self, vm: usize, list: MemberList) {
         if list.version > self.lists_by_vm[vm].version {
             let now = self.now;
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -38,6 +38,9 @@
 /// Time from a call of the store to its reply, in microseconds.
 const STORE_DELAY_US: u64 = 5_000;
 
+/// Time between two checks of a VM whether it has to watch the store, in microseconds.
+const WATCH_POLL_US: u64 = 500_000;
+
 /// Host of a route whose reads accept an age of 2 s and see the session's own commits.
 pub const HOST: &str = "orders";
 /// Host of a route whose reads see the latest state.
@@ -461,6 +464,9 @@
                     self.handle_event(event);
                 }
             }
+            if self.now.0.is_multiple_of(WATCH_POLL_US) {
+                self.resume_watches();
+            }
             for vm in 0..self.engines.len() {
                 if !self.frozen.contains(&vm) {
                     let now = self.now;
