Admit what a workspace's rate allows after all VMs were lost

Cause: after a start, operations waited for a token only for 40 percent of their target latency, although the VM had no lease yet and its home could lend nothing; they were refused as over the rate, which was not true. A home without a lease told itself that nothing is left, which refused all for 300 ms more. And a home began with nothing to lend, although nothing had been admitted while the VMs were away.

Ruled out: the rates themselves (those workspaces ask for 62 percent), late leases (all VMs have one 0.2 to 0.5 s after their start).

Change: without a lease, an operation waits as long as for an upstream, and is then refused as Busy. A home starts with what its rate yields in 0.5 s, the least time that a restart takes; over a window of 5 s that is within what the even spread allows, since nothing was admitted in that time.

Tests: workspace_within_its_rate_is_not_refused_after_a_restart_of_all, home_lends_after_its_start_what_was_refilled_meanwhile (3 tokens before, 20 after).

--- a/crates/gateway/src/engine/callers.rs
+++ b/crates/gateway/src/engine/callers.rs
@@ -219,11 +219,20 @@
         }
     }
 
+    /// How long an operation may wait for a token. Without a lease this VM was just started or is cut off, and
+    /// whether the rate has tokens left is not known: the operation waits as long as for an upstream.
+    fn max_rate_wait(&self, route: &Route) -> DurationUs {
+        match self.has_lease() {
+            true => queue::max_rate_wait(route),
+            false => queue::max_queue_wait(route),
+        }
+    }
+
     /// Queues an operation for a token of its workspace's rate. Refuses it, and returns `false`, where it
     /// would wait too long.
     fn admit(&mut self, key: CallerKey, id: &str, auth: &Authorization) -> bool {
         let Some(workspace) = &auth.workspace else { return true };
-        let max_wait = queue::max_rate_wait(&auth.route);
+        let max_wait = self.max_rate_wait(&auth.route);
         let Err(wait) = self.rates.enqueue(self.now, workspace, max_wait) else { return true };
         self.counts.rate_limited += 1;
         info!(self.log, "refused"; "id" => id, "code" => "TooMany", "reason" => "rate exceeded",
@@ -260,13 +269,13 @@
         arrived: MonoTime,
         needs_token: bool,
     ) {
-        let session = &mut self.sessions[key];
-        let Some(auth) = &session.authorization else { return };
+        let Some(auth) = &self.sessions[key].authorization else { return };
         let timeout = auth.route.statement_timeout;
         let max_wait = match needs_token {
-            true => queue::max_rate_wait(&auth.route),
+            true => self.max_rate_wait(&auth.route),
             false => queue::max_queue_wait(&auth.route),
         };
+        let session = &mut self.sessions[key];
         session.current = Some(CurrentStatement {
             id,
             statement,
--- a/crates/gateway/src/engine/expiry.rs
+++ b/crates/gateway/src/engine/expiry.rs
@@ -47,6 +47,9 @@
             if let Some(workspace) = auth.and_then(|auth| auth.workspace.clone()) {
                 self.rates.cancel(&workspace);
             }
+            if !self.has_lease() {
+                return self.fail(key, ErrorCode::Busy, "not in contact with the other VMs");
+            }
             self.counts.rate_limited += 1;
             return self.fail(key, ErrorCode::TooMany, "rate exceeded: no token in time");
         }
--- a/crates/gateway/src/engine/sharing.rs
+++ b/crates/gateway/src/engine/sharing.rs
@@ -43,9 +43,11 @@
             let Some(tokens) = self.rates.tokens_to_borrow(now, &workspace) else { continue };
             let home = self.fleet.home_of(now, &workspace);
             if home == self.id.vm {
-                let lent =
-                    if self.has_lease() { self.rates.lend(now, &workspace, tokens) } else { 0 };
-                self.rates.receive_loan(now, &workspace, lent, lent >= tokens);
+                // Without a lease, another VM may be the home.
+                if self.has_lease() {
+                    let lent = self.rates.lend(now, &workspace, tokens);
+                    self.rates.receive_loan(now, &workspace, lent, lent >= tokens);
+                }
             } else {
                 self.send_to_vm(&home, PeerBody::Borrow { workspace, tokens });
             }
--- a/crates/gateway/src/rates.rs
+++ b/crates/gateway/src/rates.rs
@@ -38,6 +38,9 @@
 /// Time constant of the moving average of demand, in microseconds; short compared to the 5 s window
 /// in which rate limits are measured.
 const DEMAND_TIME_CONSTANT_US: f64 = 700_000.0;
+/// Least time from the end of a run of a VM until its next run admits operations: meanwhile its part of a rate
+/// was refilled and not used.
+const RESTART_MIN: DurationUs = DurationUs::from_ms(500);
 /// Demand below which a VM reports none, in operations per second.
 const REPORTED_DEMAND_MIN_PER_S: f64 = 0.05;
 
@@ -121,7 +124,7 @@
                 borrow_asked_at: None,
                 home_empty_until: now,
                 waiting: 0,
-                lendable: TokenBucket::new(now),
+                lendable: bucket_after_start(now, rate_per_s, burst),
                 outstanding_grants: BTreeMap::new(),
             });
             limiter.rate_per_s = rate_per_s;
@@ -326,6 +329,14 @@
     }
 }
 
+/// Returns a bucket with the tokens that were refilled while this VM was starting.
+fn bucket_after_start(now: MonoTime, rate_per_s: f64, burst: f64) -> TokenBucket {
+    let ended = MonoTime(now.0.saturating_sub(RESTART_MIN.0));
+    let mut bucket = TokenBucket::new(ended);
+    set_fraction(&mut bucket, rate_per_s, burst, 1.0, ended);
+    bucket
+}
+
 fn set_fraction(
     bucket: &mut TokenBucket,
     rate_per_s: f64,
--- a/crates/gateway/tests/rates.rs
+++ b/crates/gateway/tests/rates.rs
@@ -2,7 +2,8 @@
 
 mod world;
 
-use gateway::message::ErrorCode;
+use gateway::{message::ErrorCode, peers::LEASE_DURATION, rates::RateLimiter};
+use model::prelude::*;
 use world::{KEY, LATEST, World, read};
 
 /// Number of operations of a workspace that were admitted and refused.
@@ -137,3 +138,35 @@
     assert!(admitted * 100 >= RATE_PER_S * SECONDS * 97, "{admitted}");
     assert!(admitted <= RATE_PER_S * (SECONDS + 1) * 110 / 100, "{admitted}");
 }
+
+/// All VMs are lost and come back, and callers repeat at once what they asked meanwhile. Nothing was admitted
+/// while the VMs were away, so no operation is refused for the rate, neither before there are leases nor after.
+#[test]
+fn workspace_within_its_rate_is_not_refused_after_a_restart_of_all() {
+    let mut world = fleet(9, 40.0);
+    load(&mut world, &[1; 9], 24, 3);
+    (0..9).for_each(|vm| world.restart(vm, world::catalog(1, 40.0, 200)));
+    let repeated: Vec<_> = (0..20).map(|index| world.open(index % 9, LATEST, KEY)).collect();
+    for caller in &repeated {
+        world.send(*caller, "op", read("1"));
+    }
+    world.run_for(LEASE_DURATION.as_ms() + 100);
+    for caller in repeated {
+        let response = world.response(caller).expect("an answer");
+        assert_ne!(response.error, Some(ErrorCode::TooMany));
+    }
+    let outcome = load(&mut world, &[1; 9], 24, 3);
+    assert_eq!(outcome.refused, 0, "{outcome:?}");
+}
+
+/// A home that has just started lends what was refilled since its earlier run ended, and no more.
+#[test]
+fn home_lends_after_its_start_what_was_refilled_meanwhile() {
+    let mut limiter = RateLimiter::default();
+    let now = MonoTime(1_000_000_000);
+    let workspace = world::catalog(1, 40.0, 200).workspaces.swap_remove(0);
+    limiter.set_vm_count(now, 9);
+    limiter.configure(now, std::slice::from_ref(&workspace));
+    let lent = limiter.lend(now + DurationUs::from_ms(100), &workspace.name, 64);
+    assert!((20..=24).contains(&lent), "{lent} tokens of 40 per second after 0.1 s");
+}
