Use the connections that a full database has accepted

Cause: after a loss of power, databases count the connections of the lost runs for 3 s. The new holder had room for some, but tried to open up to its share, waited 60 ms after each refusal, and did not close a connection of another workspace, since it was below its share.

Ruled out: the reserve (it is meant for single VMs, not for all), the drop after 3 s (it is the databases').

Change: for 250 ms after such a refusal, a VM opens no more connections than the database had accepted, and statements take each other's place on these.

--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -78,6 +78,8 @@
     pub(crate) failing_since: Option<MonoTime>,
     /// Earliest time of the next connection.
     pub(crate) retry_at: MonoTime,
+    /// Number of own connections when it last refused one because too many were open, and when that was.
+    pub(crate) limit_refusal: Option<(usize, MonoTime)>,
     /// Until when no statement is sent there through a holder, because one reported that it does not answer.
     pub(crate) avoided_until: MonoTime,
     /// Set while it is avoided as a replica that lags behind.
@@ -521,6 +523,7 @@
             last_heard: None,
             failing_since: None,
             retry_at: now,
+            limit_refusal: None,
             avoided_until: now,
             lag_backoff: None,
             avg_response_us: 0.0,
--- a/crates/gateway/src/engine/placement.rs
+++ b/crates/gateway/src/engine/placement.rs
@@ -145,6 +145,8 @@
 const PRIMARY_PENALTY_US: f64 = 8_000.0;
 /// Time constant with which a measured response time loses its weight, in microseconds.
 const RESPONSE_TIME_DECAY_US: f64 = 2_000_000.0;
+/// How long no more connections to a database are opened than it accepted, after it refused one as too many.
+const FULL_PERIOD: DurationUs = DurationUs::from_ms(250);
 /// Waiting time up to which a statement leaves connections of other workspaces open if one of its own
 /// workspace is about to become free.
 const EVICT_AFTER: DurationUs = DurationUs::from_ms(80);
@@ -394,7 +396,9 @@
         if state.retry_at > self.now {
             return None;
         }
-        if self.pool.count(name) < limit {
+        let count = self.pool.count(name);
+        let refused_at = state.limit_refusal.filter(|(_, at)| self.now.since(*at) < FULL_PERIOD);
+        if count < limit && refused_at.is_none_or(|(accepted, _)| count < accepted) {
             return Some(ConnectionChoice::Open);
         }
         if waited < EVICT_AFTER && self.pool.is_soon_free(name, workspace) {
--- a/crates/gateway/src/engine/replies.rs
+++ b/crates/gateway/src/engine/replies.rs
@@ -22,7 +22,7 @@
 const LAG_BACKOFF_MIN_US: u64 = 25_000;
 /// Longest backoff from a replica that lagged behind, in microseconds.
 const LAG_BACKOFF_MAX_US: u64 = 400_000;
-/// Delay before the next connection to a database that refused one.
+/// Delay before the next connection to a database that refused one for another reason than their number.
 const REFUSED_RETRY_DELAY: DurationUs = DurationUs::from_ms(60);
 /// Weight of a new measurement in the moving average of response times.
 const RESPONSE_TIME_WEIGHT: f64 = 0.2;
@@ -87,8 +87,12 @@
         let database = self.pool.connections[key].database.clone();
         info!(self.log, "connection refused"; "database" => %database, "code" => %code,
             "own" => self.pool.count(&database));
+        let others = self.pool.count(&database) - 1;
         if let Some(state) = self.databases.get_mut(&database) {
-            state.retry_at = self.now + REFUSED_RETRY_DELAY;
+            match code {
+                ErrorCode::TooMany => state.limit_refusal = Some((others, self.now)),
+                _ => state.retry_at = self.now + REFUSED_RETRY_DELAY,
+            }
         }
         let user = self.pool.connections[key].user;
         self.close_connection(key);
--- a/crates/gateway/tests/holders.rs
+++ b/crates/gateway/tests/holders.rs
@@ -187,3 +187,37 @@
         assert!(!world.group.runs.iter().any(|run| *run.id == *id), "{id} was refused and ran");
     }
 }
+
+/// After a loss of power, databases count the connections of the earlier runs for seconds. What is left is
+/// used: statements take each other's place on it, instead of one refused connection after another.
+#[test]
+fn connections_of_lost_runs_leave_room_for_all() {
+    let mut world = fleet(9);
+    let vm = distant_vm(&world);
+    assert_eq!(commit_transactions(&mut world, vm, 7, "before"), 7);
+    // The simulated databases never notice the loss.
+    (0..9).for_each(|vm| world.restart(vm, world::catalog(1, 1e6, LIMIT)));
+    world.group.connection_limit = 9;
+    world.run_for(3_000);
+    let refused = world.group.refused_connections;
+    let callers: Vec<Caller> = (0..36)
+        .map(|index| world.open(index % 9, LATEST, if index % 2 == 0 { KEY } else { "key-b" }))
+        .collect();
+    let mut succeeded = 0;
+    for round in 0..10 {
+        for (index, caller) in callers.iter().enumerate() {
+            world.send(*caller, &format!("r{round}-{index}"), read("1"));
+            if index % 6 == 5 {
+                world.run_for(130);
+            }
+        }
+        world.run_for(100);
+        let answers = callers.iter().map(|caller| world.response(*caller));
+        succeeded +=
+            answers.filter(|answer| answer.as_ref().is_some_and(|a| a.succeeded())).count();
+    }
+    assert_eq!(succeeded, 360);
+    let refused = world.group.refused_connections - refused;
+    // Four attempts a second, one at a time, find out whether there is room again.
+    assert!(refused <= 36, "{refused} refused connections in 9 s");
+}
