Find out once that all slots of a database are in use

Cause: a holder searched its connections for each waiting request at each event, and refused a request after 250 ms, which its peer sent again 15 ms later.

Ruled out: the database (it ran less than before), the link (nothing was lost), a loop (each search had its own event).

Change: whether a database has a free slot is checked once in a pass over the waiting requests. A request waits up to 500 ms, and its peer places it again after 40 ms. Requests that wait for a service are returned at once when its primary changes.

--- a/crates/gateway/src/engine/channels.rs
+++ b/crates/gateway/src/engine/channels.rs
@@ -30,8 +30,8 @@
 }
 
 /// Longest time that a request waits for a connection. After that, the peer decides again: another
-/// database may have room, or the primary may have changed.
-const WAIT_MAX: DurationUs = DurationUs::from_ms(250);
+/// database may have room.
+const WAIT_MAX: DurationUs = DurationUs::from_ms(500);
 /// Delay before a request is sent again that the database refused as busy.
 const BUSY_RETRY_DELAY: DurationUs = DurationUs::from_ms(15);
 /// Longest time without a message to a peer that waits for answers.
@@ -216,6 +216,13 @@
             self.refuse_channel_request(key, Refusal::NoRoom);
             return true;
         }
+        if failures.is_full(&channel.database) {
+            return false;
+        }
+        if !self.has_free_slot(state) {
+            failures.add_full(channel.database.clone());
+            return false;
+        }
         let (database, workspace) = (channel.database.clone(), channel.workspace.clone());
         if retry_at > now || failures.rules_out_channel(&database, &workspace, waited) {
             return false;
@@ -355,6 +362,20 @@
         self.send_on_link(link, LinkMessage::Refused { channel: number, reason });
     }
 
+    /// Returns requests that wait for databases of a service to their peers, because its primary has changed.
+    pub(super) fn return_waiting_requests(&mut self, service: &ServiceName) {
+        let waiting = self.channels.channels.iter().filter(|(_, channel)| {
+            let state = self.databases.get(&channel.database);
+            channel.current.as_ref().is_some_and(|current| !current.sent)
+                && channel.upstream.is_none()
+                && state.is_some_and(|state| state.record.service == *service)
+        });
+        let waiting: Vec<ChannelKey> = waiting.map(|(key, _)| key).collect();
+        for key in waiting {
+            self.refuse_channel_request(key, Refusal::NoRoom);
+        }
+    }
+
     /// Has a channel's request wait again, after its connection was refused.
     pub(super) fn requeue_channel(&mut self, key: ChannelKey) {
         if let Some(channel) = self.channels.channels.get_mut(key) {
--- a/crates/gateway/src/engine/links.rs
+++ b/crates/gateway/src/engine/links.rs
@@ -34,6 +34,8 @@
 const SUSPECTED_PERIOD: DurationUs = DurationUs::from_ms(200);
 /// Delay before a statement is placed again that a holder refused.
 const REFUSED_RETRY_DELAY: DurationUs = DurationUs::from_ms(15);
+/// Delay before a statement is placed again for which a holder had no room.
+const NO_ROOM_RETRY_DELAY: DurationUs = DurationUs::from_ms(40);
 /// Connections to a database that a VM may open which reaches none of its holders.
 const CONNECTIONS_WITHOUT_HOLDER: usize = 2;
 
@@ -404,7 +406,7 @@
         let mut retry_at = now + REFUSED_RETRY_DELAY;
         match reason {
             Refusal::Suspected => self.avoid_database(key),
-            Refusal::NoRoom => {}
+            Refusal::NoRoom => retry_at = now + NO_ROOM_RETRY_DELAY,
             Refusal::NotHolder => {
                 let peer = self.links.links[link].peer.clone();
                 self.links.avoid(now, peer);
--- a/crates/gateway/src/engine/placement.rs
+++ b/crates/gateway/src/engine/placement.rs
@@ -76,6 +76,8 @@
     searches: Vec<FailedSearch>,
     /// Searches for peers' requests, each for one database.
     channels: Vec<(DatabaseName, Option<WorkspaceName>, ConnectionPolicy)>,
+    /// Databases whose slots are all in use.
+    full: Vec<DatabaseName>,
     /// Workspaces without a token left.
     rate_limited: Vec<WorkspaceName>,
 }
@@ -99,6 +101,16 @@
         })
     }
 
+    /// Records that all slots of a database are in use.
+    pub(super) fn add_full(&mut self, database: DatabaseName) {
+        self.full.push(database);
+    }
+
+    /// Whether all slots of a database are in use.
+    pub(super) fn is_full(&self, database: &DatabaseName) -> bool {
+        self.full.contains(database)
+    }
+
     /// Records that there was no room at the database for a peer's request.
     pub(super) fn add_channel(
         &mut self,
@@ -375,6 +387,11 @@
         Some(free.map_or(ConnectionChoice::Channel(holder), ConnectionChoice::Reuse))
     }
 
+    /// Whether the database has a slot that no request of this VM occupies.
+    pub(super) fn has_free_slot(&self, state: &DatabaseState) -> bool {
+        self.pool.running_count(&state.record.name) < state.record.slots.max(1) as usize
+    }
+
     /// Chooses among this VM's own connections to a database, of which it may open `limit`. No more requests
     /// are sent at a time than the database has slots: it would refuse them, and a queue here is in order.
     pub(super) fn choose_own_connection(
@@ -387,7 +404,7 @@
         limit: usize,
     ) -> Option<ConnectionChoice> {
         let name = &state.record.name;
-        if self.pool.running_count(name) >= state.record.slots.max(1) as usize {
+        if !self.has_free_slot(state) {
             return None;
         }
         if let Some(key) = self.pool.best_free(name, None, workspace, variables, prepared) {
--- a/crates/gateway/src/engine/primaries.rs
+++ b/crates/gateway/src/engine/primaries.rs
@@ -176,6 +176,7 @@
             service.suspension = None;
         }
         self.abort_transactions_on_old_primary(name);
+        self.return_waiting_requests(name);
     }
 
     /// Rolls back idle transactions that may write and are open at a database that is no longer the
--- a/crates/gateway/tests/load.rs
+++ b/crates/gateway/tests/load.rs
@@ -148,3 +148,58 @@
     let opened = opened(&world) - before;
     assert!(opened <= 480 + 480 / 4, "{opened} connections for 480 statements");
 }
+
+/// One database of a service is left and gets twice what it can run, through its holder. The database stays
+/// busy, each caller gets an answer or a true refusal in time, and the holder's work does not grow with the
+/// number of waiting requests.
+#[test]
+fn overload_through_a_holder_is_refused_in_time_without_effect() {
+    let run = |sessions: usize| {
+        let mut world = World::unconfigured(8);
+        world.configure(world::catalog(1, 1e6, 16));
+        world.run_for(4_000);
+        let holder = world.holder(0);
+        // With 3 slots and 40 ms for each answer, the database runs at most 75 statements a second.
+        world.delays_ms.insert((Endpoint::Database(0), Endpoint::Vm(holder)), 20);
+        let callers: Vec<_> = (0..sessions)
+            .map(|index| world.open(index % 8, LATEST, if index % 3 == 0 { KEY } else { "key-b" }))
+            .collect();
+        let before = world.engines[holder].counts().searches;
+        let mut sent = vec![0; sessions];
+        let mut began = vec![world.now; sessions];
+        let (mut served, mut refused) = (0, 0);
+        for _ in 0..400 {
+            for (index, caller) in callers.iter().enumerate() {
+                if let Some(response) = world.response(*caller) {
+                    let id = format!("w{index}-{}", sent[index]);
+                    match response.error {
+                        None => served += 1,
+                        Some(ErrorCode::Busy) => {
+                            refused += 1;
+                            let ran = world.group.runs.iter().any(|run| *run.id == *id);
+                            assert!(!ran, "{id} was refused and ran");
+                        }
+                        other => panic!("{id}: {other:?}"),
+                    }
+                } else if sent[index] > 0 {
+                    let waited = world.now.since(began[index]);
+                    assert!(
+                        waited <= DurationUs::from_ms(1_050),
+                        "a caller waits after the timeout"
+                    );
+                    continue;
+                }
+                sent[index] += 1;
+                began[index] = world.now;
+                world.send(*caller, &format!("w{index}-{}", sent[index]), write("1"));
+            }
+            world.run_for(10);
+        }
+        (served, refused, world.engines[holder].counts().searches - before)
+    };
+    let (served, refused, searches) = run(160);
+    assert!(served >= 4 * 75 * 85 / 100, "{served} served");
+    assert!(refused > 0, "not overloaded");
+    let (_, _, few) = run(40);
+    assert!(searches <= 2 * few, "{searches} searches, {few} for a quarter of the callers");
+}
