--- a/crates/gateway/src/engine/callers.rs
+++ b/crates/gateway/src/engine/callers.rs
@@ -284,6 +284,7 @@
             timeout_at: arrived + timeout,
             stage: Stage::Waiting,
             tries: 0,
+            holder: None,
             sent_in_term: Term(0),
             retry_at: self.now,
             unconfirmed: None,
--- a/crates/gateway/src/engine/channels.rs
+++ b/crates/gateway/src/engine/channels.rs
@@ -75,6 +75,11 @@
 }
 
 impl Channels {
+    /// Number of channels.
+    pub(super) fn count(&self) -> usize {
+        self.channels.len()
+    }
+
     /// Whether no request is in progress and no transaction is open.
     pub(super) fn are_idle(&self) -> bool {
         self.channels.values().all(|c| c.current.is_none() && c.upstream.is_none())
@@ -399,6 +404,15 @@
     fn end_channel(&mut self, key: ChannelKey) {
         let Some(channel) = self.channels.channels.get(key) else { return };
         let (link, number) = (channel.link, channel.number);
+        if let Some(current) = &channel.current {
+            let id = match &current.request {
+                UpstreamRequest::Forward { id, .. } => &**id,
+                _ => "-",
+            };
+            let user = self.links.links.get(link).map(|link| link.peer.as_str());
+            info!(self.log, "request of a peer lost"; "id" => id, "user" => user,
+                "database" => %channel.database, "sent" => current.sent);
+        }
         self.close_channel(key);
         self.send_on_link(link, LinkMessage::Lost { channel: number });
     }
--- a/crates/gateway/src/engine/links.rs
+++ b/crates/gateway/src/engine/links.rs
@@ -276,7 +276,15 @@
         let current = session.and_then(|session| session.current.as_ref());
         let wait = current.map_or(DurationUs(0), |current| current.refuse_at.since(self.now));
         let channel = number_of(key);
-        self.counts.forwarded += u64::from(is_for_database(&request));
+        if is_for_database(&request) {
+            self.counts.forwarded += 1;
+            let holder = self.links.links.get(link).map(|link| link.peer.clone());
+            if let Some(User::Session(caller)) = connection.user
+                && let Some(current) = self.sessions[caller].current.as_mut()
+            {
+                current.holder = holder;
+            }
+        }
         self.send_on_link(link, LinkMessage::Request { channel, priority, wait, request });
     }
 
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -219,6 +219,8 @@
     pub rate_limited: u64,
     /// Connections opened to upstreams.
     pub connections_opened: u64,
+    /// Connections that databases refused because too many were open.
+    pub connections_refused: u64,
     /// Statements sent again, to the same or another upstream.
     pub retries: u64,
     /// Reads that replicas answered.
@@ -299,6 +301,13 @@
         (self.sessions.len(), self.waiting.len())
     }
 
+    /// Returns the number of connections to databases, of channels to holders, and of channels that peers have
+    /// opened to this VM.
+    pub fn connections(&self) -> (usize, usize, usize) {
+        let channels = self.pool.connections.values().filter(|c| c.link.is_some()).count();
+        (self.pool.connections.len() - channels, channels, self.channels.count())
+    }
+
     /// Whether this VM can serve new callers; it is what the readiness check reports.
     pub fn is_ready(&self) -> bool {
         self.catalog.generation > 0
--- a/crates/gateway/src/engine/replies.rs
+++ b/crates/gateway/src/engine/replies.rs
@@ -90,7 +90,10 @@
         let others = self.pool.count(&database) - 1;
         if let Some(state) = self.databases.get_mut(&database) {
             match code {
-                ErrorCode::TooMany => state.limit_refusal = Some((others, self.now)),
+                ErrorCode::TooMany => {
+                    self.counts.connections_refused += 1;
+                    state.limit_refusal = Some((others, self.now));
+                }
                 _ => state.retry_at = self.now + REFUSED_RETRY_DELAY,
             }
         }
@@ -185,7 +188,7 @@
         let took = self.now.since(current.arrived);
         self.latencies.errors.record(took);
         info!(self.log, "statement failed"; "id" => &*current.id, "tries" => current.tries,
-            "waited_ms" => took.as_ms());
+            "waited_ms" => took.as_ms(), "holder" => current.holder.as_ref().map(VmName::as_str));
         self.answer_error(key, &current.id, code, reason);
         self.start_queued(key);
     }
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -108,6 +108,8 @@
     pub(crate) stage: Stage,
     /// Number of times that it was sent to an upstream.
     pub(crate) tries: u32,
+    /// The holder that it was last sent through; `None` if it was not sent through one.
+    pub(crate) holder: Option<VmName>,
     /// The service's term when it was last sent.
     pub(crate) sent_in_term: Term,
     /// It is not sent again before this time.
--- a/crates/gateway/tests/holders.rs
+++ b/crates/gateway/tests/holders.rs
@@ -221,3 +221,23 @@
     // Four attempts a second, one at a time, find out whether there is room again.
     assert!(refused <= 36, "{refused} refused connections in 9 s");
 }
+
+/// While a fleet is updated, VMs of the earlier version say nothing of links: they hold no connections for others,
+/// and use those of the other VMs' databases themselves.
+#[test]
+fn vm_of_an_earlier_version_is_no_holder() {
+    let mut world = World::unconfigured(9);
+    let (old, vm) = (world.holder(0), distant_vm(&world));
+    world.vms_without_links.insert(old);
+    world.configure(world::catalog(1, 1e6, LIMIT));
+    world.run_for(4_000);
+    let writer = world.open(vm, LATEST, KEY);
+    for round in 0..5 {
+        assert!(world.query(writer, &format!("w{round}"), write("1")).succeeded());
+    }
+    let (_, _, channels_of_peers) = world.engines[old].connections();
+    assert_eq!(channels_of_peers, 0);
+    assert!(world.forwarded() > 0, "another holder was used");
+    let on_old = world.open(old, LATEST, KEY);
+    assert!(world.query(on_old, "o1", write("1")).succeeded());
+}
--- a/crates/gateway/tests/world/fleet.rs
+++ b/crates/gateway/tests/world/fleet.rs
@@ -21,7 +21,7 @@
             address: vm_address(vm),
             incarnation: Incarnation(0),
             dc: dc(vm),
-            accepts_links: true,
+            accepts_links: !self.vms_without_links.contains(&vm),
         };
         (0..self.engines.len()).map(record).collect()
     }
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -147,6 +147,8 @@
     pub slow_connects_ms: u64,
     /// Number of messages between VMs so far, by sender and receiver.
     pub messages: BTreeMap<(usize, usize), u64>,
+    /// VMs of an earlier version, which accept no links.
+    pub vms_without_links: BTreeSet<usize>,
     /// VMs that can't reach the store.
     pub vms_without_store: BTreeSet<usize>,
     /// Number of failed calls of the store, by VMs of `vms_without_store`.
@@ -278,6 +280,7 @@
             delays_ms: BTreeMap::new(),
             slow_connects_ms: 0,
             messages: BTreeMap::new(),
+            vms_without_links: BTreeSet::new(),
             vms_without_store: BTreeSet::new(),
             failed_store_calls: 0,
             member_list: MemberList::default(),
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -45,6 +45,7 @@
 fn metrics_text(engine: &Engine, lost_datagrams: u64) -> String {
     let counts = engine.counts();
     let (sessions, waiting) = engine.load();
+    let (connections, channels, peer_channels) = engine.connections();
     let latencies = engine.latencies();
     let mut text = String::new();
     for (name, value) in [
@@ -53,6 +54,10 @@
         ("failed_total", counts.failed),
         ("rate_limited_total", counts.rate_limited),
         ("connections_opened_total", counts.connections_opened),
+        ("connections_refused_total", counts.connections_refused),
+        ("forwarded_total", counts.forwarded),
+        ("holder_refusals_total", counts.holder_refusals),
+        ("channel_refusals_total", counts.channel_refusals),
         ("retries_total", counts.retries),
         ("replica_reads_total", counts.replica_reads),
         ("takeovers_total", counts.takeovers),
@@ -60,6 +65,9 @@
         ("lost_datagrams_total", lost_datagrams),
         ("sessions", sessions as u64),
         ("waiting", waiting as u64),
+        ("connections", connections as u64),
+        ("channels", channels as u64),
+        ("peer_channels", peer_channels as u64),
         ("generation", engine.generation()),
         ("witness_step", engine.witness_step()),
     ] {
