Take over what a VM prepared before it was started again

Cause: a suspension is prolonged by reports of the VM that prepares the new term. The next run of that VM learns of it from the others and reports it with the earlier run's number, which counted as prolonging it; and where another VM is the coordinator, that VM took the attempt for alive, since its VM is. The service had no primary until 30 s had passed.

The trace shows VM 1 restart during its attempt for term 3, and VMs 2 to 4 suspended by its earlier run.

Ruled out: holders (the statement never got to one), the lease (gained), the databases (all reachable and the primary of term 2 in place).

Change: reports of a VM that has restarted since do not prolong the suspension, and the coordinator takes it over.

--- a/crates/gateway/src/engine/gossip.rs
+++ b/crates/gateway/src/engine/gossip.rs
@@ -131,9 +131,12 @@
             let (service, primary) = (report.service.clone(), None);
             return self.send_to_vm(from, PeerBody::Decided { service, term, primary });
         }
+        // Only a report of the VM that prepares the term prolongs the suspension. A later run of that VM does
+        // not prepare it, but has learned of it from others.
+        let is_preparing =
+            by == *from && run != UNOWNED_RUN && !self.fleet.has_restarted(from, run);
         match &mut service.suspension {
-            // Only a report of the VM that prepares the term prolongs the suspension.
-            Some(suspension) if suspension.term == term && by == *from && run != UNOWNED_RUN => {
+            Some(suspension) if suspension.term == term && is_preparing => {
                 suspension.since = now;
             }
             Some(suspension) if suspension.term >= term => {}
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -381,6 +381,11 @@
         self.members.iter()
     }
 
+    /// Whether a member is known to have started again since the run.
+    pub(crate) fn has_restarted(&self, vm: &VmName, run: Incarnation) -> bool {
+        self.members.get(vm).is_some_and(|member| member.incarnation > run)
+    }
+
     /// The members that can hold connections for others, with their data centres.
     pub(crate) fn holders(&self) -> impl Iterator<Item = (&VmName, &DcName)> {
         let members = self.members.iter().filter(|(_, member)| member.accepts_links);
--- a/crates/gateway/tests/failover.rs
+++ b/crates/gateway/tests/failover.rs
@@ -463,6 +463,38 @@
     }
 }
 
+/// The VM that replaces a primary loses its state during its attempt. Its next run learns of the suspension from
+/// the others, and must not keep it alive.
+#[test]
+fn attempt_of_a_restarted_vm_is_taken_over() {
+    for after_ms in [0, 100, 200, 300] {
+        let mut world = World::new(5);
+        let a = world.open(3, LATEST, KEY);
+        assert!(world.query(a, "a0", write("1")).succeeded());
+        // The VM that acts in its place is not the one to act after its return.
+        world.freeze(0);
+        world.cut_database_from_vms(0);
+        for round in 0..500 {
+            if world.engines.iter().any(|engine| engine.counts().takeovers > 0) {
+                break;
+            }
+            if world.response(a).is_some() {
+                world.send(a, &format!("lost{round}"), write("1"));
+            }
+            world.run_for(10);
+        }
+        let by = world.engines.iter().position(|engine| engine.counts().takeovers > 0);
+        world.run_for(after_ms);
+        world.thaw(0);
+        let by = by.expect("a VM that replaces the primary");
+        world.restart(by, world::catalog(1, 1e6, 100));
+        world.run_for(7_000);
+        let b = world.open((by + 1) % 5, LATEST, KEY);
+        let response = world.query(b, "b0", write("1"));
+        assert!(response.succeeded(), "restarted after {after_ms} ms: {response:?}");
+    }
+}
+
 /// Guards against an attempt that hangs because the store refuses calls of the VM that would be the
 /// coordinator, but serves other VMs.
 fn check_replaced_while_the_store_refuses_some(make_due: impl Fn(&mut World)) {
