Send heartbeats more often until the first lease

Cause: after a loss of all VMs, callers wait for leases.

Ruled out: the store (configuration and list after 30 ms), the promotions recorded there (read by then), the primaries (known after 100 ms).

Change: a VM that has just started sends heartbeats every 60 ms until its first lease.

Test: leases_are_there_soon_after_all_vms_have_restarted, 7 of 12 VMs without a lease before, none after.

--- a/crates/gateway/src/engine/gossip.rs
+++ b/crates/gateway/src/engine/gossip.rs
@@ -14,6 +14,8 @@
     },
 };
 
+/// Time between two heartbeats of a VM that has just started and waits for its first lease: callers wait, too.
+const FIRST_HEARTBEAT_PERIOD: DurationUs = DurationUs::from_ms(60);
 /// Shortest time between two fetches of a newer configuration or list from a peer.
 const FETCH_INTERVAL: DurationUs = DurationUs::from_ms(200);
 /// One heartbeat in this many names the primary of every service, for VMs that have just started.
@@ -152,7 +154,9 @@
     /// needs what this VM has to report.
     pub(super) fn send_heartbeats(&mut self) {
         let now = self.now;
-        self.next_heartbeat_at = now + HEARTBEAT_PERIOD;
+        let awaits_first_lease = !self.has_lease() && self.is_starting();
+        let period = if awaits_first_lease { FIRST_HEARTBEAT_PERIOD } else { HEARTBEAT_PERIOD };
+        self.next_heartbeat_at = now + period;
         self.heartbeats += 1;
         let nearest = self.fleet.nearest_witness(now, |dc| self.distance(dc)).cloned();
         let demands = self.rates.demands(now);
--- a/crates/gateway/tests/hierarchy.rs
+++ b/crates/gateway/tests/hierarchy.rs
@@ -142,3 +142,19 @@
         assert!(now.contains(&spare) && !now.contains(&lost), "{spare} for {lost}: {now:?}");
     }
 }
+
+/// After all VMs were lost, callers wait for the first leases. Once the VMs know each other, these have to be
+/// there within a heartbeat period, not after several.
+#[test]
+fn leases_are_there_soon_after_all_vms_have_restarted() {
+    let mut world = world();
+    let vms = world.engines.len();
+    (0..vms).for_each(|vm| world.restart(vm, world::catalog(1, 1e6, 100)));
+    let now = world.now;
+    for engine in &mut world.engines {
+        engine.set_intents(now, Vec::new());
+    }
+    world.run_for(HEARTBEAT_PERIOD.as_ms());
+    let waiting = world.engines.iter().filter(|engine| !engine.is_ready()).count();
+    assert_eq!(waiting, 0, "{waiting} of {vms} VMs have no lease");
+}
