--- a/crates/gateway/src/engine/channels.rs
+++ b/crates/gateway/src/engine/channels.rs
@@ -6,6 +6,7 @@
 
 use model::prelude::*;
 use slog::info;
+use slotmap::{SlotMap, new_key_type};
 
 use super::{
     Engine, Waiter,
@@ -24,7 +25,7 @@
     session::SessionVariables,
 };
 
-slotmap::new_key_type! {
+new_key_type! {
     /// Key of a peer's channel.
     pub(crate) struct ChannelKey;
 }
@@ -70,19 +71,19 @@
 /// All channels of peers.
 #[derive(Debug, Default)]
 pub(super) struct Channels {
-    channels: slotmap::SlotMap<ChannelKey, Channel>,
+    all: SlotMap<ChannelKey, Channel>,
     by_number: FxHashMap<(LinkKey, ChannelNumber), ChannelKey>,
 }
 
 impl Channels {
     /// Number of channels.
     pub(super) fn count(&self) -> usize {
-        self.channels.len()
+        self.all.len()
     }
 
     /// Whether no request is in progress and no transaction is open.
     pub(super) fn are_idle(&self) -> bool {
-        self.channels.values().all(|c| c.current.is_none() && c.upstream.is_none())
+        self.all.values().all(|c| c.current.is_none() && c.upstream.is_none())
     }
 }
 
@@ -101,7 +102,7 @@
                     upstream: None,
                     current: None,
                 };
-                let key = self.channels.channels.insert(channel);
+                let key = self.channels.all.insert(channel);
                 self.channels.by_number.insert((link, number), key);
             }
             LinkMessage::Request { channel, priority, wait, request } => {
@@ -134,7 +135,7 @@
         request: UpstreamRequest,
     ) {
         let now = self.now;
-        let channel = &mut self.channels.channels[key];
+        let channel = &mut self.channels.all[key];
         match request {
             UpstreamRequest::Set { name, value } => drop(channel.variables.insert(name, value)),
             UpstreamRequest::Prepare { key, statement } => {
@@ -182,7 +183,7 @@
 
     /// Returns the sort key of a channel's waiting request.
     pub(super) fn channel_order(&self, key: ChannelKey) -> (u32, MonoTime) {
-        let current = self.channels.channels.get(key).and_then(|c| c.current.as_ref());
+        let current = self.channels.all.get(key).and_then(|c| c.current.as_ref());
         match current {
             Some(current) => queue::sort_key(current.priority, current.refuse_at),
             None => (u32::MAX, self.now),
@@ -197,7 +198,7 @@
         failures: &mut FailedSearches,
     ) -> bool {
         let now = self.now;
-        let Some(channel) = self.channels.channels.get(key) else { return true };
+        let Some(channel) = self.channels.all.get(key) else { return true };
         let Some(current) = channel.current.as_ref().filter(|c| !c.sent) else { return true };
         if channel.upstream.is_some() {
             return true;
@@ -233,7 +234,7 @@
             return false;
         }
         let prepared = self.channel_prepared(key).map(|(key, _)| key);
-        let channel = &self.channels.channels[key];
+        let channel = &self.channels.all[key];
         let state = &self.databases[&database];
         self.counts.searches += 1;
         let choice = self.choose_own_connection(
@@ -268,12 +269,12 @@
 
     fn occupy(&mut self, key: ChannelKey, upstream: UpstreamKey) {
         self.pool.connections[upstream].user = Some(User::Channel(key));
-        self.channels.channels[key].upstream = Some(upstream);
+        self.channels.all[key].upstream = Some(upstream);
     }
 
     /// Returns the prepared statement that a channel's request executes, with this VM's key for it.
     fn channel_prepared(&mut self, key: ChannelKey) -> Option<(PreparedKey, PreparedStatement)> {
-        let channel = &self.channels.channels[key];
+        let channel = &self.channels.all[key];
         let UpstreamRequest::Forward { statement, .. } = &channel.current.as_ref()?.request else {
             return None;
         };
@@ -285,7 +286,7 @@
     /// Sends a channel's request on the connection that it occupies.
     pub(super) fn start_channel_on(&mut self, key: ChannelKey, upstream: UpstreamKey) {
         let prepared = self.channel_prepared(key);
-        let channel = self.channels.channels.get_mut(key);
+        let channel = self.channels.all.get_mut(key);
         let Some(channel) = channel.filter(|channel| channel.upstream == Some(upstream)) else {
             return self.free(upstream);
         };
@@ -328,7 +329,7 @@
         position: Option<Position>,
     ) {
         let now = self.now;
-        let Some(channel) = self.channels.channels.get_mut(key) else { return };
+        let Some(channel) = self.channels.all.get_mut(key) else { return };
         let Some(current) = channel.current.take() else { return };
         let code = match &done.outcome {
             Some(Reply::Error { code, .. }) => Some(*code),
@@ -360,7 +361,7 @@
     }
 
     fn refuse_channel_request(&mut self, key: ChannelKey, reason: Refusal) {
-        let channel = &mut self.channels.channels[key];
+        let channel = &mut self.channels.all[key];
         channel.current = None;
         let (link, number) = (channel.link, channel.number);
         self.counts.channel_refusals += 1;
@@ -369,7 +370,7 @@
 
     /// Returns requests that wait for databases of a service to their peers, because its primary has changed.
     pub(super) fn return_waiting_requests(&mut self, service: &ServiceName) {
-        let waiting = self.channels.channels.iter().filter(|(_, channel)| {
+        let waiting = self.channels.all.iter().filter(|(_, channel)| {
             let state = self.databases.get(&channel.database);
             channel.current.as_ref().is_some_and(|current| !current.sent)
                 && channel.upstream.is_none()
@@ -383,7 +384,7 @@
 
     /// Has a channel's request wait again, after its connection was refused.
     pub(super) fn requeue_channel(&mut self, key: ChannelKey) {
-        if let Some(channel) = self.channels.channels.get_mut(key) {
+        if let Some(channel) = self.channels.all.get_mut(key) {
             channel.upstream = None;
             self.waiting.push(Waiter::Channel(key));
         }
@@ -392,7 +393,7 @@
     /// Decides on a channel whose connection was lost: a request that was not sent waits again, otherwise
     /// the channel ends.
     pub(super) fn settle_lost_channel(&mut self, key: ChannelKey) {
-        let Some(channel) = self.channels.channels.get_mut(key) else { return };
+        let Some(channel) = self.channels.all.get_mut(key) else { return };
         channel.upstream = None;
         match &channel.current {
             Some(current) if !current.sent => self.waiting.push(Waiter::Channel(key)),
@@ -402,14 +403,14 @@
 
     /// Ends a channel and tells the peer that its connection was lost.
     fn end_channel(&mut self, key: ChannelKey) {
-        let Some(channel) = self.channels.channels.get(key) else { return };
+        let Some(channel) = self.channels.all.get(key) else { return };
         let (link, number) = (channel.link, channel.number);
         if let Some(current) = &channel.current {
             let id = match &current.request {
                 UpstreamRequest::Forward { id, .. } => &**id,
                 _ => "-",
             };
-            let user = self.links.links.get(link).map(|link| link.peer.as_str());
+            let user = self.links.all.get(link).map(|link| link.peer.as_str());
             info!(self.log, "request of a peer lost"; "id" => id, "user" => user,
                 "database" => %channel.database, "sent" => current.sent);
         }
@@ -420,7 +421,7 @@
     /// Removes a channel. Its transaction is rolled back; a connection with a request in progress is
     /// closed, since a late answer could be taken for that of its next user.
     fn close_channel(&mut self, key: ChannelKey) {
-        let Some(channel) = self.channels.channels.remove(key) else { return };
+        let Some(channel) = self.channels.all.remove(key) else { return };
         self.channels.by_number.remove(&(channel.link, channel.number));
         let Some(upstream) = channel.upstream else { return };
         match channel.current {
@@ -433,7 +434,7 @@
 
     /// Removes the channels of a link that has ended.
     pub(super) fn close_channels_of(&mut self, link: LinkKey) {
-        let channels = self.channels.channels.iter().filter(|(_, c)| c.link == link);
+        let channels = self.channels.all.iter().filter(|(_, c)| c.link == link);
         let channels: Vec<ChannelKey> = channels.map(|(key, _)| key).collect();
         for key in channels {
             self.close_channel(key);
@@ -442,7 +443,7 @@
 
     /// Ends channels with an open transaction and no request in progress, because this VM is stopping.
     pub(super) fn end_idle_channel_transactions(&mut self) {
-        let open = self.channels.channels.iter();
+        let open = self.channels.all.iter();
         let open = open.filter(|(_, c)| c.upstream.is_some() && c.current.is_none());
         let open: Vec<ChannelKey> = open.map(|(key, _)| key).collect();
         for key in open {
@@ -452,7 +453,7 @@
 
     /// Tells a peer that the database owes its channel an answer and is silent.
     pub(super) fn report_silence(&mut self, key: ChannelKey) {
-        let Some(channel) = self.channels.channels.get(key) else { return };
+        let Some(channel) = self.channels.all.get(key) else { return };
         let (link, number) = (channel.link, channel.number);
         self.send_on_link(link, LinkMessage::Silent { channel: number });
     }
@@ -461,8 +462,8 @@
     pub(super) fn reassure_users(&mut self) {
         let now = self.now;
         let mut quiet: Vec<LinkKey> = Vec::new();
-        for channel in self.channels.channels.values().filter(|c| c.current.is_some()) {
-            let link = self.links.links.get(channel.link);
+        for channel in self.channels.all.values().filter(|c| c.current.is_some()) {
+            let link = self.links.all.get(channel.link);
             let is_quiet = link.is_some_and(|link| {
                 link.role == LinkRole::Holder && now.since(link.last_sent) >= ALIVE_INTERVAL
             });
--- a/crates/gateway/src/engine/links.rs
+++ b/crates/gateway/src/engine/links.rs
@@ -5,6 +5,7 @@
 
 use model::prelude::*;
 use slog::info;
+use slotmap::SlotMap;
 
 use super::{DatabaseState, Engine, Waiter};
 use crate::{
@@ -67,7 +68,7 @@
 /// All links of this VM.
 #[derive(Debug, Default)]
 pub(super) struct Links {
-    pub(super) links: slotmap::SlotMap<LinkKey, Link>,
+    pub(super) all: SlotMap<LinkKey, Link>,
     /// The link to each holder.
     to: FxHashMap<VmName, LinkKey>,
     /// Holders that were not reached: until when each is avoided, and how long the period is.
@@ -84,7 +85,7 @@
 
     /// Whether new work may be sent to a holder.
     fn is_usable(&self, now: MonoTime, vm: &VmName) -> bool {
-        let link = self.to(vm).and_then(|key| self.links.get(key));
+        let link = self.to(vm).and_then(|key| self.all.get(key));
         let avoided = self.avoided.get(vm).is_some_and(|(until, _)| *until > now);
         !avoided && link.is_none_or(|link| !link.is_leaving && !link.is_silent)
     }
@@ -200,7 +201,7 @@
     ) -> Option<UpstreamKey> {
         let now = self.now;
         let link = self.link_to(holder)?;
-        let started = self.links.links[link].is_open;
+        let started = self.links.all[link].is_open;
         let start = PendingReply {
             kind: PendingKind::Start,
             sent_at: now,
@@ -243,7 +244,7 @@
 
     fn insert_link(&mut self, peer: VmName, role: LinkRole, is_open: bool) -> LinkKey {
         let now = self.now;
-        self.links.links.insert(Link {
+        self.links.all.insert(Link {
             peer,
             role,
             is_open,
@@ -257,7 +258,7 @@
 
     /// Sends a message on a link. Messages before it has opened are sent once it has.
     pub(super) fn send_on_link(&mut self, link: LinkKey, message: LinkMessage) {
-        if let Some(state) = self.links.links.get_mut(link) {
+        if let Some(state) = self.links.all.get_mut(link) {
             state.last_sent = self.now;
             self.effects.push(Effect::ToLink(link, message));
         }
@@ -278,7 +279,7 @@
         let channel = number_of(key);
         if is_for_database(&request) {
             self.counts.forwarded += 1;
-            let holder = self.links.links.get(link).map(|link| link.peer.clone());
+            let holder = self.links.all.get(link).map(|link| link.peer.clone());
             if let Some(User::Session(caller)) = connection.user
                 && let Some(current) = self.sessions[caller].current.as_mut()
             {
@@ -316,7 +317,7 @@
     /// are sent.
     pub fn link_opened(&mut self, now: MonoTime, link: LinkKey) {
         self.now = now;
-        let Some(state) = self.links.links.get_mut(link) else { return };
+        let Some(state) = self.links.all.get_mut(link) else { return };
         state.is_open = true;
         state.is_silent = false;
         state.last_heard = now;
@@ -331,7 +332,7 @@
     /// Handles a message on a link.
     pub fn link_message(&mut self, now: MonoTime, link: LinkKey, message: LinkMessage) {
         self.now = now;
-        let Some(state) = self.links.links.get_mut(link) else { return };
+        let Some(state) = self.links.all.get_mut(link) else { return };
         state.last_heard = now;
         if std::mem::take(&mut state.is_silent) {
             info!(self.log, "holder answers again"; "holder" => %state.peer);
@@ -387,7 +388,7 @@
     }
 
     fn lose_link(&mut self, link: LinkKey, reason: &str) {
-        let Some(state) = self.links.links.remove(link) else { return };
+        let Some(state) = self.links.all.remove(link) else { return };
         self.effects.push(Effect::CloseLink(link));
         if state.role == LinkRole::Holder {
             return self.close_channels_of(link);
@@ -416,7 +417,7 @@
             Refusal::Suspected => self.avoid_database(key),
             Refusal::NoRoom => retry_at = now + NO_ROOM_RETRY_DELAY,
             Refusal::NotHolder => {
-                let peer = self.links.links[link].peer.clone();
+                let peer = self.links.all[link].peer.clone();
                 self.links.avoid(now, peer);
                 retry_at = now;
             }
@@ -447,10 +448,10 @@
                 *sent_at = (*sent_at).min(pending.sent_at);
             }
         }
-        let users = self.links.links.iter().filter(|(_, link)| link.role == LinkRole::User);
+        let users = self.links.all.iter().filter(|(_, link)| link.role == LinkRole::User);
         let users: Vec<LinkKey> = users.map(|(key, _)| key).collect();
         for key in users {
-            let link = &mut self.links.links[key];
+            let link = &mut self.links.all[key];
             let silent_since = oldest.get(&key).map(|sent_at| link.last_heard.max(*sent_at));
             let silent = silent_since.map_or(DurationUs(0), |since| now.since(since));
             let (patience, limit) = match link.is_open {
@@ -497,7 +498,7 @@
 
     /// Tells the VMs that use this VM's connections that it is stopping.
     pub(super) fn announce_leaving(&mut self) {
-        let users = self.links.links.iter().filter(|(_, link)| link.role == LinkRole::Holder);
+        let users = self.links.all.iter().filter(|(_, link)| link.role == LinkRole::Holder);
         let users: Vec<LinkKey> = users.map(|(key, _)| key).collect();
         for link in users {
             self.send_on_link(link, LinkMessage::Leaving);
