Leave a failover to the VM that carries it out, also when another is the coordinator

Cause: while the store is slow, its calls fail for the coordinator, and another VM becomes the coordinator in the middle of a failover. It saw a leaving primary and began an attempt of its own for the same term. Both requested a promotion: the first one's took effect, all VMs used the new primary, and then the second one's gave the lead to another database. Writes were acknowledged by the first.

Ruled out: holders (the commit ran where the caller's VM sent it, under a lease), leases (the VM had heard of the term), a stale answer (it was acknowledged 13 ms after it ran).

Change: a VM starts no attempt while it has suspended the primary for another VM's, unless that VM is gone, has restarted, or nothing was heard of it for 1.5 s. Only the VM that asked last for a suspension can give it up; an earlier one's message ended it before.

Test: coordinator_leaves_a_promotion_under_way_to_the_vm_that_requested_it, two promotions before, one after.

--- a/crates/gateway/src/engine/failovers.rs
+++ b/crates/gateway/src/engine/failovers.rs
@@ -70,6 +70,10 @@
         if self.is_orphaned(service) {
             return Some(PrimaryAction::Replace { planned: false });
         }
+        if service.suspension.is_some() {
+            // The VM that asked for it may have requested a promotion, which a second one would undo.
+            return None;
+        }
         let Some(primary) = service.primary.as_ref().and_then(|name| self.databases.get(name))
         else {
             let lasted = service.no_primary_since.map(|since| self.now.since(since));
@@ -274,7 +278,8 @@
         if let Some(service) = self.services.get_mut(&attempt.service) {
             service.next_failover_at = self.now + failover::ATTEMPT_RETRY_DELAY;
         }
-        self.handle_decision(&attempt.service, attempt.term, None);
+        let me = self.id.vm.clone();
+        self.handle_decision(&attempt.service, attempt.term, None, &me);
         let (service, term) = (attempt.service, attempt.term);
         self.broadcast(PeerBody::Decided { service, term, primary: None });
     }
--- a/crates/gateway/src/engine/gossip.rs
+++ b/crates/gateway/src/engine/gossip.rs
@@ -60,7 +60,7 @@
                 self.advance_failovers();
             }
             PeerBody::Decided { service, term, primary } => {
-                self.handle_decision(&service, term, primary)
+                self.handle_decision(&service, term, primary, &from)
             }
         }
         self.settle_unconfirmed();
--- a/crates/gateway/src/engine/suspensions.rs
+++ b/crates/gateway/src/engine/suspensions.rs
@@ -41,6 +41,10 @@
             let service = name.clone();
             return self.send_to_vm(by, PeerBody::Decided { service, term: known, primary });
         }
+        if let Some(suspension) = service.suspension.as_mut().filter(|s| s.term == term) {
+            // Whoever asked last took the attempt over.
+            (suspension.by, suspension.run, suspension.since) = (by.clone(), run, now);
+        }
         match &service.suspension {
             Some(suspension) if suspension.term >= term && suspension.confirmed => {}
             Some(suspension) if suspension.term >= term => return,
@@ -122,19 +126,21 @@
     }
 
     /// Ends the suspension for a term: the term begins with the primary, or is given up where that is
-    /// `None`.
+    /// `None`. Only the VM that asked for the suspension can give the term up.
     pub(super) fn handle_decision(
         &mut self,
         name: &ServiceName,
         term: Term,
         primary: Option<DatabaseName>,
+        from: &VmName,
     ) {
         if primary.is_some() {
             self.begin_term(name, term, primary, "announced by a peer");
             return;
         }
         let Some(service) = self.services.get_mut(name) else { return };
-        if service.suspension.as_ref().is_some_and(|suspension| suspension.term == term) {
+        let suspension = service.suspension.as_ref();
+        if suspension.is_some_and(|suspension| suspension.term == term && suspension.by == *from) {
             info!(self.log, "primary in use again"; "service" => %name, "term" => service.term.0);
             service.suspension = None;
         }
--- a/crates/gateway/tests/failover.rs
+++ b/crates/gateway/tests/failover.rs
@@ -650,3 +650,30 @@
         assert!(response.succeeded(), "cut after {cut_after_ms} ms: {response:?}");
     }
 }
+
+/// The VM that replaces a leaving primary loses the store after it has requested the promotion, so another VM is the
+/// coordinator. A second promotion, of another database, would take the lead from the first one while VMs use it.
+#[test]
+fn coordinator_leaves_a_promotion_under_way_to_the_vm_that_requested_it() {
+    for after_ms in [0, 20, 50, 100, 200, 250] {
+        let mut world = World::new(5);
+        let a = world.open(3, LATEST, KEY);
+        assert!(world.query(a, "a0", write("1")).succeeded());
+        world.databases[0].leaving = true;
+        world.publish_databases(2);
+        for _ in 0..300 {
+            if !world.promotion_requests.is_empty() {
+                break;
+            }
+            world.run_for(10);
+        }
+        let (by, _) = world.promotion_requests[0];
+        world.run_for(after_ms);
+        let now = world.now;
+        world.vms_without_store.insert(by);
+        world.engines[by].note_store_result(now, false);
+        world.run_for(4_000);
+        assert_eq!(world.promotion_requests.len(), 1, "store lost after {after_ms} ms");
+        assert!(world.query(a, "a1", write("1")).succeeded());
+    }
+}
