--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -161,7 +161,7 @@
     /// The regular report of the sender.
     Heartbeat(Heartbeat),
     /// A database refused the sender a connection because it has too many: the receiver closes one
-    /// that it does not use.
+    /// that it does not use. Sent by versions without holders.
     Short {
         /// The database that refused the connection.
         database: DatabaseName,
