Give planned changes of a primary their time limit on all VMs

Cause: a suspension's one time stood for when it began and for when the VM that prepares the term was last heard. Where most witnesses had an idle transaction, the change was given up after 2.7 s and made once the transactions' own limit of 3 s had ended them.

Change: two times, began_at and heard_at.

Test: planned_change_does_not_wait_for_idle_transactions_for_ever.

--- a/crates/gateway/src/engine/failovers.rs
+++ b/crates/gateway/src/engine/failovers.rs
@@ -104,15 +104,15 @@
         }
     }
 
-    /// Whether the VM that prepared a new term is gone, or knows nothing of it since it has restarted. It may have requested a promotion, so the
-    /// failover has to be completed.
+    /// Whether the VM that prepared a new term is gone, or knows nothing of it since it has restarted. It may
+    /// have requested a promotion, so the failover has to be completed.
     fn is_orphaned(&self, service: &ServiceState) -> bool {
         let Some(suspension) = &service.suspension else { return false };
         let is_unowned = suspension.by == self.id.vm
             || suspension.run == UNOWNED_RUN
             || self.fleet.has_restarted(&suspension.by, suspension.run);
         suspension.confirmed
-            && self.now.since(suspension.since) >= ORPHANED_SUSPENSION_AFTER
+            && self.now.since(suspension.heard_at) >= ORPHANED_SUSPENSION_AFTER
             && (is_unowned || !self.fleet.is_live(self.now, &suspension.by))
     }
 
--- a/crates/gateway/src/engine/gossip.rs
+++ b/crates/gateway/src/engine/gossip.rs
@@ -139,12 +139,18 @@
             by == *from && run != UNOWNED_RUN && !self.fleet.has_restarted(from, run);
         match &mut service.suspension {
             Some(suspension) if suspension.term == term && is_preparing => {
-                suspension.since = now;
+                suspension.heard_at = now;
             }
             Some(suspension) if suspension.term >= term => {}
             _ if term > service.term => {
-                service.suspension =
-                    Some(Suspension { term, by, run, since: now, confirmed: true });
+                service.suspension = Some(Suspension {
+                    term,
+                    by,
+                    run,
+                    began_at: now,
+                    heard_at: now,
+                    confirmed: true,
+                });
             }
             _ => {}
         }
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -136,8 +136,10 @@
     pub(crate) by: VmName,
     /// Incarnation of that VM.
     pub(crate) run: Incarnation,
-    /// When it began, or when that VM last reported that it still prepares the term.
-    pub(crate) since: MonoTime,
+    /// When this VM suspended the primary.
+    pub(crate) began_at: MonoTime,
+    /// When that VM last asked for the suspension or reported that it still prepares the term.
+    pub(crate) heard_at: MonoTime,
     /// Whether this VM has confirmed the suspension; from then on it also holds back answers of the
     /// primary. A planned suspension is confirmed only once the statements in progress have ended.
     pub(crate) confirmed: bool,
--- a/crates/gateway/src/engine/primaries.rs
+++ b/crates/gateway/src/engine/primaries.rs
@@ -167,7 +167,7 @@
         }
         info!(self.log, "term began"; "service" => %name, "term" => term.0,
             "before" => service.term.0, "primary" => ?primary, "reason" => reason,
-            "stopped_ms" => service.suspension.as_ref().map(|s| now.since(s.since).as_ms()));
+            "stopped_ms" => service.suspension.as_ref().map(|s| now.since(s.began_at).as_ms()));
         service.term = term;
         service.term_since = now;
         service.primary = primary;
--- a/crates/gateway/src/engine/suspensions.rs
+++ b/crates/gateway/src/engine/suspensions.rs
@@ -43,7 +43,7 @@
         }
         if let Some(suspension) = service.suspension.as_mut().filter(|s| s.term == term) {
             // Whoever asked last took the attempt over.
-            (suspension.by, suspension.run, suspension.since) = (by.clone(), run, now);
+            (suspension.by, suspension.run, suspension.heard_at) = (by.clone(), run, now);
         }
         match &service.suspension {
             Some(suspension) if suspension.term >= term && suspension.confirmed => {}
@@ -53,7 +53,8 @@
                     "planned" => planned, "by" => %by);
                 let confirmed = !planned;
                 let by = by.clone();
-                service.suspension = Some(Suspension { term, by, run, since: now, confirmed });
+                service.suspension =
+                    Some(Suspension { term, by, run, began_at: now, heard_at: now, confirmed });
             }
         }
         self.confirm_drained_suspensions();
@@ -82,7 +83,7 @@
             });
             if !busy {
                 confirmed.push(name.clone());
-            } else if now.since(suspension.since) >= failover::PLANNED_SUSPEND_TIMEOUT {
+            } else if now.since(suspension.began_at) >= failover::PLANNED_SUSPEND_TIMEOUT {
                 overdue.push((name.clone(), primary.clone()));
             }
         }
@@ -153,7 +154,7 @@
             let is_old = service
                 .suspension
                 .as_ref()
-                .is_some_and(|s| now.since(s.since) >= SUSPENSION_TIMEOUT);
+                .is_some_and(|s| now.since(s.heard_at) >= SUSPENSION_TIMEOUT);
             if is_old {
                 warn!(self.log, "suspension ended without an outcome"; "service" => %name,
                     "term" => service.term.0);
@@ -177,8 +178,14 @@
             if term > service.term && service.suspension.is_none() {
                 info!(self.log, "promotion may be under way"; "service" => %name, "term" => term.0);
                 let run = UNOWNED_RUN;
-                service.suspension =
-                    Some(Suspension { term, by, run, since: now, confirmed: true });
+                service.suspension = Some(Suspension {
+                    term,
+                    by,
+                    run,
+                    began_at: now,
+                    heard_at: now,
+                    confirmed: true,
+                });
             }
         }
     }
--- a/crates/gateway/tests/failover.rs
+++ b/crates/gateway/tests/failover.rs
@@ -5,6 +5,7 @@
 
 use gateway::{
     PromotionIntent,
+    failover::PLANNED_SUSPEND_TIMEOUT,
     message::{Access, ErrorCode, Statement},
     peers::LEASE_DURATION,
 };
@@ -677,3 +678,24 @@
         assert!(world.query(a, "a1", write("1")).succeeded());
     }
 }
+
+/// Transactions that their callers don't end are rolled back once a planned change has waited long enough, however
+/// often the VM that carries the change out repeats its request. They are open on most witnesses, whose
+/// confirmations the change needs.
+#[test]
+fn planned_change_does_not_wait_for_idle_transactions_for_ever() {
+    let mut world = World::new(5);
+    let callers: Vec<_> = (0..5).map(|vm| world.open(vm, LATEST, KEY)).collect();
+    for (index, caller) in callers.iter().enumerate() {
+        assert!(world.query(*caller, &format!("b{index}"), begin(Access::Write)).succeeded());
+        assert!(world.query(*caller, &format!("w{index}"), write("1")).succeeded());
+    }
+    world.databases[0].leaving = true;
+    world.publish_databases(2);
+    world.run_for(PLANNED_SUSPEND_TIMEOUT.as_ms() + 1_000);
+    assert_eq!(world.promotions.len(), 1);
+    for (index, caller) in callers.iter().enumerate() {
+        let response = world.query(*caller, &format!("c{index}"), Statement::Commit);
+        assert_eq!(response.error, Some(ErrorCode::Aborted));
+    }
+}
