Keep the holders' shares within a very low limit

Cause: each holder's share was at least one connection. Found by reading.

Change: the second and third holder get their percentages, at least one where the limit allows, and the first one the rest. It gains the connection that rounding lost.

Test: shares_never_exceed_the_limit for 1 to 300 connections and 1 to 3 holders, [1, 1] of 1 before.

--- a/crates/gateway/src/holders.rs
+++ b/crates/gateway/src/holders.rs
@@ -15,8 +15,8 @@
 /// Percentage of a database's connections that is left free: for connections of VMs that died, which
 /// the database has not noticed yet, and for VMs that reach no holder.
 const RESERVE_PERCENT: usize = 10;
-/// Percentages of the other connections for the first, second and third holder.
-const SHARE_PERCENT: [usize; HOLDERS_MAX] = [70, 20, 10];
+/// Percentages of the other connections for the second and third holder. The rest is for the first.
+const RESERVE_SHARE_PERCENT: [usize; HOLDERS_MAX - 1] = [20, 10];
 
 /// Returns the holders of a database among `candidates`, the first choice first.
 ///
@@ -33,11 +33,17 @@
 }
 
 /// Returns how many connections the holder of a rank may open to a database that accepts `limit`, where
-/// there are `holders` of them.
+/// there are `holders` of them. The shares of all ranks never exceed the limit; where it is below the
+/// number of holders, the last ones have none.
 pub fn share(limit: usize, holders: usize, rank: usize) -> usize {
     let shared = limit - limit * RESERVE_PERCENT / 100;
-    let percent = |rank: usize| SHARE_PERCENT.get(rank).copied().unwrap_or(0);
-    let later: usize = (holders..HOLDERS_MAX).map(percent).sum();
-    let own = percent(rank) + if rank == 0 { later } else { 0 };
-    (shared * own / 100).max(1)
+    let later_share = |rank: usize| match rank < holders.min(shared) {
+        true => (shared * RESERVE_SHARE_PERCENT[rank - 1] / 100).max(1),
+        false => 0,
+    };
+    match rank {
+        0 => shared - (1..HOLDERS_MAX).map(later_share).sum::<usize>(),
+        1..HOLDERS_MAX => later_share(rank),
+        _ => 0,
+    }
 }
--- a/crates/gateway/tests/holders.rs
+++ b/crates/gateway/tests/holders.rs
@@ -2,7 +2,10 @@
 
 mod world;
 
-use gateway::message::{Access, ErrorCode, Statement};
+use gateway::{
+    holders,
+    message::{Access, ErrorCode, Statement},
+};
 use model::prelude::*;
 use world::{BOUNDED, Caller, Endpoint, KEY, LATEST, World, begin, read, write};
 
@@ -37,6 +40,19 @@
     (0..world.engines.len()).find(|vm| world::dc(*vm) != world::dc(0)).expect("another data centre")
 }
 
+/// Whatever the limit, all holders together must stay within it, and the first one must have a connection.
+#[test]
+fn shares_never_exceed_the_limit() {
+    for limit in 1..=300 {
+        for count in 1..=holders::HOLDERS_MAX {
+            let shares: Vec<usize> =
+                (0..count).map(|rank| holders::share(limit, count, rank)).collect();
+            assert!(shares[0] >= 1, "{shares:?} of {limit}");
+            assert!(shares.iter().sum::<usize>() <= limit, "{shares:?} of {limit}");
+        }
+    }
+}
+
 /// With more VMs than a database has connections, and both workspaces on every VM, the limit is kept, and the
 /// open connections are used again.
 #[test]
