Send heartbeats also to local witnesses that have missed one

Cause: a VM that is no witness sent heartbeats only to those witnesses of its data centre that had answered it within 450 ms. A witness that did not answer the first heartbeat, because it had read the set of witnesses some milliseconds later, or that was cut off for half a second while another one answered, never got one again. It took the VM for silent: it did not make it a witness, and after 20 s it would have removed it from the list.

Ruled out: the store (no failed call in the logs), leases (no VM lost its own), a witness set that is not in use (all witnesses had it within 250 ms).

Change: as long as one witness of the data centre answers, all of them get heartbeats; if none does, all witnesses.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -166,20 +166,21 @@
             .map(|(vm, _)| vm)
     }
 
-    /// The witnesses that this VM sends heartbeats to: those of its own data centre that answer, or
-    /// all if this VM is a witness itself or none of its data centre answers.
+    /// The witnesses that this VM sends heartbeats to: those of its own data centre, or all if this VM
+    /// is a witness itself or none of its data centre answers.
     pub(crate) fn heartbeat_targets(&self, now: MonoTime) -> Vec<VmName> {
         let others = self.other_witnesses();
-        let near = others.clone().filter(|(_, member)| {
-            let answers =
-                member.last_contact.is_some_and(|at| now.since(at) < LOCAL_WITNESS_TIMEOUT);
-            member.dc == self.dc && answers && !member.stopping
-        });
-        let near: Vec<VmName> = near.map(|(vm, _)| vm.clone()).collect();
-        if near.is_empty() || self.self_is_witness() {
-            return others.map(|(vm, _)| vm.clone()).collect();
+        let near = others.clone().filter(|(_, member)| member.dc == self.dc && !member.stopping);
+        let answers = |member: &Member| {
+            member.last_contact.is_some_and(|at| now.since(at) < LOCAL_WITNESS_TIMEOUT)
+        };
+        let names = |(vm, _): (&VmName, &Member)| vm.clone();
+        if self.self_is_witness() || !near.clone().any(|(_, member)| answers(member)) {
+            return others.map(names).collect();
         }
-        near
+        // Those that don't answer, too: one that has missed a heartbeat would otherwise get no more
+        // of them, and remove this VM from the list as silent.
+        near.map(names).collect()
     }
 
     /// Whether this VM is a witness.
--- a/crates/gateway/tests/hierarchy.rs
+++ b/crates/gateway/tests/hierarchy.rs
@@ -129,6 +129,30 @@
     }
 }
 
+/// A VM whose first heartbeats one witness of its data centre misses, or answers too late, while
+/// another one answers.
+#[test]
+fn non_witness_stays_listed_after_an_interruption_to_one_witness() {
+    let mut world = world();
+    let witnesses = world.witnesses();
+    let local = |vm: usize| witnesses.iter().filter(move |witness| dc(**witness) == dc(vm));
+    let vm = (0..12)
+        .find(|vm| !witnesses.contains(vm) && local(*vm).count() >= 2)
+        .expect("a VM with two witnesses in its data centre");
+    for witness in local(vm).copied() {
+        let path = (Endpoint::Vm(vm), Endpoint::Vm(witness));
+        world.cut(path.0, path.1);
+        world.run_for(1_000);
+        world.heal(path.0, path.1);
+        let version = world.member_list.version;
+        world.messages.clear();
+        world.run_for(25_000);
+        assert_eq!(world.member_list.version, version, "the list changed");
+        let heartbeats = world.messages.get(&(vm, witness)).copied().unwrap_or(0);
+        assert!(heartbeats > 25, "{heartbeats} heartbeats to VM {witness}");
+    }
+}
+
 #[test]
 fn spare_vm_of_any_data_centre_becomes_a_witness() {
     for lost in [0, 1, 2] {
