Learn the list of VMs from a peer while the store refuses

Cause: after a restart a VM has no list of VMs until the store answers it, and takes no message from a VM that it does not know.

Change: a VM without a list whose call the store has failed fetches the state of whoever sends it a message. That VM knows it from its earlier run and the store's list. What it fetches is checked as every fetched state is, and replaced by the store's own answer. Leases are given after the lease duration, as by any VM that can't read what its earlier run had confirmed.

Ruled out: even-sized sets avoided as such. The next refused witness would have the same effect.

Test: leases_are_there_after_a_restart_while_the_store_refuses_most_witnesses, before: no VM of twelve has a lease 1.8 s after the restart, nor later.

--- a/crates/gateway/src/engine/gossip.rs
+++ b/crates/gateway/src/engine/gossip.rs
@@ -41,9 +41,13 @@
 }
 
 impl Engine {
-    /// Handles a message of a peer.
-    pub fn peer_message(&mut self, now: MonoTime, message: PeerMessage) {
+    /// Handles a message of a peer, which came from the address `source`.
+    pub fn peer_message(&mut self, now: MonoTime, source: SocketAddr, message: PeerMessage) {
         self.now = now;
+        if self.fleet.version() == 0 && !self.reaches_store() {
+            // The sender knows this VM from an earlier run.
+            self.fetch_from(source);
+        }
         let PeerMessage { from, incarnation, body } = message;
         match body {
             PeerBody::Heartbeat(heartbeat) => self.handle_heartbeat(from, incarnation, heartbeat),
@@ -88,9 +92,15 @@
             let services = self.service_reports(wants_notes, is_behind);
             self.send_heartbeat(&from, services, &[], false);
         }
-        let is_due = newer && now.since(self.last_fetch_at) >= FETCH_INTERVAL;
-        if let Some(address) = self.fleet.address_of(&from).filter(|_| is_due) {
-            self.last_fetch_at = now;
+        if let Some(address) = self.fleet.address_of(&from).filter(|_| newer) {
+            self.fetch_from(address);
+        }
+    }
+
+    /// Fetches what a peer has read from the store, unless that was done a short time ago.
+    fn fetch_from(&mut self, address: SocketAddr) {
+        if self.now.since(self.last_fetch_at) >= FETCH_INTERVAL {
+            self.last_fetch_at = self.now;
             self.effects.push(Effect::FetchFromPeer(address));
         }
     }
--- a/crates/gateway/tests/hierarchy.rs
+++ b/crates/gateway/tests/hierarchy.rs
@@ -182,3 +182,25 @@
     let waiting = world.engines.iter().filter(|engine| !engine.is_ready()).count();
     assert_eq!(waiting, 0, "{waiting} of {vms} VMs have no lease");
 }
+
+/// After all VMs were lost, the store answers all but four of the seven witnesses. These have to learn
+/// the list from the others, or no VM gets a lease. Their earlier runs may have confirmed suspensions,
+/// so they give leases only after the lease duration.
+#[test]
+fn leases_are_there_after_a_restart_while_the_store_refuses_most_witnesses() {
+    let mut world = world();
+    let witnesses = world.witnesses();
+    world.vms_without_store = witnesses.iter().copied().take(4).collect();
+    let vms = world.engines.len();
+    (0..vms).for_each(|vm| world.restart(vm, world::catalog(1, 1e6, 100)));
+    let now = world.now;
+    for vm in 0..vms {
+        match world.vms_without_store.contains(&vm) {
+            true => world.engines[vm].note_store_result(now, false),
+            false => world.engines[vm].set_intents(now, Vec::new()),
+        }
+    }
+    world.run_for(LEASE_DURATION.as_ms() + 2 * HEARTBEAT_PERIOD.as_ms());
+    let waiting: Vec<usize> = (0..vms).filter(|vm| !world.engines[*vm].is_ready()).collect();
+    assert!(waiting.is_empty(), "VMs without a lease: {waiting:?}");
+}
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -1,6 +1,6 @@
 //! Dating of peer messages, and leases.
 
-use std::sync::Arc;
+use std::{net::SocketAddr, sync::Arc};
 
 use gateway::{
     Effect, Engine, Identity,
@@ -175,7 +175,7 @@
     for index in 0..30 {
         let body = PeerBody::Stop { service: service(index), term: Term(1), planned: false };
         let message = PeerMessage { from: vm(1), incarnation: Incarnation(1), body };
-        engine.peer_message(at(1_100), message);
+        engine.peer_message(at(1_100), SocketAddr::from(([10, 0, 0, 1], 7000)), message);
     }
     engine.take_effects();
     engine.tick(at(1_500));
--- a/crates/gateway/tests/world/fleet.rs
+++ b/crates/gateway/tests/world/fleet.rs
@@ -64,10 +64,10 @@
     pub fn announce_primary(&mut self, vm: usize, term: u64, primary: usize) {
         let primary = Some(database_name(primary));
         let body = PeerBody::Decided { service: service(), term: Term(term), primary };
-        let from = vm_name((vm + 1) % self.engines.len());
-        let message = PeerMessage { from, incarnation: Incarnation(0), body };
+        let sender = (vm + 1) % self.engines.len();
+        let message = PeerMessage { from: vm_name(sender), incarnation: Incarnation(0), body };
         let now = self.now;
-        self.drive(vm, |engine| engine.peer_message(now, message));
+        self.drive(vm, |engine| engine.peer_message(now, vm_address(sender), message));
     }
 
     /// Returns the witnesses of the stored set.
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -66,7 +66,7 @@
 
 /// Something that is scheduled to happen at a later time.
 enum Event {
-    PeerMessage { to: usize, message: PeerMessage },
+    PeerMessage { from: usize, to: usize, message: PeerMessage },
     Request { vm: usize, key: UpstreamKey, request: UpstreamRequest },
     Reply { vm: usize, key: UpstreamKey, reply: Reply },
     Closed { vm: usize, key: UpstreamKey },
@@ -503,8 +503,8 @@
     fn handle_event(&mut self, event: Event) {
         let now = self.now;
         match event {
-            Event::PeerMessage { to, message } if !self.frozen.contains(&to) => {
-                self.drive(to, |engine| engine.peer_message(now, message));
+            Event::PeerMessage { from, to, message } if !self.frozen.contains(&to) => {
+                self.drive(to, |engine| engine.peer_message(now, vm_address(from), message));
             }
             Event::PeerMessage { .. } => {}
             Event::Request { vm, key, request } => self.deliver_request(vm, key, request),
@@ -628,7 +628,8 @@
                 }
                 if let Some(to) = to.filter(|to| !self.is_cut(Endpoint::Vm(vm), Endpoint::Vm(*to)))
                 {
-                    self.schedule(ONE_WAY_DELAY_US, Event::PeerMessage { to, message });
+                    let event = Event::PeerMessage { from: vm, to, message };
+                    self.schedule(ONE_WAY_DELAY_US, event);
                 }
             }
             Effect::FetchFromPeer(address) => {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -503,7 +503,7 @@
             let received = self.inner.datagrams.recv_from(&mut datagram).await;
             let Ok((len, from)) = received else { continue };
             match peers::decode(&datagram[..len]) {
-                Ok(message) => self.drive(|engine, now| engine.peer_message(now, message)),
+                Ok(message) => self.drive(|engine, now| engine.peer_message(now, from, message)),
                 Err(e) => {
                     info!(self.inner.log, "invalid datagram"; "from" => %from, "error" => %e);
                 }
--- a/crates/xtask/src/bench_gateway.rs
+++ b/crates/xtask/src/bench_gateway.rs
@@ -85,8 +85,8 @@
     /// Bytes sent, by VM.
     bytes: Vec<u64>,
     messages: u64,
-    /// Messages in flight, each with the index of the receiving VM.
-    queue: Vec<(usize, PeerMessage)>,
+    /// Messages in flight, each with the sender's address and the index of the receiving VM.
+    queue: Vec<(SocketAddr, usize, PeerMessage)>,
 }
 
 fn measure(vms: usize, database_count: usize) -> eyre::Result<Cost> {
@@ -118,9 +118,9 @@
             cpu_time += if counted { began.elapsed() } else { Default::default() };
             apply_effects(engine, now, vm, &index, &mut traffic)?;
         }
-        while let Some((to, message)) = traffic.queue.pop() {
+        while let Some((source, to, message)) = traffic.queue.pop() {
             let began = Instant::now();
-            engines[to].peer_message(now, message);
+            engines[to].peer_message(now, source, message);
             cpu_time += if counted { began.elapsed() } else { Default::default() };
             apply_effects(&mut engines[to], now, to, &index, &mut traffic)?;
         }
@@ -174,7 +174,8 @@
                         traffic.bytes[vm] += len + DATAGRAM_BYTES;
                         traffic.messages += 1;
                     }
-                    traffic.queue.extend(index.get(&address).map(|to| (*to, message)));
+                    let to = index.get(&address).copied();
+                    traffic.queue.extend(to.map(|to| (self::address(vm), to, message)));
                 }
                 Effect::ToUpstream(key, request) => answer_upstream(engine, now, key, &request),
                 _ => {}
