Fetch from peers one at a time

Cause: a VM that heard of newer versions began a fetch every 200 ms, also while an earlier one took longer than that over a busy link.

Change: no fetch begins before the last one has ended, with or without a result.

Test: only_one_fetch_from_a_peer_is_in_progress, 1 at 900 ms before, 0 now.

--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -43,7 +43,8 @@
     CloseLink(LinkKey),
     /// Send a message to another VM.
     ToPeer(SocketAddr, PeerMessage),
-    /// Fetch the configuration and the lists of databases and VMs from a VM that has newer ones.
+    /// Fetch the configuration and the lists of databases and VMs from a VM that has newer ones, then
+    /// call [`Engine::fetch_ended`](crate::Engine::fetch_ended).
     FetchFromPeer(SocketAddr),
     /// Call the platform.
     CallPlatform(PlatformRequest),
--- a/crates/gateway/src/engine/gossip.rs
+++ b/crates/gateway/src/engine/gossip.rs
@@ -97,14 +97,22 @@
         }
     }
 
-    /// Fetches what a peer has read from the store, unless that was done a short time ago.
+    /// Fetches what a peer has read from the store, unless a fetch is in progress or began a short
+    /// time ago. A second one would slow down the first where it takes long for lack of bandwidth.
     fn fetch_from(&mut self, address: SocketAddr) {
-        if self.now.since(self.last_fetch_at) >= FETCH_INTERVAL {
+        if !self.is_fetching && self.now.since(self.last_fetch_at) >= FETCH_INTERVAL {
+            self.is_fetching = true;
             self.last_fetch_at = self.now;
             self.effects.push(Effect::FetchFromPeer(address));
         }
     }
 
+    /// Handles the end of an [`Effect::FetchFromPeer`], with or without a result.
+    pub fn fetch_ended(&mut self, now: MonoTime) {
+        self.now = now;
+        self.is_fetching = false;
+    }
+
     /// Merges a peer's report on a service into what this VM knows.
     fn merge_report(
         &mut self,
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -184,8 +184,10 @@
     next_heartbeat_at: MonoTime,
     /// Number of rounds of heartbeats sent.
     heartbeats: u64,
-    /// When a newer configuration or list was last fetched from a peer.
+    /// When this VM last began to fetch a newer configuration or list from a peer.
     last_fetch_at: MonoTime,
+    /// Whether such a fetch has not ended yet.
+    is_fetching: bool,
     /// Whether this VM had a lease at the last tick.
     had_lease: bool,
     /// Whether the promotions that earlier runs requested are known here. Until then, but for no longer
@@ -282,6 +284,7 @@
             next_heartbeat_at: now,
             heartbeats: 0,
             last_fetch_at: MonoTime(0),
+            is_fetching: false,
             had_lease: false,
             intents_known,
             intents_requested_at: now,
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -192,3 +192,33 @@
         .collect();
     assert_eq!(promises, [30, 30]);
 }
+
+/// Guards against a VM that fetches the same list several times over a busy link.
+#[test]
+fn only_one_fetch_from_a_peer_is_in_progress() {
+    let id = Identity {
+        vm: vm(0),
+        incarnation: RUN,
+        dc: DcName::new("dc-a").expect("a name"),
+        regions: FxHashMap::default(),
+        first_start: true,
+        decode_status: |_| None,
+    };
+    let mut engine = Engine::new(id, Logger::root(Discard, o!()), at(1_000));
+    engine.set_members(at(1_000), &list(3));
+    let fetches_at = |engine: &mut Engine, ms: u64| {
+        for from in [1, 2] {
+            let stamps = Timestamps { sent: at(ms), echo: None };
+            let newer = Heartbeat { members: 2, stamps, ..heartbeat(None) };
+            let (from, body) = (vm(from), PeerBody::Heartbeat(newer));
+            let message = PeerMessage { from, incarnation: Incarnation(1), body };
+            engine.peer_message(at(ms), SocketAddr::from(([10, 0, 0, 1], 7000)), message);
+        }
+        let effects = engine.take_effects();
+        effects.iter().filter(|effect| matches!(effect, Effect::FetchFromPeer(_))).count()
+    };
+    assert_eq!(fetches_at(&mut engine, 2_000), 1);
+    assert_eq!(fetches_at(&mut engine, 2_900), 0, "the first one is in progress");
+    engine.fetch_ended(at(3_000));
+    assert_eq!(fetches_at(&mut engine, 3_000), 1);
+}
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -38,6 +38,8 @@
 /// Time from a call of the store to its reply, in microseconds.
 const STORE_DELAY_US: u64 = 5_000;
 
+/// Time until a VM gives up fetching from a peer that does not answer, in microseconds.
+const FETCH_TIMEOUT_US: u64 = 1_000_000;
 /// Time between two checks of a VM whether it has to watch the store, in microseconds.
 const WATCH_POLL_US: u64 = 500_000;
 
@@ -79,7 +81,7 @@
     Promote { database: DatabaseName },
     PromotionAccepted { vm: usize, attempt: u64 },
     ListChanged { vm: usize },
-    ListFetched { vm: usize, list: MemberList },
+    ListFetched { vm: usize, list: Option<MemberList> },
 }
 
 impl Event {
@@ -549,7 +551,12 @@
                 self.read_list_from_store(vm);
             }
             Event::ListChanged { .. } => {}
-            Event::ListFetched { vm, list } => self.deliver_list(vm, list),
+            Event::ListFetched { vm, list } => {
+                if let Some(list) = list {
+                    self.deliver_list(vm, list);
+                }
+                self.drive(vm, |engine| engine.fetch_ended(now));
+            }
             Event::PromotionAccepted { vm, attempt } => {
                 let accepted = PromotionOutcome::Accepted;
                 self.drive(vm, |engine| engine.promotion_answered(now, attempt, accepted));
@@ -634,12 +641,11 @@
             }
             Effect::FetchFromPeer(address) => {
                 let from = (0..self.engines.len()).find(|index| vm_address(*index) == address);
-                if let Some(from) =
-                    from.filter(|from| !self.is_cut(Endpoint::Vm(vm), Endpoint::Vm(*from)))
-                {
-                    let list = self.lists_by_vm[from].clone();
-                    self.schedule(2 * ONE_WAY_DELAY_US, Event::ListFetched { vm, list });
-                }
+                let reached =
+                    from.filter(|from| !self.is_cut(Endpoint::Vm(vm), Endpoint::Vm(*from)));
+                let list = reached.map(|from| self.lists_by_vm[from].clone());
+                let took_us = if list.is_some() { 2 * ONE_WAY_DELAY_US } else { FETCH_TIMEOUT_US };
+                self.schedule(took_us, Event::ListFetched { vm, list });
             }
             Effect::CallPlatform(request) => self.handle_platform_request(vm, request),
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -354,6 +354,7 @@
             Ok(snapshot) => self.command(Command::ApplySnapshot(snapshot)),
             Err(e) => info!(self.inner.log, "state not fetched"; "peer" => %peer, "error" => %e),
         }
+        self.drive(Engine::fetch_ended);
     }
 
     /// Accepts callers until [`Node::stop`] closes the semaphore.
