Keep a primary suspended until all VMs that replace it have given up

Cause: a suspension named one VM that prepares the new term, the last that had asked. Where several prepare the same term, since a cut kept them from hearing of each other, one that gave up ended the suspension everywhere, while another one's promotion was under way: the old primary was used again. Besides, a VM ended it at once, with a lease that rested on heartbeats from before.

Ruled out: leases (no VM had one from an outdated set of witnesses), the link between the two VMs (the holder asks nothing of the caller's VM and adds nothing), the store's fencing (one token was raised).

Change: a suspension names all VMs that prepare its term. It ends once the last has given up and the lease duration has passed since, so that the lease rests on heartbeats that would name another one. A VM that is known to have given up is not added again by reports of VMs that have not heard so.

Test: old_primary_stays_suspended_while_one_of_two_vms_prepares_its_replacement, before: a read ran at the old primary while the promotion was under way. The messages between VMs are the same.

--- a/crates/gateway/src/engine/failovers.rs
+++ b/crates/gateway/src/engine/failovers.rs
@@ -70,7 +70,7 @@
         if self.is_orphaned(service) {
             return Some(PrimaryAction::Replace { planned: false });
         }
-        if service.suspension.is_some() {
+        if service.suspension.as_ref().is_some_and(|suspension| !suspension.preparing.is_empty()) {
             // The VM that asked for it may have requested a promotion, which a second one would undo.
             return None;
         }
@@ -108,12 +108,16 @@
     /// have requested a promotion, so the failover has to be completed.
     fn is_orphaned(&self, service: &ServiceState) -> bool {
         let Some(suspension) = &service.suspension else { return false };
-        let is_unowned = suspension.by == self.id.vm
-            || suspension.run == UNOWNED_RUN
-            || self.fleet.has_restarted(&suspension.by, suspension.run);
+        let is_gone = |(by, run): &(VmName, Incarnation)| {
+            *by == self.id.vm
+                || *run == UNOWNED_RUN
+                || self.fleet.has_restarted(by, *run)
+                || !self.fleet.is_live(self.now, by)
+        };
         suspension.confirmed
             && self.now.since(suspension.heard_at) >= ORPHANED_SUSPENSION_AFTER
-            && (is_unowned || !self.fleet.is_live(self.now, &suspension.by))
+            && !suspension.preparing.is_empty()
+            && suspension.preparing.iter().all(is_gone)
     }
 
     fn start_failover(&mut self, name: &ServiceName, planned: bool) {
--- a/crates/gateway/src/engine/gossip.rs
+++ b/crates/gateway/src/engine/gossip.rs
@@ -157,18 +157,12 @@
             by == *from && run != UNOWNED_RUN && !self.fleet.has_restarted(from, run);
         match &mut service.suspension {
             Some(suspension) if suspension.term == term && is_preparing => {
-                suspension.heard_at = now;
+                suspension.add(now, by, run);
             }
-            Some(suspension) if suspension.term >= term => {}
+            Some(suspension) if suspension.term == term => suspension.add_reported(by, run),
+            Some(suspension) if suspension.term > term => {}
             _ if term > service.term => {
-                service.suspension = Some(Suspension {
-                    term,
-                    by,
-                    run,
-                    began_at: now,
-                    heard_at: now,
-                    confirmed: true,
-                });
+                service.suspension = Some(Suspension::new(now, term, by, run));
             }
             _ => {}
         }
@@ -298,10 +292,9 @@
             service: name.clone(),
             term: service.term,
             primary: service.primary.clone(),
-            stopped_for: service.suspension.as_ref().map(|suspension| SuspensionReport {
-                term: suspension.term,
-                by: suspension.by.clone(),
-                run: suspension.run,
+            stopped_for: service.suspension.as_ref().and_then(|suspension| {
+                let (by, run) = suspension.preparing.last()?.clone();
+                Some(SuspensionReport { term: suspension.term, by, run })
             }),
             failing: primary.and_then(|p| p.failing_since).map(|since| now.since(since)),
             answered: primary.and_then(|p| p.last_heard).map(|at| now.since(at)),
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -128,18 +128,21 @@
 
 /// A pause in this VM's use of a primary while another VM, or this one, prepares a new term.
 ///
-/// It ends when the term begins, when the failover is given up, or after a timeout.
+/// It ends when the term begins, after all VMs that prepare the term have given up, or after a
+/// timeout.
 #[derive(Clone, Debug)]
 pub(crate) struct Suspension {
     /// Term that is being prepared.
     pub(crate) term: Term,
-    /// VM that prepares it.
-    pub(crate) by: VmName,
-    /// Incarnation of that VM.
-    pub(crate) run: Incarnation,
+    /// The VMs that prepare it, with their incarnations; the one that asked last is the last one.
+    /// More than one if they began without knowing of each other.
+    pub(crate) preparing: Vec<(VmName, Incarnation)>,
+    /// The VMs that gave the term up.
+    pub(crate) given_up: Vec<VmName>,
     /// When this VM suspended the primary.
     pub(crate) began_at: MonoTime,
-    /// When that VM last asked for the suspension or reported that it still prepares the term.
+    /// When a VM that prepares the term last asked for the suspension, or reported that it still does;
+    /// or when the last one gave up.
     pub(crate) heard_at: MonoTime,
     /// Whether this VM has confirmed the suspension; from then on it also holds back answers of the
     /// primary. A planned suspension is confirmed only once the statements in progress have ended.
--- a/crates/gateway/src/engine/suspensions.rs
+++ b/crates/gateway/src/engine/suspensions.rs
@@ -8,7 +8,7 @@
     effect::CallerKey,
     failover::{self, PromotionIntent},
     message::TransactionState,
-    peers::PeerBody,
+    peers::{LEASE_DURATION, PeerBody},
     session::Transaction,
 };
 
@@ -19,6 +19,45 @@
 /// requested the promotion.
 pub(super) const UNOWNED_RUN: Incarnation = Incarnation(0);
 
+impl Suspension {
+    /// A confirmed suspension for a term that one VM prepares.
+    pub(super) fn new(now: MonoTime, term: Term, by: VmName, run: Incarnation) -> Suspension {
+        let (preparing, given_up) = (vec![(by, run)], Vec::new());
+        Suspension { term, preparing, given_up, began_at: now, heard_at: now, confirmed: true }
+    }
+
+    /// Adds a VM that asks for the suspension, or reports that it still prepares the term.
+    pub(super) fn add(&mut self, now: MonoTime, by: VmName, run: Incarnation) {
+        self.preparing.retain(|(vm, _)| *vm != by);
+        self.given_up.retain(|vm| *vm != by);
+        self.preparing.push((by, run));
+        self.heard_at = now;
+    }
+
+    /// Adds a VM that prepares the term according to another VM, which may not know yet that it gave up.
+    pub(super) fn add_reported(&mut self, by: VmName, run: Incarnation) {
+        let is_known =
+            self.preparing.iter().any(|(vm, _)| *vm == by) || self.given_up.contains(&by);
+        if !is_known {
+            self.preparing.insert(0, (by, run));
+        }
+    }
+
+    /// Removes a VM that gave the term up. If no other prepares it, the suspension lasts for
+    /// [`LEASE_DURATION`] from then on: until this VM's lease rests on heartbeats that were sent later,
+    /// which name any other VM that a witness has confirmed it to.
+    fn give_up(&mut self, now: MonoTime, by: &VmName) {
+        let before = self.preparing.len();
+        self.preparing.retain(|(vm, _)| vm != by);
+        if self.preparing.len() < before {
+            self.given_up.push(by.clone());
+            if self.preparing.is_empty() {
+                self.heard_at = now;
+            }
+        }
+    }
+}
+
 impl Engine {
     /// Suspends the use of a service's primary because the VM `by` prepares a new term. The suspension is
     /// confirmed to that VM at once, or, with `planned`, after the statements in progress have ended.
@@ -42,8 +81,7 @@
             return self.send_to_vm(by, PeerBody::Decided { service, term: known, primary });
         }
         if let Some(suspension) = service.suspension.as_mut().filter(|s| s.term == term) {
-            // Whoever asked last took the attempt over.
-            (suspension.by, suspension.run, suspension.heard_at) = (by.clone(), run, now);
+            suspension.add(now, by.clone(), run);
         }
         match &service.suspension {
             Some(suspension) if suspension.term >= term && suspension.confirmed => {}
@@ -51,10 +89,8 @@
             _ => {
                 info!(self.log, "primary suspended"; "service" => %name, "term" => term.0,
                     "planned" => planned, "by" => %by);
-                let confirmed = !planned;
-                let by = by.clone();
-                service.suspension =
-                    Some(Suspension { term, by, run, began_at: now, heard_at: now, confirmed });
+                let suspension = Suspension::new(now, term, by.clone(), run);
+                service.suspension = Some(Suspension { confirmed: !planned, ..suspension });
             }
         }
         self.confirm_drained_suspensions();
@@ -95,8 +131,10 @@
             let Some(service) = self.services.get_mut(&name) else { continue };
             let Some(suspension) = &mut service.suspension else { continue };
             suspension.confirmed = true;
-            let (term, by) = (suspension.term, suspension.by.clone());
-            self.send_confirmation(&name, term, &by);
+            let (term, preparing) = (suspension.term, suspension.preparing.clone());
+            for (by, _) in preparing {
+                self.send_confirmation(&name, term, &by);
+            }
         }
     }
 
@@ -126,8 +164,8 @@
         self.send_to_vm(by, PeerBody::Stopped { service: service.clone(), term });
     }
 
-    /// Ends the suspension for a term: the term begins with the primary, or is given up where that is
-    /// `None`. Only the VM that asked for the suspension can give the term up.
+    /// Handles the outcome of what a VM prepared: the term begins with the primary, or that VM has given
+    /// it up where that is `None`.
     pub(super) fn handle_decision(
         &mut self,
         name: &ServiceName,
@@ -140,22 +178,22 @@
             return;
         }
         let Some(service) = self.services.get_mut(name) else { return };
-        let suspension = service.suspension.as_ref();
-        if suspension.is_some_and(|suspension| suspension.term == term && suspension.by == *from) {
-            info!(self.log, "primary in use again"; "service" => %name, "term" => service.term.0);
-            service.suspension = None;
+        if let Some(suspension) = service.suspension.as_mut().filter(|s| s.term == term) {
+            suspension.give_up(self.now, from);
         }
     }
 
-    /// Ends suspensions whose outcome was not heard in time.
+    /// Ends suspensions that all VMs have given up, and those whose outcome was not heard in time.
     pub(super) fn expire_suspensions(&mut self) {
         let now = self.now;
         for (name, service) in &mut self.services {
-            let is_old = service
-                .suspension
-                .as_ref()
-                .is_some_and(|s| now.since(s.heard_at) >= SUSPENSION_TIMEOUT);
-            if is_old {
+            let Some(suspension) = &service.suspension else { continue };
+            let lasted = now.since(suspension.heard_at);
+            if suspension.preparing.is_empty() && lasted >= LEASE_DURATION {
+                info!(self.log, "primary in use again"; "service" => %name,
+                    "term" => service.term.0);
+                service.suspension = None;
+            } else if lasted >= SUSPENSION_TIMEOUT {
                 warn!(self.log, "suspension ended without an outcome"; "service" => %name,
                     "term" => service.term.0);
                 service.suspension = None;
@@ -177,15 +215,7 @@
                 self.services.entry(name.clone()).or_insert_with(|| ServiceState::new(now));
             if term > service.term && service.suspension.is_none() {
                 info!(self.log, "promotion may be under way"; "service" => %name, "term" => term.0);
-                let run = UNOWNED_RUN;
-                service.suspension = Some(Suspension {
-                    term,
-                    by,
-                    run,
-                    began_at: now,
-                    heard_at: now,
-                    confirmed: true,
-                });
+                service.suspension = Some(Suspension::new(now, term, by, UNOWNED_RUN));
             }
         }
     }
--- a/crates/gateway/tests/failover.rs
+++ b/crates/gateway/tests/failover.rs
@@ -7,10 +7,12 @@
     PromotionIntent,
     failover::PLANNED_SUSPEND_TIMEOUT,
     message::{Access, ErrorCode, Statement},
-    peers::LEASE_DURATION,
+    peers::{LEASE_DURATION, PeerBody},
 };
 use model::prelude::*;
-use world::{Endpoint, HOST, KEY, LATEST, World, begin, database_name, read, service, write};
+use world::{
+    Caller, Endpoint, HOST, KEY, LATEST, World, begin, database_name, read, service, write,
+};
 
 /// Indices of the databases that are primary.
 fn primaries(world: &World) -> Vec<usize> {
@@ -699,3 +701,50 @@
         assert_eq!(response.error, Some(ErrorCode::Aborted));
     }
 }
+
+/// Two VMs prepare the same term, since neither knew of the other when it began. One of them gives up
+/// while the other one's promotion is under way. No VM may use the old primary until that has ended.
+#[test]
+fn old_primary_stays_suspended_while_one_of_two_vms_prepares_its_replacement() {
+    for after_ms in [0, 50, 100, 200] {
+        let mut world = World::new(5);
+        let sessions: Vec<Caller> = (0..5).map(|vm| world.open(vm, LATEST, KEY)).collect();
+        assert!(world.query(sessions[3], "w0", write("1")).succeeded());
+        world.cut_database_from_vms(0);
+        world.send(sessions[3], "w1", write("1"));
+        for _ in 0..500 {
+            if !world.promotion_requests.is_empty() {
+                break;
+            }
+            world.run_for(10);
+        }
+        world.run_for(after_ms);
+        let (by, _) = world.promotion_requests[0];
+        let other = (by + 1) % 5;
+        let (term, planned) = (Term(2), false);
+        for vm in (0..5).filter(|vm| *vm != other) {
+            world.deliver_from_peer(
+                other,
+                vm,
+                PeerBody::Stop { service: service(), term, planned },
+            );
+        }
+        world.run_for(20);
+        for vm in (0..5).filter(|vm| *vm != other) {
+            let given_up = PeerBody::Decided { service: service(), term, primary: None };
+            world.deliver_from_peer(other, vm, given_up);
+        }
+        world.cuts.clear();
+        let earlier_runs = world.group.runs.len();
+        for vm in (0..5).filter(|vm| *vm != 3) {
+            world.send(sessions[vm], &format!("r{vm}"), read("1"));
+        }
+        world.run_for(2_000);
+        for run in &world.group.runs[earlier_runs..] {
+            assert_ne!(run.database, database_name(0), "{} {after_ms} ms later", run.id);
+        }
+        for vm in (0..5).filter(|vm| *vm != 3) {
+            assert!(world.response(sessions[vm]).is_some_and(|r| r.succeeded()), "VM {vm}");
+        }
+    }
+}
--- a/crates/gateway/tests/world/fleet.rs
+++ b/crates/gateway/tests/world/fleet.rs
@@ -64,10 +64,14 @@
     pub fn announce_primary(&mut self, vm: usize, term: u64, primary: usize) {
         let primary = Some(database_name(primary));
         let body = PeerBody::Decided { service: service(), term: Term(term), primary };
-        let sender = (vm + 1) % self.engines.len();
-        let message = PeerMessage { from: vm_name(sender), incarnation: Incarnation(0), body };
+        self.deliver_from_peer((vm + 1) % self.engines.len(), vm, body);
+    }
+
+    /// Delivers a message of one VM to another at once.
+    pub fn deliver_from_peer(&mut self, from: usize, to: usize, body: PeerBody) {
+        let message = PeerMessage { from: vm_name(from), incarnation: Incarnation(0), body };
         let now = self.now;
-        self.drive(vm, |engine| engine.peer_message(now, vm_address(sender), message));
+        self.drive(to, |engine| engine.peer_message(now, vm_address(from), message));
     }
 
     /// Returns the witnesses of the stored set.
