--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -186,6 +186,11 @@
         self.drive(|engine, now| engine.registered(now, version));
     }
 
+    /// Returns the snapshot that peers fetch from this VM.
+    pub fn snapshot(&self) -> Snapshot {
+        self.inner.snapshot.lock().unwrap_or_else(PoisonError::into_inner).current().clone()
+    }
+
     /// Changes the snapshot that peers fetch from this VM.
     pub fn update_snapshot(&self, change: impl FnOnce(&mut Snapshot)) {
         self.inner.snapshot.lock().unwrap_or_else(PoisonError::into_inner).change(change);
