--- a/crates/gateway/tests/holders.rs
+++ b/crates/gateway/tests/holders.rs
@@ -256,3 +256,25 @@
     let on_old = world.open(old, LATEST, KEY);
     assert!(world.query(on_old, "o1", write("1")).succeeded());
 }
+
+/// A holder that the store refuses goes on for other VMs, and learns of a VM that enters from its peers.
+#[test]
+fn holder_cut_off_from_the_store_serves_vms_that_enter() {
+    let mut world = fleet(24);
+    let holder = world.holder(0);
+    let vm = distant_vm(&world);
+    world.vms_without_store.insert(holder);
+    let now = world.now;
+    world.engines[holder].note_store_result(now, false);
+    world.stop_vm(vm);
+    world.run_for(500);
+    world.remove_stopped_vm(vm);
+    world.run_for(2_000);
+    world.return_vm(vm, world::catalog(1, 1e6, LIMIT));
+    world.run_for(3_000);
+    let before = world.forwarded();
+    assert_eq!(commit_transactions(&mut world, vm, 4, "entered"), 4);
+    assert!(world.forwarded() >= before + 4, "not all went through a holder");
+    assert_eq!(world.engines[vm].open_connections().own, 0, "connections of its own");
+    assert!(world.engines[holder].open_connections().peer_channels > 0, "not this holder");
+}
