--- a/crates/gateway/src/engine/gossip.rs
+++ b/crates/gateway/src/engine/gossip.rs
@@ -9,9 +9,10 @@
 use crate::{
     effect::Effect,
     peers::{
-        AgedPosition, Demand, HEARTBEAT_PERIOD, Heartbeat, HeartbeatTiming, LEASE_DURATION,
-        PeerBody, PeerMessage, ServiceReport, SuspensionReport,
+        AgedPosition, HEARTBEAT_PERIOD, Heartbeat, HeartbeatTiming, LEASE_DURATION, PeerBody,
+        PeerMessage, ServiceReport, SuspensionReport,
     },
+    rates::Demand,
 };
 
 /// Time between two heartbeats of a VM that has just started and waits for its first lease: callers wait, too.
--- a/crates/gateway/src/engine/sharing.rs
+++ b/crates/gateway/src/engine/sharing.rs
@@ -5,8 +5,8 @@
 
 use super::{Engine, Waiter};
 use crate::{
-    peers::{Demand, PeerBody},
-    rates::RateGrant,
+    peers::PeerBody,
+    rates::{Demand, RateGrant},
 };
 
 /// Idle time from which a connection is closed for a peer that needs one.
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -12,9 +12,10 @@
 
 use crate::{
     peers::{
-        Demand, Echo, Heartbeat, HeartbeatTiming, LEASE_DURATION, LIVENESS_TIMEOUT,
-        LOCAL_WITNESS_TIMEOUT, MemberList, MemberRecord, ServiceReport, Timestamps,
+        Echo, Heartbeat, HeartbeatTiming, LEASE_DURATION, LIVENESS_TIMEOUT, LOCAL_WITNESS_TIMEOUT,
+        MemberList, MemberRecord, ServiceReport, Timestamps,
     },
+    rates::Demand,
     witnesses::{Health, WitnessSet},
 };
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,17 +22,16 @@
 use model::prelude::*;
 use serde::{Deserialize, Serialize};
 
-use crate::{rates::RateGrant, witnesses::WitnessSet};
+pub use crate::witnesses::LEASE_DURATION;
+use crate::{
+    rates::{Demand, RateGrant},
+    witnesses::WitnessSet,
+};
 
 /// Time between two heartbeats to the same VM.
 ///
 /// A quarter of the lease, so that one lost datagram and a round trip of 50 ms don't end it.
 pub const HEARTBEAT_PERIOD: DurationUs = DurationUs::from_ms(300);
-/// How long a VM may use primaries after it was in contact with a majority of the witnesses.
-///
-/// A failover waits this long if a VM is lost together with the primary, so it is part of the 10 s
-/// that a change of primary may take.
-pub const LEASE_DURATION: DurationUs = DurationUs::from_ms(1_200);
 /// Silence after which a member no longer counts as live.
 pub const LIVENESS_TIMEOUT: DurationUs = DurationUs::from_ms(1_000);
 /// Silence after which a witness of the own data centre counts as unresponsive, and a VM sends
@@ -79,15 +78,6 @@
     pub age: DurationUs,
 }
 
-/// The demand of a workspace's callers at the sender.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Demand {
-    /// The workspace whose callers send the operations.
-    pub workspace: WorkspaceName,
-    /// Operations per second that callers ask for, admitted or not, as a moving average.
-    pub per_s: f32,
-}
-
 /// The sender's time, and an echo of the receiver's.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Timestamps {
--- a/crates/gateway/src/rates.rs
+++ b/crates/gateway/src/rates.rs
@@ -13,7 +13,7 @@
 use quota::bucket::{MICRO, RateLimit, TokenBucket};
 use serde::{Deserialize, Serialize};
 
-use crate::{catalog::Workspace, peers::Demand};
+use crate::catalog::Workspace;
 
 /// Fraction of a rate that is divided evenly: what VMs without contact to the home may still admit.
 const EVEN_FRACTION: f64 = 0.04;
@@ -44,6 +44,15 @@
 /// Demand below which a VM reports none, in operations per second.
 const REPORTED_DEMAND_MIN_PER_S: f64 = 0.05;
 
+/// The demand of a workspace's callers at the sender.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Demand {
+    /// The workspace whose callers send the operations.
+    pub workspace: WorkspaceName,
+    /// Operations per second that callers ask for, admitted or not, as a moving average.
+    pub per_s: f32,
+}
+
 /// A fraction of a workspace's rate granted to one VM.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RateGrant {
--- a/crates/gateway/src/witnesses.rs
+++ b/crates/gateway/src/witnesses.rs
@@ -10,8 +10,11 @@
 use model::{prelude::*, request::stable_hash};
 use serde::{Deserialize, Serialize};
 
-use crate::peers::LEASE_DURATION;
-
+/// How long a VM may use primaries after it was in contact with a majority of the witnesses.
+///
+/// A failover waits this long if a VM is lost together with the primary, so it is part of the 10 s
+/// that a change of primary may take.
+pub const LEASE_DURATION: DurationUs = DurationUs::from_ms(1_200);
 /// Size of a full witness set. A majority survives the loss of three witnesses, and a VM that sends
 /// heartbeats to seven stays near 3 KB/s.
 pub const WITNESSES_MAX: usize = 7;
