Ask the home once for the tokens of an operation

Cause: a VM asked the home of a workspace's rate again every 40 ms for all operations that waited for a token, also while the answer was on its way. Between regions that takes longer than 40 ms, so the home lent two or more tokens for an operation, and the rest expired after 0.5 s. A workspace that is thinly spread over VMs of several regions got half of its rate.

Change: an answer is awaited for 150 ms before tokens are requested again. Afterwards, what still waits is requested at once, as before no sooner than 40 ms after the last request.

The simulated network now delays messages between VMs as it delays others.

--- a/crates/gateway/src/rates.rs
+++ b/crates/gateway/src/rates.rs
@@ -24,6 +24,9 @@
 const GRANT_MIN_DEMAND_PER_S: f64 = 2.0;
 /// Minimum time between two requests to the home for tokens of one workspace.
 const BORROW_INTERVAL: DurationUs = DurationUs::from_ms(40);
+/// How long the home's answer is awaited before tokens are requested again. A second request for the
+/// same operations while the first one is on its way would take twice the tokens that they need.
+const BORROW_TIMEOUT: DurationUs = DurationUs::from_ms(150);
 /// Greatest number of tokens in one request to the home.
 const BORROW_MAX_TOKENS: u32 = 64;
 /// How long a home that lent fewer tokens than requested counts as having none left.
@@ -78,7 +81,8 @@
     granted: OutstandingGrants,
     /// Tokens lent to this VM, and until when they can be spent.
     borrowed: (u32, MonoTime),
-    borrow_asked_at: Option<MonoTime>,
+    /// When tokens were last requested from the home, and whether its answer is awaited.
+    borrow_asked: Option<(MonoTime, bool)>,
     /// Until when the home counts as having no tokens left.
     home_empty_until: MonoTime,
     /// Number of operations that wait here for a token.
@@ -130,7 +134,7 @@
                 demand_updated_at: now,
                 granted: OutstandingGrants::default(),
                 borrowed: (0, now),
-                borrow_asked_at: None,
+                borrow_asked: None,
                 home_empty_until: now,
                 waiting: 0,
                 lendable: bucket_after_start(now, rate_per_s, burst),
@@ -201,11 +205,13 @@
     /// Number of tokens to request from the home now, if any.
     pub fn tokens_to_borrow(&mut self, now: MonoTime, workspace: &WorkspaceName) -> Option<u32> {
         let limiter = self.limiters.get_mut(workspace)?;
-        let is_due = limiter.borrow_asked_at.is_none_or(|at| now.since(at) >= BORROW_INTERVAL);
+        let is_due = limiter.borrow_asked.is_none_or(|(at, awaited)| {
+            now.since(at) >= if awaited { BORROW_TIMEOUT } else { BORROW_INTERVAL }
+        });
         if limiter.waiting == 0 || !is_due {
             return None;
         }
-        limiter.borrow_asked_at = Some(now);
+        limiter.borrow_asked = Some((now, true));
         Some(limiter.waiting.min(BORROW_MAX_TOKENS))
     }
 
@@ -229,6 +235,9 @@
         all: bool,
     ) {
         if let Some(limiter) = self.limiters.get_mut(workspace) {
+            if let Some((_, awaited)) = &mut limiter.borrow_asked {
+                *awaited = false;
+            }
             if !all {
                 limiter.home_empty_until = now + HOME_EMPTY_BACKOFF;
             }
--- a/crates/gateway/tests/rates.rs
+++ b/crates/gateway/tests/rates.rs
@@ -4,7 +4,7 @@
 
 use gateway::{message::ErrorCode, peers::LEASE_DURATION, rates::RateLimiter};
 use model::prelude::*;
-use world::{KEY, LATEST, World, read};
+use world::{Endpoint, KEY, LATEST, World, dc, read};
 
 /// Number of operations of a workspace that were admitted and refused.
 #[derive(Debug, Default)]
@@ -80,6 +80,21 @@
     assert!(outcome.refused * 100 <= outcome.admitted, "{outcome:?}");
 }
 
+/// A workspace asks for less than its rate, thinly spread over many VMs, most of them in other regions than
+/// the home of its rate. Each operation takes one token, however long the home's answer is on its way.
+#[test]
+fn small_workspace_over_distant_vms_is_not_refused() {
+    let mut world = fleet(24, 40.0);
+    for a in 0..24 {
+        for b in (0..24).filter(|b| dc(a) != dc(*b)) {
+            world.delays_ms.insert((Endpoint::Vm(a), Endpoint::Vm(b)), 30);
+        }
+    }
+    world.run_for(1_000);
+    let outcome = load(&mut world, &[1; 24], 36, 10);
+    assert!(outcome.refused * 100 <= outcome.admitted, "{outcome:?}");
+}
+
 /// VMs without contact to the others fall back to their even share.
 #[test]
 fn isolated_vms_do_not_exceed_the_rate_together() {
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -636,7 +636,7 @@
                 if let Some(to) = to.filter(|to| !self.is_cut(Endpoint::Vm(vm), Endpoint::Vm(*to)))
                 {
                     let event = Event::PeerMessage { from: vm, to, message };
-                    self.schedule(ONE_WAY_DELAY_US, event);
+                    self.schedule(self.one_way_us(Endpoint::Vm(vm), Endpoint::Vm(to)), event);
                 }
             }
             Effect::FetchFromPeer(address) => {
