Go through waiting statements not for each request for tokens

A request of another VM for tokens changes nothing that a statement of this VM waits for, but each was followed by the search that follows other messages. A home gets hundreds of them a second.

--- a/crates/gateway/src/engine/gossip.rs
+++ b/crates/gateway/src/engine/gossip.rs
@@ -53,7 +53,10 @@
         match body {
             PeerBody::Heartbeat(heartbeat) => self.handle_heartbeat(from, incarnation, heartbeat),
             PeerBody::Short { database } => self.release_idle_connection(&database),
-            PeerBody::Borrow { workspace, tokens } => self.lend_tokens(&from, workspace, tokens),
+            // Changes nothing that a waiting statement of this VM waits for.
+            PeerBody::Borrow { workspace, tokens } => {
+                return self.lend_tokens(&from, workspace, tokens);
+            }
             PeerBody::Lend { workspace, tokens, all } => {
                 self.rates.receive_loan(now, &workspace, tokens, all);
             }
