Encode peers' updates again where a version's document has changed

Found by reading: two listings of several pages can give a version two contents, and the update that was encoded first stayed in the cache. Test: update_has_the_newest_document_of_a_version.

--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,7 +5,7 @@
     io,
     net::SocketAddr,
     rc::Rc,
-    sync::{Arc, PoisonError},
+    sync::Arc,
     time::Duration,
 };
 
@@ -188,12 +188,12 @@
 
     /// Returns the snapshot that peers fetch from this VM.
     pub fn snapshot(&self) -> Snapshot {
-        self.inner.snapshot.lock().unwrap_or_else(PoisonError::into_inner).current().clone()
+        peers::lock(&self.inner.snapshot).current().clone()
     }
 
     /// Changes the snapshot that peers fetch from this VM.
     pub fn update_snapshot(&self, change: impl FnOnce(&mut Snapshot)) {
-        self.inner.snapshot.lock().unwrap_or_else(PoisonError::into_inner).change(change);
+        peers::lock(&self.inner.snapshot).change(change);
     }
 
     /// Sets the promotions that were requested before this process started; see
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -2,7 +2,7 @@
 
 use std::{
     net::SocketAddr,
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
 
@@ -34,6 +34,11 @@
 /// The snapshot that peers fetch, shared with the HTTP listener.
 pub(crate) type SharedSnapshot = Arc<Mutex<SnapshotHistory>>;
 
+/// Locks a shared snapshot. A panic elsewhere leaves it usable: each document is replaced at once.
+pub(crate) fn lock(snapshot: &SharedSnapshot) -> MutexGuard<'_, SnapshotHistory> {
+    snapshot.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 /// Returns the routes of the HTTP listener for peers.
 pub(crate) fn routes(
     snapshot: SharedSnapshot,
@@ -51,7 +56,7 @@
     State(snapshot): State<SharedSnapshot>,
     Query(known): Query<SnapshotVersions>,
 ) -> Result<Vec<u8>, StatusCode> {
-    let newer = snapshot.lock().unwrap_or_else(PoisonError::into_inner).current().newer_than(known);
+    let newer = lock(&snapshot).current().newer_than(known);
     rmp_serde::to_vec(&newer).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
 }
 
@@ -59,7 +64,7 @@
     State(snapshot): State<SharedSnapshot>,
     Query(known): Query<SnapshotVersions>,
 ) -> Result<Vec<u8>, StatusCode> {
-    let updates = snapshot.lock().unwrap_or_else(PoisonError::into_inner).updates_since(known);
+    let updates = lock(&snapshot).updates_since(known);
     let updates = updates.map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)?;
     rmp_serde::to_vec(&updates).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
 }
@@ -71,7 +76,7 @@
     own: &SharedSnapshot,
 ) -> Result<Snapshot, SendError> {
     let address = peer.to_string();
-    let known = own.lock().unwrap_or_else(PoisonError::into_inner).versions();
+    let known = lock(own).versions();
     let unreadable = |reason: String| SendError::Unreadable { address: address.clone(), reason };
     let body_of = |reply: Reply| match reply.status {
         StatusCode::OK => Ok(reply.body),
@@ -80,8 +85,7 @@
     let decode = |reply: Reply| {
         let updates: Vec<PartUpdate> =
             rmp_serde::from_slice(&body_of(reply)?).map_err(|e| unreadable(e.to_string()))?;
-        let own = own.lock().unwrap_or_else(PoisonError::into_inner);
-        own.decode(&updates).map_err(|e| unreadable(e.to_string()))
+        lock(own).decode(&updates).map_err(|e| unreadable(e.to_string()))
     };
     let reply = get_since(client, &address, UPDATES_PATH, known).await?;
     if reply.status == StatusCode::NOT_FOUND {
--- a/crates/node/src/snapshot.rs
+++ b/crates/node/src/snapshot.rs
@@ -145,10 +145,14 @@
         change(&mut self.current);
         for part in Part::ALL {
             let (version, document) = before.part(part);
-            if version == self.current.part(part).0 {
+            let (present_version, present_document) = self.current.part(part);
+            if version == present_version && document == present_document {
                 continue;
             }
             self.encoded.retain(|(of, _), _| *of != part);
+            if version == present_version {
+                continue;
+            }
             let earlier = self.earlier.entry(part).or_default();
             earlier.push_back((version, document.clone()));
             while earlier.iter().map(|(_, document)| document.len()).sum::<usize>()
--- a/crates/node/tests/snapshot.rs
+++ b/crates/node/tests/snapshot.rs
@@ -106,3 +106,14 @@
     }
     assert!(ahead.updates_since(ahead.versions()).expect("nothing").is_empty());
 }
+
+/// Two listings of several pages may give the same version with different contents.
+#[test]
+fn update_has_the_newest_document_of_a_version() {
+    let mut ahead = history(&[(9, members(300, Some(20)))]);
+    let none = SnapshotHistory::default();
+    ahead.updates_since(none.versions()).expect("an update");
+    ahead.change(|snapshot| snapshot.members = members(300, None).into());
+    let updates = ahead.updates_since(none.versions()).expect("an update");
+    assert_eq!(none.decode(&updates).expect("whole").members, members(300, None));
+}
