Put suspensions and token requests where a reader looks for them

Read as a newcomer; no decision changes.

- The type Suspension stood in engine::mod, its code in engine::suspensions: now together, with why all VMs that prepare a term count.
Pairs of VM and incarnation are Preparer, 'add' says what it adds.
- A pair of time and flag in the rates is BorrowRequest.
- The lease duration is imported from witnesses, where it is; peers passed it on.
- Why a message from an unknown VM is followed by a fetch, and why a request for tokens ends early.
- Two tests built the same engine, two waited for a promotion in the same way: one function each.

--- a/crates/gateway/src/engine/failovers.rs
+++ b/crates/gateway/src/engine/failovers.rs
@@ -5,7 +5,9 @@
 use slog::{info, warn};
 
 use super::{
-    DatabaseState, Engine, ServiceState, primaries::NO_FAILOVER, suspensions::UNOWNED_RUN,
+    DatabaseState, Engine, ServiceState,
+    primaries::NO_FAILOVER,
+    suspensions::{Preparer, UNOWNED_RUN},
 };
 use crate::{
     effect::{Effect, PlatformRequest},
@@ -104,15 +106,16 @@
         }
     }
 
-    /// Whether the VM that prepared a new term is gone, or knows nothing of it since it has restarted. It may
-    /// have requested a promotion, so the failover has to be completed.
+    /// Whether all VMs that prepared a new term are gone, or know nothing of it since they have restarted. One of
+    /// them may have requested a promotion, so the failover has to be completed.
     fn is_orphaned(&self, service: &ServiceState) -> bool {
         let Some(suspension) = &service.suspension else { return false };
-        let is_gone = |(by, run): &(VmName, Incarnation)| {
-            *by == self.id.vm
-                || *run == UNOWNED_RUN
-                || self.fleet.has_restarted(by, *run)
-                || !self.fleet.is_live(self.now, by)
+        let is_gone = |preparer: &Preparer| {
+            // Where this VM still prepares the term itself, it does not come here.
+            preparer.vm == self.id.vm
+                || preparer.run == UNOWNED_RUN
+                || self.fleet.has_restarted(&preparer.vm, preparer.run)
+                || !self.fleet.is_live(self.now, &preparer.vm)
         };
         suspension.confirmed
             && self.now.since(suspension.heard_at) >= ORPHANED_SUSPENSION_AFTER
--- a/crates/gateway/src/engine/gossip.rs
+++ b/crates/gateway/src/engine/gossip.rs
@@ -5,14 +5,18 @@
 
 use model::prelude::*;
 
-use super::{Engine, ServiceState, Suspension, suspensions::UNOWNED_RUN};
+use super::{
+    Engine, ServiceState,
+    suspensions::{Preparer, Suspension, UNOWNED_RUN},
+};
 use crate::{
     effect::Effect,
     peers::{
-        AgedPosition, HEARTBEAT_PERIOD, Heartbeat, HeartbeatTiming, LEASE_DURATION, PeerBody,
-        PeerMessage, ServiceReport, SuspensionReport,
+        AgedPosition, HEARTBEAT_PERIOD, Heartbeat, HeartbeatTiming, PeerBody, PeerMessage,
+        ServiceReport, SuspensionReport,
     },
     rates::Demand,
+    witnesses::LEASE_DURATION,
 };
 
 /// Time between two heartbeats of a VM that has just started and waits for its first lease: callers wait, too.
@@ -46,15 +50,16 @@
     pub fn peer_message(&mut self, now: MonoTime, source: SocketAddr, message: PeerMessage) {
         self.now = now;
         if self.fleet.version() == 0 && !self.reaches_store() {
-            // The sender knows this VM from an earlier run.
+            // Without a list, no sender is known and no heartbeat counts. This one has the address of this
+            // VM from a list that names its earlier run.
             self.fetch_from(source);
         }
         let PeerMessage { from, incarnation, body } = message;
         match body {
             PeerBody::Heartbeat(heartbeat) => self.handle_heartbeat(from, incarnation, heartbeat),
             PeerBody::Short { database } => self.release_idle_connection(&database),
-            // Changes nothing that a waiting statement of this VM waits for.
             PeerBody::Borrow { workspace, tokens } => {
+                // Statements of this VM don't wait for what another VM borrows.
                 return self.lend_tokens(&from, workspace, tokens);
             }
             PeerBody::Lend { workspace, tokens, all } => {
@@ -159,14 +164,15 @@
         // not prepare it, but has learned of it from others.
         let is_preparing =
             by == *from && run != UNOWNED_RUN && !self.fleet.has_restarted(from, run);
+        let preparer = Preparer { vm: by, run };
         match &mut service.suspension {
             Some(suspension) if suspension.term == term && is_preparing => {
-                suspension.add(now, by, run);
+                suspension.add_preparer(now, preparer);
             }
-            Some(suspension) if suspension.term == term => suspension.add_reported(by, run),
+            Some(suspension) if suspension.term == term => suspension.add_reported(preparer),
             Some(suspension) if suspension.term > term => {}
             _ if term > service.term => {
-                service.suspension = Some(Suspension::new(now, term, by, run));
+                service.suspension = Some(Suspension::new(now, term, preparer));
             }
             _ => {}
         }
@@ -297,7 +303,7 @@
             term: service.term,
             primary: service.primary.clone(),
             stopped_for: service.suspension.as_ref().and_then(|suspension| {
-                let (by, run) = suspension.preparing.last()?.clone();
+                let Preparer { vm: by, run } = suspension.preparing.last()?.clone();
                 Some(SuspensionReport { term: suspension.term, by, run })
             }),
             failing: primary.and_then(|p| p.failing_since).map(|since| now.since(since)),
--- a/crates/gateway/src/engine/membership.rs
+++ b/crates/gateway/src/engine/membership.rs
@@ -7,10 +7,10 @@
 use super::Engine;
 use crate::{
     effect::{Effect, PlatformRequest},
-    peers::{LEASE_DURATION, MemberList},
+    peers::MemberList,
     witnesses::{
-        self, CHANGE_INTERVAL, FIRST_SET_AFTER, FIRST_SET_STAGGER, LOST_MAJORITY_RESET_AFTER,
-        WitnessSet,
+        self, CHANGE_INTERVAL, FIRST_SET_AFTER, FIRST_SET_STAGGER, LEASE_DURATION,
+        LOST_MAJORITY_RESET_AFTER, WitnessSet,
     },
 };
 
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -115,7 +115,7 @@
     /// Primary of the term, where it is known.
     pub(crate) primary: Option<DatabaseName>,
     /// Set while this VM does not use the primary because a new term is being prepared.
-    pub(crate) suspension: Option<Suspension>,
+    pub(crate) suspension: Option<suspensions::Suspension>,
     /// Lower bounds on confirmed positions, for reads of a bounded age.
     pub(crate) freshness: ServiceFreshness,
     /// When its databases were last queried for their primary.
@@ -126,29 +126,6 @@
     pub(crate) next_failover_at: MonoTime,
 }
 
-/// A pause in this VM's use of a primary while another VM, or this one, prepares a new term.
-///
-/// It ends when the term begins, after all VMs that prepare the term have given up, or after a
-/// timeout.
-#[derive(Clone, Debug)]
-pub(crate) struct Suspension {
-    /// Term that is being prepared.
-    pub(crate) term: Term,
-    /// The VMs that prepare it, with their incarnations; the one that asked last is the last one.
-    /// More than one if they began without knowing of each other.
-    pub(crate) preparing: Vec<(VmName, Incarnation)>,
-    /// The VMs that gave the term up.
-    pub(crate) given_up: Vec<VmName>,
-    /// When this VM suspended the primary.
-    pub(crate) began_at: MonoTime,
-    /// When a VM that prepares the term last asked for the suspension, or reported that it still does;
-    /// or when the last one gave up.
-    pub(crate) heard_at: MonoTime,
-    /// Whether this VM has confirmed the suspension; from then on it also holds back answers of the
-    /// primary. A planned suspension is confirmed only once the statements in progress have ended.
-    pub(crate) confirmed: bool,
-}
-
 /// State of one VM's gateway; see the module's documentation.
 #[derive(Debug)]
 pub struct Engine {
--- a/crates/gateway/src/engine/suspensions.rs
+++ b/crates/gateway/src/engine/suspensions.rs
@@ -3,13 +3,14 @@
 use model::prelude::*;
 use slog::{info, warn};
 
-use super::{Engine, ServiceState, Suspension};
+use super::{Engine, ServiceState};
 use crate::{
     effect::CallerKey,
     failover::{self, PromotionIntent},
     message::TransactionState,
-    peers::{LEASE_DURATION, PeerBody},
+    peers::PeerBody,
     session::Transaction,
+    witnesses::LEASE_DURATION,
 };
 
 /// How long a suspension lasts if its outcome is never heard. A failover is over much sooner.
@@ -19,41 +20,71 @@
 /// requested the promotion.
 pub(super) const UNOWNED_RUN: Incarnation = Incarnation(0);
 
+/// A VM that prepares a term.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Preparer {
+    pub(super) vm: VmName,
+    pub(super) run: Incarnation,
+}
+
+/// A pause in this VM's use of a primary while other VMs, or this one, prepare a new term.
+///
+/// More than one VM prepares a term where they began without knowing of each other. Each of them relies on
+/// the confirmation that this VM has sent to it, so a suspension ends only when the term begins, when all of them
+/// have given up (see [`Suspension::give_up`]), or after a timeout.
+#[derive(Clone, Debug)]
+pub(crate) struct Suspension {
+    /// Term that is being prepared.
+    pub(super) term: Term,
+    /// The VMs that prepare it; the one that asked last is the last one. Empty once all have given up.
+    pub(super) preparing: Vec<Preparer>,
+    /// The VMs that gave the term up. Others may still report them as preparing it.
+    given_up: Vec<VmName>,
+    /// When this VM suspended the primary.
+    pub(super) began_at: MonoTime,
+    /// When a VM that prepares the term last asked for the suspension, or reported that it still does;
+    /// or when the last one gave up.
+    pub(super) heard_at: MonoTime,
+    /// Whether this VM has confirmed the suspension; from then on it also holds back answers of the
+    /// primary. A planned suspension is confirmed only once the statements in progress have ended.
+    pub(super) confirmed: bool,
+}
+
 impl Suspension {
     /// A confirmed suspension for a term that one VM prepares.
-    pub(super) fn new(now: MonoTime, term: Term, by: VmName, run: Incarnation) -> Suspension {
-        let (preparing, given_up) = (vec![(by, run)], Vec::new());
+    pub(super) fn new(now: MonoTime, term: Term, preparer: Preparer) -> Suspension {
+        let (preparing, given_up) = (vec![preparer], Vec::new());
         Suspension { term, preparing, given_up, began_at: now, heard_at: now, confirmed: true }
     }
 
-    /// Adds a VM that asks for the suspension, or reports that it still prepares the term.
-    pub(super) fn add(&mut self, now: MonoTime, by: VmName, run: Incarnation) {
-        self.preparing.retain(|(vm, _)| *vm != by);
-        self.given_up.retain(|vm| *vm != by);
-        self.preparing.push((by, run));
+    /// Adds a VM that asks for the suspension, or reports itself that it still prepares the term.
+    pub(super) fn add_preparer(&mut self, now: MonoTime, preparer: Preparer) {
+        self.preparing.retain(|known| known.vm != preparer.vm);
+        self.given_up.retain(|vm| *vm != preparer.vm);
+        self.preparing.push(preparer);
         self.heard_at = now;
     }
 
-    /// Adds a VM that prepares the term according to another VM, which may not know yet that it gave up.
-    pub(super) fn add_reported(&mut self, by: VmName, run: Incarnation) {
-        let is_known =
-            self.preparing.iter().any(|(vm, _)| *vm == by) || self.given_up.contains(&by);
-        if !is_known {
-            self.preparing.insert(0, (by, run));
+    /// Adds a VM that prepares the term according to another VM, unless it is known to have given up.
+    pub(super) fn add_reported(&mut self, preparer: Preparer) {
+        let is_known = self.preparing.iter().any(|known| known.vm == preparer.vm);
+        if !is_known && !self.given_up.contains(&preparer.vm) {
+            self.preparing.insert(0, preparer);
         }
     }
 
-    /// Removes a VM that gave the term up. If no other prepares it, the suspension lasts for
-    /// [`LEASE_DURATION`] from then on: until this VM's lease rests on heartbeats that were sent later,
-    /// which name any other VM that a witness has confirmed it to.
-    fn give_up(&mut self, now: MonoTime, by: &VmName) {
+    /// Removes a VM that gave the term up. After the last one, the suspension lasts for
+    /// [`LEASE_DURATION`]: a VM that this one does not know of may prepare the term, too. By then the lease of
+    /// this VM rests on heartbeats that were sent later, and one of them names that VM.
+    fn give_up(&mut self, now: MonoTime, vm: &VmName) {
         let before = self.preparing.len();
-        self.preparing.retain(|(vm, _)| vm != by);
-        if self.preparing.len() < before {
-            self.given_up.push(by.clone());
-            if self.preparing.is_empty() {
-                self.heard_at = now;
-            }
+        self.preparing.retain(|known| known.vm != *vm);
+        if self.preparing.len() == before {
+            return;
+        }
+        self.given_up.push(vm.clone());
+        if self.preparing.is_empty() {
+            self.heard_at = now;
         }
     }
 }
@@ -81,7 +112,7 @@
             return self.send_to_vm(by, PeerBody::Decided { service, term: known, primary });
         }
         if let Some(suspension) = service.suspension.as_mut().filter(|s| s.term == term) {
-            suspension.add(now, by.clone(), run);
+            suspension.add_preparer(now, Preparer { vm: by.clone(), run });
         }
         match &service.suspension {
             Some(suspension) if suspension.term >= term && suspension.confirmed => {}
@@ -89,7 +120,7 @@
             _ => {
                 info!(self.log, "primary suspended"; "service" => %name, "term" => term.0,
                     "planned" => planned, "by" => %by);
-                let suspension = Suspension::new(now, term, by.clone(), run);
+                let suspension = Suspension::new(now, term, Preparer { vm: by.clone(), run });
                 service.suspension = Some(Suspension { confirmed: !planned, ..suspension });
             }
         }
@@ -132,8 +163,8 @@
             let Some(suspension) = &mut service.suspension else { continue };
             suspension.confirmed = true;
             let (term, preparing) = (suspension.term, suspension.preparing.clone());
-            for (by, _) in preparing {
-                self.send_confirmation(&name, term, &by);
+            for preparer in preparing {
+                self.send_confirmation(&name, term, &preparer.vm);
             }
         }
     }
@@ -210,12 +241,12 @@
         self.now = now;
         self.intents_known = true;
         for PromotionIntent { service: name, term } in intents {
-            let by = self.id.vm.clone();
+            let preparer = Preparer { vm: self.id.vm.clone(), run: UNOWNED_RUN };
             let service =
                 self.services.entry(name.clone()).or_insert_with(|| ServiceState::new(now));
             if term > service.term && service.suspension.is_none() {
                 info!(self.log, "promotion may be under way"; "service" => %name, "term" => term.0);
-                service.suspension = Some(Suspension::new(now, term, by, UNOWNED_RUN));
+                service.suspension = Some(Suspension::new(now, term, preparer));
             }
         }
     }
--- a/crates/gateway/src/failover.rs
+++ b/crates/gateway/src/failover.rs
@@ -11,7 +11,7 @@
 
 use model::prelude::*;
 
-use crate::peers::{LEASE_DURATION, ServiceReport};
+use crate::{peers::ServiceReport, witnesses::LEASE_DURATION};
 
 /// How long a VM must have had no usable answer from a primary before the primary is replaced.
 ///
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -12,11 +12,11 @@
 
 use crate::{
     peers::{
-        Echo, Heartbeat, HeartbeatTiming, LEASE_DURATION, LIVENESS_TIMEOUT, LOCAL_WITNESS_TIMEOUT,
-        MemberList, MemberRecord, ServiceReport, Timestamps,
+        Echo, Heartbeat, HeartbeatTiming, LIVENESS_TIMEOUT, LOCAL_WITNESS_TIMEOUT, MemberList,
+        MemberRecord, ServiceReport, Timestamps,
     },
     rates::Demand,
-    witnesses::{Health, WitnessSet},
+    witnesses::{Health, LEASE_DURATION, WitnessSet},
 };
 
 /// A VM of the member list other than this one, with its state according to its heartbeats.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -22,7 +22,6 @@
 use model::prelude::*;
 use serde::{Deserialize, Serialize};
 
-pub use crate::witnesses::LEASE_DURATION;
 use crate::{
     rates::{Demand, RateGrant},
     witnesses::WitnessSet,
--- a/crates/gateway/src/rates.rs
+++ b/crates/gateway/src/rates.rs
@@ -65,6 +65,13 @@
     pub part: f32,
 }
 
+/// A request to the home for tokens.
+#[derive(Clone, Copy, Debug)]
+struct BorrowRequest {
+    sent_at: MonoTime,
+    answered: bool,
+}
+
 /// The rate limit of one workspace at this VM.
 #[derive(Debug)]
 struct WorkspaceLimiter {
@@ -81,8 +88,8 @@
     granted: OutstandingGrants,
     /// Tokens lent to this VM, and until when they can be spent.
     borrowed: (u32, MonoTime),
-    /// When tokens were last requested from the home, and whether its answer is awaited.
-    borrow_asked: Option<(MonoTime, bool)>,
+    /// The last request to the home.
+    borrow_request: Option<BorrowRequest>,
     /// Until when the home counts as having no tokens left.
     home_empty_until: MonoTime,
     /// Number of operations that wait here for a token.
@@ -134,7 +141,7 @@
                 demand_updated_at: now,
                 granted: OutstandingGrants::default(),
                 borrowed: (0, now),
-                borrow_asked: None,
+                borrow_request: None,
                 home_empty_until: now,
                 waiting: 0,
                 lendable: bucket_after_start(now, rate_per_s, burst),
@@ -205,13 +212,14 @@
     /// Number of tokens to request from the home now, if any.
     pub fn tokens_to_borrow(&mut self, now: MonoTime, workspace: &WorkspaceName) -> Option<u32> {
         let limiter = self.limiters.get_mut(workspace)?;
-        let is_due = limiter.borrow_asked.is_none_or(|(at, awaited)| {
-            now.since(at) >= if awaited { BORROW_TIMEOUT } else { BORROW_INTERVAL }
+        let is_due = limiter.borrow_request.is_none_or(|request| {
+            let pause = if request.answered { BORROW_INTERVAL } else { BORROW_TIMEOUT };
+            now.since(request.sent_at) >= pause
         });
         if limiter.waiting == 0 || !is_due {
             return None;
         }
-        limiter.borrow_asked = Some((now, true));
+        limiter.borrow_request = Some(BorrowRequest { sent_at: now, answered: false });
         Some(limiter.waiting.min(BORROW_MAX_TOKENS))
     }
 
@@ -235,8 +243,8 @@
         all: bool,
     ) {
         if let Some(limiter) = self.limiters.get_mut(workspace) {
-            if let Some((_, awaited)) = &mut limiter.borrow_asked {
-                *awaited = false;
+            if let Some(request) = &mut limiter.borrow_request {
+                request.answered = true;
             }
             if !all {
                 limiter.home_empty_until = now + HOME_EMPTY_BACKOFF;
--- a/crates/gateway/tests/failover.rs
+++ b/crates/gateway/tests/failover.rs
@@ -7,7 +7,8 @@
     PromotionIntent,
     failover::PLANNED_SUSPEND_TIMEOUT,
     message::{Access, ErrorCode, Statement},
-    peers::{LEASE_DURATION, PeerBody},
+    peers::PeerBody,
+    witnesses::LEASE_DURATION,
 };
 use model::prelude::*;
 use world::{
@@ -654,6 +655,17 @@
     }
 }
 
+/// Returns the VM that requested the first promotion.
+fn run_until_promotion_requested(world: &mut World) -> usize {
+    for _ in 0..500 {
+        if let Some((by, _)) = world.promotion_requests.first() {
+            return *by;
+        }
+        world.run_for(10);
+    }
+    panic!("no promotion was requested within 5 s");
+}
+
 /// The VM that replaces a leaving primary loses the store after it has requested the promotion, so another VM is the
 /// coordinator. A second promotion, of another database, would take the lead from the first one while VMs use it.
 #[test]
@@ -664,13 +676,7 @@
         assert!(world.query(a, "a0", write("1")).succeeded());
         world.databases[0].leaving = true;
         world.publish_databases(2);
-        for _ in 0..300 {
-            if !world.promotion_requests.is_empty() {
-                break;
-            }
-            world.run_for(10);
-        }
-        let (by, _) = world.promotion_requests[0];
+        let by = run_until_promotion_requested(&mut world);
         world.run_for(after_ms);
         let now = world.now;
         world.vms_without_store.insert(by);
@@ -712,27 +718,16 @@
         assert!(world.query(sessions[3], "w0", write("1")).succeeded());
         world.cut_database_from_vms(0);
         world.send(sessions[3], "w1", write("1"));
-        for _ in 0..500 {
-            if !world.promotion_requests.is_empty() {
-                break;
-            }
-            world.run_for(10);
-        }
+        let by = run_until_promotion_requested(&mut world);
         world.run_for(after_ms);
-        let (by, _) = world.promotion_requests[0];
         let other = (by + 1) % 5;
-        let (term, planned) = (Term(2), false);
-        for vm in (0..5).filter(|vm| *vm != other) {
-            world.deliver_from_peer(
-                other,
-                vm,
-                PeerBody::Stop { service: service(), term, planned },
-            );
-        }
-        world.run_for(20);
-        for vm in (0..5).filter(|vm| *vm != other) {
-            let given_up = PeerBody::Decided { service: service(), term, primary: None };
-            world.deliver_from_peer(other, vm, given_up);
+        let prepares = PeerBody::Stop { service: service(), term: Term(2), planned: false };
+        let gives_up = PeerBody::Decided { service: service(), term: Term(2), primary: None };
+        for body in [prepares, gives_up] {
+            for vm in (0..5).filter(|vm| *vm != other) {
+                world.deliver_from_peer(other, vm, body.clone());
+            }
+            world.run_for(20);
         }
         world.cuts.clear();
         let earlier_runs = world.group.runs.len();
--- a/crates/gateway/tests/hierarchy.rs
+++ b/crates/gateway/tests/hierarchy.rs
@@ -5,7 +5,7 @@
 
 use std::collections::BTreeSet;
 
-use gateway::peers::{HEARTBEAT_PERIOD, LEASE_DURATION};
+use gateway::{peers::HEARTBEAT_PERIOD, witnesses::LEASE_DURATION};
 use world::{Endpoint, KEY, LATEST, World, dc, read, write};
 
 /// Twelve VMs in three data centres, seven of them witnesses.
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -7,10 +7,10 @@
     catalog::{Catalog, ServiceLimits},
     fleet::FleetView,
     peers::{
-        Echo, Heartbeat, HeartbeatTiming, LEASE_DURATION, MemberList, MemberRecord, PeerBody,
-        PeerMessage, Timestamps,
+        Echo, Heartbeat, HeartbeatTiming, MemberList, MemberRecord, PeerBody, PeerMessage,
+        Timestamps,
     },
-    witnesses::WitnessSet,
+    witnesses::{LEASE_DURATION, WitnessSet},
 };
 use model::prelude::*;
 use slog::{Discard, Logger, o};
@@ -154,9 +154,8 @@
     check(other, Some(at(9_800)), left, None);
 }
 
-/// Guards against a heartbeat that leaves out a promise: its receiver may rely on the lease in it.
-#[test]
-fn heartbeat_reports_all_promises() {
+/// The engine of the first of three VMs, at 1 s.
+fn engine_of_three() -> Engine {
     let id = Identity {
         vm: vm(0),
         incarnation: RUN,
@@ -165,17 +164,30 @@
         first_start: true,
         decode_status: |_| None,
     };
+    let mut engine = Engine::new(id, Logger::root(Discard, o!()), at(1_000));
+    engine.set_members(at(1_000), &list(3));
+    engine
+}
+
+/// Delivers a message of another VM to an engine.
+fn deliver(engine: &mut Engine, now: MonoTime, from: usize, body: PeerBody) {
+    let source = SocketAddr::from(([10, 0, 0, from as u8], 7000));
+    let message = PeerMessage { from: vm(from), incarnation: Incarnation(1), body };
+    engine.peer_message(now, source, message);
+}
+
+/// Guards against a heartbeat that leaves out a promise: its receiver may rely on the lease in it.
+#[test]
+fn heartbeat_reports_all_promises() {
     let service = |index: usize| ServiceName::new(format!("svc-{index}")).expect("a name");
     let limits = ServiceLimits { connections: 10, synchronous: false };
     let services = (0..40).map(|index| (service(index), limits)).collect();
     let catalog = Catalog { generation: 1, services, ..Catalog::default() };
-    let mut engine = Engine::new(id, Logger::root(Discard, o!()), at(1_000));
-    engine.set_members(at(1_000), &list(3));
+    let mut engine = engine_of_three();
     engine.set_catalog(at(1_000), Arc::new(catalog));
     for index in 0..30 {
         let body = PeerBody::Stop { service: service(index), term: Term(1), planned: false };
-        let message = PeerMessage { from: vm(1), incarnation: Incarnation(1), body };
-        engine.peer_message(at(1_100), SocketAddr::from(([10, 0, 0, 1], 7000)), message);
+        deliver(&mut engine, at(1_100), 1, body);
     }
     engine.take_effects();
     engine.tick(at(1_500));
@@ -196,23 +208,12 @@
 /// Guards against a VM that fetches the same list several times over a busy link.
 #[test]
 fn only_one_fetch_from_a_peer_is_in_progress() {
-    let id = Identity {
-        vm: vm(0),
-        incarnation: RUN,
-        dc: DcName::new("dc-a").expect("a name"),
-        regions: FxHashMap::default(),
-        first_start: true,
-        decode_status: |_| None,
-    };
-    let mut engine = Engine::new(id, Logger::root(Discard, o!()), at(1_000));
-    engine.set_members(at(1_000), &list(3));
+    let mut engine = engine_of_three();
     let fetches_at = |engine: &mut Engine, ms: u64| {
         for from in [1, 2] {
             let stamps = Timestamps { sent: at(ms), echo: None };
             let newer = Heartbeat { members: 2, stamps, ..heartbeat(None) };
-            let (from, body) = (vm(from), PeerBody::Heartbeat(newer));
-            let message = PeerMessage { from, incarnation: Incarnation(1), body };
-            engine.peer_message(at(ms), SocketAddr::from(([10, 0, 0, 1], 7000)), message);
+            deliver(engine, at(ms), from, PeerBody::Heartbeat(newer));
         }
         let effects = engine.take_effects();
         effects.iter().filter(|effect| matches!(effect, Effect::FetchFromPeer(_))).count()
--- a/crates/gateway/tests/rates.rs
+++ b/crates/gateway/tests/rates.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use gateway::{message::ErrorCode, peers::LEASE_DURATION, rates::RateLimiter};
+use gateway::{message::ErrorCode, rates::RateLimiter, witnesses::LEASE_DURATION};
 use model::prelude::*;
 use world::{Endpoint, KEY, LATEST, World, dc, read};
 
