Test that a suspension outlasts earlier reports

Found by reading: of the change on suspensions, the wait of a lease duration after the last VM has given up, and the VMs that are added by reports, had no test that fails without them.

--- a/crates/gateway/tests/failover.rs
+++ b/crates/gateway/tests/failover.rs
@@ -743,3 +743,34 @@
         }
     }
 }
+
+/// VMs 1 and 2 have confirmed a suspension to VM 0 and then to VM 3, and report the latter to VM 4, which has
+/// not heard of VM 0. Once VM 3 gives up, the lease of VM 4 still rests on those reports, so it may not use
+/// the old primary before newer ones have come, and those name VM 0.
+#[test]
+fn suspension_outlasts_the_lease_that_rests_on_earlier_reports() {
+    for after_ms in (310..610).step_by(50) {
+        let mut world = World::new(5);
+        let caller = world.open(4, LATEST, KEY);
+        assert!(world.query(caller, "w0", write("1")).succeeded());
+        let prepares = PeerBody::Stop { service: service(), term: Term(2), planned: false };
+        for (by, vm) in [(0, 1), (0, 2), (3, 1), (3, 2), (3, 4)] {
+            world.deliver_from_peer(by, vm, prepares.clone());
+        }
+        world.run_for(after_ms);
+        let gives_up = PeerBody::Decided { service: service(), term: Term(2), primary: None };
+        for vm in 0..5 {
+            world.deliver_from_peer(3, vm, gives_up.clone());
+        }
+        let earlier_runs = world.group.runs.len();
+        for id in ["r0", "r1"] {
+            let caller = world.open(4, LATEST, KEY);
+            world.send(caller, id, read("1"));
+            world.run_for(LEASE_DURATION.as_ms() + 50);
+            assert!(world.engines[4].is_ready(), "no lease, so this shows nothing");
+        }
+        for run in &world.group.runs[earlier_runs..] {
+            assert_ne!(run.database, database_name(0), "{} after {after_ms} ms", run.id);
+        }
+    }
+}
