--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -355,7 +355,7 @@
 
     /// Fetches the newer parts of a peer's snapshot and passes them to the program.
     async fn fetch(self, peer: SocketAddr) {
-        match peers::fetch(&self.inner.client, peer, &self.inner.snapshot).await {
+        match peers::fetch(&self.inner.client, peer, &self.inner.snapshot, &self.inner.log).await {
             Ok(snapshot) => self.command(Command::ApplySnapshot(snapshot)),
             Err(e) => info!(self.inner.log, "state not fetched"; "peer" => %peer, "error" => %e),
         }
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -15,6 +15,7 @@
 use edge::client::{Client, Reply, SendError};
 use gateway::peers::PeerMessage;
 use http::{Method, StatusCode};
+use slog::{Logger, info};
 use tokio::sync::mpsc;
 
 use crate::{
@@ -51,22 +52,28 @@
     state.merge(Router::new().route(LINK_PATH, get(links::accept)).with_state(links))
 }
 
+/// Failure to encode a reply, with its reason, which the peer logs.
+type EncodeFailure = (StatusCode, String);
+
+fn encode_failure(e: impl ToString) -> EncodeFailure {
+    (StatusCode::INTERNAL_SERVER_ERROR, e.to_string())
+}
+
 /// Returns the newer parts as whole documents, for VMs of a version that does not know updates.
 async fn get_state(
     State(snapshot): State<SharedSnapshot>,
     Query(known): Query<SnapshotVersions>,
-) -> Result<Vec<u8>, StatusCode> {
+) -> Result<Vec<u8>, EncodeFailure> {
     let newer = lock(&snapshot).current().newer_than(known);
-    rmp_serde::to_vec(&newer).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+    rmp_serde::to_vec(&newer).map_err(encode_failure)
 }
 
 async fn get_updates(
     State(snapshot): State<SharedSnapshot>,
     Query(known): Query<SnapshotVersions>,
-) -> Result<Vec<u8>, StatusCode> {
-    let updates = lock(&snapshot).updates_since(known);
-    let updates = updates.map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)?;
-    rmp_serde::to_vec(&updates).map_err(|_| StatusCode::INTERNAL_SERVER_ERROR)
+) -> Result<Vec<u8>, EncodeFailure> {
+    let updates = lock(&snapshot).updates_since(known).map_err(encode_failure)?;
+    rmp_serde::to_vec(&updates).map_err(encode_failure)
 }
 
 /// Fetches the parts of a peer's snapshot that are newer than `own`.
@@ -74,13 +81,17 @@
     client: &Client,
     peer: SocketAddr,
     own: &SharedSnapshot,
+    log: &Logger,
 ) -> Result<Snapshot, SendError> {
     let address = peer.to_string();
     let known = lock(own).versions();
     let unreadable = |reason: String| SendError::Unreadable { address: address.clone(), reason };
     let body_of = |reply: Reply| match reply.status {
         StatusCode::OK => Ok(reply.body),
-        status => Err(unreadable(format!("status {status}"))),
+        status => {
+            let reason = String::from_utf8_lossy(&reply.body);
+            Err(unreadable(format!("status {status}: {reason}")))
+        }
     };
     let decode = |reply: Reply| {
         let updates: Vec<PartUpdate> =
@@ -93,11 +104,15 @@
         let reply = get_since(client, &address, STATE_PATH, known).await?;
         return rmp_serde::from_slice(&body_of(reply)?).map_err(|e| unreadable(e.to_string()));
     }
-    if let Ok(snapshot) = decode(reply) {
-        return Ok(snapshot);
+    match decode(reply) {
+        Ok(snapshot) => Ok(snapshot),
+        Err(e) => {
+            // The peer has another document for a version of this VM, or this VM no longer has it.
+            info!(log, "update not decoded, fetching whole documents"; "peer" => %peer, "error" => %e);
+            let all = SnapshotVersions::default();
+            decode(get_since(client, &address, UPDATES_PATH, all).await?)
+        }
     }
-    // The peer has another document for a version of this VM, or this VM no longer has it.
-    decode(get_since(client, &address, UPDATES_PATH, SnapshotVersions::default()).await?)
 }
 
 async fn get_since(
--- a/crates/node/src/snapshot.rs
+++ b/crates/node/src/snapshot.rs
@@ -1,5 +1,5 @@
-//! What a VM has read from the platform's store, and how peers fetch it: compressed, and as a
-//! difference from a version that they have.
+//! Snapshots of what a VM has read from the platform's store. Peers fetch updates of their parts, each
+//! compressed with a version that the peer has as the dictionary, so that a small change is a small update.
 
 use std::{collections::VecDeque, io};
 
@@ -58,7 +58,7 @@
     Members,
 }
 
-/// A newer version of a part.
+/// A newer version of a part, as it is sent to a peer.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct PartUpdate {
     part: Part,
@@ -145,50 +145,58 @@
         change(&mut self.current);
         for part in Part::ALL {
             let (version, document) = before.part(part);
-            let (present_version, present_document) = self.current.part(part);
-            if version == present_version && document == present_document {
-                continue;
+            if self.current.part(part) != (version, document) {
+                self.encoded.retain(|(of, _), _| *of != part);
             }
-            self.encoded.retain(|(of, _), _| *of != part);
-            if version == present_version {
-                continue;
-            }
-            let earlier = self.earlier.entry(part).or_default();
-            earlier.push_back((version, document.clone()));
-            while earlier.iter().map(|(_, document)| document.len()).sum::<usize>()
-                > EARLIER_MAX_BYTES
-            {
-                earlier.pop_front();
+            if self.current.part(part).0 != version {
+                self.keep_earlier(part, version, document.clone());
             }
         }
     }
 
+    fn keep_earlier(&mut self, part: Part, version: u64, document: Bytes) {
+        let earlier = self.earlier.entry(part).or_default();
+        earlier.push_back((version, document));
+        let mut len: usize = earlier.iter().map(|(_, document)| document.len()).sum();
+        while len > EARLIER_MAX_BYTES
+            && let Some((_, oldest)) = earlier.pop_front()
+        {
+            len -= oldest.len();
+        }
+    }
+
     /// Returns updates for the parts that are newer than `known`.
     ///
     /// # Errors
     /// A document can't be compressed.
     pub fn updates_since(&mut self, known: SnapshotVersions) -> io::Result<Vec<PartUpdate>> {
-        let newer =
-            Part::ALL.into_iter().filter(|part| self.current.part(*part).0 > known.of(*part));
         let mut updates = Vec::new();
-        for part in newer.collect::<Vec<_>>() {
-            let (version, document) = self.current.part(part);
-            let base = known.of(part);
-            let dictionary = self.document(part, base);
-            let base = if dictionary.is_some() { base } else { 0 };
-            let compressed = match self.encoded.get(&(part, base)) {
-                Some(compressed) => compressed.clone(),
-                None => {
-                    let compressed = compress(document, &dictionary.unwrap_or_default())?;
-                    self.encoded.insert((part, base), compressed.clone());
-                    compressed
-                }
-            };
-            updates.push(PartUpdate { part, version, base, compressed });
+        for part in Part::ALL {
+            if self.current.part(part).0 > known.of(part) {
+                updates.push(self.update(part, known.of(part))?);
+            }
         }
         Ok(updates)
     }
 
+    /// The update of a part for a VM that has the version `known`.
+    fn update(&mut self, part: Part, known: u64) -> io::Result<PartUpdate> {
+        let (version, document) = self.current.part(part);
+        let (base, dictionary) = match self.document(part, known) {
+            Some(dictionary) => (known, dictionary),
+            None => (0, Bytes::new()),
+        };
+        let compressed = match self.encoded.get(&(part, base)) {
+            Some(compressed) => compressed.clone(),
+            None => {
+                let compressed = compress(document, &dictionary)?;
+                self.encoded.insert((part, base), compressed.clone());
+                compressed
+            }
+        };
+        Ok(PartUpdate { part, version, base, compressed })
+    }
+
     /// Decodes a peer's updates. The parts without an update are empty, with version zero.
     ///
     /// # Errors
@@ -210,9 +218,12 @@
 
     /// The document of a version, if it is kept. Version zero has none.
     fn document(&self, part: Part, version: u64) -> Option<Bytes> {
+        if version == 0 {
+            return None;
+        }
         let (present, document) = self.current.part(part);
-        if version == 0 || version == present {
-            return (version != 0).then(|| document.clone());
+        if version == present {
+            return Some(document.clone());
         }
         let earlier = self.earlier.get(&part)?;
         earlier.iter().find(|(of, _)| *of == version).map(|(_, document)| document.clone())
--- a/crates/node/tests/snapshot.rs
+++ b/crates/node/tests/snapshot.rs
@@ -35,7 +35,7 @@
         let (block, host) = (vm / 250, vm % 250);
         let born = 1_772_042_100_000 + vm * vm * 7_919 % 10_007;
         format!(
-            r#""front-{vm}":{{"address":"10.{block}.0.{host}:7120","incarnation":{born},"zone":"dc-{}"}}"#,
+            r#""vm-{vm}":{{"address":"10.{block}.0.{host}:7120","incarnation":{born},"dc":"dc-{}"}}"#,
             vm % 6
         )
     });
