--- a/crates/gateway/src/engine/membership.rs
+++ b/crates/gateway/src/engine/membership.rs
@@ -78,9 +78,13 @@
     pub fn note_store_result(&mut self, now: MonoTime, answered: bool) {
         self.now = now;
         let before = self.reaches_store();
+        self.counts.store_calls += 1;
         match answered {
             true => self.membership.store_responded_at = Some(now),
-            false => self.membership.store_failed_at = Some(now),
+            false => {
+                self.counts.store_failures += 1;
+                self.membership.store_failed_at = Some(now);
+            }
         }
         let after = self.reaches_store();
         if before != after {
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -222,6 +222,10 @@
     pub holder_refusals: u64,
     /// Requests of peers that this VM, as a holder, refused to send to a database.
     pub channel_refusals: u64,
+    /// Calls of the store whose result the program reported.
+    pub store_calls: u64,
+    /// Those of them that were not answered.
+    pub store_failures: u64,
 }
 
 /// Numbers of open connections and channels.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -31,7 +31,7 @@
     connection::{self, Connection, ReadOutcome},
     links::{self, IncomingLink},
     ops,
-    peers::{self, DATAGRAM_MAX_BYTES, SharedSnapshot},
+    peers::{self, DATAGRAM_MAX_BYTES, Fetched, SharedSnapshot},
     snapshot::Snapshot,
 };
 
@@ -66,7 +66,21 @@
     /// Make a call to the platform.
     CallPlatform(PlatformRequest),
     /// Apply the parts of a peer's snapshot that are newer than this VM's state.
-    ApplySnapshot(Snapshot),
+    ApplySnapshot {
+        /// Address of the peer.
+        peer: SocketAddr,
+        /// What it sent.
+        snapshot: Snapshot,
+    },
+}
+
+/// Fetches of peers' snapshots since the process started.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct FetchCounts {
+    pub(crate) completed: u64,
+    pub(crate) failed: u64,
+    /// Size of what was received by the completed ones.
+    pub(crate) received_bytes: u64,
 }
 
 /// A running gateway engine with its sockets. Cheap to clone.
@@ -97,6 +111,8 @@
     applying_effects: Cell<bool>,
     /// A semaphore without permits, closed once callers are no longer accepted.
     accepting: Semaphore,
+    /// Fetches from peers since the start.
+    fetches: Cell<FetchCounts>,
     /// Number of datagrams that could not be sent since the start.
     lost_datagrams: Cell<u64>,
     /// Time of the last log record about such a datagram.
@@ -144,6 +160,7 @@
                 commands,
                 applying_effects: Cell::new(false),
                 accepting: Semaphore::new(0),
+                fetches: Cell::default(),
                 lost_datagrams: Cell::new(0),
                 loss_logged_at: Cell::new(None),
             }),
@@ -348,6 +365,11 @@
         }
     }
 
+    /// Returns the numbers of fetches from peers since the start.
+    pub(crate) fn fetches(&self) -> FetchCounts {
+        self.inner.fetches.get()
+    }
+
     /// Returns the number of datagrams to peers that could not be sent since the start.
     pub(crate) fn lost_datagrams(&self) -> u64 {
         self.inner.lost_datagrams.get()
@@ -355,10 +377,26 @@
 
     /// Fetches the newer parts of a peer's snapshot and passes them to the program.
     async fn fetch(self, peer: SocketAddr) {
-        match peers::fetch(&self.inner.client, peer, &self.inner.snapshot, &self.inner.log).await {
-            Ok(snapshot) => self.command(Command::ApplySnapshot(snapshot)),
-            Err(e) => info!(self.inner.log, "state not fetched"; "peer" => %peer, "error" => %e),
+        let Inner { client, snapshot, log, .. } = &*self.inner;
+        let began = clock::now();
+        let fetched = peers::fetch(client, peer, snapshot, log).await;
+        let took_ms = clock::now().since(began).as_ms();
+        let mut counts = self.inner.fetches.get();
+        match fetched {
+            Ok(Fetched { snapshot, received_bytes }) => {
+                info!(log, "state fetched"; "peer" => %peer, "bytes" => received_bytes,
+                    "took_ms" => took_ms);
+                counts.completed += 1;
+                counts.received_bytes += received_bytes as u64;
+                self.command(Command::ApplySnapshot { peer, snapshot });
+            }
+            Err(e) => {
+                info!(log, "state not fetched"; "peer" => %peer, "error" => %e,
+                    "took_ms" => took_ms);
+                counts.failed += 1;
+            }
         }
+        self.inner.fetches.set(counts);
         self.drive(Engine::fetch_ended);
     }
 
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -17,7 +17,7 @@
 use http::StatusCode;
 use tokio::{net::TcpListener, sync::watch};
 
-use crate::{Codec, Node};
+use crate::{Codec, Node, node::FetchCounts};
 
 /// Readiness and metrics as of the last [`OpsState::update`].
 #[derive(Debug, Default)]
@@ -31,10 +31,10 @@
 impl OpsState {
     /// Updates readiness and metrics from the node's current state.
     pub fn update<C: Codec>(&self, node: &Node<C>) {
-        let lost_datagrams = node.lost_datagrams();
+        let (fetches, lost_datagrams) = (node.fetches(), node.lost_datagrams());
         let text = node.with_engine(|engine| {
             self.ready.store(engine.is_ready(), Ordering::Relaxed);
-            metrics_text(engine, lost_datagrams)
+            metrics_text(engine, fetches, lost_datagrams)
         });
         // The text is replaced as a whole, so that it is valid even if a writer panicked.
         *self.metrics.write().unwrap_or_else(|e| e.into_inner()) = text;
@@ -42,7 +42,7 @@
 }
 
 /// Formats the engine's metrics in the Prometheus text format.
-fn metrics_text(engine: &Engine, lost_datagrams: u64) -> String {
+fn metrics_text(engine: &Engine, fetches: FetchCounts, lost_datagrams: u64) -> String {
     let counts = engine.counts();
     let (sessions, waiting) = engine.load();
     let open = engine.open_connections();
@@ -63,12 +63,19 @@
         ("takeovers_total", counts.takeovers),
         ("searches_total", counts.searches),
         ("lost_datagrams_total", lost_datagrams),
+        ("store_calls_total", counts.store_calls),
+        ("store_failures_total", counts.store_failures),
+        ("fetches_total", fetches.completed),
+        ("fetch_failures_total", fetches.failed),
+        ("fetched_bytes_total", fetches.received_bytes),
         ("sessions", sessions as u64),
         ("waiting", waiting as u64),
         ("connections", open.own as u64),
         ("channels", open.channels as u64),
         ("peer_channels", open.peer_channels as u64),
         ("generation", engine.generation()),
+        ("databases_version", engine.registry_version()),
+        ("members_version", engine.members_version()),
         ("witness_step", engine.witness_step()),
     ] {
         // Writing to a string can't fail.
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -76,13 +76,20 @@
     rmp_serde::to_vec(&updates).map_err(encode_failure)
 }
 
+/// What a peer has sent of its snapshot.
+pub(crate) struct Fetched {
+    pub(crate) snapshot: Snapshot,
+    /// Size of the replies' bodies.
+    pub(crate) received_bytes: usize,
+}
+
 /// Fetches the parts of a peer's snapshot that are newer than `own`.
 pub(crate) async fn fetch(
     client: &Client,
     peer: SocketAddr,
     own: &SharedSnapshot,
     log: &Logger,
-) -> Result<Snapshot, SendError> {
+) -> Result<Fetched, SendError> {
     let address = peer.to_string();
     let known = lock(own).versions();
     let unreadable = |reason: String| SendError::Unreadable { address: address.clone(), reason };
@@ -99,20 +106,25 @@
         lock(own).decode(&updates).map_err(|e| unreadable(e.to_string()))
     };
     let reply = get_since(client, &address, UPDATES_PATH, known).await?;
+    let mut received_bytes = reply.body.len();
     if reply.status == StatusCode::NOT_FOUND {
         // The peer's version does not know updates.
-        let reply = get_since(client, &address, STATE_PATH, known).await?;
-        return rmp_serde::from_slice(&body_of(reply)?).map_err(|e| unreadable(e.to_string()));
+        let body = body_of(get_since(client, &address, STATE_PATH, known).await?)?;
+        let snapshot = rmp_serde::from_slice(&body).map_err(|e| unreadable(e.to_string()))?;
+        return Ok(Fetched { snapshot, received_bytes: body.len() });
     }
-    match decode(reply) {
-        Ok(snapshot) => Ok(snapshot),
+    let snapshot = match decode(reply) {
+        Ok(snapshot) => snapshot,
         Err(e) => {
             // The peer has another document for a version of this VM, or this VM no longer has it.
             info!(log, "update not decoded, fetching whole documents"; "peer" => %peer, "error" => %e);
             let all = SnapshotVersions::default();
-            decode(get_since(client, &address, UPDATES_PATH, all).await?)
+            let reply = get_since(client, &address, UPDATES_PATH, all).await?;
+            received_bytes += reply.body.len();
+            decode(reply)?
         }
-    }
+    };
+    Ok(Fetched { snapshot, received_bytes })
 }
 
 async fn get_since(
