--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -15,4 +15,5 @@
 
 pub use codec::Codec;
 pub use node::{Command, Node, Settings};
+pub use peers::{Fetched, SharedSnapshot, fetch_snapshot};
 pub use snapshot::{Part, PartUpdate, Snapshot, SnapshotHistory, SnapshotVersions};
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -379,7 +379,7 @@
     async fn fetch(self, peer: SocketAddr) {
         let Inner { client, snapshot, log, .. } = &*self.inner;
         let began = clock::now();
-        let fetched = peers::fetch(client, peer, snapshot, log).await;
+        let fetched = peers::fetch_snapshot(client, peer, snapshot, log).await;
         let took_ms = clock::now().since(began).as_ms();
         let mut counts = self.inner.fetches.get();
         match fetched {
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -33,7 +33,7 @@
 const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The snapshot that peers fetch, shared with the HTTP listener.
-pub(crate) type SharedSnapshot = Arc<Mutex<SnapshotHistory>>;
+pub type SharedSnapshot = Arc<Mutex<SnapshotHistory>>;
 
 /// Locks a shared snapshot. A panic elsewhere leaves it usable: each document is replaced at once.
 pub(crate) fn lock(snapshot: &SharedSnapshot) -> MutexGuard<'_, SnapshotHistory> {
@@ -77,14 +77,19 @@
 }
 
 /// What a peer has sent of its snapshot.
-pub(crate) struct Fetched {
-    pub(crate) snapshot: Snapshot,
+#[derive(Debug)]
+pub struct Fetched {
+    /// The newer parts.
+    pub snapshot: Snapshot,
     /// Size of the replies' bodies.
-    pub(crate) received_bytes: usize,
+    pub received_bytes: usize,
 }
 
 /// Fetches the parts of a peer's snapshot that are newer than `own`.
-pub(crate) async fn fetch(
+///
+/// # Errors
+/// The peer does not answer, or its answer can't be decoded.
+pub async fn fetch_snapshot(
     client: &Client,
     peer: SocketAddr,
     own: &SharedSnapshot,
--- a/crates/node/tests/snapshot.rs
+++ b/crates/node/tests/snapshot.rs
@@ -117,3 +117,43 @@
     let updates = ahead.updates_since(none.versions()).expect("an update");
     assert_eq!(none.decode(&updates).expect("whole").members, members(300, None));
 }
+
+/// Routes of a configuration as JSON, with hosts that don't compress well.
+fn routes(count: u64) -> String {
+    let route = |number: u64| {
+        let host = format!("{:x}", number.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+        format!(
+            r#"{{"host":"{host}","type":"read_your_writes","service":"ledger-{}","timeoutMs":{},
+            "targetLatencyMs":600,"maxAttempts":2,"maxStalenessMs":2500,"priority":1,"public":false}}"#,
+            number % 8,
+            900 + number % 40,
+        )
+    };
+    format!("[{}]", (0..count).map(route).collect::<Vec<_>>().join(","))
+}
+
+fn configured(versions: &[(u64, String)]) -> SnapshotHistory {
+    let mut history = SnapshotHistory::default();
+    for (generation, configuration) in versions {
+        history.change(|snapshot| {
+            (snapshot.generation, snapshot.configuration) =
+                (*generation, configuration.clone().into());
+        });
+    }
+    history
+}
+
+/// Guards against a large configuration being sent whole to every VM for each small change.
+#[test]
+fn update_of_a_large_configuration_by_one_route_fits_into_a_packet() {
+    /// Payload of a packet, in bytes.
+    const PACKET_BYTES: usize = 1_400;
+    let (before, after) = (routes(4_300), routes(4_301));
+    let mut ahead = configured(&[(19, before.clone()), (22, after.clone())]);
+    let behind = configured(&[(19, before)]);
+    let updates = ahead.updates_since(behind.versions()).expect("an update");
+    let len = encoded_len(&updates);
+    assert!(len <= PACKET_BYTES, "{len} of {} bytes", after.len());
+    let fetched = behind.decode(&updates).expect("a version that it has");
+    assert_eq!((fetched.generation, fetched.configuration), (22, after.into()));
+}
