Wait for a document as long as it keeps arriving

What callers saw: VMs refused routes that had been confirmed 6 s before, and ran statements as an older configuration says (CONFIG); before that, a fifth to a half of the operations were late or refused for 8 s.

Cause: the time limits of calls, 1 s for a fetch from a peer and 1.5 s for the store, were for the whole transfer of a document whose size has no such bound. Where a link is too slow or too full for that, each attempt is given up near its end and begins anew, so that the load stays and nothing arrives.

Now a reply has to begin in time and then must not pause (edge::client::Patience); a document that is on its way arrives, however long it takes, up to 30 s. A silent peer or store is given up after the same time as before. Other calls keep their limits.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -2,14 +2,16 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{self, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
 };
 use serde::{Serialize, de::DeserializeOwned};
+use tokio::time::timeout;
 
 /// Maximum size of a reply's body, in bytes.
 pub const REPLY_MAX_BYTES: usize = 4 << 20;
@@ -18,6 +20,56 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 const MAX_IDLE_PER_HOST: usize = 64;
 
+/// Longest time for a reply that keeps arriving; see [`Patience::WhileArriving`].
+const TRANSFER_MAX: Duration = Duration::from_secs(30);
+
+/// How long to wait for a reply.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Patience {
+    /// The complete reply has to arrive within this time.
+    Complete(Duration),
+    /// The reply has to begin in time and then goes on as long as bytes arrive. For documents whose size is
+    /// not bounded: giving up on one that is on its way and asking again would load the link twice.
+    WhileArriving {
+        /// Time until the reply begins.
+        first: Duration,
+        /// Longest pause after that.
+        pause: Duration,
+    },
+}
+
+impl From<Duration> for Patience {
+    fn from(limit: Duration) -> Patience {
+        Patience::Complete(limit)
+    }
+}
+
+impl Patience {
+    /// Time until the reply has to begin.
+    fn first(self) -> Duration {
+        match self {
+            Patience::Complete(limit) => limit,
+            Patience::WhileArriving { first, .. } => first,
+        }
+    }
+
+    /// Time until the complete reply has to be there.
+    fn total(self) -> Duration {
+        match self {
+            Patience::Complete(limit) => limit,
+            Patience::WhileArriving { first, .. } => first + TRANSFER_MAX,
+        }
+    }
+
+    /// Longest time between two parts of the reply.
+    fn pause(self) -> Duration {
+        match self {
+            Patience::Complete(limit) => limit,
+            Patience::WhileArriving { pause, .. } => pause,
+        }
+    }
+}
+
 /// Request header with the sender's name, for the platform and for upstreams.
 pub const SENDER_HEADER: HeaderName = HeaderName::from_static("jasminepass-vm");
 
@@ -91,7 +143,7 @@
         Client { inner, sender }
     }
 
-    /// Sends a request to `address` (`ip:port`) and reads the complete reply within `timeout`.
+    /// Sends a request to `address` (`ip:port`) and reads the complete reply.
     pub async fn send(
         &self,
         address: &str,
@@ -99,7 +151,7 @@
         path: &str,
         headers: &[(HeaderName, HeaderValue)],
         body: Bytes,
-        timeout: Duration,
+        patience: impl Into<Patience>,
     ) -> Result<Reply, SendError> {
         let mut req = Request::builder()
             .method(method)
@@ -111,20 +163,24 @@
         let not_sent = |reason: String| SendError::NotSent { address: address.to_owned(), reason };
         let lost = |reason: String| SendError::ReplyLost { address: address.to_owned(), reason };
         let req = req.body(Full::new(body)).map_err(|e| not_sent(e.to_string()))?;
+        let patience = patience.into();
         let exchange = async {
-            let response = self.inner.request(req).await.map_err(|e| match e.is_connect() {
+            let response = timeout(patience.first(), self.inner.request(req)).await;
+            let late = |_| lost(format!("no reply within {} ms", patience.first().as_millis()));
+            let response = response.map_err(late)?.map_err(|e| match e.is_connect() {
                 true => not_sent(error_chain(&e)),
                 false => lost(error_chain(&e)),
             })?;
             let status = response.status();
             let headers = response.headers().clone();
-            let body = Limited::new(response.into_body(), REPLY_MAX_BYTES).collect();
-            let body = body.await.map_err(|e| lost(e.to_string()))?.to_bytes();
+            let body = read_body(response.into_body(), patience.pause()).await.map_err(lost)?;
             Ok(Reply { status, headers, body })
         };
-        match tokio::time::timeout(timeout, exchange).await {
+        match timeout(patience.total(), exchange).await {
             Ok(result) => result,
-            Err(_) => Err(lost(format!("no complete reply within {} ms", timeout.as_millis()))),
+            Err(_) => {
+                Err(lost(format!("no complete reply within {} ms", patience.total().as_millis())))
+            }
         }
     }
 
@@ -143,6 +199,24 @@
     }
 }
 
+/// Reads a body, unless it pauses for too long or is too large.
+async fn read_body(body: Incoming, pause: Duration) -> Result<Bytes, String> {
+    let mut body = Limited::new(body, REPLY_MAX_BYTES);
+    let mut received = BytesMut::new();
+    loop {
+        let frame = timeout(pause, body.frame()).await;
+        let stalled =
+            |_| format!("stalled for {} ms after {} bytes", pause.as_millis(), received.len());
+        match frame.map_err(stalled)? {
+            Some(Ok(frame)) => {
+                received.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()))
+            }
+            Some(Err(e)) => return Err(e.to_string()),
+            None => return Ok(received.freeze()),
+        }
+    }
+}
+
 /// Returns the `content-type` header of a JSON body.
 pub fn json_content_type() -> (HeaderName, HeaderValue) {
     (http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"))
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -12,7 +12,7 @@
     routing::get,
 };
 use bytes::Bytes;
-use edge::client::{Client, Reply, SendError};
+use edge::client::{Client, Patience, Reply, SendError};
 use gateway::peers::PeerMessage;
 use http::{Method, StatusCode};
 use slog::{Logger, info};
@@ -29,8 +29,9 @@
 const STATE_PATH: &str = "/state";
 /// HTTP path of updates to a VM's snapshot.
 const UPDATES_PATH: &str = "/state/updates";
-/// Timeout for fetching a peer's snapshot.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a peer may take to answer, and pause in its answer.
+const FETCH_PATIENCE: Patience =
+    Patience::WhileArriving { first: Duration::from_secs(1), pause: Duration::from_secs(1) };
 
 /// The snapshot that peers fetch, shared with the HTTP listener.
 pub type SharedSnapshot = Arc<Mutex<SnapshotHistory>>;
@@ -140,7 +141,7 @@
 ) -> Result<Reply, SendError> {
     let SnapshotVersions { generation, registry, members } = known;
     let path = format!("{path}?generation={generation}&registry={registry}&members={members}");
-    client.send(address, Method::GET, &path, &[], Bytes::new(), FETCH_TIMEOUT).await
+    client.send(address, Method::GET, &path, &[], Bytes::new(), FETCH_PATIENCE).await
 }
 
 /// Encodes a message as a datagram.
