Send differences of large configurations, too

Each version of a large configuration was sent whole to every VM, also the small change that follows within 3 s, by the seven witnesses, over the links that callers use.

Cause: earlier versions were kept up to 256 KB in total, so none of a document above that; and the compression's window (512 KB) did not reach back into a larger dictionary.

Now two earlier versions are kept whatever their size, and the window covers dictionary and document, with matching over long distances. 4,300 routes (825 KB): one route more is 325 bytes (44,354 before), 1,400 routes more 14,912 (44,895 as a whole). Encoding takes 2.5 and 3.4 ms (release build). Earlier builds decode these updates: the decoder is as it was.

--- a/crates/node/src/snapshot.rs
+++ b/crates/node/src/snapshot.rs
@@ -1,17 +1,25 @@
 //! Snapshots of what a VM has read from the platform's store. Peers fetch updates of their parts, each
 //! compressed with a version that the peer has as the dictionary, so that a small change is a small update.
 
-use std::{collections::VecDeque, io};
+use std::{
+    collections::VecDeque,
+    io::{self, Write},
+};
 
 use bytes::Bytes;
 use model::prelude::*;
 use serde::{Deserialize, Serialize};
-use zstd::bulk::{Compressor, Decompressor};
+use zstd::{bulk::Decompressor, stream::write::Encoder};
 
 /// Compression level: documents are compressed while peers wait for them.
 const COMPRESSION_LEVEL: i32 = 1;
 /// Earlier versions of each part are kept up to this size in total, in bytes.
 const EARLIER_MAX_BYTES: usize = 256 << 10;
+/// Number of earlier versions that are kept whatever their size: peers may be two changes behind.
+const EARLIER_MIN_VERSIONS: usize = 2;
+/// Binary logarithms of the smallest and the largest window of the compression, in bytes.
+const WINDOW_LOG_MIN: u32 = 17;
+const WINDOW_LOG_MAX: u32 = 25;
 /// Maximum size of a document, in bytes.
 const DOCUMENT_MAX_BYTES: usize = 16 << 20;
 
@@ -159,6 +167,7 @@
         earlier.push_back((version, document));
         let mut len: usize = earlier.iter().map(|(_, document)| document.len()).sum();
         while len > EARLIER_MAX_BYTES
+            && earlier.len() > EARLIER_MIN_VERSIONS
             && let Some((_, oldest)) = earlier.pop_front()
         {
             len -= oldest.len();
@@ -230,11 +239,19 @@
     }
 }
 
+/// Compresses a document. A dictionary that resembles it makes the result small wherever the two differ.
 fn compress(document: &[u8], dictionary: &[u8]) -> io::Result<Bytes> {
-    let mut compressor = Compressor::with_dictionary(COMPRESSION_LEVEL, dictionary)?;
+    let mut encoder = Encoder::with_ref_prefix(Vec::new(), COMPRESSION_LEVEL, dictionary)?;
+    // The window has to reach back to the beginning of the dictionary.
+    let reach = (dictionary.len() + document.len()).max(1);
+    encoder.window_log((reach.ilog2() + 1).clamp(WINDOW_LOG_MIN, WINDOW_LOG_MAX))?;
+    encoder.long_distance_matching(true)?;
     // Reveals a dictionary that differs from the one that was used here.
-    compressor.include_checksum(true)?;
-    compressor.compress(document).map(Bytes::from)
+    encoder.include_checksum(true)?;
+    // The decoder reserves as much as the encoder says.
+    encoder.set_pledged_src_size(Some(document.len() as u64))?;
+    encoder.write_all(document)?;
+    encoder.finish().map(Bytes::from)
 }
 
 fn decompress(compressed: &[u8], dictionary: &[u8]) -> io::Result<Bytes> {
