Notice within contactMs that a watch of the store has fallen silent

What callers saw: CONFIG. A configuration confirmed 5 s after a disruption was not in force on any VM, up to 19.5 s after the connections to the store had fallen silent.

Cause: a watch waits for 18 s (nine tenths of the store's history), and nothing else tells that its connection passes no bytes. The witnesses' watches fall silent together, and all other VMs rely on the witnesses. So the time in which a change is noticed came from what calls cost, not from the bound on a configuration; databases that leave (drainMs) and the list of VMs came as late.

Now the coordinator and VMs without a lease wait half of contactMs a call. The coordinator tells all others by its heartbeats; if its watch fails, another VM becomes coordinator and begins its watches anew. Connections idle for 1 s are closed: after the first timeout, the next call could be sent on another silent connection.

Ruled out: TCP keepalive alone, which a store that lost an answer acknowledges; short waits of all witnesses: seven times the calls.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -130,12 +130,17 @@
 impl Client {
     /// Creates a client that sends `sender` as its name in [`SENDER_HEADER`].
     pub fn new(sender: &str) -> Client {
+        Client::with_idle_timeout(sender, IDLE_TIMEOUT)
+    }
+
+    /// Like [`Client::new`]; connections that are not used for `idle_timeout` are closed.
+    pub fn with_idle_timeout(sender: &str, idle_timeout: Duration) -> Client {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
         let inner = legacy::Client::builder(TokioExecutor::new())
             .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
+            .pool_idle_timeout(idle_timeout)
             .pool_max_idle_per_host(MAX_IDLE_PER_HOST)
             .build(connector);
         let sender =
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -354,6 +354,12 @@
         self.fleet.self_is_witness() || !self.has_lease()
     }
 
+    /// Whether this VM has to notice soon if its watches of the store have fallen silent. Other VMs hear of
+    /// changes from the coordinator; one without a lease may not hear of them from any.
+    pub fn must_watch_closely(&self) -> bool {
+        self.is_coordinator() || !self.has_lease()
+    }
+
     /// Whether this VM started a short time ago.
     pub fn is_starting(&self) -> bool {
         self.now.since(self.started_at) < STARTUP_PERIOD
