Write the witness set again where the store has lost it

What callers would have seen: after the store was restored from a copy, the witness set could not be changed any more. Each further loss of a witness took leases away for good, down to a fleet that serves nobody, and a VM that started again with the older set from the store got no lease from VMs that use the later one.

Cause: a set is written only over the set of the step before it, and the store's step had gone back: 'failed to write the witness set: changed by another writer' every 1.5 s.

Now the coordinator, or in turn another witness that knows it, writes the set in use again. Its step is above all steps of earlier eras, so that a step never stands for two sets. A VM in contact with a witness that uses a later set than its own changes no set: its change would start from an older one, and two sets whose majorities share no VM could be in use.

Each test fails without its part: without writing again, 'not in time: a VM killed later left the set' and witness_set_is_written_again_after_the_store_lost_it; without the restraint, 'two sets of one step' (step 3) in witnesses_that_know_only_an_older_set_leave_it_as_it_is.

--- a/crates/gateway/src/engine/membership.rs
+++ b/crates/gateway/src/engine/membership.rs
@@ -10,7 +10,7 @@
     peers::MemberList,
     witnesses::{
         self, CHANGE_INTERVAL, FIRST_SET_AFTER, FIRST_SET_STAGGER, LEASE_DURATION,
-        LOST_MAJORITY_RESET_AFTER, WitnessSet,
+        LOST_MAJORITY_RESET_AFTER, WITNESS_LOST_AFTER, WitnessSet,
     },
 };
 
@@ -33,6 +33,8 @@
     store_failed_at: Option<MonoTime>,
     /// Since when too few witnesses are listed for a majority of the present set.
     majority_lost_since: Option<MonoTime>,
+    /// Since when the store lacks the present set.
+    set_lost_since: Option<MonoTime>,
 }
 
 impl Engine {
@@ -118,6 +120,9 @@
         let has_lost_majority = self.fleet.has_lost_witness_majority();
         self.membership.majority_lost_since =
             has_lost_majority.then(|| self.membership.majority_lost_since.unwrap_or(now));
+        let is_set_lost = self.fleet.is_witness_set_lost();
+        self.membership.set_lost_since =
+            is_set_lost.then(|| self.membership.set_lost_since.unwrap_or(now));
         let lately =
             self.membership.change_requested_at.is_some_and(|at| now.since(at) < CHANGE_INTERVAL);
         if lately || self.stopping_since.is_some() {
@@ -132,16 +137,21 @@
 
     fn due_membership_change(&self) -> Option<PlatformRequest> {
         let now = self.now;
-        if let Some(since) = self.membership.majority_lost_since {
+        // A change of an older set than others use could leave two sets whose majorities share no VM.
+        let has_missed_set = self.fleet.has_missed_witness_set(now);
+        if let Some(since) = self.membership.majority_lost_since.filter(|_| !has_missed_set) {
             return self.replacement_set(since).map(PlatformRequest::SetWitnesses);
         }
         if !self.has_lease() {
             return None;
         }
+        if let Some(set) = self.lost_witness_set() {
+            return Some(PlatformRequest::SetWitnesses(set));
+        }
         // By then, leases that were given under the previous set have lapsed.
         let is_settled =
             self.membership.set_in_use_since.is_some_and(|at| now.since(at) >= LEASE_DURATION);
-        if is_settled && self.is_coordinator() {
+        if is_settled && !has_missed_set && self.is_coordinator() {
             let fleet_health = self.fleet.vm_health(now);
             if let Some(set) = witnesses::next_witness_set(self.fleet.witnesses(), &fleet_health) {
                 return Some(PlatformRequest::SetWitnesses(set));
@@ -151,6 +161,18 @@
         Some(PlatformRequest::RemoveMember { vm: vm.clone(), incarnation })
     }
 
+    /// Returns the present set of witnesses as the next one, if the store has lost it and it is this VM's turn
+    /// to write it again. The coordinator's turn is first; but it may have started again and know only the older set
+    /// that the store has.
+    fn lost_witness_set(&self) -> Option<WitnessSet> {
+        let lost_for = self.now.since(self.membership.set_lost_since?);
+        let set = self.fleet.witnesses();
+        let rank = set.vms.iter().position(|vm| *vm == self.id.vm)?;
+        let turn = DurationUs(WITNESS_LOST_AFTER.0 + FIRST_SET_STAGGER.0 * rank as u64);
+        let is_due = self.is_coordinator() || lost_for >= turn;
+        is_due.then(|| WitnessSet { step: set.step + 1, vms: set.vms.clone() })
+    }
+
     /// Returns a new set of witnesses once it is this VM's turn to write it. Used where there is no set
     /// yet, or where so many witnesses have ended that nobody can get a lease. VMs take turns, so that
     /// they don't all write at once.
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -44,6 +44,7 @@
     pool::Pool,
     rates::RateLimiter,
     session::Session,
+    witnesses::WitnessSet,
 };
 
 /// How long an idle session stays open once the VM is stopping: its next statement may be in transit.
@@ -345,7 +346,12 @@
 
     /// Returns the step of the set of witnesses in use; it rises with each change of the set.
     pub fn witness_step(&self) -> u64 {
-        self.fleet.witnesses().step
+        self.witness_set().step
+    }
+
+    /// Returns the set of witnesses in use.
+    pub fn witness_set(&self) -> &WitnessSet {
+        self.fleet.witnesses()
     }
 
     /// Whether this VM has to watch the platform's store itself. Otherwise it fetches new versions from
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -68,6 +68,8 @@
     members: BTreeMap<VmName, Member>,
     /// The witness set in use; may include this VM.
     witnesses: WitnessSet,
+    /// Step of the witness set in the member list. Lower than that of the set in use if the store has lost it.
+    stored_step: u64,
     /// Until when this VM has a lease through a witness that has one.
     delegated_lease_until: Option<MonoTime>,
     /// Whether `expected_since` is set for any member.
@@ -92,6 +94,7 @@
             dc,
             members: BTreeMap::new(),
             witnesses: WitnessSet::default(),
+            stored_step: 0,
             delegated_lease_until: None,
             expects_heartbeats: false,
             is_listed: false,
@@ -127,6 +130,7 @@
         if self.members_changed_at.is_none() || !before.iter().eq(self.members.keys()) {
             self.members_changed_at = Some(now);
         }
+        self.stored_step = list.witnesses.as_ref().map_or(0, |set| set.step);
         let later = list.witnesses.as_ref().filter(|set| set.step > self.witnesses.step);
         if let Some(witnesses) = later {
             self.witnesses = witnesses.clone();
@@ -138,6 +142,18 @@
         &self.witnesses
     }
 
+    /// Whether the store has lost the witness set in use, after it was restored from a copy.
+    pub(crate) fn is_witness_set_lost(&self) -> bool {
+        self.stored_step < self.witnesses.step
+    }
+
+    /// Whether a witness in contact uses a later set than this VM knows.
+    pub(crate) fn has_missed_witness_set(&self, now: MonoTime) -> bool {
+        self.other_witnesses().any(|(vm, member)| {
+            member.witness_step > self.witnesses.step && self.is_in_contact(now, vm)
+        })
+    }
+
     /// Whether the member list contains this VM.
     pub(crate) fn is_listed(&self) -> bool {
         self.is_listed
--- a/crates/gateway/tests/witnesses.rs
+++ b/crates/gateway/tests/witnesses.rs
@@ -2,7 +2,7 @@
 
 mod world;
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use gateway::witnesses::{
     Health, REACHABLE_MIN, VmHealth, WITNESS_LOST_AFTER, WITNESSES_MAX, WitnessSet,
@@ -10,7 +10,7 @@
 };
 use model::prelude::*;
 use quickcheck::{TestResult, quickcheck};
-use world::{HOST, KEY, LATEST, World, dc, read, vm_name, write};
+use world::{HOST, KEY, LATEST, World, catalog, dc, read, vm_name, write};
 
 const REACHABLE: Health = Health::Reachable(REACHABLE_MIN);
 
@@ -198,3 +198,61 @@
     );
     assert!(all_ready(&world));
 }
+
+/// Kills the second witness and waits until the witness set has changed, then takes the store back to the set before.
+/// Returns the lost set.
+fn lose_a_change_of_the_witnesses(world: &mut World) -> WitnessSet {
+    let before = world.member_list.witnesses.clone();
+    let killed = *world.witnesses().iter().nth(1).expect("a second witness");
+    world.kill_vm(killed);
+    world.run_for(8_000);
+    let lost = world.member_list.witnesses.clone().expect("a set");
+    assert!(Some(lost.step) > before.as_ref().map(|set| set.step));
+    world.change_member_list(|list| list.witnesses = before);
+    lost
+}
+
+#[test]
+fn witness_set_is_written_again_after_the_store_lost_it() {
+    let mut world = World::new(9);
+    let lost = lose_a_change_of_the_witnesses(&mut world);
+    world.run_for(4_000);
+    let stored = world.member_list.witnesses.clone().expect("a set");
+    assert!(stored.step > lost.step, "{stored:?}");
+    assert_eq!(stored.vms, lost.vms);
+    assert!(all_ready(&world));
+    check_service(&mut world);
+}
+
+/// Guards against two sets of one step, whose majorities may share no VM.
+#[test]
+fn witnesses_that_know_only_an_older_set_leave_it_as_it_is() {
+    let mut world = World::new(9);
+    let lost = lose_a_change_of_the_witnesses(&mut world);
+    let witnesses: Vec<usize> =
+        world.witnesses().into_iter().filter(|vm| !world.frozen.contains(vm)).collect();
+    // Most witnesses, with the coordinator, read the older set as they start again, and have to replace another one.
+    // Those that know the later set don't reach the store at first.
+    let restarted = &witnesses[..4];
+    for vm in restarted {
+        world.restart(*vm, catalog(1, 1e6, 100));
+    }
+    world.kill_vm(witnesses[5]);
+    world.vms_without_store = (0..9).filter(|vm| !restarted.contains(vm)).collect();
+    let mut sets = BTreeMap::from([(lost.step, lost.clone())]);
+    for tenth in 0..200 {
+        if tenth == 100 {
+            world.vms_without_store.clear();
+        }
+        world.run_for(100);
+        for engine in &world.engines {
+            let set = engine.witness_set();
+            let first = sets.entry(set.step).or_insert_with(|| set.clone());
+            assert_eq!(first, set, "two sets of one step");
+        }
+    }
+    let stored = world.member_list.witnesses.clone().expect("a set");
+    assert!(stored.step > lost.step, "{stored:?}");
+    assert!(all_ready(&world));
+    check_service(&mut world);
+}
--- a/crates/gateway/tests/world/fleet.rs
+++ b/crates/gateway/tests/world/fleet.rs
@@ -139,7 +139,7 @@
             }
             PlatformRequest::SetWitnesses(set) => {
                 let step = self.member_list.witnesses.as_ref().map_or(0, |present| present.step);
-                if set.step == step + 1 {
+                if set.step > step {
                     self.change_member_list(|list| list.witnesses = Some(set));
                 }
             }
