--- a/crates/gateway/src/catalog.rs
+++ b/crates/gateway/src/catalog.rs
@@ -4,6 +4,8 @@
 
 use model::prelude::*;
 
+use crate::regions::AllowedRegions;
+
 /// Which commits the reads of a route must see.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Freshness {
@@ -33,6 +35,8 @@
     pub priority: u32,
     /// Whether sessions need no key.
     pub open: bool,
+    /// Regions in which its operations may run.
+    pub regions: AllowedRegions,
 }
 
 /// A workspace (customer) and its rate limit across the fleet.
@@ -44,15 +48,20 @@
     pub rate_per_s: Option<f64>,
     /// Number of operations that may come at once.
     pub burst: f64,
+    /// Regions in which its operations may run.
+    pub regions: AllowedRegions,
 }
 
 /// Limits and properties of a service's databases.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServiceLimits {
     /// Greatest number of connections to one database, from all VMs together.
     pub connections: u32,
     /// Whether a commit is acknowledged only once a replica has received it.
     pub synchronous: bool,
+    /// Requests per second that a database may get while it is cold, from all VMs together; `None` if there is
+    /// no limit.
+    pub cold_rate_per_s: Option<f64>,
 }
 
 /// The configuration in force.
@@ -101,4 +110,6 @@
     pub leaving: bool,
     /// The role that it claims.
     pub role: Role,
+    /// How much longer it is slow after its start, when the entry was written; zero once it is warm.
+    pub cold_left: DurationUs,
 }
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -36,11 +36,13 @@
 use crate::{
     catalog::{Catalog, Database},
     effect::{CallerKey, Effect},
+    evacuation::Evacuations,
     failover::{FailoverAttempt, StatusRow},
     fleet::FleetView,
     freshness::ServiceFreshness,
     histogram::Latencies,
     message::TransactionState,
+    policy::Policy,
     pool::Pool,
     rates::RateLimiter,
     session::Session,
@@ -64,6 +66,8 @@
     /// Whether the fleet starts for the first time, so that no earlier run can have suspended a primary
     /// or requested a promotion.
     pub first_start: bool,
+    /// What the deployment's settings ask for.
+    pub policy: Policy,
     /// Parses the row with which a database answers a status query.
     pub decode_status: fn(&str) -> Option<StatusRow>,
 }
@@ -142,6 +146,7 @@
     /// Whether a list of databases has been received.
     registry_known: bool,
     databases: BTreeMap<DatabaseName, DatabaseState>,
+    evacuations: Evacuations,
     services: BTreeMap<ServiceName, ServiceState>,
     sessions: SlotMap<CallerKey, Session>,
     /// What waits for an upstream.
@@ -254,6 +259,7 @@
             registry_version: 0,
             registry_known: false,
             databases: BTreeMap::new(),
+            evacuations: Evacuations::default(),
             services: BTreeMap::new(),
             sessions: SlotMap::with_key(),
             waiting: Vec::new(),
@@ -339,6 +345,11 @@
         self.registry_version
     }
 
+    /// Returns the version of the list of evacuations in use; zero before one was received.
+    pub fn evacuations_version(&self) -> u64 {
+        self.evacuations.version()
+    }
+
     /// Returns the version of the list of VMs in use.
     pub fn members_version(&self) -> u64 {
         self.fleet.version()
@@ -401,6 +412,14 @@
         self.place_waiting();
     }
 
+    /// Takes the list of all data centres that are being evacuated, unless it is older than the present one.
+    pub fn set_evacuations(&mut self, now: MonoTime, version: u64, dcs: Vec<DcName>) {
+        self.now = now;
+        if self.evacuations.replace(now, version, dcs) {
+            self.place_waiting();
+        }
+    }
+
     /// Begins to stop: this VM is no longer ready and closes idle sessions, while work in progress goes
     /// on.
     pub fn stop(&mut self, now: MonoTime) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod catalog;
 pub mod effect;
 mod engine;
+pub mod evacuation;
 pub mod failover;
 pub mod fleet;
 pub mod freshness;
@@ -16,9 +17,11 @@
 pub mod link;
 pub mod message;
 pub mod peers;
+pub mod policy;
 mod pool;
 mod queue;
 pub mod rates;
+pub mod regions;
 mod session;
 pub mod witnesses;
 
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -10,6 +10,7 @@
         Echo, Heartbeat, HeartbeatTiming, MemberList, MemberRecord, PeerBody, PeerMessage,
         Timestamps,
     },
+    policy::Policy,
     witnesses::{LEASE_DURATION, WitnessSet},
 };
 use model::prelude::*;
@@ -162,6 +163,7 @@
         dc: DcName::new("dc-a").expect("a name"),
         regions: FxHashMap::default(),
         first_start: true,
+        policy: Policy::default(),
         decode_status: |_| None,
     };
     let mut engine = Engine::new(id, Logger::root(Discard, o!()), at(1_000));
@@ -180,7 +182,7 @@
 #[test]
 fn heartbeat_reports_all_promises() {
     let service = |index: usize| ServiceName::new(format!("svc-{index}")).expect("a name");
-    let limits = ServiceLimits { connections: 10, synchronous: false };
+    let limits = ServiceLimits { connections: 10, ..ServiceLimits::default() };
     let services = (0..40).map(|index| (service(index), limits)).collect();
     let catalog = Catalog { generation: 1, services, ..Catalog::default() };
     let mut engine = engine_of_three();
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -23,6 +23,8 @@
         UpstreamRequest,
     },
     peers::{MemberList, PeerMessage},
+    policy::Policy,
+    regions::AllowedRegions,
     witnesses::WitnessSet,
 };
 use model::prelude::*;
@@ -129,6 +131,10 @@
     pub frozen: BTreeSet<usize>,
     /// The databases.
     pub group: ReplicaGroup,
+    /// What the settings of all VMs ask for.
+    pub policy: Policy,
+    /// Region of each data centre, for all VMs.
+    pub regions: FxHashMap<DcName, Box<str>>,
     /// Registry entries of the databases, as the next publication lists them.
     pub databases: Vec<Database>,
     /// Network paths that are cut, each with the smaller endpoint first.
@@ -213,6 +219,7 @@
         target_latency: DurationUs::from_ms(600),
         priority: 1,
         open: false,
+        regions: AllowedRegions::All,
     }
 }
 
@@ -226,6 +233,7 @@
         name: valid(WorkspaceName::new(text)),
         rate_per_s: Some(rate_per_s),
         burst: rate_per_s,
+        regions: AllowedRegions::All,
     };
     Catalog {
         generation,
@@ -233,7 +241,7 @@
             .into_iter()
             .map(|(host, freshness)| (host.into(), route(freshness)))
             .collect(),
-        services: [(service(), ServiceLimits { connections, synchronous: false })]
+        services: [(service(), ServiceLimits { connections, ..ServiceLimits::default() })]
             .into_iter()
             .collect(),
         workspaces: vec![workspace("alpha"), workspace("beta")],
@@ -253,6 +261,11 @@
 
     /// Returns a fleet of `vms` engines without a configuration or a list of databases.
     pub fn unconfigured(vms: usize) -> World {
+        World::with_policy(vms, Policy::default(), FxHashMap::default())
+    }
+
+    /// Like [`World::unconfigured`], with what the settings ask for and the region of each data centre.
+    pub fn with_policy(vms: usize, policy: Policy, regions: FxHashMap<DcName, Box<str>>) -> World {
         let now = MonoTime(1_000_000_000);
         let names: Vec<DatabaseName> = (0..3).map(database_name).collect();
         let databases = (0..3)
@@ -264,6 +277,7 @@
                 dc: dc(index),
                 slots: 3,
                 leaving: false,
+                cold_left: DurationUs(0),
                 role: if index == 0 { Role::Primary } else { Role::Replica },
             })
             .collect();
@@ -272,6 +286,8 @@
             engines: Vec::new(),
             frozen: BTreeSet::new(),
             group: ReplicaGroup::new(service(), &names),
+            policy,
+            regions,
             databases,
             cuts: BTreeSet::new(),
             promotion_requests: Vec::new(),
@@ -306,8 +322,9 @@
             vm: vm_name(vm),
             incarnation: Incarnation(self.now.0),
             dc: dc(vm),
-            regions: FxHashMap::default(),
+            regions: self.regions.clone(),
             first_start,
+            policy: self.policy,
             decode_status: replica_group::parse_status_row,
         };
         Engine::new(id, Logger::root(Discard, o!()), self.now)
--- a/crates/xtask/src/bench_gateway.rs
+++ b/crates/xtask/src/bench_gateway.rs
@@ -15,6 +15,8 @@
     failover::StatusRow,
     message::{Reply, TransactionState, UpstreamRequest},
     peers::{MemberList, MemberRecord, PeerMessage},
+    policy::Policy,
+    regions::AllowedRegions,
     witnesses::WitnessSet,
 };
 use model::prelude::*;
@@ -193,6 +195,7 @@
         dc: dc(vm)?,
         regions: FxHashMap::default(),
         first_start: true,
+        policy: Policy::default(),
         decode_status: |_| Some(PRIMARY_STATUS),
     };
     Ok(Engine::new(id, Logger::root(Discard, o!()), now))
@@ -223,12 +226,17 @@
 fn catalog(services: usize) -> eyre::Result<Catalog> {
     let mut catalog = Catalog { generation: 1, ..Catalog::default() };
     for index in 0..services {
-        let limits = ServiceLimits { connections: 70, synchronous: false };
+        let limits = ServiceLimits { connections: 70, ..ServiceLimits::default() };
         catalog.services.insert(service(index)?, limits);
     }
     for index in 0..WORKSPACES {
         let name = WorkspaceName::new(format!("space{index}"))?;
-        catalog.workspaces.push(Workspace { name, rate_per_s: Some(100.0), burst: 100.0 });
+        catalog.workspaces.push(Workspace {
+            name,
+            rate_per_s: Some(100.0),
+            burst: 100.0,
+            regions: AllowedRegions::All,
+        });
     }
     Ok(catalog)
 }
@@ -244,6 +252,7 @@
             dc: dc(index)?,
             slots: 5,
             leaving: false,
+            cold_left: DurationUs(0),
             role: if index % DATABASES_PER_SERVICE == 0 { Role::Primary } else { Role::Replica },
         });
     }
