Wait in jasminepassd for documents as long as they keep arriving

The controller also sent a second pull 1.5 s after the first, whether or not that one was still arriving.

Ruled out: longer limits for whole transfers (the size of a configuration is not bounded), and limits by expected size (unknown before the reply begins).

Change: reads of the platform and pulls use Patience::WhileArriving.

--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -16,7 +16,7 @@
 use proto::peer::{PeerReply, PeerRequest};
 use serde::{Serialize, de::DeserializeOwned};
 
-use crate::client::{Client, SendError};
+use crate::client::{Client, Patience, SendError};
 
 /// HTTP path for requests to one incarnation of a VM.
 pub const PEER_PATH: &str = "/peer";
@@ -169,17 +169,17 @@
         PeerClient { client, secret, me, sequences: Arc::default() }
     }
 
-    /// Sends a request to `to` at `address` (`ip:port`) and reads the reply within `timeout`.
+    /// Sends a request to `to` at `address` (`ip:port`) and waits for the reply as `patience` says.
     pub async fn call(
         &self,
         to: &PeerInstance,
         address: &str,
         req: &PeerRequest,
-        timeout: Duration,
+        patience: impl Into<Patience>,
     ) -> Result<PeerReply, SendError> {
         let stamp = self.next_stamp(to);
         let context = (REQUEST_CONTEXT, to.text());
-        self.exchange(address, PEER_PATH, context, stamp, encode(req), timeout).await
+        self.exchange(address, PEER_PATH, context, stamp, encode(req), patience.into()).await
     }
 
     /// Asks the VM that listens at `address` (`ip:port`) for all VMs that it knows.
@@ -193,7 +193,7 @@
         let stamp = self.stamp(model::request::random_u64());
         let context = (INTRODUCTION_CONTEXT, String::new());
         let body = encode(&PeerRequest::Introduce);
-        self.exchange(address, INTRODUCTION_PATH, context, stamp, body, timeout).await
+        self.exchange(address, INTRODUCTION_PATH, context, stamp, body, timeout.into()).await
     }
 
     /// Returns the headers that authenticate `body` as this VM's next message to the receiver.
@@ -219,11 +219,11 @@
         (context, receiver): (&[u8], String),
         stamp: Stamp,
         body: Bytes,
-        timeout: Duration,
+        patience: Patience,
     ) -> Result<PeerReply, SendError> {
         let text = stamp.text();
         let headers = self.headers(context, &receiver, &text, &body);
-        let reply = self.client.send(address, Method::POST, path, &headers, body, timeout).await?;
+        let reply = self.client.send(address, Method::POST, path, &headers, body, patience).await?;
         let unreadable =
             |reason: String| SendError::Unreadable { address: address.to_owned(), reason };
         if reply.status != StatusCode::OK {
--- a/crates/edge/src/platform.rs
+++ b/crates/edge/src/platform.rs
@@ -7,8 +7,9 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-use crate::client::{Client, Reply, SendError, encode_json, json_content_type};
+use crate::client::{Client, Patience, Reply, SendError, encode_json, json_content_type};
 
+/// How long the platform may take to answer a call that does not wait for a change, and pause in its answer.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A client for the platform's object API. Cheap to clone.
@@ -62,14 +63,12 @@
         self.read("/vms", CALL_TIMEOUT).await
     }
 
-    async fn read<T: DeserializeOwned>(
-        &self,
-        path: &str,
-        timeout: Duration,
-    ) -> Result<T, SendError> {
+    async fn read<T: DeserializeOwned>(&self, path: &str, first: Duration) -> Result<T, SendError> {
+        // The size of a configuration is not bounded.
+        let patience = Patience::WhileArriving { first, pause: CALL_TIMEOUT };
         let reply = self
             .client
-            .send(&self.address, Method::GET, path, &[], Default::default(), timeout)
+            .send(&self.address, Method::GET, path, &[], Default::default(), patience)
             .await?;
         self.decode(&reply)
     }
--- a/crates/fleet/src/distribution.rs
+++ b/crates/fleet/src/distribution.rs
@@ -34,8 +34,9 @@
 const PUSH_ROUNDS: u32 = 2;
 /// Most VMs of this data centre that a push goes to, besides one of another data centre.
 const PUSH_TARGETS_IN_DC: usize = 3;
-/// Time after which another pull may be sent without an answer to the last one.
-const PULL_TIMEOUT: DurationUs = DurationUs::from_ms(1_500);
+/// Time after which another pull may be sent although the end of the last one was not reported. Longer than a
+/// reply may take to arrive, so that a large document is not requested twice at a time.
+const PULL_TIMEOUT: DurationUs = DurationUs::from_ms(35_000);
 /// How long a reserve goes on watching the platform once it has begun.
 const RESERVE_WATCH_DURATION: DurationUs = DurationUs::from_ms(30_000);
 /// One in this many digests goes to another data centre.
@@ -74,6 +75,8 @@
         /// The data that it sent.
         pulled: Box<PullReply>,
     },
+    /// A pull ended without a usable answer.
+    PullFailed,
     /// A VM at a seed address, which the settings name, sent the VMs that it knows.
     Introduced(Vec<VmRecord>),
     /// A VM with this incarnation did not answer.
@@ -170,6 +173,7 @@
             FleetEvent::PullAnswered { from, sent_at, pulled } => {
                 self.handle_pulled(board, &from, sent_at, *pulled, now, &mut effects)
             }
+            FleetEvent::PullFailed => self.pull_sent_at = None,
             FleetEvent::Introduced(vms) => {
                 for record in &vms {
                     self.members.apply_record(board, record);
--- a/crates/jasminepassd/src/fleet_io.rs
+++ b/crates/jasminepassd/src/fleet_io.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use edge::{
-    client::SendError,
+    client::{Patience, SendError},
     peer::{PeerInstance, Stamp},
 };
 use fleet::{
@@ -19,7 +19,12 @@
 use crate::{app::App, counters::Counter, event::Event};
 
 const GOSSIP_TIMEOUT: Duration = Duration::from_millis(800);
-const PULL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// How long a VM may take to answer a pull, and pause in its answer. The answer may hold a configuration, whose
+/// size is not bounded.
+pub const PULL_PATIENCE: Patience = Patience::WhileArriving {
+    first: Duration::from_millis(1_500),
+    pause: Duration::from_millis(1_500),
+};
 const INTRODUCTION_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Carries out an effect of the fleet controller.
@@ -47,10 +52,10 @@
     app: &App,
     to: &VmRecord,
     req: &PeerRequest,
-    timeout: Duration,
+    patience: impl Into<Patience>,
 ) -> Result<PeerReply, SendError> {
     let instance = PeerInstance { vm: to.vm.clone(), incarnation: to.incarnation };
-    let result = app.peers.call(&instance, &to.peer_address, req, timeout).await;
+    let result = app.peers.call(&instance, &to.peer_address, req, patience).await;
     let is_suspect = app.board.load().fleet.suspects.contains_key(&to.vm);
     match &result {
         Ok(_) if is_suspect => {
@@ -114,8 +119,13 @@
 async fn pull(app: Arc<App>, from: VmRecord, pull: Pull) {
     let sent_at = app.now();
     app.counters.count(Counter::Pulls);
-    let reply = call(&app, &from, &PeerRequest::Pull(pull), PULL_TIMEOUT).await;
-    if let Ok(PeerReply::Pulled(pulled)) = reply {
-        app.send_event(Event::Fleet(FleetEvent::PullAnswered { from, sent_at, pulled }));
-    }
+    let reply = call(&app, &from, &PeerRequest::Pull(pull), PULL_PATIENCE).await;
+    app.send_event(Event::Fleet(match reply {
+        Ok(PeerReply::Pulled(pulled)) => FleetEvent::PullAnswered { from, sent_at, pulled },
+        other => {
+            slog::info!(app.log, "pull failed"; "from" => %from.vm,
+                "error" => other.err().map(|e| e.to_string()));
+            FleetEvent::PullFailed
+        }
+    }));
 }
--- a/crates/replay/src/fleet/network.rs
+++ b/crates/replay/src/fleet/network.rs
@@ -22,6 +22,8 @@
     PullReply { from: VmRecord, sent_at: MonoTime, pulled: Box<PullReply> },
     /// A message to that VM instance got no reply.
     PeerFailed(VmName, Incarnation),
+    /// A pull sent to that VM instance got no reply.
+    PullFailed(VmName, Incarnation),
     /// The configuration, as read from the platform.
     Configuration { sent_at: MonoTime, cfg: Box<Configuration> },
     /// The list of VMs, as read from the platform.
--- a/crates/replay/src/fleet/world.rs
+++ b/crates/replay/src/fleet/world.rs
@@ -341,6 +341,10 @@
             Message::PeerFailed(vm, incarnation) => {
                 self.handle(to, FleetEvent::PeerFailed(vm, incarnation))
             }
+            Message::PullFailed(vm, incarnation) => {
+                self.handle(to, FleetEvent::PullFailed)?;
+                self.handle(to, FleetEvent::PeerFailed(vm, incarnation))
+            }
             Message::Configuration { sent_at, cfg } => {
                 self.handle(to, FleetEvent::PlatformAnswered(sent_at))?;
                 self.handle(to, FleetEvent::ConfigurationRead(cfg))
@@ -397,7 +401,10 @@
         self.traffic.messages += 1;
         self.traffic.bytes += HEADERS_BYTES;
         let address = (to.vm.clone(), to.incarnation);
-        let failed = Message::PeerFailed(to.vm.clone(), to.incarnation);
+        let failed = match &message {
+            Message::Pull { .. } => Message::PullFailed(to.vm.clone(), to.incarnation),
+            _ => Message::PeerFailed(to.vm.clone(), to.incarnation),
+        };
         let sender = (from.vm.clone(), from.incarnation);
         let is_cut = self.cuts.contains(&(from.dc.clone(), to.dc.clone()));
         let latency = self.latency(&from.dc, &to.dc);
