Close busy sessions between two statements during a planned stop

What callers could see: a caller that sends one statement after another is never idle for the 300 ms after which a stopping VM closes a session.

Ruled out: a shorter idle time for all (the next statement may be in transit), refusing statements (they can still be served).

Change: from half of the grace period on, when transactions without a statement in progress are rolled back, a session is closed right after the answer that leaves it idle. The caller has had no time to send the next statement then.

--- a/crates/gateway/src/engine/callers.rs
+++ b/crates/gateway/src/engine/callers.rs
@@ -132,7 +132,12 @@
             if session.current.is_some() {
                 return;
             }
-            let Some(next) = session.queued.pop_front() else { return };
+            let Some(next) = session.queued.pop_front() else {
+                if self.closes_after_answers && session.is_idle() {
+                    self.close_session(key);
+                }
+                return;
+            };
             self.begin_statement(key, next);
         }
     }
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -184,6 +184,8 @@
     membership: Membership,
     /// When this VM was asked to stop.
     stopping_since: Option<MonoTime>,
+    /// Whether each session is closed with its next answer, because the stop is about to end.
+    closes_after_answers: bool,
     counts: Counts,
     latencies: Latencies,
     effects: Vec<Effect>,
@@ -281,6 +283,7 @@
             intents_requested_at: now,
             membership: Membership::default(),
             stopping_since: None,
+            closes_after_answers: false,
             counts: Counts::default(),
             latencies: Latencies::default(),
             effects: Vec::new(),
@@ -445,6 +448,14 @@
         self.end_idle_channel_transactions();
     }
 
+    /// From now on closes each session as soon as its statements are answered, because this VM is stopping. A
+    /// caller that sends one statement after another is never idle, and would be cut off in the middle of one at
+    /// the end of the stop.
+    pub fn close_sessions_after_answers(&mut self, now: MonoTime) {
+        self.now = now;
+        self.closes_after_answers = true;
+    }
+
     /// Handles everything that is due by time: timeouts, heartbeats, failovers and waiting statements.
     pub fn tick(&mut self, now: MonoTime) {
         self.now = now;
--- a/crates/gateway/tests/world/fleet.rs
+++ b/crates/gateway/tests/world/fleet.rs
@@ -100,6 +100,12 @@
         self.drive(vm, |engine| engine.stop(now));
     }
 
+    /// Has a VM that was asked to stop close each session with its next answer.
+    pub fn close_sessions_after_answers(&mut self, vm: usize) {
+        let now = self.now;
+        self.drive(vm, |engine| engine.close_sessions_after_answers(now));
+    }
+
     /// Ends a VM that was asked to stop and removes its entry from the stored list.
     pub fn remove_stopped_vm(&mut self, vm: usize) {
         self.kill_vm(vm);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -241,7 +241,10 @@
             tokio::time::sleep(STOP_POLL_INTERVAL).await;
             if !transactions_ended && began.elapsed() >= grace / 2 {
                 transactions_ended = true;
-                self.drive(|engine, now| engine.roll_back_idle_transactions(now));
+                self.drive(|engine, now| {
+                    engine.roll_back_idle_transactions(now);
+                    engine.close_sessions_after_answers(now);
+                });
             }
             if began.elapsed() >= accept_for {
                 self.inner.accepting.close();
