Bound the lease that a heartbeat may pass on

What could happen: a damaged heartbeat of a witness, or one of a build with a fault, states any remainder of a lease, and its receiver used primaries for that long, also while it was cut off from all others: stale reads and acknowledged writes that are lost. Found by damaging messages between VMs at random in virtual time.

Ruled out: dropping such a heartbeat (its timestamps and reports are still useful), a range check of every field (only this one lasts beyond the message).

Change: the remainder counts as LEASE_DURATION at most.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -225,7 +225,9 @@
         member.reports = heartbeat.services;
         if let (true, Some(sent_after), Some(left)) = (is_witness, sent_after, heartbeat.lease_left)
         {
-            self.delegated_lease_until = self.delegated_lease_until.max(Some(sent_after + left));
+            // No lease lasts longer. A damaged message would otherwise give one without an end.
+            let until = sent_after + left.min(LEASE_DURATION);
+            self.delegated_lease_until = self.delegated_lease_until.max(Some(until));
         }
     }
 
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -28,6 +28,7 @@
     witnesses::WitnessSet,
 };
 use model::prelude::*;
+use serde::{Serialize, de::DeserializeOwned};
 use slog::{Discard, Logger, o};
 use standin::replica_group::{self, ConnectionId, ReplicaGroup};
 
@@ -123,6 +124,37 @@
     }
 }
 
+/// Random damage to encoded messages.
+pub struct Corruption {
+    random: u64,
+    /// One message in this many is damaged.
+    pub one_in: u64,
+}
+
+impl Corruption {
+    pub fn new(seed: u64, one_in: u64) -> Corruption {
+        Corruption { random: seed, one_in }
+    }
+
+    fn draw(&mut self) -> u64 {
+        self.random =
+            self.random.wrapping_mul(0x5851_f42d_4c95_7f2d).wrapping_add(0x1405_7b7e_f767_814f);
+        self.random >> 33
+    }
+
+    fn apply(&mut self, bytes: &mut [u8]) {
+        if !self.draw().is_multiple_of(self.one_in) {
+            return;
+        }
+        let at = self.draw() as usize % bytes.len();
+        bytes[at] = match self.draw() % 3 {
+            0 => 0xff,
+            1 => bytes[at] ^ 1 << (self.draw() % 8),
+            _ => self.draw() as u8,
+        };
+    }
+}
+
 /// State of the simulation. VMs and databases are named by their index.
 pub struct World {
     pub now: MonoTime,
@@ -161,6 +193,8 @@
     pub vms_without_store: BTreeSet<usize>,
     /// Number of failed calls of the store, by VMs of `vms_without_store`.
     pub failed_store_calls: usize,
+    /// Damages messages between VMs, if set.
+    pub corruption: Option<Corruption>,
     /// The list of VMs in the store.
     pub member_list: MemberList,
     /// The list of VMs as each VM has it.
@@ -301,6 +335,7 @@
             vms_without_links: BTreeSet::new(),
             vms_without_store: BTreeSet::new(),
             failed_store_calls: 0,
+            corruption: None,
             member_list: MemberList::default(),
             lists_by_vm: vec![MemberList::default(); vms],
             queue: BinaryHeap::new(),
@@ -523,6 +558,7 @@
         let now = self.now;
         match event {
             Event::PeerMessage { from, to, message } if !self.frozen.contains(&to) => {
+                let Some(message) = self.corrupt(message) else { return };
                 self.drive(to, |engine| engine.peer_message(now, vm_address(from), message));
             }
             Event::PeerMessage { .. } => {}
@@ -545,6 +581,7 @@
                     let event = Event::LinkMessage { vm, key, message };
                     return self.schedule(TICK_INTERVAL_US, event);
                 }
+                let Some(message) = self.corrupt(message) else { return };
                 self.drive(vm, |engine| engine.link_message(now, key, message));
             }
             Event::LinkClosed { vm, key } => {
@@ -581,6 +618,14 @@
         }
     }
 
+    /// Damages a message as [`World::corruption`] says; `None` if it can't be decoded any more.
+    fn corrupt<T: Serialize + DeserializeOwned>(&mut self, message: T) -> Option<T> {
+        let Some(corruption) = &mut self.corruption else { return Some(message) };
+        let mut bytes = rmp_serde::to_vec(&message).expect("messages can be encoded");
+        corruption.apply(&mut bytes);
+        rmp_serde::from_slice(&bytes).ok()
+    }
+
     fn deliver_request(&mut self, vm: usize, key: UpstreamKey, request: UpstreamRequest) {
         let Some(connection) = self.connections.get(&(vm, key)) else { return };
         let (database, id) = (connection.database, connection.id);
