Announce evacuations to peers, and await their list before a VM is ready

The version therefore follows the message as a second value with named fields, which earlier builds don't read. Ruled out: leaving the field out while it is zero (fails as soon as the list is known), and a capability in the list of VMs (each sender would have to keep two encodings apart).

Engine::is_ready needs the list only where Policy::evacuation_bound is set. Metrics: evacuations_version, and per evacuated data centre its age, connections and those in use.

--- a/crates/gateway/src/engine/gossip.rs
+++ b/crates/gateway/src/engine/gossip.rs
@@ -95,7 +95,8 @@
         let is_behind = heartbeat.terms_total < self.terms_total();
         let newer = heartbeat.generation > self.catalog.generation
             || heartbeat.registry > self.registry_version
-            || heartbeat.members > self.fleet.version();
+            || heartbeat.members > self.fleet.version()
+            || self.needs_evacuations(heartbeat.evacuations);
         self.fleet.record_heartbeat(&from, sent_after, heartbeat);
         if self.fleet.self_is_witness() && !self.fleet.is_witness(&from) {
             let services = self.service_reports(wants_notes, is_behind);
@@ -253,6 +254,7 @@
             grants,
             terms_total: self.terms_total(),
             members: self.fleet.version(),
+            evacuations: self.evacuations.version(),
             witness_step: self.fleet.witnesses().step,
             wants_notes,
             reaches_store: self.reaches_store(),
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod channels;
 mod connections;
+mod evacuation_status;
 mod expiry;
 mod failovers;
 mod gossip;
@@ -24,6 +25,7 @@
 pub(crate) use callers::Authorization;
 pub(crate) use channels::ChannelKey;
 use channels::Channels;
+pub use evacuation_status::EvacuationStatus;
 use links::Links;
 use membership::Membership;
 
@@ -328,6 +330,7 @@
             && self.registry_known
             && self.stopping_since.is_none()
             && self.has_lease()
+            && self.knows_evacuations()
     }
 
     /// Whether this VM was asked to stop and all its sessions have ended.
--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -36,6 +36,11 @@
         self.version
     }
 
+    /// The data centres that are being evacuated, and when this VM learned of it.
+    pub fn iter(&self) -> impl Iterator<Item = (&DcName, MonoTime)> {
+        self.learned_at.iter().map(|(dc, at)| (dc, *at))
+    }
+
     /// Whether the data centre is being evacuated.
     pub fn contains(&self, dc: &DcName) -> bool {
         self.learned_at.contains_key(dc)
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -142,6 +142,10 @@
     pub reaches_store: bool,
     /// Whether the sender is shutting down.
     pub stopping: bool,
+    /// Version of the sender's list of evacuations. A build that does not know the field could not decode a
+    /// heartbeat with it, so it is sent behind the message instead.
+    #[serde(skip)]
+    pub evacuations: u64,
 }
 
 /// The content of a message between VMs.
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -135,6 +135,7 @@
         wants_notes: false,
         reaches_store: true,
         stopping: false,
+        evacuations: 0,
     }
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod codec;
 mod connection;
+pub mod datagram;
 mod links;
 mod node;
 pub mod ops;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -29,6 +29,7 @@
     clock,
     codec::Codec,
     connection::{self, Connection, ReadOutcome},
+    datagram,
     links::{self, IncomingLink},
     ops,
     peers::{self, DATAGRAM_MAX_BYTES, Fetched, SharedSnapshot},
@@ -193,6 +194,11 @@
         self.drive(|engine, now| engine.set_members(now, list));
     }
 
+    /// Replaces the list of evacuations; see [`Engine::set_evacuations`].
+    pub fn set_evacuations(&self, version: u64, dcs: Vec<DcName>) {
+        self.drive(|engine, now| engine.set_evacuations(now, version, dcs));
+    }
+
     /// Records whether a call to the store was answered.
     pub fn note_store_result(&self, answered: bool) {
         self.drive(|engine, now| engine.note_store_result(now, answered));
@@ -348,7 +354,7 @@
 
     fn send_datagram(&self, address: SocketAddr, message: &gateway::peers::PeerMessage) {
         let inner = &self.inner;
-        let error = match peers::encode(message) {
+        let error = match datagram::encode(message) {
             Ok(datagram) => inner.datagrams.try_send_to(&datagram, address).err(),
             Err(e) => Some(io::Error::other(e)),
         };
@@ -535,11 +541,11 @@
     }
 
     async fn receive_datagrams(self) {
-        let mut datagram = vec![0; DATAGRAM_MAX_BYTES];
+        let mut buf = vec![0; DATAGRAM_MAX_BYTES];
         loop {
-            let received = self.inner.datagrams.recv_from(&mut datagram).await;
+            let received = self.inner.datagrams.recv_from(&mut buf).await;
             let Ok((len, from)) = received else { continue };
-            match peers::decode(&datagram[..len]) {
+            match datagram::decode(&buf[..len]) {
                 Ok(message) => self.drive(|engine, now| engine.peer_message(now, from, message)),
                 Err(e) => {
                     info!(self.inner.log, "invalid datagram"; "from" => %from, "error" => %e);
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -11,7 +11,7 @@
 use axum::{Router, extract::State, routing::get};
 use edge::server::{self, Limits};
 use gateway::{
-    Engine,
+    Engine, EvacuationStatus,
     histogram::{BOUNDS_MS, Histogram},
 };
 use http::StatusCode;
@@ -77,10 +77,17 @@
         ("databases_version", engine.registry_version()),
         ("members_version", engine.members_version()),
         ("witness_step", engine.witness_step()),
+        ("evacuations_version", engine.evacuations_version()),
     ] {
         // Writing to a string can't fail.
         let _ = writeln!(text, "jasminepass_{name} {value}");
     }
+    for EvacuationStatus { dc, age, connections, in_use } in engine.evacuation_status() {
+        let age_s = age.0 as f64 / 1e6;
+        let _ = writeln!(text, "jasminepass_evacuation_age_seconds{{dc=\"{dc}\"}} {age_s}");
+        let _ = writeln!(text, "jasminepass_evacuation_connections{{dc=\"{dc}\"}} {connections}");
+        let _ = writeln!(text, "jasminepass_evacuation_in_use{{dc=\"{dc}\"}} {in_use}");
+    }
     for (name, histogram) in [
         ("read", &latencies.reads),
         ("write", &latencies.writes),
--- a/crates/node/src/peers.rs
+++ b/crates/node/src/peers.rs
@@ -13,7 +13,6 @@
 };
 use bytes::Bytes;
 use edge::client::{Client, Patience, Reply, SendError};
-use gateway::peers::PeerMessage;
 use http::{Method, StatusCode};
 use slog::{Logger, info};
 use tokio::sync::mpsc;
@@ -124,7 +123,7 @@
         Err(e) => {
             // The peer has another document for a version of this VM, or this VM no longer has it.
             info!(log, "update not decoded, fetching whole documents"; "peer" => %peer, "error" => %e);
-            let all = SnapshotVersions::default();
+            let all = SnapshotVersions::NONE;
             let reply = get_since(client, &address, UPDATES_PATH, all).await?;
             received_bytes += reply.body.len();
             decode(reply)?
@@ -139,17 +138,10 @@
     path: &str,
     known: SnapshotVersions,
 ) -> Result<Reply, SendError> {
-    let SnapshotVersions { generation, registry, members } = known;
-    let path = format!("{path}?generation={generation}&registry={registry}&members={members}");
+    let SnapshotVersions { generation, registry, members, evacuations } = known;
+    let mut path = format!("{path}?generation={generation}&registry={registry}&members={members}");
+    if let Some(evacuations) = evacuations {
+        path.push_str(&format!("&evacuations={evacuations}"));
+    }
     client.send(address, Method::GET, &path, &[], Bytes::new(), FETCH_PATIENCE).await
 }
-
-/// Encodes a message as a datagram.
-pub(crate) fn encode(message: &PeerMessage) -> Result<Vec<u8>, rmp_serde::encode::Error> {
-    rmp_serde::to_vec(message)
-}
-
-/// Decodes a datagram.
-pub(crate) fn decode(datagram: &[u8]) -> Result<PeerMessage, rmp_serde::decode::Error> {
-    rmp_serde::from_slice(datagram)
-}
--- a/crates/node/src/snapshot.rs
+++ b/crates/node/src/snapshot.rs
@@ -23,8 +23,8 @@
 /// Maximum size of a document, in bytes.
 const DOCUMENT_MAX_BYTES: usize = 16 << 20;
 
-/// The configuration, the databases and the VMs as a VM has read them from the store. The program
-/// that runs the node defines the encoding of the three documents.
+/// The configuration, the databases, the VMs and the evacuations as a VM has read them from the store. The program
+/// that runs the node defines the encoding of the documents.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
     /// Generation of the configuration.
@@ -42,6 +42,13 @@
     /// Encoded list of VMs.
     #[serde(with = "serde_bytes_as_vec")]
     pub members: Bytes,
+    /// Version of the list of evacuations. It is only sent as an update: whole snapshots are sent to builds that
+    /// know neither.
+    #[serde(skip)]
+    pub evacuations_version: u64,
+    /// Encoded list of evacuations.
+    #[serde(skip)]
+    pub evacuations: Bytes,
 }
 
 /// Versions of the parts of a snapshot that a VM already has; zero for a part that it lacks.
@@ -53,6 +60,9 @@
     pub registry: u64,
     /// Version of the list of VMs.
     pub members: u64,
+    /// Version of the list of evacuations; `None` for a VM whose build does not know that part.
+    #[serde(default)]
+    pub evacuations: Option<u64>,
 }
 
 /// A document of a snapshot.
@@ -64,6 +74,8 @@
     Databases,
     /// The list of VMs.
     Members,
+    /// The list of evacuations.
+    Evacuations,
 }
 
 /// A newer version of a part, as it is sent to a peer.
@@ -78,7 +90,7 @@
 }
 
 impl Part {
-    const ALL: [Part; 3] = [Part::Configuration, Part::Databases, Part::Members];
+    const ALL: [Part; 4] = [Part::Configuration, Part::Databases, Part::Members, Part::Evacuations];
 }
 
 impl Snapshot {
@@ -87,7 +99,7 @@
         let mut newer = Snapshot::default();
         for part in Part::ALL {
             let (version, document) = self.part(part);
-            if version > known.of(part) {
+            if known.of(part).is_some_and(|known| version > known) {
                 newer.set_part(part, version, document.clone());
             }
         }
@@ -99,6 +111,7 @@
             Part::Configuration => (self.generation, &self.configuration),
             Part::Databases => (self.registry, &self.databases),
             Part::Members => (self.members_version, &self.members),
+            Part::Evacuations => (self.evacuations_version, &self.evacuations),
         }
     }
 
@@ -107,17 +120,24 @@
             Part::Configuration => (&mut self.generation, &mut self.configuration),
             Part::Databases => (&mut self.registry, &mut self.databases),
             Part::Members => (&mut self.members_version, &mut self.members),
+            Part::Evacuations => (&mut self.evacuations_version, &mut self.evacuations),
         };
         (*of_version, *of_document) = (version, document);
     }
 }
 
 impl SnapshotVersions {
-    fn of(self, part: Part) -> u64 {
+    /// The parts that a build knows, with no version of any.
+    pub const NONE: SnapshotVersions =
+        SnapshotVersions { generation: 0, registry: 0, members: 0, evacuations: Some(0) };
+
+    /// The version of a part; `None` if the VM does not know the part.
+    fn of(self, part: Part) -> Option<u64> {
         match part {
-            Part::Configuration => self.generation,
-            Part::Databases => self.registry,
-            Part::Members => self.members,
+            Part::Configuration => Some(self.generation),
+            Part::Databases => Some(self.registry),
+            Part::Members => Some(self.members),
+            Part::Evacuations => self.evacuations,
         }
     }
 }
@@ -144,6 +164,7 @@
             generation: self.current.generation,
             registry: self.current.registry,
             members: self.current.members_version,
+            evacuations: Some(self.current.evacuations_version),
         }
     }
 
@@ -181,8 +202,10 @@
     pub fn updates_since(&mut self, known: SnapshotVersions) -> io::Result<Vec<PartUpdate>> {
         let mut updates = Vec::new();
         for part in Part::ALL {
-            if self.current.part(part).0 > known.of(part) {
-                updates.push(self.update(part, known.of(part))?);
+            if let Some(known) = known.of(part)
+                && self.current.part(part).0 > known
+            {
+                updates.push(self.update(part, known)?);
             }
         }
         Ok(updates)
--- a/crates/node/tests/snapshot.rs
+++ b/crates/node/tests/snapshot.rs
@@ -11,10 +11,12 @@
         databases: "databases".into(),
         members_version: 30,
         members: "members".into(),
+        ..Snapshot::default()
     };
     let check = |known: [u64; 3], expected: [(u64, &str); 3]| {
         let [generation, registry, members] = known;
-        let newer = whole.newer_than(SnapshotVersions { generation, registry, members });
+        let newer =
+            whole.newer_than(SnapshotVersions { generation, registry, members, evacuations: None });
         let found = [
             (newer.generation, &newer.configuration[..]),
             (newer.registry, &newer.databases[..]),
@@ -157,3 +159,43 @@
     let fetched = behind.decode(&updates).expect("a version that it has");
     assert_eq!((fetched.generation, fetched.configuration), (22, after.into()));
 }
+
+/// Guards against a peer of an earlier build that gets a part which it can't decode, and against a newer build that
+/// does not get it.
+#[test]
+fn evacuations_only_sent_to_builds_that_know_them() {
+    let mut history = history(&[(5, members(3, None))]);
+    history.change(|snapshot| {
+        (snapshot.evacuations_version, snapshot.evacuations) = (9, r#"{"dc-b":null}"#.into());
+    });
+    let decoded = |history: &mut SnapshotHistory, known| {
+        let updates = history.updates_since(known).expect("updates");
+        let bytes = rmp_serde::to_vec(&updates).expect("updates can be encoded");
+        let received: Vec<PartUpdate> = rmp_serde::from_slice(&bytes).expect("updates");
+        (received.len(), SnapshotHistory::default().decode(&received).expect("decoded"))
+    };
+    let earlier = SnapshotVersions { evacuations: None, ..SnapshotVersions::NONE };
+    let (parts, snapshot) = decoded(&mut history, earlier);
+    assert_eq!((parts, snapshot.members_version, snapshot.evacuations_version), (1, 5, 0));
+    let (parts, snapshot) = decoded(&mut history, SnapshotVersions::NONE);
+    assert_eq!((parts, snapshot.evacuations_version), (2, 9));
+    assert_eq!(snapshot.evacuations, &br#"{"dc-b":null}"#[..]);
+    let known = SnapshotVersions { evacuations: Some(9), members: 5, ..SnapshotVersions::NONE };
+    assert_eq!(decoded(&mut history, known).0, 0);
+}
+
+/// Guards against a whole snapshot, which only builds without updates fetch, that has more fields than they know.
+#[test]
+fn whole_snapshot_keeps_its_six_fields() {
+    let whole = Snapshot {
+        generation: 7,
+        configuration: "config".into(),
+        evacuations_version: 9,
+        evacuations: "{}".into(),
+        ..Snapshot::default()
+    };
+    let bytes = rmp_serde::to_vec(&whole).expect("it can be encoded");
+    type Earlier = (u64, Vec<u8>, u64, Vec<u8>, u64, Vec<u8>);
+    let earlier: Earlier = rmp_serde::from_slice(&bytes).expect("an earlier build decodes it");
+    assert_eq!((earlier.0, &earlier.1[..]), (7, &b"config"[..]));
+}
