--- a/crates/gateway/tests/evacuation_status.rs
+++ b/crates/gateway/tests/evacuation_status.rs
@@ -1,14 +1,10 @@
-//! What a VM knows of evacuations: readiness, fetches from peers, and status.
+//! What a VM knows of evacuations: readiness and status.
 
 mod world;
 
-use gateway::{
-    Effect,
-    peers::{Heartbeat, PeerBody, PeerMessage, Timestamps},
-    policy::Policy,
-};
+use gateway::{message::Access, policy::Policy};
 use model::prelude::*;
-use world::{KEY, LATEST, World, begin, catalog, dc, vm_address, vm_name, write};
+use world::{KEY, LATEST, World, begin, catalog, dc, write};
 
 /// Three VMs of a deployment with or without evacuations, in contact with each other.
 fn world(evacuation_bound: Option<DurationUs>) -> World {
@@ -19,8 +15,6 @@
     world
 }
 
-/// Incarnation of each VM of a world.
-const STARTED_AT: Incarnation = Incarnation(1_000_000_000);
 const BOUND: Option<DurationUs> = Some(DurationUs::from_ms(5_000));
 
 fn set_evacuations(world: &mut World, version: u64, dcs: &[DcName]) {
@@ -43,47 +37,6 @@
     assert!(world(None).engines[0].is_ready());
 }
 
-/// Whether the first VM fetches what a heartbeat of the second announces.
-fn fetches(world: &mut World, evacuations: u64) -> bool {
-    world.run_for(1_000);
-    let engine = &mut world.engines[0];
-    let heartbeat = Heartbeat {
-        stamps: Timestamps { sent: world.now + DurationUs::from_ms(1_000), echo: None },
-        generation: 1,
-        registry: 1,
-        services: Vec::new(),
-        demands: Vec::new(),
-        grants: Vec::new(),
-        terms_total: 0,
-        members: 1,
-        witness_step: 1,
-        lease_left: None,
-        live_witnesses: 0,
-        spare: None,
-        wants_notes: false,
-        reaches_store: true,
-        stopping: false,
-        evacuations,
-    };
-    let message = PeerMessage {
-        from: vm_name(1),
-        incarnation: STARTED_AT,
-        body: PeerBody::Heartbeat(heartbeat),
-    };
-    engine.peer_message(world.now, vm_address(1), message);
-    engine.take_effects().iter().any(|effect| matches!(effect, Effect::FetchFromPeer(_)))
-}
-
-/// Guards against lists that are fetched again and again, and newer ones that are not.
-#[test]
-fn newer_evacuations_are_fetched_where_the_deployment_has_them() {
-    let mut with = world(BOUND);
-    set_evacuations(&mut with, 5, &[]);
-    assert!(!fetches(&mut with, 5));
-    assert!(fetches(&mut with, 6));
-    assert!(!fetches(&mut world(None), 6));
-}
-
 /// Guards against a list of an earlier version that ends an evacuation.
 #[test]
 fn older_list_changes_nothing() {
@@ -102,7 +55,7 @@
     let mut world = world(BOUND);
     set_evacuations(&mut world, 1, &[]);
     let caller = world.open(0, LATEST, KEY);
-    world.query(caller, "b", begin(gateway::message::Access::Write));
+    world.query(caller, "b", begin(Access::Write));
     assert!(world.query(caller, "w", write("1")).succeeded());
     set_evacuations(&mut world, 2, &[dc(0)]);
     let status = world.engines.iter().flat_map(|engine| engine.evacuation_status());
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -158,13 +158,17 @@
 
 /// The engine of the first of three VMs, at 1 s.
 fn engine_of_three() -> Engine {
+    engine_with_policy(Policy::default())
+}
+
+fn engine_with_policy(policy: Policy) -> Engine {
     let id = Identity {
         vm: vm(0),
         incarnation: RUN,
         dc: DcName::new("dc-a").expect("a name"),
         regions: FxHashMap::default(),
         first_start: true,
-        policy: Policy::default(),
+        policy,
         decode_status: |_| None,
     };
     let mut engine = Engine::new(id, Logger::root(Discard, o!()), at(1_000));
@@ -226,3 +230,21 @@
     engine.fetch_ended(at(3_000));
     assert_eq!(fetches_at(&mut engine, 3_000), 1);
 }
+
+/// Guards against lists of evacuations that are fetched again and again, and newer ones that are not.
+#[test]
+fn newer_evacuations_are_fetched_where_the_deployment_has_them() {
+    let fetches = |evacuation_bound, evacuations| {
+        let mut engine = engine_with_policy(Policy { evacuation_bound, ..Policy::default() });
+        engine.set_evacuations(at(1_000), 5, Vec::new());
+        let stamps = Timestamps { sent: at(2_000), echo: None };
+        let announced =
+            Heartbeat { evacuations, stamps, generation: 0, registry: 0, ..heartbeat(None) };
+        deliver(&mut engine, at(2_000), 1, PeerBody::Heartbeat(announced));
+        engine.take_effects().iter().any(|effect| matches!(effect, Effect::FetchFromPeer(_)))
+    };
+    let bound = Some(DurationUs::from_ms(5_000));
+    assert!(fetches(bound, 6));
+    assert!(!fetches(bound, 5));
+    assert!(!fetches(None, 6));
+}
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -199,7 +199,7 @@
     valid(ServiceName::new("ledger"))
 }
 
-pub fn vm_address(index: usize) -> SocketAddr {
+fn vm_address(index: usize) -> SocketAddr {
     SocketAddr::from(([10, 0, 0, index as u8 + 1], 7000))
 }
 
