Take work and primaries off data centres that are being evacuated

Cause: the engine knew which data centres are evacuated, and nothing acted on it.

evacuation.rs decides by stages (open, returning, draining, closed) which kind of request a database may get; engine/evacuations.rs applies it to placement, open transactions, peers' channels, status queries and failovers. A primary there is replaced by a planned failover; no failover promotes a database there, and none promotes one that has received less than an evacuated database that answers: that would lose acknowledged writes, so the service is refused until the evacuation ends. A holder answers the next statement of a transaction that it rolled back as the database would (ABORTED), and refuses other requests as suspected: both are understood by earlier builds.

Ruled out: ending the channel at the holder (a commit in transit would be reported as in doubt although it was never sent); a new kind of refusal (earlier builds can't decode it); sending ROLLBACK after the grace period (the connection is closed instead); counting the grace period from a process's start (a VM that restarts late would send after the bound: evacuations in its first list have none).

--- a/crates/gateway/src/engine/channels.rs
+++ b/crates/gateway/src/engine/channels.rs
@@ -52,6 +52,8 @@
     upstream: Option<UpstreamKey>,
     /// The request that the peer awaits a reply to.
     current: Option<ChannelRequest>,
+    /// Whether its transaction was rolled back here, of which the peer is told with its next statement.
+    is_aborted: bool,
 }
 
 /// A request of a peer in progress.
@@ -101,6 +103,7 @@
                     prepared: FxHashMap::default(),
                     upstream: None,
                     current: None,
+                    is_aborted: false,
                 };
                 let key = self.channels.all.insert(channel);
                 self.channels.by_number.insert((link, number), key);
@@ -148,6 +151,7 @@
                 channel.prepared.clear();
             }
             UpstreamRequest::Rollback => {
+                channel.is_aborted = false;
                 if let Some(upstream) = channel.upstream.take() {
                     self.roll_back(upstream);
                 }
@@ -159,6 +163,7 @@
                 self.end_channel(key);
             }
             UpstreamRequest::Begin { .. } | UpstreamRequest::Forward { .. } => {
+                channel.is_aborted &= !matches!(request, UpstreamRequest::Begin { .. });
                 channel.current = Some(ChannelRequest {
                     request,
                     priority,
@@ -169,6 +174,7 @@
                 });
                 match channel.upstream {
                     Some(upstream) => self.start_channel_on(key, upstream),
+                    None if channel.is_aborted => self.answer_aborted(key),
                     None => self.waiting.push(Waiter::Channel(key)),
                 }
             }
@@ -268,7 +274,7 @@
         let state = self.databases.get(&channel.database).ok_or(Refusal::NotHolder)?;
         let limit = self.own_share(state).ok_or(Refusal::NotHolder)?;
         let waited = self.now.since(current.arrived);
-        if state.failing_since.is_some() {
+        if state.failing_since.is_some() || !self.admits_operations(state) {
             Err(Refusal::Suspected)
         } else if self.now >= current.refuse_at || waited >= WAIT_MAX {
             Err(Refusal::NoRoom)
@@ -296,6 +302,9 @@
 
     /// Sends a channel's request on the connection that it occupies.
     pub(super) fn start_channel_on(&mut self, key: ChannelKey, upstream: UpstreamKey) {
+        if self.withhold_evacuated(key, upstream) {
+            return;
+        }
         let prepared = self.channel_prepared(key);
         let channel = self.channels.all.get_mut(key);
         let Some(channel) = channel.filter(|channel| channel.upstream == Some(upstream)) else {
@@ -379,6 +388,72 @@
         self.send_on_link(link, LinkMessage::Refused { channel: number, reason });
     }
 
+    /// Refuses a peer's request, or rolls its transaction back, if it must not be sent over the connection because
+    /// of an evacuation. Returns whether it did.
+    fn withhold_evacuated(&mut self, key: ChannelKey, upstream: UpstreamKey) -> bool {
+        let Some(connection) = self.pool.connections.get(upstream) else { return false };
+        let Some(state) = self.databases.get(&connection.database) else { return false };
+        let has_request = self.channels.all.get(key).is_some_and(|c| c.current.is_some());
+        if !has_request {
+            return false;
+        }
+        if connection.in_transaction {
+            if self.admits_next_statement(upstream) {
+                return false;
+            }
+            self.abort_channel_transaction(key);
+            self.answer_aborted(key);
+        } else {
+            if self.admits_operations(state) {
+                return false;
+            }
+            self.channels.all[key].upstream = None;
+            self.free(upstream);
+            self.refuse_channel_request(key, Refusal::Suspected);
+        }
+        true
+    }
+
+    /// Rolls back open transactions of peers without a request in progress, at databases that must not get any
+    /// more because of an evacuation.
+    pub(super) fn abort_evacuated_channels(&mut self) {
+        let open = self.channels.all.iter().filter(|(_, channel)| {
+            let upstream = channel.upstream.filter(|_| channel.current.is_none());
+            upstream.is_some_and(|upstream| !self.admits_next_statement(upstream))
+        });
+        let open: Vec<ChannelKey> = open.map(|(key, _)| key).collect();
+        for key in open {
+            self.abort_channel_transaction(key);
+        }
+    }
+
+    /// Rolls back a channel's transaction by closing its connection.
+    fn abort_channel_transaction(&mut self, key: ChannelKey) {
+        let channel = &mut self.channels.all[key];
+        channel.is_aborted = true;
+        let Some(upstream) = channel.upstream.take() else { return };
+        info!(self.log, "transaction of a peer rolled back";
+            "reason" => "the database's data centre is being evacuated",
+            "database" => %channel.database);
+        self.counts.evacuation_aborts += 1;
+        self.close_connection(upstream);
+    }
+
+    /// Answers a channel's request, which is not sent, as the database answers after it has rolled back. Unlike the
+    /// end of the channel, this also tells of a commit that it was not executed.
+    fn answer_aborted(&mut self, key: ChannelKey) {
+        let channel = &mut self.channels.all[key];
+        channel.is_aborted = false;
+        channel.current = None;
+        let (link, number) = (channel.link, channel.number);
+        let text = "rolled back: the database's data centre is being evacuated".into();
+        let replies = vec![
+            Reply::Error { code: ErrorCode::Aborted, text },
+            Reply::Ready { state: TransactionState::Idle, position: None },
+        ];
+        self.send_on_link(link, LinkMessage::Replies { channel: number, replies });
+    }
+
     /// Returns requests that wait for databases of a service to their peers, because its primary has changed.
     pub(super) fn return_waiting_requests(&mut self, service: &ServiceName) {
         let waiting = self.channels.all.iter().filter(|(_, channel)| {
--- a/crates/gateway/src/engine/connections.rs
+++ b/crates/gateway/src/engine/connections.rs
@@ -71,8 +71,12 @@
         }
     }
 
-    /// Rolls back the transaction on a connection and frees it.
+    /// Rolls back the transaction on a connection and frees it. Where nothing may be sent any more, the connection
+    /// is closed, upon which the database rolls back.
     pub(super) fn roll_back(&mut self, upstream: UpstreamKey) {
+        if !self.admits_next_statement(upstream) {
+            return self.close_connection(upstream);
+        }
         self.send(upstream, PendingKind::Setup, UpstreamRequest::Rollback);
         if let Some(connection) = self.pool.connections.get_mut(upstream) {
             // Some databases also undo settings that were made inside the transaction.
--- a/crates/gateway/src/engine/failovers.rs
+++ b/crates/gateway/src/engine/failovers.rs
@@ -64,7 +64,9 @@
         let service = &self.services[name];
         let members = || self.databases.values().filter(|state| state.record.service == *name);
         let has_candidate = members().any(|state| {
-            !state.record.leaving && Some(&state.record.name) != service.primary.as_ref()
+            !state.record.leaving
+                && !self.is_evacuated(state)
+                && Some(&state.record.name) != service.primary.as_ref()
         });
         if !has_candidate {
             return None;
@@ -99,6 +101,8 @@
             PrimaryHealth::Lost if own.failing.is_some() => {
                 Some(PrimaryAction::Replace { planned: false })
             }
+            // The queries of a planned failover show whether it has failed.
+            _ if self.is_evacuated(primary) => Some(PrimaryAction::Replace { planned: true }),
             // The coordinator only acts on a failure that it has seen itself.
             PrimaryHealth::Lost => Some(PrimaryAction::Probe(primary.record.name.clone())),
             _ if primary.record.leaving => Some(PrimaryAction::Replace { planned: true }),
@@ -134,14 +138,18 @@
             .databases
             .values()
             .filter(|state| state.record.service == *name && !state.record.leaving)
+            .filter(|state| !self.is_evacuated(state))
             .filter(|state| Some(&state.record.name) != old_primary.as_ref())
             .collect();
         let old_dc = old_primary
             .as_ref()
             .and_then(|name| self.databases.get(name))
             .map(|state| state.record.dc.clone());
+        let spares_old_primary = old_dc.as_ref().is_some_and(|dc| self.evacuations.contains(dc));
         candidates.sort_by_key(|state| {
-            (state.failing_since.is_some(), Some(&state.record.dc) != old_dc.as_ref())
+            let is_returning = self.share_of(state) < 1.0;
+            let is_elsewhere = Some(&state.record.dc) != old_dc.as_ref();
+            (state.failing_since.is_some(), is_returning, is_elsewhere)
         });
         let candidates = candidates.into_iter().map(|state| state.record.name.clone()).collect();
         let id = self.next_failover_id;
@@ -155,6 +163,8 @@
         let attempt = FailoverAttempt::new(id, name.clone(), term, now)
             .with_old_primary(old_primary, planned)
             .with_candidates(candidates)
+            .with_spared_old_primary(spares_old_primary)
+            .with_observed(self.evacuated_members(name, synchronous))
             .with_synchronous(synchronous);
         self.failovers.push(attempt);
         self.effects.push(Effect::CallPlatform(PlatformRequest::ReadToken));
@@ -278,7 +288,7 @@
             "service" => %attempt.service, "reason" => reason, "rows" => ?attempt.statuses,
             "stopped" => attempt.suspended.len());
         if attempt.synchronous {
-            for database in attempt.candidates.clone() {
+            for database in attempt.candidates.iter().chain(&attempt.observed).cloned() {
                 self.request_control(&database, NO_FAILOVER, ControlRequest::Resume);
             }
         }
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -8,6 +8,7 @@
 mod callers;
 mod channels;
 mod connections;
+mod evacuations;
 mod expiry;
 mod failovers;
 mod gossip;
@@ -24,6 +25,7 @@
 pub(crate) use callers::Authorization;
 pub(crate) use channels::ChannelKey;
 use channels::Channels;
+pub use evacuations::EvacuatedDc;
 use links::Links;
 use membership::Membership;
 
@@ -228,6 +230,10 @@
     pub holder_refusals: u64,
     /// Requests of peers that this VM, as a holder, refused to send to a database.
     pub channel_refusals: u64,
+    /// Transactions rolled back because their database's data centre is being evacuated.
+    pub evacuation_aborts: u64,
+    /// Statements refused at once because all databases of their service are being evacuated.
+    pub evacuation_refusals: u64,
     /// Calls of the store whose result the program reported.
     pub store_calls: u64,
     /// Those of them that were not answered.
@@ -250,6 +256,7 @@
     pub fn new(id: Identity, log: Logger, now: MonoTime) -> Engine {
         let intents_known = id.first_start;
         let fleet = FleetView::new(id.vm.clone(), id.incarnation, id.dc.clone());
+        let evacuations = Evacuations::new(id.policy.evacuation_bound);
         Engine {
             id,
             log,
@@ -259,7 +266,7 @@
             registry_version: 0,
             registry_known: false,
             databases: BTreeMap::new(),
-            evacuations: Evacuations::default(),
+            evacuations,
             services: BTreeMap::new(),
             sessions: SlotMap::with_key(),
             waiting: Vec::new(),
@@ -412,14 +419,6 @@
         self.place_waiting();
     }
 
-    /// Takes the list of all data centres that are being evacuated, unless it is older than the present one.
-    pub fn set_evacuations(&mut self, now: MonoTime, version: u64, dcs: Vec<DcName>) {
-        self.now = now;
-        if self.evacuations.replace(now, version, dcs) {
-            self.place_waiting();
-        }
-    }
-
     /// Begins to stop: this VM is no longer ready and closes idle sessions, while work in progress goes
     /// on.
     pub fn stop(&mut self, now: MonoTime) {
@@ -455,6 +454,7 @@
         self.expire_links();
         self.reassure_users();
         self.expire_transactions();
+        self.enforce_evacuations();
         self.settle_unconfirmed();
         self.borrow_tokens();
         if self.next_heartbeat_at <= now {
--- a/crates/gateway/src/engine/placement.rs
+++ b/crates/gateway/src/engine/placement.rs
@@ -9,6 +9,7 @@
 use crate::{
     catalog::Freshness,
     effect::{CallerKey, UpstreamKey},
+    evacuation::Work,
     message::{Access, ErrorCode, ForwardedStatement, PreparedKey, Statement, UpstreamRequest},
     pool::{PendingKind, Purpose, User},
     queue,
@@ -220,13 +221,17 @@
     /// Tries to place a session's current statement. Returns whether it no longer waits.
     fn try_place(&mut self, key: CallerKey, may_open: bool, failures: &mut FailedSearches) -> bool {
         let now = self.now;
+        let retry_at = self.sessions[key].current.as_ref().map(|current| current.retry_at);
+        if retry_at.is_some_and(|at| at > now) {
+            return false;
+        }
+        if self.refuse_evacuated(key) {
+            return true;
+        }
         let session = &self.sessions[key];
         let (Some(current), Some(auth)) = (&session.current, &session.authorization) else {
             return true;
         };
-        if current.retry_at > now {
-            return false;
-        }
         if current.needs_token {
             if let Some(workspace) = auth.workspace.clone() {
                 if failures.rate_limited.contains(&workspace) {
@@ -255,11 +260,15 @@
         self.counts.searches += 1;
         let prepared = self.prepared_key_of(key);
         let session = &self.sessions[key];
+        let share_needed = self.share_needed(session, requirement);
         let mut best: Option<(f64, DatabaseName, ConnectionChoice)> = None;
         for (name, state) in &self.databases {
             if state.record.service != service || !self.database_meets(state, requirement) {
                 continue;
             }
+            if self.share_of(state) < share_needed {
+                continue;
+            }
             let Some(choice) =
                 self.choose_connection(state, &workspace, &session.variables, prepared, waited)
             else {
@@ -274,8 +283,11 @@
             may_open || !matches!(choice, ConnectionChoice::Open | ConnectionChoice::Evict(_))
         });
         let Some((_, database, choice)) = usable else {
-            let policy = ConnectionPolicy::after(waited);
-            failures.searches.push(FailedSearch { service, workspace, requirement, policy });
+            // Another statement may be one of the share that goes to more databases.
+            if share_needed == 0.0 {
+                let policy = ConnectionPolicy::after(waited);
+                failures.searches.push(FailedSearch { service, workspace, requirement, policy });
+            }
             return false;
         };
         let upstream = match choice {
@@ -352,11 +364,11 @@
         session.prepared.get(name).map(|prepared| self.pool.prepared_key(prepared))
     }
 
-    fn database_meets(&self, state: &DatabaseState, requirement: Requirement) -> bool {
+    pub(super) fn database_meets(&self, state: &DatabaseState, requirement: Requirement) -> bool {
         let service = self.services.get(&state.record.service);
         let is_primary = service.is_some_and(|s| s.primary.as_ref() == Some(&state.record.name));
         match requirement {
-            Requirement::Primary => is_primary,
+            Requirement::Primary => is_primary && self.admits(state, Work::NeedsPrimary),
             Requirement::AtLeast(position) => {
                 let lags = match (position, state.lag_backoff) {
                     (Some(position), Some(backoff)) => {
@@ -366,7 +378,8 @@
                 };
                 let usable = is_primary || !state.record.leaving;
                 let suspended = is_primary && service.is_some_and(|s| s.suspension.is_some());
-                usable && !suspended && !lags && state.failing_since.is_none()
+                let admitted = self.admits(state, Work::New);
+                usable && admitted && !suspended && !lags && state.failing_since.is_none()
             }
         }
     }
@@ -505,6 +518,12 @@
             self.roll_back(upstream);
             return self.fail(key, ErrorCode::Aborted, "the primary was replaced");
         }
+        if !self.admits_next_statement(upstream) {
+            self.counts.evacuation_aborts += 1;
+            self.roll_back(upstream);
+            let reason = "the database's data centre is being evacuated";
+            return self.fail(key, ErrorCode::Aborted, reason);
+        }
         // The transaction was opened with the required position.
         self.forward(key, upstream, Requirement::AtLeast(None));
     }
--- a/crates/gateway/src/engine/primaries.rs
+++ b/crates/gateway/src/engine/primaries.rs
@@ -90,6 +90,10 @@
         attempt: u64,
         request: ControlRequest,
     ) {
+        let is_query = attempt == NO_FAILOVER && request == ControlRequest::Status;
+        if is_query && !self.admits_query(database) {
+            return;
+        }
         if self.databases.contains_key(database) {
             self.open(database, Purpose::Control { attempt, request });
         }
--- a/crates/gateway/src/failover.rs
+++ b/crates/gateway/src/failover.rs
@@ -151,6 +151,12 @@
     pub suspend_sent_at: Option<MonoTime>,
     /// Databases that may be promoted, in order of preference.
     pub candidates: Vec<DatabaseName>,
+    /// Whether the old primary gets as few requests as possible: it is asked for its status once, which is enough
+    /// after all VMs have suspended it, instead of until a replica has caught up.
+    pub spares_old_primary: bool,
+    /// Databases that are asked for what they have received, but must not be promoted. None is promoted that
+    /// has received less than one of them.
+    pub observed: Vec<DatabaseName>,
     /// The last answer of each database since the last restart of the collection.
     pub statuses: BTreeMap<DatabaseName, StatusRow>,
     /// When the status of each database was last queried.
@@ -180,6 +186,8 @@
             majority_suspended_at: None,
             suspend_sent_at: None,
             candidates: Vec::new(),
+            spares_old_primary: false,
+            observed: Vec::new(),
             statuses: BTreeMap::new(),
             status_queried_at: BTreeMap::new(),
             excluded: BTreeSet::new(),
@@ -202,6 +210,16 @@
         FailoverAttempt { candidates, ..self }
     }
 
+    /// Sets whether the old primary gets as few requests as possible.
+    pub fn with_spared_old_primary(self, spares_old_primary: bool) -> FailoverAttempt {
+        FailoverAttempt { spares_old_primary, ..self }
+    }
+
+    /// Sets the databases whose positions are needed although they must not be promoted.
+    pub fn with_observed(self, observed: Vec<DatabaseName>) -> FailoverAttempt {
+        FailoverAttempt { observed, ..self }
+    }
+
     /// Sets whether a commit is acknowledged only once a replica has received it.
     pub fn with_synchronous(self, synchronous: bool) -> FailoverAttempt {
         FailoverAttempt { synchronous, ..self }
@@ -232,9 +250,12 @@
         if row.term >= self.term && !row.is_primary && !self.promotion_requested {
             let (old_primary, planned) = (self.old_primary.take(), self.planned);
             let candidates = std::mem::take(&mut self.candidates);
+            let observed = std::mem::take(&mut self.observed);
             *self = FailoverAttempt::new(self.id, self.service.clone(), row.term.next(), now)
                 .with_old_primary(old_primary, planned)
                 .with_candidates(candidates)
+                .with_spared_old_primary(self.spares_old_primary)
+                .with_observed(observed)
                 .with_synchronous(self.synchronous);
             return;
         }
@@ -296,7 +317,8 @@
         if self.planned {
             return self.step_catching_up(now, since);
         }
-        let all_answered = eligible.iter().all(|name| self.statuses.contains_key(*name));
+        let mut asked = eligible.iter().copied().chain(&self.observed);
+        let all_answered = asked.all(|name| self.statuses.contains_key(name));
         let timeout = if self.synchronous { SYNCHRONOUS_STATUS_TIMEOUT } else { STATUS_TIMEOUT };
         if !all_answered && now.since(since) < timeout {
             return self.query_status(now);
@@ -308,6 +330,15 @@
             .iter()
             .filter_map(|name| self.statuses.get(*name).map(|row| (row.received, *name)))
             .max_by(|a, b| a.0.cmp(&b.0).then_with(|| self.preference(b.1, a.1)));
+        let received = |name| self.statuses.get(name).map(|row| row.received);
+        let most_observed = self.observed.iter().filter_map(received).max();
+        if best.is_some_and(|(received, _)| most_observed > Some(received)) {
+            if !self.promotion_requested {
+                return Step::GiveUp("a database that must not be promoted has received more");
+            }
+            self.statuses.clear();
+            return self.query_status(now);
+        }
         match best.map(|(_, name)| name.clone()) {
             Some(candidate) => {
                 self.phase = Phase::RaisingToken { since: now, candidate };
@@ -381,6 +412,24 @@
         Step::QueryStatus(vec![candidate])
     }
 
+    /// Takes databases from the candidates, which must no longer be promoted; their positions still count. A
+    /// promotion that may have been requested goes on, since it may take effect.
+    pub fn withdraw(&mut self, now: MonoTime, withdrawn: &[DatabaseName]) {
+        if self.promotion_requested {
+            return;
+        }
+        self.candidates.retain(|name| !withdrawn.contains(name));
+        self.observed.extend_from_slice(withdrawn);
+        match &self.phase {
+            Phase::Demoting { candidate, .. } | Phase::RaisingToken { candidate, .. }
+                if withdrawn.contains(candidate) =>
+            {
+                self.restart_collection(now);
+            }
+            _ => {}
+        }
+    }
+
     /// Discards all answers and queries the candidates again.
     pub fn restart_collection(&mut self, now: MonoTime) -> Step {
         self.statuses.clear();
@@ -390,11 +439,14 @@
     }
 
     fn query_status(&mut self, now: MonoTime) -> Step {
-        let old = self.old_primary.iter().filter(|_| self.planned);
+        let old = self.old_primary.iter().filter(|old| {
+            self.planned && !(self.spares_old_primary && self.statuses.contains_key(*old))
+        });
         let due: Vec<DatabaseName> = self
             .candidates
             .iter()
             .chain(old)
+            .chain(self.observed.iter().filter(|_| !self.planned))
             .filter(|name| !self.excluded.contains(*name))
             .filter(|name| {
                 self.status_queried_at
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,5 +26,5 @@
 pub mod witnesses;
 
 pub use effect::{CallerKey, Effect, LinkKey, PlatformRequest, UpstreamKey};
-pub use engine::{Engine, Identity, OpenConnections};
+pub use engine::{Engine, EvacuatedDc, Identity, OpenConnections};
 pub use failover::PromotionIntent;
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -173,6 +173,9 @@
     connections: BTreeMap<(usize, UpstreamKey), Connection>,
     /// The other end of each end of a link.
     links: BTreeMap<(usize, LinkKey), (usize, LinkKey)>,
+    /// Requests that reached a database, without those that open a connection: when, which database, and whether
+    /// it is a request of the gateway itself for its control.
+    pub arrivals: Vec<(MonoTime, usize, bool)>,
     /// Messages on links that have not opened yet, by the sender's end.
     unsent: BTreeMap<(usize, LinkKey), Vec<LinkMessage>>,
     /// Ends of links that send into a cut.
@@ -308,6 +311,7 @@
             next_id: 0,
             connections: BTreeMap::new(),
             links: BTreeMap::new(),
+            arrivals: Vec::new(),
             unsent: BTreeMap::new(),
             broken_links: BTreeSet::new(),
             responses: BTreeMap::new(),
@@ -358,6 +362,12 @@
         }
     }
 
+    /// Gives a VM a list of evacuations; data centres are named by their index.
+    pub fn set_evacuations(&mut self, vm: usize, version: u64, dcs: &[usize]) {
+        let (now, dcs) = (self.now, dcs.iter().map(|index| dc(*index)).collect());
+        self.drive(vm, |engine| engine.set_evacuations(now, version, dcs));
+    }
+
     pub fn cut(&mut self, a: Endpoint, b: Endpoint) {
         self.cuts.insert((a.min(b), a.max(b)));
     }
@@ -587,6 +597,14 @@
         if connection.closed || self.is_cut(Endpoint::Vm(vm), Endpoint::Database(database)) {
             return;
         }
+        match request {
+            UpstreamRequest::Start { .. } => {}
+            UpstreamRequest::Status
+            | UpstreamRequest::Pause(_)
+            | UpstreamRequest::Resume
+            | UpstreamRequest::Demote(_) => self.arrivals.push((self.now, database, true)),
+            _ => self.arrivals.push((self.now, database, false)),
+        }
         let replies = self.group.execute(database, id, request);
         let (replies, closes) = match replies {
             Ok(replies) => (replies, false),
