--- a/crates/gateway/src/engine/evacuations.rs
+++ b/crates/gateway/src/engine/evacuations.rs
@@ -59,9 +59,6 @@
         if self.evacuations.is_empty() {
             return;
         }
-        for dc in self.evacuations.take_closed(self.now) {
-            info!(self.log, "evacuated: only failovers send requests there"; "dc" => %dc);
-        }
         let open: Vec<CallerKey> = self
             .sessions
             .iter()
@@ -88,6 +85,14 @@
         for key in unused {
             self.close_connection(key);
         }
+        let closed = self.evacuations.take_closed(self.now);
+        if closed.is_empty() {
+            return;
+        }
+        for left in self.evacuated().into_iter().filter(|left| closed.contains(&left.dc)) {
+            info!(self.log, "grace period of the evacuation over"; "dc" => %left.dc,
+                "connections" => left.connections, "primaries" => ?left.primaries);
+        }
     }
 
     /// Whether a request of this kind may be sent to the database.
--- a/crates/gateway/src/engine/failovers.rs
+++ b/crates/gateway/src/engine/failovers.rs
@@ -288,8 +288,8 @@
             "service" => %attempt.service, "reason" => reason, "rows" => ?attempt.statuses,
             "stopped" => attempt.suspended.len());
         if attempt.synchronous {
-            for database in attempt.candidates.iter().chain(&attempt.observed).cloned() {
-                self.request_control(&database, NO_FAILOVER, ControlRequest::Resume);
+            for database in attempt.candidates.iter().chain(&attempt.observed) {
+                self.request_control(database, NO_FAILOVER, ControlRequest::Resume);
             }
         }
         if let Some(service) = self.services.get_mut(&attempt.service) {
--- a/crates/gateway/tests/evacuation.rs
+++ b/crates/gateway/tests/evacuation.rs
@@ -392,6 +392,8 @@
     set_everywhere(&mut world, 2, &[0]);
     world.run_for(6_000);
     assert!(world.promotions.is_empty(), "w would be lost");
+    let asked = arrivals_since(&world, 0, world.now - DurationUs::from_ms(4_000));
+    assert!(asked < 10, "{asked} requests of the failover at the old primary in 4 s");
     let since = world.now;
     world.replicating = true;
     world.run_for(5_000);
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -11,7 +11,7 @@
 use axum::{Router, extract::State, routing::get};
 use edge::server::{self, Limits};
 use gateway::{
-    Engine,
+    Engine, EvacuatedDc,
     histogram::{BOUNDS_MS, Histogram},
 };
 use http::StatusCode;
@@ -47,6 +47,8 @@
     let (sessions, waiting) = engine.load();
     let open = engine.open_connections();
     let latencies = engine.latencies();
+    let evacuated = engine.evacuated();
+    let sum = |count: fn(&EvacuatedDc) -> usize| evacuated.iter().map(count).sum::<usize>() as u64;
     let mut text = String::new();
     for (name, value) in [
         ("answered_total", counts.answered),
@@ -68,6 +70,12 @@
         ("fetches_total", fetches.completed),
         ("fetch_failures_total", fetches.failed),
         ("fetched_bytes_total", fetches.received_bytes),
+        ("evacuation_aborts_total", counts.evacuation_aborts),
+        ("evacuation_refusals_total", counts.evacuation_refusals),
+        ("evacuated_data_centres", evacuated.len() as u64),
+        ("evacuated_connections", sum(|dc| dc.connections)),
+        ("evacuated_transactions", sum(|dc| dc.transactions)),
+        ("evacuated_primaries", sum(|dc| dc.primaries.len())),
         ("sessions", sessions as u64),
         ("waiting", waiting as u64),
         ("connections", open.own as u64),
