--- a/crates/gateway/src/engine/evacuation_status.rs
+++ b/crates/gateway/src/engine/evacuation_status.rs
@@ -3,6 +3,7 @@
 use model::prelude::*;
 
 use super::Engine;
+use crate::evacuation::Stage;
 
 /// An evacuation as this VM sees it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -11,10 +12,16 @@
     pub dc: DcName,
     /// How long this VM has known of it.
     pub age: DurationUs,
+    /// Whether the grace period is over, so that only failovers send requests there.
+    pub is_closed: bool,
     /// This VM's own connections to databases there. Those of holders elsewhere are in their status.
     pub connections: usize,
     /// How many of these connections run a request, or belong to an open transaction.
     pub in_use: usize,
+    /// This VM's channels to holders of databases there.
+    pub channels: usize,
+    /// Services whose primary is there.
+    pub primaries: Vec<ServiceName>,
 }
 
 impl Engine {
@@ -40,15 +47,28 @@
     }
 
     fn status_of(&self, dc: &DcName, since: MonoTime) -> EvacuationStatus {
-        let is_there = |database| {
+        let is_there = |database: &DatabaseName| {
             self.databases.get(database).is_some_and(|database| database.record.dc == *dc)
         };
-        let own = self.pool.connections.values().filter(|c| c.link.is_none());
-        let (mut connections, mut in_use) = (0, 0);
-        for connection in own.filter(|c| is_there(&c.database)) {
+        let (mut connections, mut in_use, mut channels) = (0, 0, 0);
+        for connection in self.pool.connections.values().filter(|c| is_there(&c.database)) {
+            if connection.link.is_some() {
+                channels += 1;
+                continue;
+            }
             connections += 1;
             in_use += usize::from(connection.user.is_some() || !connection.pending.is_empty());
         }
-        EvacuationStatus { dc: dc.clone(), age: self.now.since(since), connections, in_use }
+        let primaries =
+            self.services.iter().filter(|(_, s)| s.primary.as_ref().is_some_and(is_there));
+        EvacuationStatus {
+            dc: dc.clone(),
+            age: self.now.since(since),
+            is_closed: self.evacuations.stage(self.now, dc) == Stage::Closed,
+            connections,
+            in_use,
+            channels,
+            primaries: primaries.map(|(name, _)| name.clone()).collect(),
+        }
     }
 }
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -9,6 +9,7 @@
 mod channels;
 mod connections;
 mod evacuation_status;
+mod evacuations;
 mod expiry;
 mod failovers;
 mod gossip;
@@ -232,6 +233,10 @@
     pub holder_refusals: u64,
     /// Requests of peers that this VM, as a holder, refused to send to a database.
     pub channel_refusals: u64,
+    /// Transactions rolled back because their database's data centre is being evacuated.
+    pub evacuation_aborts: u64,
+    /// Statements refused at once because all databases of their service are being evacuated.
+    pub evacuation_refusals: u64,
     /// Calls of the store whose result the program reported.
     pub store_calls: u64,
     /// Those of them that were not answered.
@@ -254,6 +259,7 @@
     pub fn new(id: Identity, log: Logger, now: MonoTime) -> Engine {
         let intents_known = id.first_start;
         let fleet = FleetView::new(id.vm.clone(), id.incarnation, id.dc.clone());
+        let evacuations = Evacuations::new(id.policy.evacuation_bound);
         Engine {
             id,
             log,
@@ -263,7 +269,7 @@
             registry_version: 0,
             registry_known: false,
             databases: BTreeMap::new(),
-            evacuations: Evacuations::default(),
+            evacuations,
             services: BTreeMap::new(),
             sessions: SlotMap::with_key(),
             waiting: Vec::new(),
@@ -418,14 +424,6 @@
         self.place_waiting();
     }
 
-    /// Takes the list of all data centres that are being evacuated, unless it is older than the present one.
-    pub fn set_evacuations(&mut self, now: MonoTime, version: u64, dcs: Vec<DcName>) {
-        self.now = now;
-        if self.evacuations.replace(now, version, dcs) {
-            self.place_waiting();
-        }
-    }
-
     /// Begins to stop: this VM is no longer ready and closes idle sessions, while work in progress goes
     /// on.
     pub fn stop(&mut self, now: MonoTime) {
@@ -469,6 +467,7 @@
         self.expire_links();
         self.reassure_users();
         self.expire_transactions();
+        self.enforce_evacuations();
         self.settle_unconfirmed();
         self.borrow_tokens();
         if self.next_heartbeat_at <= now {
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -68,6 +68,8 @@
         ("fetches_total", fetches.completed),
         ("fetch_failures_total", fetches.failed),
         ("fetched_bytes_total", fetches.received_bytes),
+        ("evacuation_aborts_total", counts.evacuation_aborts),
+        ("evacuation_refusals_total", counts.evacuation_refusals),
         ("sessions", sessions as u64),
         ("waiting", waiting as u64),
         ("connections", open.own as u64),
@@ -82,11 +84,21 @@
         // Writing to a string can't fail.
         let _ = writeln!(text, "jasminepass_{name} {value}");
     }
-    for EvacuationStatus { dc, age, connections, in_use } in engine.evacuation_status() {
-        let age_s = age.0 as f64 / 1e6;
-        let _ = writeln!(text, "jasminepass_evacuation_age_seconds{{dc=\"{dc}\"}} {age_s}");
-        let _ = writeln!(text, "jasminepass_evacuation_connections{{dc=\"{dc}\"}} {connections}");
-        let _ = writeln!(text, "jasminepass_evacuation_in_use{{dc=\"{dc}\"}} {in_use}");
+    for status in engine.evacuation_status() {
+        let EvacuationStatus { dc, age, connections, in_use, channels, primaries, .. } = status;
+        let _ = writeln!(
+            text,
+            "jasminepass_evacuation_age_seconds{{dc=\"{dc}\"}} {}",
+            age.0 as f64 / 1e6
+        );
+        for (name, value) in [
+            ("connections", connections),
+            ("in_use", in_use),
+            ("channels", channels),
+            ("primaries", primaries.len()),
+        ] {
+            let _ = writeln!(text, "jasminepass_evacuation_{name}{{dc=\"{dc}\"}} {value}");
+        }
     }
     for (name, histogram) in [
         ("read", &latencies.reads),
