Send nothing before the first list of evacuations, for at most 3 s

Cause: after a restart the lists of databases and VMs may arrive before that of evacuations. Until then the VM took no data centre for evacuated, and sent reads and status queries to one that had been closed for long.

Ruled out: waiting without a limit (a VM that reaches neither the store nor a peer that knows the list would never serve); refusing peers' requests meanwhile (they know the list themselves). The limit is how long a silent watch takes to be noticed.

--- a/crates/gateway/src/engine/evacuations.rs
+++ b/crates/gateway/src/engine/evacuations.rs
@@ -34,6 +34,7 @@
     /// Takes the list of all data centres that are being evacuated, unless it is older than the present one.
     pub fn set_evacuations(&mut self, now: MonoTime, version: u64, dcs: Vec<DcName>) {
         self.now = now;
+        let was_unknown = self.evacuations.is_unknown(now);
         let Change { begun, ended } = self.evacuations.replace(now, version, dcs);
         for dc in &begun {
             let known = self.id.regions.contains_key(dc)
@@ -44,7 +45,7 @@
         for dc in &ended {
             info!(self.log, "evacuation ended"; "dc" => %dc, "version" => version);
         }
-        if begun.is_empty() && ended.is_empty() {
+        if begun.is_empty() && ended.is_empty() && !was_unknown {
             return;
         }
         self.withdraw_evacuated_candidates();
@@ -103,6 +104,10 @@
     /// Whether any new operation may be sent to the database. A holder does not know which requests of its peers
     /// need the primary, so it takes all of them there for such.
     pub(super) fn admits_operations(&self, state: &DatabaseState) -> bool {
+        if self.evacuations.is_unknown(self.now) {
+            // The peer knows the list, or waits for it itself.
+            return true;
+        }
         let service = self.services.get(&state.record.service);
         let is_primary = service.is_some_and(|s| s.primary.as_ref() == Some(&state.record.name));
         self.admits(state, if is_primary { Work::NeedsPrimary } else { Work::New })
@@ -110,6 +115,10 @@
 
     /// Whether the next statement of the transaction on a connection may be sent.
     pub(super) fn admits_next_statement(&self, upstream: UpstreamKey) -> bool {
+        if self.evacuations.is_unknown(self.now) {
+            // Only peers have transactions here that soon after the start.
+            return true;
+        }
         let connection = self.pool.connections.get(upstream);
         let state = connection.and_then(|connection| self.databases.get(&connection.database));
         state.is_none_or(|state| self.admits(state, Work::InProgress))
@@ -197,8 +206,9 @@
         }
         let service = self.services.get(&state.record.service);
         let unknown_since = service.and_then(|service| service.no_primary_since);
-        unknown_since
-            .is_some_and(|since| self.now.since(since) >= evacuation::EVACUATED_QUERY_AFTER)
+        !self.evacuations.is_unknown(self.now)
+            && unknown_since
+                .is_some_and(|since| self.now.since(since) >= evacuation::EVACUATED_QUERY_AFTER)
             && self.has_lease()
             && self.is_coordinator()
             && self.has_database_outside(&state.record.service)
--- a/crates/gateway/src/engine/failovers.rs
+++ b/crates/gateway/src/engine/failovers.rs
@@ -39,7 +39,8 @@
     pub(super) fn start_due_failovers(&mut self) {
         self.confirm_drained_suspensions();
         self.expire_suspensions();
-        if !self.has_lease() || !self.is_coordinator() {
+        let is_unknown = self.evacuations.is_unknown(self.now);
+        if is_unknown || !self.has_lease() || !self.is_coordinator() {
             return;
         }
         let services: Vec<ServiceName> = self.services.keys().cloned().collect();
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -256,7 +256,7 @@
     pub fn new(id: Identity, log: Logger, now: MonoTime) -> Engine {
         let intents_known = id.first_start;
         let fleet = FleetView::new(id.vm.clone(), id.incarnation, id.dc.clone());
-        let evacuations = Evacuations::new(id.policy.evacuation_bound);
+        let evacuations = Evacuations::new(id.policy.evacuation_bound, now);
         Engine {
             id,
             log,
--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -22,6 +22,10 @@
 /// The time to retry after, in refusals for lack of a database elsewhere. An evacuation has no known end.
 pub const RETRY_AFTER: DurationUs = DurationUs::from_ms(1_000);
 
+/// How long a process waits after its start for its first list before it sends anything. As long as a watch that
+/// fell silent takes to be noticed; a VM that neither the store nor a peer tells by then is not in contact.
+const FIRST_LIST_TIMEOUT: DurationUs = DurationUs::from_ms(3_000);
+
 /// What may be sent to the databases of a data centre.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Stage {
@@ -96,6 +100,9 @@
     /// Time from the confirmation of an evacuation until no request may arrive; `None` if the deployment has no
     /// evacuations, and then none has an effect.
     bound: Option<DurationUs>,
+    started_at: MonoTime,
+    /// Whether a list was received.
+    has_list: bool,
     /// Version of the list in the store; zero before one was received.
     version: u64,
     in_force: BTreeMap<DcName, Evacuation>,
@@ -104,9 +111,15 @@
 }
 
 impl Evacuations {
-    /// No evacuations, in a deployment with this bound.
-    pub fn new(bound: Option<DurationUs>) -> Evacuations {
-        Evacuations { bound, ..Evacuations::default() }
+    /// No evacuations, in a deployment with this bound and a process that starts now.
+    pub fn new(bound: Option<DurationUs>, now: MonoTime) -> Evacuations {
+        Evacuations { bound, started_at: now, ..Evacuations::default() }
+    }
+
+    /// Whether a list may be in force that has not reached this VM yet, because its process has just started.
+    pub fn is_unknown(&self, now: MonoTime) -> bool {
+        let is_starting = now.since(self.started_at) < FIRST_LIST_TIMEOUT;
+        self.bound.is_some() && !self.has_list && is_starting
     }
 
     /// Replaces the list, unless it is older than the present one. Returns what it changed.
@@ -122,7 +135,7 @@
         if version < self.version {
             return Change::default();
         }
-        let is_first = self.version == 0;
+        let is_first = !std::mem::replace(&mut self.has_list, true);
         self.version = version;
         let Some(bound) = self.bound else { return Change::default() };
         let grace = DurationUs(if is_first { 0 } else { bound.0 * GRACE_PERCENT / 100 });
@@ -172,6 +185,9 @@
 
     /// What may be sent to the databases of a data centre.
     pub fn stage(&self, now: MonoTime, dc: &DcName) -> Stage {
+        if self.is_unknown(now) {
+            return Stage::Closed;
+        }
         if let Some(evacuation) = self.in_force.get(dc) {
             return match now < evacuation.grace_until {
                 true => Stage::Draining,
--- a/crates/gateway/tests/evacuation.rs
+++ b/crates/gateway/tests/evacuation.rs
@@ -82,7 +82,7 @@
 #[test]
 fn stage_goes_from_draining_to_closed_and_returns_gradually() {
     let at = |ms| MonoTime(0) + DurationUs::from_ms(ms);
-    let mut evacuations = Evacuations::new(Some(DurationUs::from_ms(BOUND_MS)));
+    let mut evacuations = Evacuations::new(Some(DurationUs::from_ms(BOUND_MS)), MonoTime(0));
     evacuations.replace(at(0), 1, []);
     evacuations.replace(at(100), 2, [dc(0)]);
     assert_eq!(evacuations.stage(at(100), &dc(0)), Stage::Draining);
@@ -103,10 +103,10 @@
 #[test]
 fn stage_is_closed_where_a_process_starts_during_an_evacuation() {
     // It has no work in progress, and the bound may have passed long ago.
-    let mut evacuations = Evacuations::new(Some(DurationUs::from_ms(BOUND_MS)));
+    let mut evacuations = Evacuations::new(Some(DurationUs::from_ms(BOUND_MS)), MonoTime(0));
     evacuations.replace(MonoTime(5), 7, [dc(0)]);
     assert_eq!(evacuations.stage(MonoTime(5), &dc(0)), Stage::Closed);
-    let mut without_bound = Evacuations::new(None);
+    let mut without_bound = Evacuations::new(None, MonoTime(0));
     without_bound.replace(MonoTime(5), 7, [dc(0)]);
     assert_eq!(without_bound.stage(MonoTime(5), &dc(0)), Stage::Open);
 }
@@ -318,6 +318,12 @@
     world.run_for(4_000);
     let since = world.now;
     world.restart(3, catalog(1, 1e6, 100));
+    // The list of evacuations arrives after those of databases and VMs.
+    for index in 0..10 {
+        let caller = world.open(3, HOST, KEY);
+        world.send(caller, &format!("early-{index}"), read("1"));
+        world.run_for(100);
+    }
     world.set_evacuations(3, 2, &[0]);
     let acknowledged = run_load(&mut world, "a", 2_000);
     assert_eq!(arrivals_since(&world, 0, since), 0);
--- a/crates/gateway/tests/schedules.rs
+++ b/crates/gateway/tests/schedules.rs
@@ -115,6 +115,7 @@
             let policy = Policy { evacuation_bound, ..Policy::default() };
             let mut world = World::with_policy(VMS, policy, FxHashMap::default());
             world.configure(catalog(1, 1e6, 100));
+            (0..VMS).for_each(|vm| world.set_evacuations(vm, 0, &[]));
             world.run_for(3_000);
             world
         }
