Run operations only in the regions that their route and workspace allow

Cause: Route::regions and Workspace::regions are decoded, but nothing acted on them: the nearest database was read whatever its region, and a write went to the primary wherever it was.

Change: an operation's authorization holds the intersection of both, so a transaction keeps it and a new configuration applies from the next operation. Placement leaves out databases of other regions, a holder in another region is passed over (the VM uses its own connections), and what no allowed region can serve is refused at once as BUSY. Candidates of a failover that more of the service's routes may use come first. A restricted read whose primary is elsewhere waits for a position; the VM queries it itself, since without other traffic nothing would reveal one.

Ruled out: falling back to the primary for such reads (another region); refusing them (they would be refused for as long as only restricted operations run). The caller's own region is not known to a VM, so a holder there is not used unless it is allowed.

--- a/crates/gateway/src/engine/callers.rs
+++ b/crates/gateway/src/engine/callers.rs
@@ -10,6 +10,7 @@
     effect::{CallerKey, Effect},
     message::{Access, CallerMessage, ErrorCode, Reply, Statement, TransactionState},
     queue,
+    regions::AllowedRegions,
     session::{
         CurrentStatement, PIPELINE_MAX, QueuedStatement, SESSION_ENTRIES_MAX, Session, Stage,
         Transaction,
@@ -22,6 +23,8 @@
     pub(crate) route: Route,
     /// Workspace whose rate applies; `None` on routes that need no key.
     pub(crate) workspace: Option<WorkspaceName>,
+    /// Regions in which the operation may run, by route and workspace.
+    pub(crate) regions: AllowedRegions,
 }
 
 impl Engine {
@@ -118,12 +121,15 @@
     pub(super) fn authorize(&self, session: &Session) -> Result<Authorization, ErrorCode> {
         let route = self.catalog.routes.get(&session.host).ok_or(ErrorCode::NoDatabase)?;
         if route.open {
-            return Ok(Authorization { route: route.clone(), workspace: None });
+            let regions = route.regions.clone();
+            return Ok(Authorization { route: route.clone(), workspace: None, regions });
         }
         let key = session.credential.as_ref().ok_or(ErrorCode::NoAuth)?;
         let workspace = self.catalog.keys.get(key).ok_or(ErrorCode::NoAuth)?;
         let workspace = self.catalog.workspaces.get(*workspace).ok_or(ErrorCode::NoAuth)?;
-        Ok(Authorization { route: route.clone(), workspace: Some(workspace.name.clone()) })
+        let regions = route.regions.intersection(&workspace.regions);
+        let workspace = Some(workspace.name.clone());
+        Ok(Authorization { route: route.clone(), workspace, regions })
     }
 
     /// Starts the session's queued statements one by one, until one is not answered at once.
--- a/crates/gateway/src/engine/failovers.rs
+++ b/crates/gateway/src/engine/failovers.rs
@@ -141,7 +141,8 @@
             .and_then(|name| self.databases.get(name))
             .map(|state| state.record.dc.clone());
         candidates.sort_by_key(|state| {
-            (state.failing_since.is_some(), Some(&state.record.dc) != old_dc.as_ref())
+            let elsewhere = Some(&state.record.dc) != old_dc.as_ref();
+            (state.failing_since.is_some(), self.routes_excluding(state), elsewhere)
         });
         let candidates = candidates.into_iter().map(|state| state.record.name.clone()).collect();
         let id = self.next_failover_id;
--- a/crates/gateway/src/engine/holders.rs
+++ b/crates/gateway/src/engine/holders.rs
@@ -4,7 +4,7 @@
 use model::prelude::*;
 
 use super::{DatabaseState, Engine};
-use crate::holders;
+use crate::{holders, regions::AllowedRegions};
 
 /// Connections to a database that a VM may open which reaches none of its holders.
 const CONNECTIONS_WITHOUT_HOLDER: usize = 2;
@@ -40,8 +40,8 @@
     }
 
     /// Returns how this VM reaches a database: through its first usable holder, or, where that is this VM
-    /// itself or there is none, over its own connections.
-    pub(super) fn path_to(&self, state: &DatabaseState) -> Path {
+    /// itself or there is none in the regions through which a statement may pass, over its own connections.
+    pub(super) fn path_to(&self, state: &DatabaseState, regions: &AllowedRegions) -> Path {
         let holders = self.holders_of(&state.record.name);
         if holders.is_empty() {
             let shared = self.connection_limit(state) / self.fleet.vm_count();
@@ -51,7 +51,7 @@
             if *vm == self.id.vm {
                 return Path::Own(self.own_share(state).unwrap_or(CONNECTIONS_WITHOUT_HOLDER));
             }
-            if self.links.is_usable(self.now, vm) {
+            if self.permits_vm(regions, vm) && self.links.is_usable(self.now, vm) {
                 return Path::Through(vm.clone());
             }
         }
@@ -73,9 +73,14 @@
             .iter()
             .filter_map(|(name, state)| {
                 let count = self.pool.count(name);
-                let share = self.own_share(state).unwrap_or_else(|| match self.path_to(state) {
-                    Path::Own(limit) => limit,
-                    Path::Through(_) => 0,
+                let share = self.own_share(state).unwrap_or_else(|| {
+                    match self.path_to(state, &AllowedRegions::All) {
+                        Path::Own(limit) => limit,
+                        Path::Through(vm) if self.may_bypass_holder(state, &vm) => {
+                            CONNECTIONS_WITHOUT_HOLDER
+                        }
+                        Path::Through(_) => 0,
+                    }
                 });
                 (count > share).then(|| (name.clone(), count - share))
             })
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -12,6 +12,7 @@
 mod failovers;
 mod gossip;
 mod holders;
+mod homes;
 mod links;
 mod membership;
 mod placement;
@@ -208,6 +209,8 @@
     /// Statements answered with any other error: they failed or were invalid, or it is unknown whether
     /// they took effect.
     pub failed: u64,
+    /// Statements refused because no database of an allowed region could serve them.
+    pub region_refusals: u64,
     /// Operations refused because their workspace was past its rate.
     pub rate_limited: u64,
     /// Connections opened to upstreams.
--- a/crates/gateway/src/engine/placement.rs
+++ b/crates/gateway/src/engine/placement.rs
@@ -12,6 +12,7 @@
     message::{Access, ErrorCode, ForwardedStatement, PreparedKey, Statement, UpstreamRequest},
     pool::{PendingKind, Purpose, User},
     queue,
+    regions::AllowedRegions,
     session::{Session, SessionVariables, Stage, Transaction},
 };
 
@@ -64,6 +65,7 @@
     workspace: Option<WorkspaceName>,
     requirement: Requirement,
     policy: ConnectionPolicy,
+    regions: AllowedRegions,
 }
 
 /// Searches that failed during one pass over the waiting statements.
@@ -91,10 +93,12 @@
         workspace: &Option<WorkspaceName>,
         requirement: Requirement,
         waited: DurationUs,
+        regions: &AllowedRegions,
     ) -> bool {
         let policy = ConnectionPolicy::after(waited);
         self.searches.iter().any(|search| {
             search.policy >= policy
+                && (search.regions == AllowedRegions::All || search.regions == *regions)
                 && search.requirement.is_implied_by(requirement)
                 && search.service == *service
                 && search.workspace == *workspace
@@ -220,13 +224,17 @@
     /// Tries to place a session's current statement. Returns whether it no longer waits.
     fn try_place(&mut self, key: CallerKey, may_open: bool, failures: &mut FailedSearches) -> bool {
         let now = self.now;
+        let Some(current) = &self.sessions[key].current else { return true };
+        if current.retry_at > now {
+            return false;
+        }
+        if self.refuse_outside_regions(key) {
+            return true;
+        }
         let session = &self.sessions[key];
         let (Some(current), Some(auth)) = (&session.current, &session.authorization) else {
             return true;
         };
-        if current.retry_at > now {
-            return false;
-        }
         if current.needs_token {
             if let Some(workspace) = auth.workspace.clone() {
                 if failures.rate_limited.contains(&workspace) {
@@ -242,12 +250,20 @@
             }
         }
         let session = &self.sessions[key];
+        if session.current.is_none() {
+            return true;
+        }
+        let Some(requirement) = self.requirement(session) else { return false };
+        if self.awaits_position(key, requirement) {
+            return false;
+        }
+        let session = &self.sessions[key];
         let (Some(current), Some(auth)) = (&session.current, &session.authorization) else {
             return true;
         };
-        let Some(requirement) = self.requirement(session) else { return false };
         let waited = now.since(current.arrived);
-        if failures.rules_out(&auth.route.service, &auth.workspace, requirement, waited) {
+        let regions = auth.regions.clone();
+        if failures.rules_out(&auth.route.service, &auth.workspace, requirement, waited, &regions) {
             return false;
         }
         let service = auth.route.service.clone();
@@ -257,12 +273,14 @@
         let session = &self.sessions[key];
         let mut best: Option<(f64, DatabaseName, ConnectionChoice)> = None;
         for (name, state) in &self.databases {
-            if state.record.service != service || !self.database_meets(state, requirement) {
+            let is_allowed = self.permits_database(&regions, state);
+            if state.record.service != service
+                || !is_allowed
+                || !self.database_meets(state, requirement)
+            {
                 continue;
             }
-            let Some(choice) =
-                self.choose_connection(state, &workspace, &session.variables, prepared, waited)
-            else {
+            let Some(choice) = self.choose_connection(state, session, prepared, waited) else {
                 continue;
             };
             let cost = self.estimated_us(name, state, &choice);
@@ -275,7 +293,13 @@
         });
         let Some((_, database, choice)) = usable else {
             let policy = ConnectionPolicy::after(waited);
-            failures.searches.push(FailedSearch { service, workspace, requirement, policy });
+            failures.searches.push(FailedSearch {
+                service,
+                workspace,
+                requirement,
+                policy,
+                regions,
+            });
             return false;
         };
         let upstream = match choice {
@@ -374,12 +398,13 @@
     fn choose_connection(
         &self,
         state: &DatabaseState,
-        workspace: &Option<WorkspaceName>,
-        variables: &SessionVariables,
+        session: &Session,
         prepared: Option<PreparedKey>,
         waited: DurationUs,
     ) -> Option<ConnectionChoice> {
-        let holder = match self.path_to(state) {
+        let auth = session.authorization.as_ref()?;
+        let (workspace, variables) = (&auth.workspace, &session.variables);
+        let holder = match self.path_to(state, &auth.regions) {
             Path::Own(limit) => {
                 return self
                     .choose_own_connection(state, workspace, variables, prepared, waited, limit);
--- a/crates/gateway/src/engine/primaries.rs
+++ b/crates/gateway/src/engine/primaries.rs
@@ -123,6 +123,7 @@
             return;
         };
         self.note_status(&database, row);
+        self.observe_status(&database, done.sent_at, row);
         if let Some(attempt) = self.failovers.iter_mut().find(|a| a.id == attempt) {
             attempt.note_status(self.now, &database, row);
             let (service, term, planned) = (attempt.service.clone(), attempt.term, attempt.planned);
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -410,6 +410,11 @@
         members.map(|(vm, member)| (vm, &member.dc))
     }
 
+    /// The data centre of a member.
+    pub(crate) fn dc_of(&self, vm: &VmName) -> Option<&DcName> {
+        self.members.get(vm).map(|member| &member.dc)
+    }
+
     /// The address at which a member receives peer messages.
     pub(crate) fn address_of(&self, vm: &VmName) -> Option<SocketAddr> {
         self.members.get(vm).map(|member| member.address)
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -181,6 +181,8 @@
     responses: BTreeMap<Caller, Vec<Response>>,
     /// Value of the fencing token in the store.
     token: u64,
+    /// Every request that a database has received, with the time.
+    pub requests: Vec<(MonoTime, usize)>,
 }
 
 fn valid<T, E: std::fmt::Debug>(made: Result<T, E>) -> T {
@@ -312,6 +314,7 @@
             broken_links: BTreeSet::new(),
             responses: BTreeMap::new(),
             token: 0,
+            requests: Vec::new(),
         };
         world.engines = (0..vms).map(|vm| world.engine(vm, true)).collect();
         world
@@ -587,6 +590,7 @@
         if connection.closed || self.is_cut(Endpoint::Vm(vm), Endpoint::Database(database)) {
             return;
         }
+        self.requests.push((self.now, database));
         let replies = self.group.execute(database, id, request);
         let (replies, closes) = match replies {
             Ok(replies) => (replies, false),
