Limit the requests that a cold database gets from all VMs together

Cause: nothing acted on coldLeftMs and coldPerS. With the rate at 20 and the slack at 5, twelve VMs sent 150 requests in one second to a database that had just started.

Change: warmup::allowance gives each VM a fixed whole number of requests in any second, by its rank among the holders, among the others, or for a failover; the numbers of the present and one previous list of VMs sum up to no more than the rate and the slack. engine::warmups counts every request on own connections and holds back the rest: reads go elsewhere, writes wait, statements of open transactions wait on their connection and go first, status queries are left out. New metrics cold_databases and cold_held_back_total, log lines when a database becomes cold and warm.

Ruled out: token buckets by VM (each of hundreds holds at least one request, and all may come in one second); eight requests as soon as there is room for them (the others wait for 0.9 s); many transactions at a time (in 20 s with room for 32, 13 were committed without a bound, 19 with two open at a time, 27 with one).

Measured: the eight tests of tests/warmup.rs pass. With the limit switched off, the five that count requests at the databases fail (55 to 521 in a second); the test of the sums fails with the shares of a single list or a request for every VM without a holder; the test of a sender fails without the pause after a start. All other tests of the crate pass unchanged.

--- a/crates/gateway/src/engine/callers.rs
+++ b/crates/gateway/src/engine/callers.rs
@@ -295,6 +295,7 @@
             retry_at: self.now,
             unconfirmed: None,
             needs_token,
+            held_back: false,
         });
         match session.transaction {
             Transaction::Pinned { upstream, .. } => self.forward_in_transaction(key, upstream),
--- a/crates/gateway/src/engine/channels.rs
+++ b/crates/gateway/src/engine/channels.rs
@@ -66,6 +66,10 @@
     retry_at: MonoTime,
     /// Whether it was sent to the database.
     sent: bool,
+    /// Whether it is part of a transaction that is open on the channel's connection.
+    in_transaction: bool,
+    /// Whether it was counted as held back by the limit of a cold database.
+    held_back: bool,
 }
 
 /// All channels of peers.
@@ -85,6 +89,31 @@
     pub(super) fn are_idle(&self) -> bool {
         self.all.values().all(|c| c.current.is_none() && c.upstream.is_none())
     }
+
+    /// Marks a waiting request as held back if its database is among those that are cold and `full`. Returns whether
+    /// it was not marked before.
+    pub(super) fn mark_held_back(
+        &mut self,
+        key: ChannelKey,
+        full: &[(DatabaseName, ServiceName)],
+    ) -> bool {
+        let Some(channel) = self.all.get_mut(key) else { return false };
+        let Some(current) = &mut channel.current else { return false };
+        let waits = full.iter().any(|(database, _)| *database == channel.database);
+        waits && !std::mem::replace(&mut current.held_back, true)
+    }
+
+    /// Whether a waiting request only reads and names the position that a database must have reached.
+    pub(super) fn is_read_of_position(&self, key: ChannelKey) -> bool {
+        let current = self.all.get(key).and_then(|channel| channel.current.as_ref());
+        current.is_some_and(|current| {
+            matches!(
+                current.request,
+                UpstreamRequest::Begin { after: Some(_), .. }
+                    | UpstreamRequest::Forward { after: Some(_), .. }
+            )
+        })
+    }
 }
 
 impl Engine {
@@ -166,6 +195,8 @@
                     refuse_at: now + wait,
                     retry_at: now,
                     sent: false,
+                    in_transaction: channel.upstream.is_some(),
+                    held_back: false,
                 });
                 match channel.upstream {
                     Some(upstream) => self.start_channel_on(key, upstream),
@@ -187,6 +218,7 @@
     pub(super) fn channel_order(&self, key: ChannelKey) -> (u32, MonoTime) {
         let current = self.channels.all.get(key).and_then(|c| c.current.as_ref());
         match current {
+            Some(current) if current.in_transaction => queue::IN_TRANSACTION,
             Some(current) => queue::sort_key(current.priority, current.refuse_at),
             None => (u32::MAX, self.now),
         }
@@ -202,9 +234,16 @@
         let now = self.now;
         let Some(channel) = self.channels.all.get(key) else { return true };
         let Some(current) = channel.current.as_ref().filter(|c| !c.sent) else { return true };
-        if channel.upstream.is_some() {
+        if let Some(upstream) = channel.upstream {
+            return !current.in_transaction || self.resume_channel(key, upstream);
+        }
+        if self.returns_to_peer(key, &channel.database) {
+            self.counts.cold_held_back += 1;
+            self.refuse_channel_request(key, Refusal::NoRoom);
             return true;
         }
+        let Some(channel) = self.channels.all.get(key) else { return true };
+        let Some(current) = channel.current.as_ref() else { return true };
         let (state, limit) = match self.accepting_database(channel, current) {
             Ok(accepting) => accepting,
             Err(reason) => {
@@ -221,6 +260,10 @@
             return false;
         }
         let (database, workspace) = (channel.database.clone(), channel.workspace.clone());
+        let begins = matches!(current.request, UpstreamRequest::Begin { .. });
+        if self.is_cold_full(&database) || (begins && self.defers_begin(&database)) {
+            return false;
+        }
         if retry_at > now || failures.rules_out_channel(&database, &workspace, waited) {
             return false;
         }
@@ -250,7 +293,9 @@
                 self.open(&database, Purpose::Statements(workspace))
             }
             Some(ConnectionChoice::Channel(_)) | None => {
-                failures.add_channel(database, workspace, waited);
+                if !self.has_cold_databases() {
+                    failures.add_channel(database, workspace, waited);
+                }
                 return false;
             }
         };
@@ -258,6 +303,22 @@
         true
     }
 
+    /// Sends a request that waits in an open transaction, if the database may get it now. Returns whether it no longer
+    /// waits; the transaction ends once it has waited for too long.
+    fn resume_channel(&mut self, key: ChannelKey, upstream: UpstreamKey) -> bool {
+        let refuse_at = self.channels.all[key].current.as_ref().map(|current| current.refuse_at);
+        if refuse_at.is_some_and(|at| self.now >= at) {
+            self.end_channel(key);
+            return true;
+        }
+        let prepared = self.channel_prepared(key).map(|(key, _)| key);
+        if !self.has_cold_room(upstream, &self.channels.all[key].variables, prepared) {
+            return false;
+        }
+        self.start_channel_on(key, upstream);
+        true
+    }
+
     /// Returns the database of a waiting request, and how many connections this VM may open to it; or why the
     /// request is to be refused.
     fn accepting_database(
@@ -296,7 +357,13 @@
 
     /// Sends a channel's request on the connection that it occupies.
     pub(super) fn start_channel_on(&mut self, key: ChannelKey, upstream: UpstreamKey) {
+        if !self.channels.all.contains_key(key) {
+            return self.free(upstream);
+        }
         let prepared = self.channel_prepared(key);
+        let channel = &self.channels.all[key];
+        let prepared_key = prepared.as_ref().map(|(key, _)| *key);
+        let has_room = self.has_cold_room(upstream, &channel.variables, prepared_key);
         let channel = self.channels.all.get_mut(key);
         let Some(channel) = channel.filter(|channel| channel.upstream == Some(upstream)) else {
             return self.free(upstream);
@@ -305,6 +372,13 @@
             channel.upstream = None;
             return self.free(upstream);
         };
+        if !has_room {
+            if !current.in_transaction {
+                channel.upstream = None;
+                self.free(upstream);
+            }
+            return self.waiting.push(Waiter::Channel(key));
+        }
         current.sent = true;
         let mut request = current.request.clone();
         let variables = channel.variables.clone();
@@ -353,7 +427,12 @@
         let in_time = again < current.refuse_at && now.since(current.arrived) < WAIT_MAX;
         let retries = code == Some(ErrorCode::Busy) && state == TransactionState::Idle && in_time;
         if retries {
-            channel.current = Some(ChannelRequest { retry_at: again, sent: false, ..current });
+            channel.current = Some(ChannelRequest {
+                retry_at: again,
+                sent: false,
+                in_transaction: false,
+                ..current
+            });
             self.counts.retries += 1;
             self.waiting.push(Waiter::Channel(key));
         } else {
@@ -407,7 +486,9 @@
         let Some(channel) = self.channels.all.get_mut(key) else { return };
         channel.upstream = None;
         match &channel.current {
-            Some(current) if !current.sent => self.waiting.push(Waiter::Channel(key)),
+            Some(current) if !current.sent && !current.in_transaction => {
+                self.waiting.push(Waiter::Channel(key));
+            }
             _ => self.end_channel(key),
         }
     }
@@ -438,8 +519,8 @@
         match channel.current {
             Some(current) if current.sent => self.close_connection(upstream),
             // The connection goes on opening.
-            Some(_) => self.free(upstream),
-            None => self.roll_back(upstream),
+            Some(current) if !current.in_transaction => self.free(upstream),
+            _ => self.roll_back(upstream),
         }
     }
 
--- a/crates/gateway/src/engine/connections.rs
+++ b/crates/gateway/src/engine/connections.rs
@@ -50,6 +50,7 @@
         match connection.link {
             None => {
                 connection.pending.push_back(reply);
+                self.record_request(key);
                 self.effects.push(Effect::ToUpstream(key, request));
             }
             // A holder does not reply to these.
@@ -73,6 +74,11 @@
 
     /// Rolls back the transaction on a connection and frees it.
     pub(super) fn roll_back(&mut self, upstream: UpstreamKey) {
+        let own = self.pool.connections.get(upstream).filter(|c| c.link.is_none());
+        if own.is_some_and(|connection| self.is_cold_full(&connection.database)) {
+            // The database rolls back by itself when the connection closes.
+            return self.close_connection(upstream);
+        }
         self.send(upstream, PendingKind::Setup, UpstreamRequest::Rollback);
         if let Some(connection) = self.pool.connections.get_mut(upstream) {
             // Some databases also undo settings that were made inside the transaction.
--- a/crates/gateway/src/engine/expiry.rs
+++ b/crates/gateway/src/engine/expiry.rs
@@ -6,7 +6,7 @@
 use crate::{
     effect::{CallerKey, UpstreamKey},
     message::ErrorCode,
-    session::Stage,
+    session::{Stage, Transaction},
 };
 
 impl Engine {
@@ -53,6 +53,10 @@
             self.counts.rate_limited += 1;
             return self.fail(key, ErrorCode::TooMany, "rate exceeded: no token in time");
         }
+        if let Transaction::Pinned { upstream, .. } = self.sessions[key].transaction {
+            self.roll_back(upstream);
+            return self.fail(key, ErrorCode::Aborted, "the database had no room in time");
+        }
         self.fail(key, ErrorCode::Busy, "no upstream had room in time");
     }
 
--- a/crates/gateway/src/engine/holders.rs
+++ b/crates/gateway/src/engine/holders.rs
@@ -37,6 +37,7 @@
             (record.name.clone(), holders::choose(&record.name, candidates))
         });
         self.holders = holders.collect();
+        self.rank_outside_holders();
     }
 
     /// Returns how this VM reaches a database: through its first usable holder, or, where that is this VM
--- a/crates/gateway/src/engine/links.rs
+++ b/crates/gateway/src/engine/links.rs
@@ -298,7 +298,10 @@
         let mut retry_at = now + REFUSED_RETRY_DELAY;
         match reason {
             Refusal::Suspected => self.avoid_database(key),
-            Refusal::NoRoom => retry_at = now + NO_ROOM_RETRY_DELAY,
+            Refusal::NoRoom => {
+                retry_at = now + NO_ROOM_RETRY_DELAY;
+                self.avoid_if_cold(key);
+            }
             Refusal::NotHolder => {
                 let peer = self.links.all[link].peer.clone();
                 self.links.avoid(now, peer);
@@ -313,7 +316,7 @@
     }
 
     /// Uses no holder of a connection's database for a while, since one reported that it does not answer.
-    fn avoid_database(&mut self, key: UpstreamKey) {
+    pub(super) fn avoid_database(&mut self, key: UpstreamKey) {
         let database = &self.pool.connections[key].database;
         if let Some(state) = self.databases.get_mut(database) {
             state.avoided_until = self.now + SUSPECTED_PERIOD;
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -21,12 +21,14 @@
 mod replies;
 mod sharing;
 mod suspensions;
+mod warmups;
 
 pub(crate) use callers::Authorization;
 pub(crate) use channels::ChannelKey;
 use channels::Channels;
 use links::Links;
 use membership::Membership;
+use warmups::Warmups;
 
 use std::{collections::BTreeMap, sync::Arc};
 
@@ -158,6 +160,8 @@
     pool: Pool,
     /// The holders of each database, the first choice first.
     holders: FxHashMap<DatabaseName, Vec<VmName>>,
+    /// Databases that are, or were, cold.
+    warmups: Warmups,
     /// Links to holders, and of peers to this VM.
     links: Links,
     /// Channels of peers that use this VM's connections.
@@ -211,6 +215,8 @@
     pub failed: u64,
     /// Statements refused because no database of an allowed region could serve them.
     pub region_refusals: u64,
+    /// Requests that waited, or were not sent, because their database was cold and had got its number of them.
+    pub cold_held_back: u64,
     /// Operations refused because their workspace was past its rate.
     pub rate_limited: u64,
     /// Connections opened to upstreams.
@@ -269,6 +275,7 @@
             unconfirmed: Vec::new(),
             pool: Pool::default(),
             holders: FxHashMap::default(),
+            warmups: Warmups::default(),
             links: Links::default(),
             channels: Channels::default(),
             fleet,
@@ -452,6 +459,7 @@
     pub fn tick(&mut self, now: MonoTime) {
         self.now = now;
         self.expire_missing_databases();
+        self.expire_warmups();
         self.expire_statements();
         self.expire_connections();
         self.close_excess_connections();
--- a/crates/gateway/src/engine/placement.rs
+++ b/crates/gateway/src/engine/placement.rs
@@ -5,7 +5,9 @@
 
 use model::prelude::*;
 
-use super::{DatabaseState, Engine, Waiter, callers::access_of, holders::Path};
+use super::{
+    DatabaseState, Engine, Waiter, callers::access_of, holders::Path, warmups::COLD_PENALTY_US,
+};
 use crate::{
     catalog::Freshness,
     effect::{CallerKey, UpstreamKey},
@@ -201,6 +203,7 @@
             waiting = std::mem::take(&mut self.waiting);
         }
         self.waiting = waiting;
+        self.count_held_back();
     }
 
     /// Returns the sort key of a waiting statement or request; see [`queue::sort_key`].
@@ -215,6 +218,9 @@
         let session = self.sessions.get(key);
         let current = session.and_then(|session| session.current.as_ref());
         let auth = session.and_then(|session| session.authorization.as_ref());
+        if session.is_some_and(|s| matches!(s.transaction, Transaction::Pinned { .. })) {
+            return queue::IN_TRANSACTION;
+        }
         match (current, auth) {
             (Some(current), Some(auth)) => queue::sort_key(auth.route.priority, current.refuse_at),
             _ => (u32::MAX, self.now),
@@ -228,6 +234,9 @@
         if current.retry_at > now {
             return false;
         }
+        if let Transaction::Pinned { upstream, .. } = self.sessions[key].transaction {
+            return self.resume_in_transaction(key, upstream);
+        }
         if self.refuse_outside_regions(key) {
             return true;
         }
@@ -293,13 +302,11 @@
         });
         let Some((_, database, choice)) = usable else {
             let policy = ConnectionPolicy::after(waited);
-            failures.searches.push(FailedSearch {
-                service,
-                workspace,
-                requirement,
-                policy,
-                regions,
-            });
+            let search = FailedSearch { service, workspace, requirement, policy, regions };
+            // What a cold database has room for differs from one statement to the next.
+            if !self.has_cold_databases() {
+                failures.searches.push(search);
+            }
             return false;
         };
         let upstream = match choice {
@@ -367,7 +374,7 @@
         }
     }
 
-    fn prepared_key_of(&mut self, key: CallerKey) -> Option<PreparedKey> {
+    pub(super) fn prepared_key_of(&mut self, key: CallerKey) -> Option<PreparedKey> {
         let session = &self.sessions[key];
         let Some(Statement::Execute { name, .. }) = session.current.as_ref().map(|c| &c.statement)
         else {
@@ -406,6 +413,10 @@
         let (workspace, variables) = (&auth.workspace, &session.variables);
         let holder = match self.path_to(state, &auth.regions) {
             Path::Own(limit) => {
+                let begins = matches!(session.transaction, Transaction::Begun { .. });
+                if begins && self.defers_begin(&state.record.name) {
+                    return None;
+                }
                 return self
                     .choose_own_connection(state, workspace, variables, prepared, waited, limit);
             }
@@ -440,8 +451,12 @@
         if !self.has_free_slot(state) {
             return None;
         }
+        if self.is_cold_full(name) {
+            return None;
+        }
         if let Some(key) = self.pool.best_free(name, None, workspace, variables, prepared) {
-            return Some(ConnectionChoice::Reuse(key));
+            let has_room = self.has_cold_room(key, variables, prepared);
+            return has_room.then_some(ConnectionChoice::Reuse(key));
         }
         if state.retry_at > self.now {
             return None;
@@ -481,7 +496,8 @@
         let service = self.services.get(&state.record.service);
         let is_primary = service.is_some_and(|s| s.primary.as_ref() == Some(name));
         let extra = if is_primary { PRIMARY_PENALTY_US } else { 0.0 };
-        answer + busy * ASSUMED_EXECUTION_US + open + extra
+        let cold = if self.is_limited(state) { COLD_PENALTY_US } else { 0.0 };
+        answer + busy * ASSUMED_EXECUTION_US + open + extra + cold
     }
 
     /// Returns 0 for the same data centre, 1 for the same region and 2 for any other.
@@ -500,7 +516,11 @@
         let requirement = self
             .requirement(session)
             .filter(|requirement| self.connection_meets(upstream, *requirement));
-        let Some(requirement) = requirement else { return self.requeue_and_free(key, upstream) };
+        let has_room = self.has_cold_room_for(key, upstream);
+        let Some(requirement) = requirement.filter(|_| has_room) else {
+            return self.requeue_and_free(key, upstream);
+        };
+        let session = &self.sessions[key];
         let Transaction::Begun { access } = session.transaction else {
             return self.forward(key, upstream, requirement);
         };
@@ -530,6 +550,9 @@
             self.roll_back(upstream);
             return self.fail(key, ErrorCode::Aborted, "the primary was replaced");
         }
+        if !self.has_cold_room_for(key, upstream) {
+            return self.hold_in_transaction(key);
+        }
         // The transaction was opened with the required position.
         self.forward(key, upstream, Requirement::AtLeast(None));
     }
--- a/crates/gateway/src/engine/primaries.rs
+++ b/crates/gateway/src/engine/primaries.rs
@@ -90,14 +90,21 @@
         attempt: u64,
         request: ControlRequest,
     ) {
-        if self.databases.contains_key(database) {
+        if self.databases.contains_key(database)
+            && !self.holds_back_control(database, attempt, request, false)
+        {
             self.open(database, Purpose::Control { attempt, request });
         }
     }
 
     /// Sends the control request for which a connection was opened.
     pub(super) fn send_control_request(&mut self, key: UpstreamKey) {
-        let Purpose::Control { request, .. } = self.pool.connections[key].purpose else { return };
+        let connection = &self.pool.connections[key];
+        let Purpose::Control { attempt, request } = connection.purpose else { return };
+        let database = connection.database.clone();
+        if self.holds_back_control(&database, attempt, request, true) {
+            return self.close_connection(key);
+        }
         let request = match request {
             ControlRequest::Status => UpstreamRequest::Status,
             ControlRequest::Pause(term) => UpstreamRequest::Pause(term),
--- a/crates/gateway/src/engine/registry.rs
+++ b/crates/gateway/src/engine/registry.rs
@@ -43,6 +43,7 @@
     }
 
     fn set_database(&mut self, record: Database) {
+        self.note_warmup(&record);
         let name = record.name.clone();
         let restarted = self.databases.get(&name).is_some_and(|state| {
             state.record.incarnation != record.incarnation
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -178,6 +178,19 @@
         requests
     }
 
+    /// Number of requests that [`Connection::prepare_for`] returns.
+    pub(crate) fn setup_requests(
+        &self,
+        variables: &SessionVariables,
+        prepared: Option<PreparedKey>,
+    ) -> usize {
+        let foreign = self.variables.keys().any(|name| !variables.contains_key(name));
+        if self.state_unknown || foreign {
+            return 1 + variables.len() + usize::from(prepared.is_some());
+        }
+        self.setup_cost(variables, prepared)
+    }
+
     /// Cost of [`Connection::prepare_for`]; 0 if nothing has to be sent.
     fn setup_cost(&self, variables: &SessionVariables, prepared: Option<PreparedKey>) -> usize {
         let foreign = self.variables.keys().any(|name| !variables.contains_key(name));
--- a/crates/gateway/src/queue.rs
+++ b/crates/gateway/src/queue.rs
@@ -25,6 +25,10 @@
     DurationUs(route.target_latency.0 * RATE_WAIT_PERCENT / 100)
 }
 
+/// Sort key of statements that wait in an open transaction. They go first, so that transactions that have begun end
+/// before others begin: in turns, none would end in time.
+pub(crate) const IN_TRANSACTION: (u32, MonoTime) = (0, MonoTime(0));
+
 /// Sort key of waiting statements: by priority, then by when they are refused.
 pub(crate) fn sort_key(priority: u32, refuse_at: MonoTime) -> (u32, MonoTime) {
     (priority, refuse_at)
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -118,6 +118,8 @@
     pub(crate) unconfirmed: Option<UnconfirmedAnswer>,
     /// Whether it waits for a token of its workspace's rate.
     pub(crate) needs_token: bool,
+    /// Whether it was counted as held back by the limit of a cold database.
+    pub(crate) held_back: bool,
 }
 
 impl CurrentStatement {
