Send what a statement on a cold database needs together after a pause

Cause: a statement whose connection needs more requests than may be sent at once (four, or a quarter of the VM's number) was never sent to a cold database, although the second had room for it. Also, a peer's request in a transaction that was rolled back while it waited could have been placed on another connection.

Change: after a pause of the length in which a quarter is sent, up to the whole number is admitted; the count in any second is as before. A waiting request whose transaction has ended ends its channel.

The second fault was found by reading and has no test of its own.

--- a/crates/gateway/src/engine/channels.rs
+++ b/crates/gateway/src/engine/channels.rs
@@ -234,6 +234,11 @@
         let now = self.now;
         let Some(channel) = self.channels.all.get(key) else { return true };
         let Some(current) = channel.current.as_ref().filter(|c| !c.sent) else { return true };
+        if channel.upstream.is_none() && current.in_transaction {
+            // Its transaction has ended, so it must not run on another connection.
+            self.end_channel(key);
+            return true;
+        }
         if let Some(upstream) = channel.upstream {
             return !current.in_transaction || self.resume_channel(key, upstream);
         }
--- a/crates/gateway/src/engine/warmups.rs
+++ b/crates/gateway/src/engine/warmups.rs
@@ -178,9 +178,10 @@
         prepared: Option<PreparedKey>,
     ) -> bool {
         let Some(connection) = self.pool.connections.get(upstream) else { return true };
+        let limit = self.cold_allowance(&connection.database, false);
+        let needed = connection.setup_requests(variables, prepared) + 1;
         connection.link.is_some()
-            || self.cold_room(&connection.database, false)
-                > connection.setup_requests(variables, prepared)
+            || limit.is_none_or(|(allowance, sent)| sent.admits(self.now, allowance, needed))
     }
 
     /// Like [`Engine::has_cold_room`], for a session's current statement.
--- a/crates/gateway/src/warmup.rs
+++ b/crates/gateway/src/warmup.rs
@@ -78,13 +78,21 @@
 impl RecentRequests {
     /// Returns how many more requests may be sent at `now`, where `allowance` may be sent in any second.
     pub fn room(&self, now: MonoTime, allowance: usize) -> usize {
-        let burst = allowance.min(BURST.max(allowance / 4));
-        let sent_within = |span: DurationUs| {
-            self.sent.iter().rev().take_while(|at| now.since(**at) <= span).count()
-        };
-        let burst_span = DurationUs(SPAN.0 * burst as u64 / allowance.max(1) as u64);
-        let room = allowance.saturating_sub(sent_within(SPAN));
-        room.min(burst.saturating_sub(sent_within(burst_span)))
+        let (burst, span) = burst_of(allowance);
+        let room = allowance.saturating_sub(self.sent_within(now, SPAN));
+        room.min(burst.saturating_sub(self.sent_within(now, span)))
+    }
+
+    /// Whether `needed` requests, which belong together, may be sent at `now`. After a pause, they may be more than are
+    /// sent at once otherwise.
+    pub fn admits(&self, now: MonoTime, allowance: usize, needed: usize) -> bool {
+        let (_, span) = burst_of(allowance);
+        let room = allowance.saturating_sub(self.sent_within(now, SPAN));
+        needed <= self.room(now, allowance) || (needed <= room && self.sent_within(now, span) == 0)
+    }
+
+    fn sent_within(&self, now: MonoTime, span: DurationUs) -> usize {
+        self.sent.iter().rev().take_while(|at| now.since(**at) <= span).count()
     }
 
     /// Records a request that is sent at `now`.
@@ -96,6 +104,12 @@
     }
 }
 
+/// Returns how many of `allowance` requests a second may be sent at once, and the span in which no more are sent.
+fn burst_of(allowance: usize) -> (usize, DurationUs) {
+    let burst = allowance.min(BURST.max(allowance / 4));
+    (burst, DurationUs(SPAN.0 * burst as u64 / allowance.max(1) as u64))
+}
+
 /// Whether a process that started at `started_at` may not send anything yet, since its earlier run may have used up
 /// the allowance.
 pub fn is_barred(started_at: MonoTime, now: MonoTime) -> bool {
--- a/crates/gateway/tests/warmup.rs
+++ b/crates/gateway/tests/warmup.rs
@@ -121,6 +121,9 @@
     for limit in [1, 2, 4, 7, 25, 100] {
         let (mut recent, mut started_at) = (RecentRequests::default(), MonoTime(0));
         let mut sent: Vec<MonoTime> = Vec::new();
+        // What belongs together is sent at once, unless it exceeds the allowance of a second.
+        assert!(recent.admits(MonoTime(0), limit, limit));
+        assert!(!recent.admits(MonoTime(0), limit, limit + 1));
         for ms in 0..10_000 {
             let now = MonoTime(1_000_000 + ms * 1_000);
             if ms == 5_000 {
