--- a/crates/gateway/src/engine/connections.rs
+++ b/crates/gateway/src/engine/connections.rs
@@ -50,6 +50,7 @@
         match connection.link {
             None => {
                 connection.pending.push_back(reply);
+                self.record_request(key);
                 self.effects.push(Effect::ToUpstream(key, request));
             }
             // A holder does not reply to these.
@@ -74,7 +75,9 @@
     /// Rolls back the transaction on a connection and frees it. Where nothing may be sent any more, the connection
     /// is closed, upon which the database rolls back.
     pub(super) fn roll_back(&mut self, upstream: UpstreamKey) {
-        if !self.admits_next_statement(upstream) {
+        let own = self.pool.connections.get(upstream).filter(|c| c.link.is_none());
+        let is_full = own.is_some_and(|connection| self.is_cold_full(&connection.database));
+        if is_full || !self.admits_next_statement(upstream) {
             return self.close_connection(upstream);
         }
         self.send(upstream, PendingKind::Setup, UpstreamRequest::Rollback);
--- a/crates/gateway/src/engine/failovers.rs
+++ b/crates/gateway/src/engine/failovers.rs
@@ -150,7 +150,8 @@
         candidates.sort_by_key(|state| {
             let is_returning = self.share_of(state) < 1.0;
             let is_elsewhere = Some(&state.record.dc) != old_dc.as_ref();
-            (state.failing_since.is_some(), is_returning, is_elsewhere)
+            let excluded = self.routes_excluding(state);
+            (state.failing_since.is_some(), excluded, is_returning, is_elsewhere)
         });
         let candidates = candidates.into_iter().map(|state| state.record.name.clone()).collect();
         let id = self.next_failover_id;
--- a/crates/gateway/src/engine/placement.rs
+++ b/crates/gateway/src/engine/placement.rs
@@ -5,7 +5,9 @@
 
 use model::prelude::*;
 
-use super::{DatabaseState, Engine, Waiter, callers::access_of, holders::Path};
+use super::{
+    DatabaseState, Engine, Waiter, callers::access_of, holders::Path, warmups::COLD_PENALTY_US,
+};
 use crate::{
     catalog::Freshness,
     effect::{CallerKey, UpstreamKey},
@@ -13,6 +15,7 @@
     message::{Access, ErrorCode, ForwardedStatement, PreparedKey, Statement, UpstreamRequest},
     pool::{PendingKind, Purpose, User},
     queue,
+    regions::AllowedRegions,
     session::{Session, SessionVariables, Stage, Transaction},
 };
 
@@ -65,6 +68,7 @@
     workspace: Option<WorkspaceName>,
     requirement: Requirement,
     policy: ConnectionPolicy,
+    regions: AllowedRegions,
 }
 
 /// Searches that failed during one pass over the waiting statements.
@@ -92,10 +96,12 @@
         workspace: &Option<WorkspaceName>,
         requirement: Requirement,
         waited: DurationUs,
+        regions: &AllowedRegions,
     ) -> bool {
         let policy = ConnectionPolicy::after(waited);
         self.searches.iter().any(|search| {
             search.policy >= policy
+                && (search.regions == AllowedRegions::All || search.regions == *regions)
                 && search.requirement.is_implied_by(requirement)
                 && search.service == *service
                 && search.workspace == *workspace
@@ -198,6 +204,7 @@
             waiting = std::mem::take(&mut self.waiting);
         }
         self.waiting = waiting;
+        self.count_held_back();
     }
 
     /// Returns the sort key of a waiting statement or request; see [`queue::sort_key`].
@@ -212,6 +219,9 @@
         let session = self.sessions.get(key);
         let current = session.and_then(|session| session.current.as_ref());
         let auth = session.and_then(|session| session.authorization.as_ref());
+        if session.is_some_and(|s| matches!(s.transaction, Transaction::Pinned { .. })) {
+            return queue::IN_TRANSACTION;
+        }
         match (current, auth) {
             (Some(current), Some(auth)) => queue::sort_key(auth.route.priority, current.refuse_at),
             _ => (u32::MAX, self.now),
@@ -221,11 +231,14 @@
     /// Tries to place a session's current statement. Returns whether it no longer waits.
     fn try_place(&mut self, key: CallerKey, may_open: bool, failures: &mut FailedSearches) -> bool {
         let now = self.now;
-        let retry_at = self.sessions[key].current.as_ref().map(|current| current.retry_at);
-        if retry_at.is_some_and(|at| at > now) {
+        let Some(current) = &self.sessions[key].current else { return true };
+        if current.retry_at > now {
             return false;
         }
-        if self.refuse_evacuated(key) {
+        if let Transaction::Pinned { upstream, .. } = self.sessions[key].transaction {
+            return self.resume_in_transaction(key, upstream);
+        }
+        if self.refuse_evacuated(key) || self.refuse_outside_regions(key) {
             return true;
         }
         let session = &self.sessions[key];
@@ -247,12 +260,20 @@
             }
         }
         let session = &self.sessions[key];
+        if session.current.is_none() {
+            return true;
+        }
+        let Some(requirement) = self.requirement(session) else { return false };
+        if self.awaits_position(key, requirement) {
+            return false;
+        }
+        let session = &self.sessions[key];
         let (Some(current), Some(auth)) = (&session.current, &session.authorization) else {
             return true;
         };
-        let Some(requirement) = self.requirement(session) else { return false };
         let waited = now.since(current.arrived);
-        if failures.rules_out(&auth.route.service, &auth.workspace, requirement, waited) {
+        let regions = auth.regions.clone();
+        if failures.rules_out(&auth.route.service, &auth.workspace, requirement, waited, &regions) {
             return false;
         }
         let service = auth.route.service.clone();
@@ -263,15 +284,17 @@
         let share_needed = self.share_needed(session, requirement);
         let mut best: Option<(f64, DatabaseName, ConnectionChoice)> = None;
         for (name, state) in &self.databases {
-            if state.record.service != service || !self.database_meets(state, requirement) {
+            let is_allowed = self.permits_database(&regions, state);
+            if state.record.service != service
+                || !is_allowed
+                || !self.database_meets(state, requirement)
+            {
                 continue;
             }
             if self.share_of(state) < share_needed {
                 continue;
             }
-            let Some(choice) =
-                self.choose_connection(state, &workspace, &session.variables, prepared, waited)
-            else {
+            let Some(choice) = self.choose_connection(state, session, prepared, waited) else {
                 continue;
             };
             let cost = self.estimated_us(name, state, &choice);
@@ -283,10 +306,12 @@
             may_open || !matches!(choice, ConnectionChoice::Open | ConnectionChoice::Evict(_))
         });
         let Some((_, database, choice)) = usable else {
-            // Another statement may be one of the share that goes to more databases.
-            if share_needed == 0.0 {
+            // Another statement may be one of the share that goes to more databases, and what a cold database has
+            // room for differs from one statement to the next.
+            if share_needed == 0.0 && !self.has_cold_databases() {
                 let policy = ConnectionPolicy::after(waited);
-                failures.searches.push(FailedSearch { service, workspace, requirement, policy });
+                let search = FailedSearch { service, workspace, requirement, policy, regions };
+                failures.searches.push(search);
             }
             return false;
         };
@@ -355,7 +380,7 @@
         }
     }
 
-    fn prepared_key_of(&mut self, key: CallerKey) -> Option<PreparedKey> {
+    pub(super) fn prepared_key_of(&mut self, key: CallerKey) -> Option<PreparedKey> {
         let session = &self.sessions[key];
         let Some(Statement::Execute { name, .. }) = session.current.as_ref().map(|c| &c.statement)
         else {
@@ -387,13 +412,18 @@
     fn choose_connection(
         &self,
         state: &DatabaseState,
-        workspace: &Option<WorkspaceName>,
-        variables: &SessionVariables,
+        session: &Session,
         prepared: Option<PreparedKey>,
         waited: DurationUs,
     ) -> Option<ConnectionChoice> {
-        let holder = match self.path_to(state) {
+        let auth = session.authorization.as_ref()?;
+        let (workspace, variables) = (&auth.workspace, &session.variables);
+        let holder = match self.path_to(state, &auth.regions) {
             Path::Own(limit) => {
+                let begins = matches!(session.transaction, Transaction::Begun { .. });
+                if begins && self.defers_begin(&state.record.name) {
+                    return None;
+                }
                 return self
                     .choose_own_connection(state, workspace, variables, prepared, waited, limit);
             }
@@ -428,8 +458,12 @@
         if !self.has_free_slot(state) {
             return None;
         }
+        if self.is_cold_full(name) {
+            return None;
+        }
         if let Some(key) = self.pool.best_free(name, None, workspace, variables, prepared) {
-            return Some(ConnectionChoice::Reuse(key));
+            let has_room = self.has_cold_room(key, variables, prepared);
+            return has_room.then_some(ConnectionChoice::Reuse(key));
         }
         if state.retry_at > self.now {
             return None;
@@ -469,7 +503,8 @@
         let service = self.services.get(&state.record.service);
         let is_primary = service.is_some_and(|s| s.primary.as_ref() == Some(name));
         let extra = if is_primary { PRIMARY_PENALTY_US } else { 0.0 };
-        answer + busy * ASSUMED_EXECUTION_US + open + extra
+        let cold = if self.is_limited(state) { COLD_PENALTY_US } else { 0.0 };
+        answer + busy * ASSUMED_EXECUTION_US + open + extra + cold
     }
 
     /// Returns 0 for the same data centre, 1 for the same region and 2 for any other.
@@ -488,7 +523,11 @@
         let requirement = self
             .requirement(session)
             .filter(|requirement| self.connection_meets(upstream, *requirement));
-        let Some(requirement) = requirement else { return self.requeue_and_free(key, upstream) };
+        let has_room = self.has_cold_room_for(key, upstream);
+        let Some(requirement) = requirement.filter(|_| has_room) else {
+            return self.requeue_and_free(key, upstream);
+        };
+        let session = &self.sessions[key];
         let Transaction::Begun { access } = session.transaction else {
             return self.forward(key, upstream, requirement);
         };
@@ -524,6 +563,9 @@
             let reason = "the database's data centre is being evacuated";
             return self.fail(key, ErrorCode::Aborted, reason);
         }
+        if !self.has_cold_room_for(key, upstream) {
+            return self.hold_in_transaction(key);
+        }
         // The transaction was opened with the required position.
         self.forward(key, upstream, Requirement::AtLeast(None));
     }
--- a/crates/gateway/src/engine/primaries.rs
+++ b/crates/gateway/src/engine/primaries.rs
@@ -94,14 +94,21 @@
         if is_query && !self.admits_query(database) {
             return;
         }
-        if self.databases.contains_key(database) {
+        if self.databases.contains_key(database)
+            && !self.holds_back_control(database, attempt, request, false)
+        {
             self.open(database, Purpose::Control { attempt, request });
         }
     }
 
     /// Sends the control request for which a connection was opened.
     pub(super) fn send_control_request(&mut self, key: UpstreamKey) {
-        let Purpose::Control { request, .. } = self.pool.connections[key].purpose else { return };
+        let connection = &self.pool.connections[key];
+        let Purpose::Control { attempt, request } = connection.purpose else { return };
+        let database = connection.database.clone();
+        if self.holds_back_control(&database, attempt, request, true) {
+            return self.close_connection(key);
+        }
         let request = match request {
             ControlRequest::Status => UpstreamRequest::Status,
             ControlRequest::Pause(term) => UpstreamRequest::Pause(term),
@@ -127,6 +134,7 @@
             return;
         };
         self.note_status(&database, row);
+        self.observe_status(&database, done.sent_at, row);
         if let Some(attempt) = self.failovers.iter_mut().find(|a| a.id == attempt) {
             attempt.note_status(self.now, &database, row);
             let (service, term, planned) = (attempt.service.clone(), attempt.term, attempt.planned);
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -218,6 +218,8 @@
     responses: BTreeMap<Caller, Vec<Response>>,
     /// Value of the fencing token in the store.
     token: u64,
+    /// Every request that a database has received, with the time.
+    pub requests: Vec<(MonoTime, usize)>,
 }
 
 fn valid<T, E: std::fmt::Debug>(made: Result<T, E>) -> T {
@@ -351,6 +353,7 @@
             broken_links: BTreeSet::new(),
             responses: BTreeMap::new(),
             token: 0,
+            requests: Vec::new(),
         };
         world.engines = (0..vms).map(|vm| world.engine(vm, true)).collect();
         world
@@ -642,6 +645,7 @@
         if connection.closed || self.is_cut(Endpoint::Vm(vm), Endpoint::Database(database)) {
             return;
         }
+        self.requests.push((self.now, database));
         match request {
             UpstreamRequest::Start { .. } => {}
             UpstreamRequest::Status
