Give a workspace's tokens to its most urgent operations first

Cause: an operation waits for a token up to 40 % of its target latency, so beyond the rate the expected wait settles above what the most urgent operations may wait, and the least urgent get the tokens.

Change, where Policy::rates_by_priority is set: demand, waits and requests for tokens are kept by class of priorities. A VM counts only operations that are as urgent or more urgent in the wait that it expects, a full queue gives the place of the least urgent operation to a more urgent one, and operations less urgent than ones that got no token in time are refused at once. The home keeps tokens for more urgent requests that it could not meet, and grants rates by the demand that the rate covers. Messages carry the classes only to homes known to understand them, which the upper half of Heartbeat::live_witnesses announces; rmp-serde refuses an array that is too long, so a new field of a message to an earlier build would not do.

Ruled out: grants to VMs with little urgent demand.

--- a/crates/gateway/src/engine/callers.rs
+++ b/crates/gateway/src/engine/callers.rs
@@ -233,7 +233,14 @@
     fn admit(&mut self, key: CallerKey, id: &str, auth: &Authorization) -> bool {
         let Some(workspace) = &auth.workspace else { return true };
         let max_wait = self.max_rate_wait(&auth.route);
-        let Err(wait) = self.rates.enqueue(self.now, workspace, max_wait) else { return true };
+        let priority = auth.route.priority;
+        let wait = match self.rates.enqueue(self.now, workspace, priority, max_wait) {
+            Ok(queued) => {
+                self.make_room(queued, workspace);
+                return true;
+            }
+            Err(wait) => wait,
+        };
         self.counts.rate_limited += 1;
         info!(self.log, "refused"; "id" => id, "code" => "TooMany", "reason" => "rate exceeded",
             "workspace" => %workspace, "retry_ms" => wait.as_ms());
@@ -363,9 +370,10 @@
         let Some(session) = self.sessions.get_mut(key) else { return };
         let current = session.current.take();
         let awaits_token = current.as_ref().is_some_and(|current| current.needs_token);
-        let workspace = session.authorization.as_ref().and_then(|auth| auth.workspace.clone());
-        if let Some(workspace) = workspace.filter(|_| awaits_token) {
-            self.rates.cancel(&workspace);
+        if let Some(auth) = session.authorization.as_ref().filter(|_| awaits_token)
+            && let Some(workspace) = &auth.workspace
+        {
+            self.rates.cancel(workspace, auth.route.priority);
         }
         let transaction = std::mem::replace(&mut session.transaction, Transaction::None);
         let in_progress = current.as_ref().and_then(|current| current.stage.upstream());
--- a/crates/gateway/src/engine/expiry.rs
+++ b/crates/gateway/src/engine/expiry.rs
@@ -43,9 +43,10 @@
         }
         self.waiting.retain(|waiting| *waiting != Waiter::Session(key));
         if needs_token {
-            let auth = self.sessions[key].authorization.as_ref();
-            if let Some(workspace) = auth.and_then(|auth| auth.workspace.clone()) {
-                self.rates.cancel(&workspace);
+            if let Some(auth) = &self.sessions[key].authorization
+                && let Some(workspace) = &auth.workspace
+            {
+                self.rates.expire(self.now, workspace, auth.route.priority);
             }
             if !self.has_lease() {
                 return self.fail(key, ErrorCode::Busy, "not in contact with the other VMs");
--- a/crates/gateway/src/engine/gossip.rs
+++ b/crates/gateway/src/engine/gossip.rs
@@ -58,9 +58,9 @@
         match body {
             PeerBody::Heartbeat(heartbeat) => self.handle_heartbeat(from, incarnation, heartbeat),
             PeerBody::Short { database } => self.release_idle_connection(&database),
-            PeerBody::Borrow { workspace, tokens } => {
+            PeerBody::Borrow { workspace, tokens, by_class } => {
                 // Statements of this VM don't wait for what another VM borrows.
-                return self.lend_tokens(&from, workspace, tokens);
+                return self.lend_tokens(&from, workspace, tokens, &by_class);
             }
             PeerBody::Lend { workspace, tokens, all } => {
                 self.rates.receive_loan(now, &workspace, tokens, all);
@@ -234,16 +234,12 @@
             stamps.echo = None;
         }
         let grants = self.grants_for(to);
-        let demands = demands
-            .iter()
-            .filter(|demand| self.fleet.home_of(now, &demand.workspace) == *to)
-            .cloned()
-            .collect();
+        let demands = self.demands_for(to, demands);
         let lease_left = self.fleet.own_lease_until(now).map(|until| until.since(now));
         let may_lend = self.fleet.self_is_witness() && self.has_lease();
         let heartbeat = Heartbeat {
             lease_left: lease_left.filter(|_| may_lend),
-            live_witnesses: self.fleet.live_witnesses(now),
+            live_witnesses: self.fleet.live_witnesses(now) | self.announced_classes(),
             spare: self.fleet.spare_vm(now).cloned(),
             stamps,
             generation: self.catalog.generation,
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -249,6 +249,7 @@
     /// Creates an engine without a configuration; callers wait until [`Engine::set_catalog`].
     pub fn new(id: Identity, log: Logger, now: MonoTime) -> Engine {
         let intents_known = id.first_start;
+        let rates = RateLimiter::with_priorities(id.policy.rates_by_priority);
         let fleet = FleetView::new(id.vm.clone(), id.incarnation, id.dc.clone());
         Engine {
             id,
@@ -269,7 +270,7 @@
             links: Links::default(),
             channels: Channels::default(),
             fleet,
-            rates: RateLimiter::default(),
+            rates,
             failovers: Vec::new(),
             next_failover_id: 1,
             next_heartbeat_at: now,
--- a/crates/gateway/src/engine/placement.rs
+++ b/crates/gateway/src/engine/placement.rs
@@ -232,7 +232,7 @@
                 if failures.rate_limited.contains(&workspace) {
                     return false;
                 }
-                if !self.rates.try_take(now, &workspace) {
+                if !self.rates.try_take(now, &workspace, auth.route.priority) {
                     failures.rate_limited.push(workspace);
                     return false;
                 }
--- a/crates/gateway/src/engine/sharing.rs
+++ b/crates/gateway/src/engine/sharing.rs
@@ -5,8 +5,10 @@
 
 use super::{Engine, Waiter};
 use crate::{
+    admission::CLASSES,
+    message::ErrorCode,
     peers::PeerBody,
-    rates::{Demand, RateGrant},
+    rates::{Demand, Queued, RateGrant},
 };
 
 /// Idle time from which a connection is closed for a peer that needs one.
@@ -40,28 +42,91 @@
             }
         }
         for workspace in short {
-            let Some(tokens) = self.rates.tokens_to_borrow(now, &workspace) else { continue };
+            let Some(request) = self.rates.tokens_to_borrow(now, &workspace) else { continue };
+            let tokens = request.tokens;
             let home = self.fleet.home_of(now, &workspace);
             if home == self.id.vm {
                 // Without a lease, another VM may be the home.
                 if self.has_lease() {
-                    let lent = self.rates.lend(now, &workspace, tokens);
+                    let by_class = &request.by_class;
+                    let lent = self.rates.lend_by_class(now, &workspace, &home, by_class);
                     self.rates.receive_loan(now, &workspace, lent, lent >= tokens);
                 }
             } else {
-                self.send_to_vm(&home, PeerBody::Borrow { workspace, tokens });
+                let knows =
+                    self.fleet.knows_classes(now, &home) && self.id.policy.rates_by_priority;
+                let by_class = if knows { request.by_class.to_vec() } else { Vec::new() };
+                self.send_to_vm(&home, PeerBody::Borrow { workspace, tokens, by_class });
             }
         }
     }
 
-    pub(super) fn lend_tokens(&mut self, to: &VmName, workspace: WorkspaceName, asked: u32) {
+    /// Lends tokens to a VM that asked for them, each class in `by_class`. A request without classes counts as
+    /// one of the most urgent class: it comes from an earlier version, and some of its operations may be.
+    pub(super) fn lend_tokens(
+        &mut self,
+        to: &VmName,
+        workspace: WorkspaceName,
+        asked: u32,
+        by_class: &[u32],
+    ) {
         if !self.has_lease() {
             return;
         }
-        let tokens = self.rates.lend(self.now, &workspace, asked);
+        let mut classes = [0_u32; CLASSES];
+        for (index, count) in by_class.iter().enumerate() {
+            let class = &mut classes[index.min(CLASSES - 1)];
+            *class = class.saturating_add(*count);
+        }
+        if by_class.is_empty() {
+            classes[0] = asked;
+        }
+        let tokens = self.rates.lend_by_class(self.now, &workspace, to, &classes);
         self.send_to_vm(to, PeerBody::Lend { workspace, tokens, all: tokens >= asked });
     }
 
+    /// Refuses the least urgent operation of the workspace that waits for a token, the latest first, where a more
+    /// urgent one has taken its place.
+    pub(super) fn make_room(&mut self, queued: Queued, workspace: &WorkspaceName) {
+        if queued == Queued::InRoom {
+            return;
+        }
+        let waiting = self.waiting.iter().filter_map(|waiter| {
+            let Waiter::Session(key) = *waiter else { return None };
+            let session = self.sessions.get(key)?;
+            let current = session.current.as_ref().filter(|current| current.needs_token)?;
+            let auth = session.authorization.as_ref()?;
+            let is_same = auth.workspace.as_ref() == Some(workspace);
+            is_same.then_some((auth.route.priority, current.refuse_at, key))
+        });
+        let Some((priority, _, key)) = waiting.max() else { return };
+        self.rates.cancel(workspace, priority);
+        self.waiting.retain(|waiter| *waiter != Waiter::Session(key));
+        self.counts.rate_limited += 1;
+        self.fail(key, ErrorCode::TooMany, "rate exceeded: a more urgent operation took its place");
+    }
+
+    /// The bits of [`crate::peers::Heartbeat::live_witnesses`] by which this VM announces that it and others
+    /// understand classes; none where priorities don't count.
+    pub(super) fn announced_classes(&self) -> u16 {
+        match self.id.policy.rates_by_priority {
+            true => self.fleet.witnesses_with_classes(),
+            false => 0,
+        }
+    }
+
+    /// The demand to report to a peer: that of workspaces whose home it is, by class if it understands them.
+    pub(super) fn demands_for(&mut self, to: &VmName, demands: &[Demand]) -> Vec<Demand> {
+        let now = self.now;
+        let knows_classes = self.fleet.knows_classes(now, to);
+        let demands = demands.iter().filter(|d| self.fleet.home_of(now, &d.workspace) == *to);
+        let mut demands: Vec<Demand> = demands.cloned().collect();
+        if !knows_classes {
+            demands.iter_mut().for_each(|demand| demand.by_class.clear());
+        }
+        demands
+    }
+
     pub(super) fn grant_to_self(&mut self, demands: &[Demand]) {
         let me = self.id.vm.clone();
         let grants = self.grant_rates(&me, demands);
@@ -81,14 +146,18 @@
         }
         let now = self.now;
         let mut grants = Vec::new();
-        for Demand { workspace, per_s } in demands {
+        for demand in demands {
+            let workspace = &demand.workspace;
             if self.fleet.home_of(now, workspace) != self.id.vm {
                 continue;
             }
             let others = self.fleet.members().filter(|(vm, _)| self.fleet.is_live(now, vm));
-            let others: f64 = others.map(|(_, member)| member.demand_for(workspace)).sum();
-            let all = self.rates.demand_for(now, workspace) + others;
-            grants.extend(self.rates.grant(now, workspace, vm, f64::from(*per_s), all));
+            let mut all = self.rates.demand_for(now, workspace);
+            for (_, member) in others {
+                let more = member.demand_for(workspace);
+                (0..CLASSES).for_each(|class| all[class] += more[class]);
+            }
+            grants.extend(self.rates.grant(now, workspace, vm, &demand.classes(), &all));
         }
         grants
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -11,6 +11,7 @@
 use model::{prelude::*, request::stable_hash};
 
 use crate::{
+    admission::{ByClass, CLASSES},
     peers::{
         Echo, Heartbeat, HeartbeatTiming, LIVENESS_TIMEOUT, LOCAL_WITNESS_TIMEOUT, MemberList,
         MemberRecord, ServiceReport, Timestamps,
@@ -19,6 +20,9 @@
     witnesses::{Health, LEASE_DURATION, WitnessSet},
 };
 
+/// Position of the upper half of [`Heartbeat::live_witnesses`]; there are at most seven witnesses.
+const WITNESS_CLASSES_SHIFT: u32 = 8;
+
 /// A VM of the member list other than this one, with its state according to its heartbeats.
 #[derive(Clone, Debug)]
 pub(crate) struct Member {
@@ -347,7 +351,36 @@
         })
     }
 
-    /// Witnesses that are live for this VM, encoded as [`Heartbeat::live_witnesses`].
+    /// Witnesses that are known here to understand the classes of [`crate::admission`], each from its own
+    /// heartbeats, encoded as the upper half of [`Heartbeat::live_witnesses`].
+    pub(crate) fn witnesses_with_classes(&self) -> u16 {
+        let knows = |(bit, vm): (usize, &VmName)| {
+            let own_word = |member: &Member| self.reports_classes(member, bit);
+            (*vm == self.me || self.members.get(vm).is_some_and(own_word)).then_some(1 << bit)
+        };
+        self.witnesses.vms.iter().enumerate().filter_map(knows).fold(0, |bits, bit: u16| bits | bit)
+            << WITNESS_CLASSES_SHIFT
+    }
+
+    /// Whether the witness `vm` understands the classes of [`crate::admission`], as its own heartbeats say or
+    /// those of a witness in contact.
+    pub(crate) fn knows_classes(&self, now: MonoTime, vm: &VmName) -> bool {
+        let Some(bit) = self.witnesses.vms.iter().position(|witness| witness == vm) else {
+            return false;
+        };
+        let mut reporters = self.other_witnesses();
+        reporters.any(|(from, member)| {
+            self.reports_classes(member, bit) && self.is_in_contact(now, from)
+        })
+    }
+
+    /// Whether a member reports of the witness at position `bit` of the set that it understands classes.
+    fn reports_classes(&self, member: &Member, bit: usize) -> bool {
+        member.witness_step == self.witnesses.step
+            && member.live_witnesses & (1 << bit) << WITNESS_CLASSES_SHIFT != 0
+    }
+
+    /// Witnesses that are live for this VM, encoded as the lower half of [`Heartbeat::live_witnesses`].
     pub(crate) fn live_witnesses(&self, now: MonoTime) -> u16 {
         let live = self.witnesses.vms.iter().enumerate().filter(|(_, vm)| self.is_live(now, vm));
         live.fold(0, |bits, (bit, _)| bits | 1 << bit)
@@ -446,9 +479,9 @@
     }
 
     /// The member's demand for a workspace, in operations per second.
-    pub(crate) fn demand_for(&self, workspace: &WorkspaceName) -> f64 {
+    pub(crate) fn demand_for(&self, workspace: &WorkspaceName) -> ByClass<f64> {
         let demand = self.demands.iter().find(|demand| demand.workspace == *workspace);
-        demand.map_or(0.0, |demand| f64::from(demand.per_s))
+        demand.map_or([0.0; CLASSES], Demand::classes)
     }
 
     fn health(&self, now: MonoTime) -> Health {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! current time, and queues [`Effect`]s for the process to carry out. Times are of a monotonic
 //! clock that keeps running while the machine is suspended.
 
+pub mod admission;
 pub mod catalog;
 pub mod effect;
 mod engine;
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -132,7 +132,9 @@
     /// If the sender is a witness: how much is left of the lease granted by the other witnesses.
     pub lease_left: Option<DurationUs>,
     /// The witnesses that are live for the sender, as a bit set: the lowest bit is the first
-    /// witness by name.
+    /// witness by name. The upper eight bits are, in the same order, those that are known to the sender to
+    /// understand classes of priorities in [`Demand`] and [`PeerBody::Borrow`]; versions that don't understand
+    /// them ignore these bits.
     pub live_witnesses: u16,
     /// A reachable VM that could become a witness; `None` if the witness set is full.
     pub spare: Option<VmName>,
@@ -161,6 +163,10 @@
         workspace: WorkspaceName,
         /// Number of tokens: operations that wait at the sender.
         tokens: u32,
+        /// The part of each class of priorities, the most urgent first. Empty where the sender does not
+        /// distinguish them, and towards a home of a version that could not decode it.
+        #[serde(default, skip_serializing_if = "Vec::is_empty")]
+        by_class: Vec<u32>,
     },
     /// Lends tokens to the receiver.
     Lend {
--- a/crates/gateway/src/rates.rs
+++ b/crates/gateway/src/rates.rs
@@ -13,7 +13,10 @@
 use quota::bucket::{MICRO, RateLimit, TokenBucket};
 use serde::{Deserialize, Serialize};
 
-use crate::catalog::Workspace;
+use crate::{
+    admission::{self, ByClass, CLASSES, UnmetRequests},
+    catalog::Workspace,
+};
 
 /// Fraction of a rate that is divided evenly: what VMs without contact to the home may still admit.
 const EVEN_FRACTION: f64 = 0.04;
@@ -22,6 +25,10 @@
 /// Demand from which a VM gets a grant, in operations per second. With less, most of a grant would
 /// expire unused.
 const GRANT_MIN_DEMAND_PER_S: f64 = 2.0;
+/// The same while a workspace asks for more than its rate and its tokens go to the most urgent operations first,
+/// counting the demand that the rate covers. A VM with less spent its grant on less urgent operations between two
+/// urgent ones: with 24 VMs at 1.5 urgent operations a second each, a fifth of those got no token.
+const GRANT_MIN_COVERED_PER_S: f64 = 20.0;
 /// Minimum time between two requests to the home for tokens of one workspace.
 const BORROW_INTERVAL: DurationUs = DurationUs::from_ms(40);
 /// How long the home's answer is awaited before tokens are requested again. A second request for the
@@ -46,6 +53,12 @@
 const RESTART_MIN: DurationUs = DurationUs::from_ms(500);
 /// Demand below which a VM reports none, in operations per second.
 const REPORTED_DEMAND_MIN_PER_S: f64 = 0.05;
+/// Operations of a workspace that wait at one VM, beyond which a more urgent one takes the place of a less urgent
+/// one: as many as one request asks tokens for.
+const QUEUE_MAX: u32 = BORROW_MAX_TOKENS;
+/// How long after an operation got no token in time further ones of its class and of less urgent ones count as
+/// hopeless; longer than the most urgent ones wait (320 ms), so that the mark lasts while they get none.
+const STARVED_PERIOD: DurationUs = DurationUs::from_ms(500);
 
 /// The demand of a workspace's callers at the sender.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -54,6 +67,44 @@
     pub workspace: WorkspaceName,
     /// Operations per second that callers ask for, admitted or not, as a moving average.
     pub per_s: f32,
+    /// The part of each class of priorities, the most urgent first. Empty where the sender does not distinguish
+    /// them, and towards a home of a version that could not decode it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub by_class: Vec<f32>,
+}
+
+impl Demand {
+    /// The demand of each class; all in the most urgent one if the sender does not distinguish them.
+    pub fn classes(&self) -> ByClass<f64> {
+        let mut classes = [0.0; CLASSES];
+        match self.by_class.is_empty() {
+            true => classes[0] = f64::from(self.per_s),
+            false => {
+                for (index, per_s) in self.by_class.iter().enumerate() {
+                    classes[index.min(CLASSES - 1)] += f64::from(*per_s);
+                }
+            }
+        }
+        classes
+    }
+}
+
+/// How an operation that may wait for a token was queued.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Queued {
+    /// There was room.
+    InRoom,
+    /// The queue is full: an operation less urgent than this one is to be refused.
+    InPlaceOfLessUrgent,
+}
+
+/// Tokens to request from the home.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TokenRequest {
+    /// Number of tokens.
+    pub tokens: u32,
+    /// The part of each class of priorities, the most urgent first.
+    pub by_class: ByClass<u32>,
 }
 
 /// A fraction of a workspace's rate granted to one VM.
@@ -81,8 +132,10 @@
     burst: f64,
     /// Tokens of this VM's even share and grant.
     bucket: TokenBucket,
-    /// Moving average of the operations per second that callers ask for, admitted or not.
-    demand: f64,
+    /// Moving average of the operations per second of each class that callers ask for, admitted or not.
+    demand: ByClass<f64>,
+    /// Moving average of the operations per second of each class that got a token.
+    served: ByClass<f64>,
     demand_updated_at: MonoTime,
     /// The home's grants to this VM.
     granted: OutstandingGrants,
@@ -92,12 +145,18 @@
     borrow_request: Option<BorrowRequest>,
     /// Until when the home counts as having no tokens left.
     home_empty_until: MonoTime,
-    /// Number of operations that wait here for a token.
-    waiting: u32,
+    /// Number of operations of each class that wait here for a token.
+    waiting: ByClass<u32>,
+    /// Until when operations of a class, and less urgent ones, are not expected to get a token.
+    starved_until: ByClass<MonoTime>,
     /// Tokens left to lend, if this VM is the home.
     lendable: TokenBucket,
     /// Grants to each VM, if this VM is the home.
     outstanding_grants: BTreeMap<VmName, OutstandingGrants>,
+    /// Requests that could not be met, if this VM is the home.
+    unmet: UnmetRequests,
+    /// Demand of all VMs for each class in operations per second, if this VM is the home.
+    fleet_demand: ByClass<f64>,
 }
 
 /// The grants that a VM may be using, each a share and its expiry. An earlier grant counts until it
@@ -122,9 +181,16 @@
 pub struct RateLimiter {
     limiters: FxHashMap<WorkspaceName, WorkspaceLimiter>,
     vm_count: usize,
+    /// Whether tokens go to the most urgent operations first.
+    by_priority: bool,
 }
 
 impl RateLimiter {
+    /// Creates the limiter of a VM where tokens go to the most urgent operations first if `by_priority` is set.
+    pub fn with_priorities(by_priority: bool) -> RateLimiter {
+        RateLimiter { by_priority, ..RateLimiter::default() }
+    }
+
     /// Replaces the rate and burst of all workspaces.
     pub fn configure(&mut self, now: MonoTime, workspaces: &[Workspace]) {
         let limited: FxHashMap<&WorkspaceName, (f64, f64)> = workspaces
@@ -137,15 +203,19 @@
                 rate_per_s,
                 burst,
                 bucket: TokenBucket::new(now),
-                demand: 0.0,
+                demand: [0.0; CLASSES],
+                served: [0.0; CLASSES],
                 demand_updated_at: now,
                 granted: OutstandingGrants::default(),
                 borrowed: (0, now),
                 borrow_request: None,
                 home_empty_until: now,
-                waiting: 0,
+                waiting: [0; CLASSES],
+                starved_until: [now; CLASSES],
                 lendable: bucket_after_start(now, rate_per_s, burst),
                 outstanding_grants: BTreeMap::new(),
+                unmet: UnmetRequests::default(),
+                fleet_demand: [0.0; CLASSES],
             });
             limiter.rate_per_s = rate_per_s;
             limiter.burst = burst;
@@ -161,6 +231,11 @@
         }
     }
 
+    /// The class of operations of a priority; one for all where priorities are not distinguished.
+    fn class_of(&self, priority: u32) -> usize {
+        if self.by_priority { admission::class_of(priority) } else { 0 }
+    }
+
     /// Counts an operation of the workspace as waiting for a token, to be taken with
     /// [`RateLimiter::try_take`].
     ///
@@ -171,66 +246,122 @@
         &mut self,
         now: MonoTime,
         workspace: &WorkspaceName,
+        priority: u32,
         max_wait: DurationUs,
-    ) -> Result<(), DurationUs> {
-        let vm_count = self.vm_count;
-        let Some(limiter) = self.limiters.get_mut(workspace) else { return Ok(()) };
-        limiter.record_demand(now);
+    ) -> Result<Queued, DurationUs> {
+        let (vm_count, class) = (self.vm_count, self.class_of(priority));
+        let Some(limiter) = self.limiters.get_mut(workspace) else { return Ok(Queued::InRoom) };
+        limiter.record_demand(now, class);
         limiter.refresh(now, vm_count);
-        let wait = limiter.expected_wait(now);
-        let home_is_empty = limiter.home_empty_until > now || limiter.waiting >= BORROW_MAX_TOKENS;
-        if home_is_empty && wait > max_wait {
-            return Err(wait);
+        let is_full = limiter.waiting.iter().sum::<u32>() >= QUEUE_MAX;
+        let has_less_urgent = limiter.waiting[class + 1..].iter().any(|count| *count > 0);
+        let wait = limiter.expected_wait(now, class);
+        match self.by_priority {
+            true => limiter.check_wait(now, class, wait, max_wait, is_full && !has_less_urgent)?,
+            false => {
+                let home_is_empty = limiter.home_empty_until > now || is_full;
+                if home_is_empty && wait > max_wait {
+                    return Err(wait);
+                }
+            }
+        }
+        limiter.waiting[class] += 1;
+        match is_full && has_less_urgent {
+            true => Ok(Queued::InPlaceOfLessUrgent),
+            false => Ok(Queued::InRoom),
         }
-        limiter.waiting += 1;
-        Ok(())
     }
 
     /// Spends a token for a waiting operation; returns whether there was one. Always succeeds for a
     /// workspace without a limit.
-    pub fn try_take(&mut self, now: MonoTime, workspace: &WorkspaceName) -> bool {
-        let vm_count = self.vm_count;
+    pub fn try_take(&mut self, now: MonoTime, workspace: &WorkspaceName, priority: u32) -> bool {
+        let (vm_count, class) = (self.vm_count, self.class_of(priority));
         let Some(limiter) = self.limiters.get_mut(workspace) else { return true };
         limiter.refresh(now, vm_count);
         let (borrowed, until) = limiter.borrowed;
         if borrowed > 0 && until > now {
             limiter.borrowed.0 -= 1;
-        } else if limiter.bucket.try_spend(1, now).is_err() {
+        } else if !limiter.has_to_spare(now, class) || limiter.bucket.try_spend(1, now).is_err() {
             return false;
         }
-        limiter.waiting = limiter.waiting.saturating_sub(1);
+        limiter.waiting[class] = limiter.waiting[class].saturating_sub(1);
+        limiter.record_served(now, class);
         true
     }
 
     /// Removes a waiting operation without spending a token.
-    pub fn cancel(&mut self, workspace: &WorkspaceName) {
+    pub fn cancel(&mut self, workspace: &WorkspaceName, priority: u32) {
+        let class = self.class_of(priority);
         if let Some(limiter) = self.limiters.get_mut(workspace) {
-            limiter.waiting = limiter.waiting.saturating_sub(1);
+            limiter.waiting[class] = limiter.waiting[class].saturating_sub(1);
         }
     }
 
-    /// Number of tokens to request from the home now, if any.
-    pub fn tokens_to_borrow(&mut self, now: MonoTime, workspace: &WorkspaceName) -> Option<u32> {
+    /// Removes an operation that has waited for a token for too long.
+    pub fn expire(&mut self, now: MonoTime, workspace: &WorkspaceName, priority: u32) {
+        self.cancel(workspace, priority);
+        let class = self.class_of(priority);
+        if let Some(limiter) = self.limiters.get_mut(workspace) {
+            limiter.starved_until[class] = now + STARVED_PERIOD;
+        }
+    }
+
+    /// The tokens to request from the home now, if any.
+    pub fn tokens_to_borrow(
+        &mut self,
+        now: MonoTime,
+        workspace: &WorkspaceName,
+    ) -> Option<TokenRequest> {
         let limiter = self.limiters.get_mut(workspace)?;
         let is_due = limiter.borrow_request.is_none_or(|request| {
             let pause = if request.answered { BORROW_INTERVAL } else { BORROW_TIMEOUT };
             now.since(request.sent_at) >= pause
         });
-        if limiter.waiting == 0 || !is_due {
+        if limiter.waiting == [0; CLASSES] || !is_due {
             return None;
         }
         limiter.borrow_request = Some(BorrowRequest { sent_at: now, answered: false });
-        Some(limiter.waiting.min(BORROW_MAX_TOKENS))
+        let mut tokens = 0;
+        let by_class = limiter.waiting.map(|waiting| {
+            let asked = waiting.min(BORROW_MAX_TOKENS - tokens);
+            tokens += asked;
+            asked
+        });
+        Some(TokenRequest { tokens, by_class })
     }
 
     /// As the home: spends up to `asked` tokens for another VM and returns how many.
     pub fn lend(&mut self, now: MonoTime, workspace: &WorkspaceName, asked: u32) -> u32 {
+        let Some(limiter) = self.limiters.get_mut(workspace) else { return 0 };
+        limiter.refresh(now, self.vm_count);
+        limiter.lend(now, asked.min(BORROW_MAX_TOKENS), 0.0)
+    }
+
+    /// Like [`RateLimiter::lend`], for a request that says how many tokens each class asks for. Where priorities
+    /// count, tokens that more urgent operations at other VMs want are kept for them.
+    pub fn lend_by_class(
+        &mut self,
+        now: MonoTime,
+        workspace: &WorkspaceName,
+        vm: &VmName,
+        asked: &ByClass<u32>,
+    ) -> u32 {
+        if !self.by_priority {
+            let asked = asked.iter().fold(0, |sum: u32, count| sum.saturating_add(*count));
+            return self.lend(now, workspace, asked);
+        }
         let Some(limiter) = self.limiters.get_mut(workspace) else { return 0 };
         limiter.refresh(now, self.vm_count);
         let mut lent = 0;
-        while lent < asked.min(BORROW_MAX_TOKENS) && limiter.lendable.try_spend(1, now).is_ok() {
-            lent += 1;
+        let mut unmet = [0; CLASSES];
+        for class in 0..CLASSES {
+            let wanted = asked[class].min(BORROW_MAX_TOKENS - lent);
+            let kept = limiter.kept_for_others(now, vm, class);
+            let got = limiter.lend(now, wanted, kept);
+            unmet[class] = wanted - got;
+            lent += got;
         }
+        limiter.unmet.record(now, vm, unmet);
         lent
     }
 
@@ -259,36 +390,60 @@
         let mut demands = Vec::new();
         for (workspace, limiter) in &mut self.limiters {
             limiter.decay(now);
-            if limiter.demand >= REPORTED_DEMAND_MIN_PER_S {
-                demands.push(Demand { workspace: workspace.clone(), per_s: limiter.demand as f32 });
+            let per_s: f64 = limiter.demand.iter().sum();
+            if per_s >= REPORTED_DEMAND_MIN_PER_S {
+                // Without the classes at the end that nobody asks for: heartbeats are single datagrams.
+                let last = limiter.demand.iter().rposition(|d| *d >= REPORTED_DEMAND_MIN_PER_S);
+                let count = if self.by_priority { last.map_or(1, |last| last + 1) } else { 0 };
+                let by_class = limiter.demand[..count].iter().map(|d| *d as f32).collect();
+                demands.push(Demand {
+                    workspace: workspace.clone(),
+                    per_s: per_s as f32,
+                    by_class,
+                });
             }
         }
         demands
     }
 
-    /// The demand for a workspace at this VM, in operations per second; 0 if it is too low to
+    /// The demand of each class for a workspace at this VM, in operations per second; 0 if it is too low to
     /// report.
-    pub fn demand_for(&mut self, now: MonoTime, workspace: &WorkspaceName) -> f64 {
-        let Some(limiter) = self.limiters.get_mut(workspace) else { return 0.0 };
+    pub fn demand_for(&mut self, now: MonoTime, workspace: &WorkspaceName) -> ByClass<f64> {
+        let Some(limiter) = self.limiters.get_mut(workspace) else { return [0.0; CLASSES] };
         limiter.decay(now);
-        if limiter.demand >= REPORTED_DEMAND_MIN_PER_S { limiter.demand } else { 0.0 }
+        let is_reported = limiter.demand.iter().sum::<f64>() >= REPORTED_DEMAND_MIN_PER_S;
+        if is_reported { limiter.demand } else { [0.0; CLASSES] }
     }
 
     /// As the home of `workspace`: grants `vm` a share by the demand of that VM and of all VMs, in
-    /// operations per second. Shares of all valid grants never exceed 1 in total.
+    /// operations per second of each class. Shares of all valid grants never exceed 1 in total.
     pub fn grant(
         &mut self,
         now: MonoTime,
         workspace: &WorkspaceName,
         vm: &VmName,
-        demand_of_vm: f64,
-        demand_of_all: f64,
+        demand_of_vm: &ByClass<f64>,
+        demand_of_all: &ByClass<f64>,
     ) -> Option<RateGrant> {
         let vm_count = self.vm_count;
         let limiter = self.limiters.get_mut(workspace)?;
+        limiter.fleet_demand = *demand_of_all;
+        let (mut of_vm, mut of_all) =
+            (demand_of_vm.iter().sum::<f64>(), demand_of_all.iter().sum::<f64>());
+        let mut least = GRANT_MIN_DEMAND_PER_S;
+        if self.by_priority && of_all > limiter.rate_per_s {
+            least = GRANT_MIN_COVERED_PER_S;
+            // Only the demand that the rate covers counts, so that VMs with more of the urgent get more.
+            let covered = admission::covered(demand_of_all, limiter.rate_per_s);
+            let part = |class: usize| match demand_of_all[class] {
+                wanted if wanted > 0.0 => demand_of_vm[class] * covered[class] / wanted,
+                _ => 0.0,
+            };
+            (of_vm, of_all) = ((0..CLASSES).map(part).sum(), covered.iter().sum());
+        }
         let assumed = limiter.rate_per_s * ASSUMED_DEMAND_FRACTION;
-        let is_steady = demand_of_vm >= GRANT_MIN_DEMAND_PER_S;
-        let target = if is_steady { demand_of_vm / (demand_of_all + assumed) } else { 0.0 };
+        let is_steady = of_vm >= least;
+        let target = if is_steady { of_vm / (of_all + assumed) } else { 0.0 };
         let others: f64 = limiter
             .outstanding_grants
             .iter()
@@ -323,13 +478,69 @@
 impl WorkspaceLimiter {
     fn decay(&mut self, now: MonoTime) {
         let elapsed = now.since(self.demand_updated_at).0 as f64;
-        self.demand *= (-elapsed / DEMAND_TIME_CONSTANT_US).exp();
+        let factor = (-elapsed / DEMAND_TIME_CONSTANT_US).exp();
+        self.demand.iter_mut().chain(&mut self.served).for_each(|per_s| *per_s *= factor);
         self.demand_updated_at = now;
     }
 
-    fn record_demand(&mut self, now: MonoTime) {
+    fn record_demand(&mut self, now: MonoTime, class: usize) {
         self.decay(now);
-        self.demand += 1e6 / DEMAND_TIME_CONSTANT_US;
+        self.demand[class] += 1e6 / DEMAND_TIME_CONSTANT_US;
+    }
+
+    fn record_served(&mut self, now: MonoTime, class: usize) {
+        self.decay(now);
+        self.served[class] += 1e6 / DEMAND_TIME_CONSTANT_US;
+    }
+
+    /// Decides by priority whether an operation may wait for a token; returns the time to retry after if not.
+    fn check_wait(
+        &self,
+        now: MonoTime,
+        class: usize,
+        wait: DurationUs,
+        max_wait: DurationUs,
+        is_full: bool,
+    ) -> Result<(), DurationUs> {
+        if let Some(until) = self.starved_until[..class].iter().copied().find(|u| *u > now) {
+            // What more urgent operations want exceeds the rate.
+            return Err(until.since(now).max(wait));
+        }
+        // One operation may always wait: only its request tells the home of the demand.
+        let is_first = self.waiting[..=class].iter().all(|count| *count == 0);
+        let is_starved = self.starved_until[class] > now;
+        if (is_full || (is_starved && !is_first)) && wait > max_wait {
+            return Err(wait);
+        }
+        Ok(())
+    }
+
+    /// Whether the bucket has a token for an operation of `class` beyond those kept for more urgent ones.
+    fn has_to_spare(&mut self, now: MonoTime, class: usize) -> bool {
+        if class == 0 || self.home_empty_until <= now {
+            return true;
+        }
+        let capacity = self.bucket.limit().burst_micro as f64 / MICRO as f64;
+        let kept = admission::reserve(&self.demand, class, capacity);
+        self.bucket.level_micro(now) as f64 >= (kept + 1.0) * MICRO as f64
+    }
+
+    /// As the home: number of tokens to keep for operations more urgent than `class`, at VMs other than `vm` or
+    /// soon expected.
+    fn kept_for_others(&mut self, now: MonoTime, vm: &VmName, class: usize) -> f64 {
+        let capacity = self.lendable.limit().burst_micro as f64 / MICRO as f64;
+        let waiting = f64::from(self.unmet.more_urgent(now, vm, class)).min(capacity - 1.0);
+        let is_over = self.fleet_demand.iter().sum::<f64>() > self.rate_per_s;
+        let expected =
+            if is_over { admission::reserve(&self.fleet_demand, class, capacity) } else { 0.0 };
+        waiting.max(expected).max(0.0)
+    }
+
+    /// As the home: spends up to `asked` tokens while more than `kept` are left, and returns how many.
+    fn lend(&mut self, now: MonoTime, asked: u32, kept: f64) -> u32 {
+        let level = self.lendable.level_micro(now) as f64 / MICRO as f64;
+        let asked = asked.min((level - kept).max(0.0) as u32);
+        (0..asked).take_while(|_| self.lendable.try_spend(1, now).is_ok()).count() as u32
     }
 
     fn refresh(&mut self, now: MonoTime, vm_count: usize) {
@@ -343,16 +554,29 @@
         set_fraction(&mut self.lendable, rate, burst, lendable, now);
     }
 
-    /// Expected wait of a new operation for a token, at this VM's share of the whole rate.
-    fn expected_wait(&mut self, now: MonoTime) -> DurationUs {
+    /// Expected wait of a new operation of `class` for a token, at this VM's share of the whole rate that more
+    /// urgent operations leave.
+    fn expected_wait(&mut self, now: MonoTime, class: usize) -> DurationUs {
         let level = self.bucket.level_micro(now);
-        let need = u64::from(self.waiting + 1) * MICRO;
+        let need = u64::from(self.waiting[..=class].iter().sum::<u32>() + 1) * MICRO;
         // The home lends this VM at least the same share of the rest.
         let rate = self.bucket.limit().rate_micro_per_s.max(1);
         let rate = (rate as f64 / (EVEN_FRACTION + GRANTED_FRACTION)) as u64;
+        let rate = self.left_for(class, rate);
         let missing = u128::from(need.saturating_sub(level));
         DurationUs((missing * u128::from(MICRO) / u128::from(rate)) as u64)
     }
+
+    /// The part of a rate in microtokens per second that operations more urgent than `class` leave, or what the
+    /// class got lately if that is more. The most urgent class has all of it.
+    fn left_for(&self, class: usize, rate: u64) -> u64 {
+        if class == 0 {
+            return rate;
+        }
+        let wanted: f64 = self.demand[..class].iter().sum();
+        let left = (rate as f64 / MICRO as f64 - wanted).max(self.served[class]);
+        ((left * MICRO as f64) as u64).max(1)
+    }
 }
 
 /// Returns a bucket with the tokens that were refilled while this VM was starting.
--- /dev/null
+++ b/crates/gateway/tests/admission.rs
@@ -0,0 +1,327 @@
+//! A workspace's rate by priority, and VMs that cannot serve.
+
+mod world;
+
+use gateway::{
+    catalog::Catalog,
+    message::ErrorCode,
+    peers::PeerBody,
+    policy::Policy,
+    rates::{Demand, Queued, RateLimiter},
+};
+use model::prelude::*;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use world::{Caller, Endpoint, KEY, LATEST, World, dc, read};
+
+/// Hosts of routes of priority 0, 1 and 2.
+const HOSTS: [&str; 3] = ["urgent", "normal", "batch"];
+
+/// Returns a configuration with a route for each of `HOSTS` and workspaces of the given rate.
+fn catalog(generation: u64, rate_per_s: f64) -> Catalog {
+    let mut catalog = world::catalog(generation, rate_per_s, 200);
+    let base = catalog.routes[LATEST].clone();
+    for (priority, target_ms) in [(0, 800), (1, 2_000), (2, 3_000)] {
+        let mut route = base.clone();
+        route.priority = priority;
+        route.target_latency = DurationUs::from_ms(target_ms);
+        route.statement_timeout = DurationUs::from_ms(4_000);
+        catalog.routes.insert(HOSTS[priority as usize].into(), route);
+    }
+    catalog
+}
+
+fn policy(rates_by_priority: bool) -> Policy {
+    Policy { rates_by_priority, ..Policy::default() }
+}
+
+fn fleet(vms: usize, rate_per_s: f64, by_priority: bool) -> World {
+    let mut world = World::with_policy(vms, policy(by_priority), FxHashMap::default());
+    // Rates are the only limit in these tests.
+    world.databases.iter_mut().for_each(|database| database.slots = 100);
+    world.configure(catalog(1, rate_per_s));
+    world.run_for(5_000);
+    world
+}
+
+/// What became of the operations of each priority.
+#[derive(Debug, Default)]
+struct Outcome {
+    sent: [usize; 3],
+    served: [usize; 3],
+    /// Times at which operations were answered with success, in order.
+    served_at: Vec<MonoTime>,
+}
+
+impl Outcome {
+    fn total(&self) -> usize {
+        self.served.iter().sum()
+    }
+
+    /// Greatest number of operations served in any window of 5 s.
+    fn most_in_window(&self) -> usize {
+        let at = &self.served_at;
+        let in_window = |first: usize| {
+            at[first..].partition_point(|t| t.since(at[first]) < DurationUs::from_ms(5_000))
+        };
+        (0..at.len()).map(in_window).max().unwrap_or(0)
+    }
+}
+
+/// Sends operations for `seconds`, `per_s` of each priority, in a random order at all VMs.
+fn load(world: &mut World, per_s: [f64; 3], seconds: u64) -> Outcome {
+    let vms = world.engines.len();
+    let mut random: u64 = 7;
+    let mut next_below = |bound: u64| {
+        random =
+            random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+        (random >> 33) % bound
+    };
+    let mut outcome = Outcome::default();
+    let mut open: Vec<(usize, Caller)> = Vec::new();
+    for step in 0..seconds * 100 + 200 {
+        for (priority, per_s) in per_s.iter().enumerate() {
+            // Operations in each step of 10 ms: `per_s / 100` on average.
+            for _ in 0..4 {
+                let is_due = (next_below(1_000_000) as f64) < per_s / 400.0 * 1e6;
+                if is_due && step < seconds * 100 {
+                    let caller = world.open(next_below(vms as u64) as usize, HOSTS[priority], KEY);
+                    world.send(caller, "op", read("1"));
+                    outcome.sent[priority] += 1;
+                    open.push((priority, caller));
+                }
+            }
+        }
+        world.run_for(10);
+        open.retain(|(priority, caller)| {
+            let Some(response) = world.response(*caller) else { return true };
+            match response.error {
+                None => {
+                    outcome.served[*priority] += 1;
+                    outcome.served_at.push(world.now);
+                }
+                Some(error) => assert_eq!(error, ErrorCode::TooMany),
+            }
+            false
+        });
+    }
+    assert!(open.is_empty(), "{} operations have no answer", open.len());
+    outcome
+}
+
+/// Adds 30 ms to the way between VMs of different data centres.
+fn spread(world: &mut World) {
+    let vms = world.engines.len();
+    for (a, b) in (0..vms).flat_map(|a| (0..vms).map(move |b| (a, b))) {
+        if dc(a) != dc(b) {
+            world.delays_ms.insert((Endpoint::Vm(a), Endpoint::Vm(b)), 30);
+        }
+    }
+}
+
+/// A hot workspace asks for 7 times its usual demand at several VMs, with less or more of the most urgent
+/// operations than its rate covers. Those who wait longer for a token must not get what the urgent want.
+#[test]
+fn hot_workspace_serves_95_percent_of_the_urgent_operations_that_the_rate_covers() {
+    const RATE: f64 = 40.0;
+    const SECONDS: u64 = 15;
+    for per_s in [[20.0, 50.0, 98.0], [35.0, 35.0, 98.0], [56.0, 56.0, 56.0]] {
+        for (vms, distant) in [(1, false), (9, false), (24, true)] {
+            let mut world = fleet(vms, RATE, true);
+            if distant {
+                spread(&mut world);
+            }
+            // Uses up the burst.
+            load(&mut world, per_s, 3);
+            let outcome = load(&mut world, per_s, SECONDS);
+            let covered = (outcome.sent[0] as f64).min(RATE * SECONDS as f64);
+            let (total, most) = (outcome.total(), outcome.most_in_window());
+            let (sent, served) = (outcome.sent, outcome.served);
+            let case = format!("{vms} VMs: sent {sent:?}, served {served:?}, {most} in 5 s");
+            assert!(outcome.served[0] as f64 >= 0.95 * covered, "{case}");
+            // The whole rate is used, and in no window more than the platform tolerates.
+            assert!(total as f64 >= 0.95 * RATE * SECONDS as f64, "{case}");
+            assert!(most as f64 <= (RATE * 5.0 + RATE) * 1.1 + 20.0, "{case}");
+        }
+    }
+}
+
+/// At its usual demand, a workspace must not lose operations to tokens that are kept for urgent ones.
+#[test]
+fn workspace_at_its_usual_demand_is_served_as_without_priorities() {
+    for vms in [1, 9, 24] {
+        let served = |by_priority| {
+            let mut world = fleet(vms, 40.0, by_priority);
+            spread(&mut world);
+            load(&mut world, [8.0, 8.0, 8.0], 15).served
+        };
+        let (with, without) = (served(true), served(false));
+        for priority in 0..3 {
+            assert!(with[priority] >= without[priority], "{vms} VMs: {with:?}, {without:?}");
+        }
+    }
+}
+
+/// A caller of the closed loop: it sends its next operation a second after the last one was served or refused.
+#[derive(Clone, Copy)]
+enum CallerState {
+    Idle { until: MonoTime },
+    Waiting { until: MonoTime },
+}
+
+/// Callers of three priorities ask one VM for 7 times the rate, each one operation at a time. The callers whose
+/// operations may wait longest must not hold the queue.
+#[test]
+fn closed_loop_of_callers_at_7_times_the_rate_serves_the_urgent_first() {
+    const RATE: f64 = 30.0;
+    const SECONDS: u64 = 20;
+    let workspace = world::catalog(1, RATE, 200).workspaces.swap_remove(0);
+    let vm = world::vm_name(0);
+    let mut limiter = RateLimiter::with_priorities(true);
+    let began = MonoTime(1_000_000_000);
+    limiter.set_vm_count(began, 1);
+    limiter.configure(began, std::slice::from_ref(&workspace));
+    // 24 callers of priority 0 and 93 of each other one.
+    let mut callers: Vec<(u32, CallerState)> = (0..210)
+        .map(|index| match index {
+            0..24 => 0,
+            index => 1 + index % 2,
+        })
+        .enumerate()
+        .map(|(index, priority)| {
+            let until = began + DurationUs::from_ms(index as u64 * 37 % 1_000);
+            (priority, CallerState::Idle { until })
+        })
+        .collect();
+    let (mut sent, mut served) = ([0; 3], [0; 3]);
+    for step in 0..SECONDS * 100 {
+        let now = began + DurationUs::from_ms(step * 10);
+        if step % 30 == 0 {
+            let demands = limiter.demands(now);
+            for classes in demands.iter().map(Demand::classes) {
+                let grant = limiter.grant(now, &workspace.name, &vm, &classes, &classes);
+                limiter.accept_grants(now, now, grant.as_slice());
+            }
+        }
+        let pause = now + DurationUs::from_ms(1_000);
+        for (priority, state) in &mut callers {
+            match *state {
+                CallerState::Idle { until } if until <= now => {
+                    let max_wait = DurationUs::from_ms([320, 800, 1_200][*priority as usize]);
+                    sent[*priority as usize] += 1;
+                    let queued = limiter.enqueue(now, &workspace.name, *priority, max_wait);
+                    *state = match queued {
+                        Ok(_) => CallerState::Waiting { until: now + max_wait },
+                        Err(_) => CallerState::Idle { until: pause },
+                    };
+                }
+                CallerState::Waiting { until } if until <= now => {
+                    limiter.expire(now, &workspace.name, *priority);
+                    *state = CallerState::Idle { until: pause };
+                }
+                CallerState::Idle { .. } | CallerState::Waiting { .. } => {}
+            }
+        }
+        if let Some(request) = limiter.tokens_to_borrow(now, &workspace.name) {
+            let lent = limiter.lend_by_class(now, &workspace.name, &vm, &request.by_class);
+            limiter.receive_loan(now, &workspace.name, lent, lent == request.tokens);
+        }
+        let waiting = callers.iter_mut().filter(|(_, s)| matches!(s, CallerState::Waiting { .. }));
+        let mut waiting: Vec<_> = waiting.collect();
+        waiting.sort_by_key(|(priority, _)| *priority);
+        for (priority, state) in waiting {
+            if !limiter.try_take(now, &workspace.name, *priority) {
+                break;
+            }
+            served[*priority as usize] += 1;
+            *state = CallerState::Idle { until: pause };
+        }
+    }
+    assert!(served[0] * 100 >= sent[0] * 95, "sent {sent:?}, served {served:?}");
+    let total: usize = served.iter().sum();
+    assert!(total as f64 >= 0.95 * RATE * SECONDS as f64, "served {served:?}");
+    assert!(total as f64 <= RATE * (SECONDS + 1) as f64 * 1.02, "served {served:?}");
+}
+
+/// An urgent operation displaces a less urgent one where the queue is full, and not the other way round.
+#[test]
+fn full_queue_has_room_for_a_more_urgent_operation_only() {
+    let workspace = world::catalog(1, 10.0, 200).workspaces.swap_remove(0);
+    let mut limiter = RateLimiter::with_priorities(true);
+    let (now, wait) = (MonoTime(1_000_000_000), DurationUs::from_ms(300));
+    limiter.set_vm_count(now, 9);
+    limiter.configure(now, std::slice::from_ref(&workspace));
+    for _ in 0..64 {
+        assert_eq!(limiter.enqueue(now, &workspace.name, 1, wait), Ok(Queued::InRoom));
+    }
+    assert!(limiter.enqueue(now, &workspace.name, 1, wait).is_err());
+    assert!(limiter.enqueue(now, &workspace.name, 2, wait).is_err());
+    let urgent = limiter.enqueue(now, &workspace.name, 0, wait);
+    assert_eq!(urgent, Ok(Queued::InPlaceOfLessUrgent));
+}
+
+/// During an upgrade, the home of a workspace's rate may be of an earlier build, and some VMs that ask it. No VM
+/// sends it what it can't decode, and operations go on getting tokens. The simulation checks the messages.
+#[test]
+fn homes_of_an_earlier_build_get_no_classes() {
+    let mut world = fleet(12, 40.0, true);
+    // Two of three witnesses, so that homes of both builds are asked by VMs of both builds.
+    let witnesses: Vec<usize> = world.witnesses().into_iter().collect();
+    for vm in witnesses.into_iter().filter(|vm| vm % 3 != 0) {
+        world.vms_without_classes.insert(vm);
+        world.restart(vm, catalog(1, 40.0));
+        world.run_for(3_000);
+    }
+    for _ in 0..2 {
+        let outcome = load(&mut world, [30.0, 30.0, 90.0], 4);
+        assert!(outcome.total() >= 150, "served {:?}", outcome.served);
+        // Another home.
+        let home = world.witnesses().into_iter().find(|vm| vm % 3 == 0).expect("a witness");
+        world.isolate_vm(home);
+        world.run_for(3_000);
+        world.cuts.clear();
+        world.run_for(3_000);
+    }
+}
+
+/// Messages as a build without classes encodes and decodes them; rmp-serde refuses an array that is too long.
+mod earlier {
+    use super::*;
+
+    #[derive(Debug, PartialEq, Serialize, Deserialize)]
+    pub struct Demand {
+        pub workspace: WorkspaceName,
+        pub per_s: f32,
+    }
+
+    #[derive(Debug, PartialEq, Serialize, Deserialize)]
+    pub enum PeerBody {
+        Borrow { workspace: WorkspaceName, tokens: u32 },
+    }
+}
+
+/// Encodes a message as for the wire and decodes it as another type.
+fn recode<T: DeserializeOwned>(message: &impl Serialize) -> Result<T, rmp_serde::decode::Error> {
+    let bytes = rmp_serde::to_vec(message).expect("it can be encoded");
+    rmp_serde::from_slice(&bytes)
+}
+
+/// During an upgrade, VMs of both builds exchange requests for tokens and demand.
+#[test]
+fn requests_without_classes_are_understood_by_both_builds() {
+    let workspace = WorkspaceName::new("alpha").expect("a valid name");
+    let (ours, theirs) = (
+        Demand { workspace: workspace.clone(), per_s: 3.0, by_class: Vec::new() },
+        earlier::Demand { workspace: workspace.clone(), per_s: 3.0 },
+    );
+    assert_eq!(recode::<earlier::Demand>(&ours).expect("decodable"), theirs);
+    assert_eq!(recode::<Demand>(&theirs).expect("decodable"), ours);
+    let (ours, theirs) = (
+        PeerBody::Borrow { workspace: workspace.clone(), tokens: 3, by_class: Vec::new() },
+        earlier::PeerBody::Borrow { workspace: workspace.clone(), tokens: 3 },
+    );
+    assert_eq!(recode::<earlier::PeerBody>(&ours).expect("decodable"), theirs);
+    assert_eq!(recode::<PeerBody>(&theirs).expect("decodable"), ours);
+    let with_classes = PeerBody::Borrow { workspace, tokens: 3, by_class: vec![1, 0, 2, 0] };
+    assert!(recode::<earlier::PeerBody>(&with_classes).is_err(), "so it must not be sent");
+    assert_eq!(recode::<PeerBody>(&with_classes).expect("decodable"), with_classes);
+}
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -22,7 +22,7 @@
         Access, CallerMessage, ErrorCode, PreparedStatement, Reply, Statement, TransactionState,
         UpstreamRequest,
     },
-    peers::{MemberList, PeerMessage},
+    peers::{MemberList, PeerBody, PeerMessage},
     policy::Policy,
     regions::AllowedRegions,
     witnesses::WitnessSet,
@@ -157,6 +157,8 @@
     pub messages: BTreeMap<(usize, usize), u64>,
     /// VMs of an earlier version, which accept no links.
     pub vms_without_links: BTreeSet<usize>,
+    /// VMs of an earlier version, which can't decode classes of priorities.
+    pub vms_without_classes: BTreeSet<usize>,
     /// VMs that can't reach the store.
     pub vms_without_store: BTreeSet<usize>,
     /// Number of failed calls of the store, by VMs of `vms_without_store`.
@@ -299,6 +301,7 @@
             slow_connects_ms: 0,
             messages: BTreeMap::new(),
             vms_without_links: BTreeSet::new(),
+            vms_without_classes: BTreeSet::new(),
             vms_without_store: BTreeSet::new(),
             failed_store_calls: 0,
             member_list: MemberList::default(),
@@ -324,7 +327,11 @@
             dc: dc(vm),
             regions: self.regions.clone(),
             first_start,
-            policy: self.policy,
+            policy: Policy {
+                rates_by_priority: self.policy.rates_by_priority
+                    && !self.vms_without_classes.contains(&vm),
+                ..self.policy
+            },
             decode_status: replica_group::parse_status_row,
         };
         Engine::new(id, Logger::root(Discard, o!()), self.now)
@@ -648,6 +655,11 @@
             Effect::ToPeer(address, message) => {
                 let to = (0..self.engines.len()).find(|index| vm_address(*index) == address);
                 if let Some(to) = to {
+                    let decodable = !self.vms_without_classes.contains(&to);
+                    assert!(
+                        decodable || !has_classes(&message),
+                        "vm-{to} can't decode {message:?}"
+                    );
                     *self.messages.entry((vm, to)).or_default() += 1;
                 }
                 if let Some(to) = to.filter(|to| !self.is_cut(Endpoint::Vm(vm), Endpoint::Vm(*to)))
@@ -681,6 +693,15 @@
     }
 }
 
+/// Whether an earlier version can't decode a message because of classes of priorities.
+fn has_classes(message: &PeerMessage) -> bool {
+    match &message.body {
+        PeerBody::Heartbeat(heartbeat) => heartbeat.demands.iter().any(|d| !d.by_class.is_empty()),
+        PeerBody::Borrow { by_class, .. } => !by_class.is_empty(),
+        _ => false,
+    }
+}
+
 pub fn read(item: &str) -> Statement {
     Statement::Plain { access: Access::Read, text: format!("READ {item}").into() }
 }
