Refuse at once what a cut-off VM or a long queue cannot serve

Cause: on 24 VMs without a lease, 7,771 operations in 9 s were refused as "not in contact with the other VMs" only after a wait, and in a database's queue statements wait until their time limit although what is before them takes longer.

Change, where Policy::rates_by_priority is set: a VM that has had no lease for 400 ms refuses what waits for a token or for the primary, on arrival; not before its first lease is due, and not after a pause of its process. It closes idle sessions, five a second, once the store shows that others act: a later witness set, or its own removal, which only a VM with a lease writes, with most VMs in data centres that have a witness. A statement or a peer's request whose start, by the queue before it, the slots and the measured service time, lies beyond its time limit is refused. A holder refuses as an answer of the database (Busy, Idle), since an earlier build cannot decode another Refusal; the caller's VM recognizes the text and takes no sign of life of the database from it.

Ruled out: evidence from heartbeats that the others are in contact. A VM that hears a witness with a lease has a lease itself, so there never was any: no session was closed in the test. Refusals at once for all deployments: with a long time limit, a statement that waits may still be served when the lease returns.

Metric jasminepass_refusals_total by reason and priority.

--- a/crates/gateway/src/engine/callers.rs
+++ b/crates/gateway/src/engine/callers.rs
@@ -4,12 +4,13 @@
 use model::prelude::*;
 use slog::info;
 
-use super::{Engine, Waiter};
+use super::{Engine, Waiter, refusals::no_contact_text};
 use crate::{
     catalog::Route,
     effect::{CallerKey, Effect},
     message::{Access, CallerMessage, ErrorCode, Reply, Statement, TransactionState},
     queue,
+    refusals::RefusalReason,
     session::{
         CurrentStatement, PIPELINE_MAX, QueuedStatement, SESSION_ENTRIES_MAX, Session, Stage,
         Transaction,
@@ -53,6 +54,8 @@
                 session.queued.push_back(QueuedStatement { id, statement, arrived: now });
                 self.start_queued(key);
                 self.place_waiting();
+                self.refuse_out_of_contact();
+                self.refuse_late_starts();
                 let current = self.sessions.get(key).and_then(|session| session.current.as_ref());
                 if current.is_some_and(|current| current.needs_token) {
                     self.borrow_tokens();
@@ -241,9 +244,15 @@
             }
             Err(wait) => wait,
         };
+        if self.contact.refuses(self.now) && !self.has_lease() {
+            self.counts.refusals.record(RefusalReason::NoContact, priority);
+            self.answer_error(key, id, ErrorCode::Busy, &no_contact_text());
+            return false;
+        }
         self.counts.rate_limited += 1;
+        self.counts.refusals.record(RefusalReason::Rate, priority);
         info!(self.log, "refused"; "id" => id, "code" => "TooMany", "reason" => "rate exceeded",
-            "workspace" => %workspace, "retry_ms" => wait.as_ms());
+            "workspace" => %workspace, "priority" => priority, "retry_ms" => wait.as_ms());
         let text =
             format!("workspace {workspace} exceeded its rate; retry after {} ms", wait.as_ms());
         self.answer_error(key, id, ErrorCode::TooMany, &text);
--- a/crates/gateway/src/engine/channels.rs
+++ b/crates/gateway/src/engine/channels.rs
@@ -23,6 +23,7 @@
     pool::{PendingKind, PendingReply, Purpose, User},
     queue,
     session::SessionVariables,
+    start,
 };
 
 new_key_type! {
@@ -379,6 +380,24 @@
         self.send_on_link(link, LinkMessage::Refused { channel: number, reason });
     }
 
+    /// Returns the database that a channel's request waits for, and when the request is refused.
+    pub(super) fn queued_channel(&self, key: ChannelKey) -> Option<(DatabaseName, MonoTime)> {
+        let channel = self.channels.all.get(key).filter(|channel| channel.upstream.is_none())?;
+        let current = channel.current.as_ref().filter(|current| !current.sent)?;
+        Some((channel.database.clone(), current.refuse_at))
+    }
+
+    /// Refuses a waiting request that would start too late.
+    pub(super) fn refuse_late_channel(&mut self, key: ChannelKey, wait: DurationUs) {
+        let channel = &mut self.channels.all[key];
+        channel.current = None;
+        let (link, number) = (channel.link, channel.number);
+        self.waiting.retain(|waiter| *waiter != Waiter::Channel(key));
+        self.counts.channel_refusals += 1;
+        let replies = start::refusal(wait);
+        self.send_on_link(link, LinkMessage::Replies { channel: number, replies });
+    }
+
     /// Returns requests that wait for databases of a service to their peers, because its primary has changed.
     pub(super) fn return_waiting_requests(&mut self, service: &ServiceName) {
         let waiting = self.channels.all.iter().filter(|(_, channel)| {
--- a/crates/gateway/src/engine/expiry.rs
+++ b/crates/gateway/src/engine/expiry.rs
@@ -6,6 +6,7 @@
 use crate::{
     effect::{CallerKey, UpstreamKey},
     message::ErrorCode,
+    refusals::RefusalReason,
     session::Stage,
 };
 
@@ -43,15 +44,21 @@
         }
         self.waiting.retain(|waiting| *waiting != Waiter::Session(key));
         if needs_token {
+            let has_lease = self.has_lease();
             if let Some(auth) = &self.sessions[key].authorization
                 && let Some(workspace) = &auth.workspace
             {
-                self.rates.expire(self.now, workspace, auth.route.priority);
+                match has_lease {
+                    true => self.rates.expire(self.now, workspace, auth.route.priority),
+                    false => self.rates.cancel(workspace, auth.route.priority),
+                }
             }
-            if !self.has_lease() {
+            if !has_lease {
+                self.count_refusal(key, RefusalReason::NoContact);
                 return self.fail(key, ErrorCode::Busy, "not in contact with the other VMs");
             }
             self.counts.rate_limited += 1;
+            self.count_refusal(key, RefusalReason::Rate);
             return self.fail(key, ErrorCode::TooMany, "rate exceeded: no token in time");
         }
         self.fail(key, ErrorCode::Busy, "no upstream had room in time");
--- a/crates/gateway/src/engine/holders.rs
+++ b/crates/gateway/src/engine/holders.rs
@@ -58,6 +58,12 @@
         Path::Own(CONNECTIONS_WITHOUT_HOLDER)
     }
 
+    /// Whether this VM reaches a database over its own connections.
+    pub(super) fn runs_over_own_connections(&self, database: &DatabaseName) -> bool {
+        let state = self.databases.get(database);
+        state.is_some_and(|state| matches!(self.path_to(state), Path::Own(_)))
+    }
+
     /// Returns how many connections this VM may open as a holder of the database; `None` if it is none.
     pub(super) fn own_share(&self, state: &DatabaseState) -> Option<usize> {
         let holders = self.holders_of(&state.record.name);
--- a/crates/gateway/src/engine/links.rs
+++ b/crates/gateway/src/engine/links.rs
@@ -15,6 +15,7 @@
     link::{ChannelNumber, LinkMessage, Refusal},
     message::UpstreamRequest,
     pool::{Connection, PendingKind, PendingReply, Purpose, User},
+    start,
 };
 
 /// Time after which statements no longer wait for a link that is being opened.
@@ -221,6 +222,15 @@
         }
         match (state.role, message) {
             (LinkRole::Holder, message) => self.handle_channel_message(link, message),
+            (LinkRole::User, LinkMessage::Replies { channel, replies })
+                if start::refusal_in(&replies).is_some() =>
+            {
+                if let Some(key) = self.channel_key(link, channel)
+                    && let Some(text) = start::refusal_in(&replies)
+                {
+                    self.handle_late_start(key, text);
+                }
+            }
             (LinkRole::User, LinkMessage::Replies { channel, replies }) => {
                 for reply in replies {
                     if let Some(key) = self.channel_key(link, channel) {
@@ -261,6 +271,7 @@
             (LinkRole::User, LinkMessage::Alive) => {}
         }
         self.place_waiting();
+        self.refuse_late_starts();
     }
 
     /// Handles the end of a link, or the failure to open it.
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -16,6 +16,7 @@
 mod membership;
 mod placement;
 mod primaries;
+mod refusals;
 mod registry;
 mod replies;
 mod sharing;
@@ -35,6 +36,7 @@
 
 use crate::{
     catalog::{Catalog, Database},
+    contact::Contact,
     effect::{CallerKey, Effect},
     evacuation::Evacuations,
     failover::{FailoverAttempt, StatusRow},
@@ -45,7 +47,9 @@
     policy::Policy,
     pool::Pool,
     rates::RateLimiter,
+    refusals::Refusals,
     session::Session,
+    start::ServiceTime,
     witnesses::WitnessSet,
 };
 
@@ -93,6 +97,8 @@
     /// Moving average of the time from sending a statement to its answer, in microseconds; 0 before the
     /// first.
     pub(crate) avg_response_us: f64,
+    /// How long it takes for a statement over own connections.
+    pub(crate) service_time: ServiceTime,
     /// When `avg_response_us` was last updated.
     pub(crate) response_measured_at: MonoTime,
     /// Failures since it last answered.
@@ -176,6 +182,9 @@
     is_fetching: bool,
     /// Whether this VM had a lease at the last tick.
     had_lease: bool,
+    contact: Contact,
+    /// Whether this VM refused what needs a lease at the last tick.
+    is_refusing: bool,
     /// Whether the promotions that earlier runs requested are known here. Until then, but for no longer
     /// than a lease lasts, the heartbeats of this VM give no leases.
     intents_known: bool,
@@ -210,6 +219,8 @@
     pub failed: u64,
     /// Operations refused because their workspace was past its rate.
     pub rate_limited: u64,
+    /// Refusals by reason and priority.
+    pub refusals: Refusals,
     /// Connections opened to upstreams.
     pub connections_opened: u64,
     /// Connections that databases refused because too many were open.
@@ -278,6 +289,8 @@
             last_fetch_at: MonoTime(0),
             is_fetching: false,
             had_lease: false,
+            contact: Engine::initial_contact(now),
+            is_refusing: false,
             intents_known,
             intents_requested_at: now,
             membership: Membership::default(),
@@ -467,6 +480,9 @@
         self.start_due_failovers();
         self.find_primaries();
         self.place_waiting();
+        self.follow_contact();
+        self.refuse_out_of_contact();
+        self.refuse_late_starts();
         self.close_idle_sessions();
     }
 
@@ -575,6 +591,7 @@
             avoided_until: now,
             lag_backoff: None,
             avg_response_us: 0.0,
+            service_time: ServiceTime::default(),
             response_measured_at: now,
             failures: 0,
         }
--- a/crates/gateway/src/engine/replies.rs
+++ b/crates/gateway/src/engine/replies.rs
@@ -221,6 +221,7 @@
         state: TransactionState,
         position: Option<Position>,
     ) {
+        self.record_service_time(key, &done);
         if let (Some(User::Channel(channel)), PendingKind::Begin | PendingKind::Statement) =
             (self.pool.connections[key].user, done.kind)
         {
--- a/crates/gateway/src/engine/sharing.rs
+++ b/crates/gateway/src/engine/sharing.rs
@@ -6,9 +6,8 @@
 use super::{Engine, Waiter};
 use crate::{
     admission::CLASSES,
-    message::ErrorCode,
     peers::PeerBody,
-    rates::{Demand, Queued, RateGrant},
+    rates::{Demand, RateGrant},
 };
 
 /// Idle time from which a connection is closed for a peer that needs one.
@@ -85,27 +84,6 @@
         self.send_to_vm(to, PeerBody::Lend { workspace, tokens, all: tokens >= asked });
     }
 
-    /// Refuses the least urgent operation of the workspace that waits for a token, the latest first, where a more
-    /// urgent one has taken its place.
-    pub(super) fn make_room(&mut self, queued: Queued, workspace: &WorkspaceName) {
-        if queued == Queued::InRoom {
-            return;
-        }
-        let waiting = self.waiting.iter().filter_map(|waiter| {
-            let Waiter::Session(key) = *waiter else { return None };
-            let session = self.sessions.get(key)?;
-            let current = session.current.as_ref().filter(|current| current.needs_token)?;
-            let auth = session.authorization.as_ref()?;
-            let is_same = auth.workspace.as_ref() == Some(workspace);
-            is_same.then_some((auth.route.priority, current.refuse_at, key))
-        });
-        let Some((priority, _, key)) = waiting.max() else { return };
-        self.rates.cancel(workspace, priority);
-        self.waiting.retain(|waiter| *waiter != Waiter::Session(key));
-        self.counts.rate_limited += 1;
-        self.fail(key, ErrorCode::TooMany, "rate exceeded: a more urgent operation took its place");
-    }
-
     /// The bits of [`crate::peers::Heartbeat::live_witnesses`] by which this VM announces that it and others
     /// understand classes; none where priorities don't count.
     pub(super) fn announced_classes(&self) -> u16 {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -80,6 +80,8 @@
     expects_heartbeats: bool,
     /// Whether the member list contains this VM.
     is_listed: bool,
+    /// See [`FleetView::changed_by_others_at`].
+    changed_by_others_at: Option<MonoTime>,
     /// When the set of members last changed; `None` until the list is known.
     members_changed_at: Option<MonoTime>,
     /// Version of the member list in use.
@@ -102,6 +104,7 @@
             delegated_lease_until: None,
             expects_heartbeats: false,
             is_listed: false,
+            changed_by_others_at: None,
             members_changed_at: None,
             version: 0,
             homes: FxHashMap::default(),
@@ -122,6 +125,7 @@
         self.version = list.version;
         let before: Vec<VmName> = self.members.keys().cloned().collect();
         self.members.retain(|vm, _| list.records.iter().any(|record| record.vm == *vm));
+        let was_listed = self.is_listed;
         self.is_listed = list.records.iter().any(|record| record.vm == self.me);
         for record in list.records.iter().filter(|record| record.vm != self.me) {
             match self.members.get_mut(&record.vm) {
@@ -136,6 +140,12 @@
         }
         self.stored_step = list.witnesses.as_ref().map_or(0, |set| set.step);
         let later = list.witnesses.as_ref().filter(|set| set.step > self.witnesses.step);
+        // VMs without a lease write a set only where most witnesses have left the list, or there are none.
+        let by_lease_holder =
+            later.is_some() && self.witnesses.step > 0 && !self.has_lost_witness_majority();
+        if by_lease_holder || (was_listed && !self.is_listed) {
+            self.changed_by_others_at = Some(now);
+        }
         if let Some(witnesses) = later {
             self.witnesses = witnesses.clone();
         }
@@ -380,6 +390,24 @@
             && member.live_witnesses & (1 << bit) << WITNESS_CLASSES_SHIFT != 0
     }
 
+    /// When the last change of the list arrived that only a VM with a lease makes: a later set of witnesses, or the
+    /// removal of this VM.
+    pub(crate) fn changed_by_others_at(&self) -> Option<MonoTime> {
+        self.changed_by_others_at
+    }
+
+    /// Whether most VMs are in data centres with a witness. A data centre that is cut off from most witnesses loses
+    /// its own to others.
+    pub(crate) fn are_most_vms_near_witnesses(&self) -> bool {
+        let dc_of = |vm: &VmName| match *vm == self.me {
+            true => Some(&self.dc),
+            false => self.members.get(vm).map(|member| &member.dc),
+        };
+        let served: BTreeSet<&DcName> = self.witnesses.vms.iter().filter_map(dc_of).collect();
+        let dcs = self.members.values().map(|member| &member.dc).chain([&self.dc]);
+        2 * dcs.filter(|dc| served.contains(dc)).count() > self.vm_count()
+    }
+
     /// Witnesses that are live for this VM, encoded as the lower half of [`Heartbeat::live_witnesses`].
     pub(crate) fn live_witnesses(&self, now: MonoTime) -> u16 {
         let live = self.witnesses.vms.iter().enumerate().filter(|(_, vm)| self.is_live(now, vm));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod catalog;
+pub mod contact;
 pub mod effect;
 mod engine;
 pub mod evacuation;
@@ -22,8 +23,10 @@
 mod pool;
 mod queue;
 pub mod rates;
+pub mod refusals;
 pub mod regions;
 mod session;
+pub mod start;
 pub mod witnesses;
 
 pub use effect::{CallerKey, Effect, LinkKey, PlatformRequest, UpstreamKey};
--- a/crates/gateway/tests/admission.rs
+++ b/crates/gateway/tests/admission.rs
@@ -4,14 +4,17 @@
 
 use gateway::{
     catalog::Catalog,
-    message::ErrorCode,
+    message::{ErrorCode, Statement},
     peers::PeerBody,
     policy::Policy,
     rates::{Demand, Queued, RateLimiter},
+    refusals::RefusalReason,
+    start::ServiceTime,
+    witnesses::LEASE_DURATION,
 };
 use model::prelude::*;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
-use world::{Caller, Endpoint, KEY, LATEST, World, dc, read};
+use world::{Caller, Endpoint, KEY, LATEST, World, dc, read, write};
 
 /// Hosts of routes of priority 0, 1 and 2.
 const HOSTS: [&str; 3] = ["urgent", "normal", "batch"];
@@ -325,3 +328,179 @@
     assert!(recode::<earlier::PeerBody>(&with_classes).is_err(), "so it must not be sent");
     assert_eq!(recode::<PeerBody>(&with_classes).expect("decodable"), with_classes);
 }
+
+/// Sends an operation and returns how long its answer took, in milliseconds, and its error.
+fn timed(world: &mut World, caller: Caller, statement: Statement) -> (u64, Option<ErrorCode>) {
+    let began = world.now;
+    let error = world.query(caller, "op", statement).error;
+    (world.now.since(began).as_ms(), error)
+}
+
+/// A VM is cut off from the others. What needs a lease must be refused at once, not after a wait, and what its own
+/// share of the rate and a replica can serve must still be served.
+#[test]
+fn cut_off_vm_refuses_within_50_ms_once_it_has_had_no_lease_for_400_ms() {
+    let mut world = fleet(9, 1_000.0, true);
+    let callers: Vec<Caller> = HOSTS.iter().map(|host| world.open(8, host, KEY)).collect();
+    world.isolate_vm(8);
+    world.run_for(LEASE_DURATION.as_ms() + 400 + 100);
+    for caller in &callers {
+        let (took_ms, error) = timed(&mut world, *caller, write("1"));
+        assert_eq!(error, Some(ErrorCode::Busy));
+        assert!(took_ms <= 50, "refused after {took_ms} ms");
+    }
+    let refusals = world.engines[8].counts().refusals;
+    assert_eq!(refusals.total(RefusalReason::NoContact), 3);
+    // The contact returns.
+    world.cuts.clear();
+    world.run_for(1_000);
+    for caller in callers {
+        assert!(world.query(caller, "op", write("1")).succeeded());
+    }
+}
+
+/// Without the policy, statements wait for the lease as before: it may return within their time.
+#[test]
+fn cut_off_vm_without_the_policy_lets_statements_wait() {
+    let mut world = fleet(9, 1_000.0, false);
+    let caller = world.open(8, HOSTS[0], KEY);
+    world.isolate_vm(8);
+    world.run_for(LEASE_DURATION.as_ms() + 500);
+    world.send(caller, "op", write("1"));
+    world.run_for(500);
+    assert_eq!(world.response(caller), None);
+    world.cuts.clear();
+    world.run_for(1_000);
+    assert!(world.response(caller).is_some_and(|response| response.succeeded()));
+}
+
+/// Heartbeats are lost for less than 400 ms longer than a lease lasts. Operations must wait for the lease to
+/// return, which it does in time.
+#[test]
+fn short_interruption_is_waited_for() {
+    let mut world = fleet(9, 1_000.0, true);
+    let caller = world.open(8, HOSTS[1], KEY);
+    world.isolate_vm(8);
+    world.run_for(LEASE_DURATION.as_ms() + 50);
+    world.send(caller, "op", write("1"));
+    world.run_for(100);
+    world.cuts.clear();
+    world.run_for(1_000);
+    assert!(world.response(caller).is_some_and(|response| response.succeeded()));
+}
+
+/// VMs that start have no lease yet, and neither do VMs whose process was paused for a while. Both get one within
+/// the time of a heartbeat or two and must not refuse what waits for it.
+#[test]
+fn vm_that_starts_or_was_paused_does_not_refuse() {
+    let mut world = fleet(9, 1_000.0, true);
+    (0..9).for_each(|vm| world.restart(vm, catalog(1, 1_000.0)));
+    let callers: Vec<Caller> = (0..9).map(|vm| world.open(vm, HOSTS[1], KEY)).collect();
+    callers.iter().for_each(|caller| world.send(*caller, "op", write("1")));
+    world.run_for(LEASE_DURATION.as_ms() + 1_000);
+    for caller in &callers {
+        assert!(world.response(*caller).is_some_and(|response| response.succeeded()));
+    }
+    world.freeze(8);
+    world.run_for(2_500);
+    world.thaw(8);
+    world.run_for(10);
+    let (_, error) = timed(&mut world, callers[8], write("2"));
+    assert_eq!(error, None);
+}
+
+/// A VM without a lease closes idle sessions a few at a time, so that their callers move to other VMs, but only
+/// while it knows that most VMs are in contact: otherwise the callers have nowhere to go.
+#[test]
+fn idle_sessions_of_a_cut_off_vm_are_closed_while_others_are_in_contact() {
+    // VMs that are cut off, and whether the first of them reaches the store.
+    let closed = |cut_off: usize, reaches_store: bool| {
+        let mut world = fleet(9, 1_000.0, true);
+        let cut_off: Vec<usize> = world.witnesses().into_iter().take(cut_off).collect();
+        let vm = cut_off[0];
+        for _ in 0..40 {
+            world.open(vm, HOSTS[0], KEY);
+        }
+        cut_off.iter().for_each(|vm| world.isolate_vm(*vm));
+        if !reaches_store {
+            world.vms_without_store.insert(vm);
+        }
+        world.run_for(LEASE_DURATION.as_ms() + 1_000);
+        let early = world.closed.len();
+        world.run_for(6_000);
+        let in_time = world.closed.len();
+        world.run_for(1_000);
+        (early, in_time, world.closed.len() - in_time)
+    };
+    let (early, in_time, in_a_second) = closed(1, true);
+    assert_eq!(early, 0);
+    assert!(in_time >= 5, "{in_time} closed");
+    assert!((4..=5).contains(&in_a_second), "{in_a_second} closed in a second");
+    // Unknown, because the store does not answer either.
+    assert_eq!(closed(1, false), (0, 0, 0));
+    // Nobody has a lease.
+    assert_eq!(closed(6, true), (0, 0, 0));
+}
+
+/// The estimate counts rounds of the slots, and none is made from few or old measurements.
+#[test]
+fn expected_start_needs_recent_measurements() {
+    let mut service_time = ServiceTime::default();
+    let at = |ms| MonoTime(1_000_000) + DurationUs::from_ms(ms);
+    for index in 0..9 {
+        service_time.record(at(index), DurationUs::from_ms(100));
+    }
+    assert_eq!(service_time.until_start(at(10), 8, 4), None);
+    service_time.record(at(10), DurationUs::from_ms(100));
+    assert_eq!(service_time.until_start(at(10), 8, 4), Some(DurationUs::from_ms(200)));
+    assert_eq!(service_time.until_start(at(10), 0, 4), Some(DurationUs(0)));
+    assert_eq!(service_time.until_start(at(600), 8, 4), None);
+}
+
+/// A database gets four times what it can run, over own connections and through its holder. Writes that can't
+/// start in time must be refused at once and must not have run, and the database must stay busy.
+#[test]
+fn statements_that_would_start_too_late_are_refused_at_once() {
+    for vms in [1, 8] {
+        let run = |by_priority| {
+            let mut world = World::with_policy(vms, policy(by_priority), FxHashMap::default());
+            world.configure(world::catalog(1, 1e6, 16));
+            world.run_for(4_000);
+            let holder = if vms == 1 { 0 } else { world.holder(0) };
+            // With 3 slots and 100 ms for each answer, the database runs 30 statements a second. One may wait
+            // for 700 ms.
+            world.delays_ms.insert((Endpoint::Database(0), Endpoint::Vm(holder)), 98);
+            let (mut open, mut sent) = (Vec::new(), 0);
+            let (mut served, mut early) = (0, 0);
+            for step in 0..800 {
+                // 120 a second for 6 s.
+                for _ in 0..usize::from(step < 600) * (1 + usize::from(step % 5 == 0)) {
+                    let caller = world.open(sent % vms, LATEST, KEY);
+                    world.send(caller, &format!("w{sent}"), write("1"));
+                    open.push((sent, caller, world.now));
+                    sent += 1;
+                }
+                world.run_for(10);
+                open.retain(|(number, caller, began)| {
+                    let Some(response) = world.response(*caller) else { return true };
+                    let took_ms = world.now.since(*began).as_ms();
+                    match response.error {
+                        None => served += 1,
+                        Some(ErrorCode::Busy) => {
+                            assert!(!world.group.has_write(0, &format!("w{number}")));
+                            early += usize::from(took_ms <= 50);
+                        }
+                        other => panic!("{other:?}"),
+                    }
+                    false
+                });
+            }
+            assert!(open.is_empty());
+            (sent, served, early)
+        };
+        let (_, served_before, _) = run(false);
+        let (sent, served, early) = run(true);
+        assert!(served * 100 >= served_before * 97, "{served}, {served_before} before");
+        assert!(early * 2 >= sent - served, "{early} of {} refused early", sent - served);
+    }
+}
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -81,6 +81,13 @@
         // Writing to a string can't fail.
         let _ = writeln!(text, "jasminepass_{name} {value}");
     }
+    for (reason, class, count) in counts.refusals.iter() {
+        let _ = writeln!(
+            text,
+            "jasminepass_refusals_total{{reason=\"{}\",priority=\"{class}\"}} {count}",
+            reason.name()
+        );
+    }
     for (name, histogram) in [
         ("read", &latencies.reads),
         ("write", &latencies.writes),
