Ask for no tokens that operations can no longer use

Cause: tokens that the home lent for urgent operations which were refused before the answer arrived went to less urgent ones. On 48 VMs with 60 ms between data centres, 30 urgent operations a second and a rate of 22, the urgent got 307 of the 330 tokens that the rate gives in 15 s.

--- a/crates/gateway/src/engine/sharing.rs
+++ b/crates/gateway/src/engine/sharing.rs
@@ -5,7 +5,7 @@
 
 use super::{Engine, Waiter};
 use crate::{
-    admission::CLASSES,
+    admission::{ByClass, CLASSES, class_of},
     peers::PeerBody,
     rates::{Demand, RateGrant},
 };
@@ -28,20 +28,31 @@
     /// Asks the home VMs of workspaces whose operations wait here to lend tokens.
     pub(super) fn borrow_tokens(&mut self) {
         let now = self.now;
-        let mut short: Vec<WorkspaceName> = Vec::new();
+        let by_priority = self.id.policy.rates_by_priority;
+        // Operations of each class that can still use a token when the home's answer arrives. A token for one
+        // that was refused meanwhile would go to a less urgent one.
+        let mut short: Vec<(WorkspaceName, ByClass<u32>)> = Vec::new();
         for waiter in &self.waiting {
             let Waiter::Session(key) = *waiter else { continue };
             let Some(session) = self.sessions.get(key) else { continue };
-            let waits = session.current.as_ref().is_some_and(|current| current.needs_token);
-            let workspace = session.authorization.as_ref().and_then(|auth| auth.workspace.as_ref());
-            if let Some(workspace) = workspace.filter(|_| waits)
-                && !short.contains(workspace)
-            {
-                short.push(workspace.clone());
+            let Some(current) = session.current.as_ref().filter(|c| c.needs_token) else {
+                continue;
+            };
+            let Some(auth) = &session.authorization else { continue };
+            let Some(workspace) = &auth.workspace else { continue };
+            let index = short.iter().position(|(name, _)| name == workspace);
+            let index = index.unwrap_or_else(|| {
+                let in_time = if by_priority { [0; CLASSES] } else { [u32::MAX; CLASSES] };
+                short.push((workspace.clone(), in_time));
+                short.len() - 1
+            });
+            if by_priority && now + self.rates.loan_delay(workspace) < current.refuse_at {
+                short[index].1[class_of(auth.route.priority)] += 1;
             }
         }
-        for workspace in short {
-            let Some(request) = self.rates.tokens_to_borrow(now, &workspace) else { continue };
+        for (workspace, in_time) in short {
+            let request = self.rates.tokens_to_borrow(now, &workspace, &in_time);
+            let Some(request) = request else { continue };
             let tokens = request.tokens;
             let home = self.fleet.home_of(now, &workspace);
             if home == self.id.vm {
@@ -52,8 +63,7 @@
                     self.rates.receive_loan(now, &workspace, lent, lent >= tokens);
                 }
             } else {
-                let knows =
-                    self.fleet.knows_classes(now, &home) && self.id.policy.rates_by_priority;
+                let knows = self.fleet.knows_classes(now, &home) && by_priority;
                 let by_class = if knows { request.by_class.to_vec() } else { Vec::new() };
                 self.send_to_vm(&home, PeerBody::Borrow { workspace, tokens, by_class });
             }
--- a/crates/gateway/src/rates.rs
+++ b/crates/gateway/src/rates.rs
@@ -143,6 +143,8 @@
     borrowed: (u32, MonoTime),
     /// The last request to the home.
     borrow_request: Option<BorrowRequest>,
+    /// Time from the last answered request to its answer.
+    loan_delay: DurationUs,
     /// Until when the home counts as having no tokens left.
     home_empty_until: MonoTime,
     /// Number of operations of each class that wait here for a token.
@@ -209,6 +211,7 @@
                 granted: OutstandingGrants::default(),
                 borrowed: (0, now),
                 borrow_request: None,
+                loan_delay: DurationUs(0),
                 home_empty_until: now,
                 waiting: [0; CLASSES],
                 starved_until: [now; CLASSES],
@@ -306,27 +309,35 @@
         }
     }
 
-    /// The tokens to request from the home now, if any.
+    /// How long the home took for its last answer to a request for tokens, at most [`BORROW_TIMEOUT`]; zero before
+    /// the first.
+    pub fn loan_delay(&self, workspace: &WorkspaceName) -> DurationUs {
+        self.limiters.get(workspace).map_or(DurationUs(0), |limiter| limiter.loan_delay)
+    }
+
+    /// The tokens to request from the home now, if any, at most `in_time` of each class: the waiting operations
+    /// that can still use them once the answer arrives.
     pub fn tokens_to_borrow(
         &mut self,
         now: MonoTime,
         workspace: &WorkspaceName,
+        in_time: &ByClass<u32>,
     ) -> Option<TokenRequest> {
         let limiter = self.limiters.get_mut(workspace)?;
         let is_due = limiter.borrow_request.is_none_or(|request| {
             let pause = if request.answered { BORROW_INTERVAL } else { BORROW_TIMEOUT };
             now.since(request.sent_at) >= pause
         });
-        if limiter.waiting == [0; CLASSES] || !is_due {
+        let mut tokens = 0;
+        let mut by_class = limiter.waiting;
+        for (asked, in_time) in by_class.iter_mut().zip(in_time) {
+            *asked = (*asked).min(*in_time).min(BORROW_MAX_TOKENS - tokens);
+            tokens += *asked;
+        }
+        if tokens == 0 || !is_due {
             return None;
         }
         limiter.borrow_request = Some(BorrowRequest { sent_at: now, answered: false });
-        let mut tokens = 0;
-        let by_class = limiter.waiting.map(|waiting| {
-            let asked = waiting.min(BORROW_MAX_TOKENS - tokens);
-            tokens += asked;
-            asked
-        });
         Some(TokenRequest { tokens, by_class })
     }
 
@@ -376,6 +387,8 @@
         if let Some(limiter) = self.limiters.get_mut(workspace) {
             if let Some(request) = &mut limiter.borrow_request {
                 request.answered = true;
+                // A longer delay is not kept: nothing would be requested that could show a shorter one.
+                limiter.loan_delay = now.since(request.sent_at).min(BORROW_TIMEOUT);
             }
             if !all {
                 limiter.home_empty_until = now + HOME_EMPTY_BACKOFF;
--- a/crates/gateway/tests/admission.rs
+++ b/crates/gateway/tests/admission.rs
@@ -2,6 +2,8 @@
 
 mod world;
 
+use std::ops::Range;
+
 use gateway::{
     catalog::Catalog,
     message::{ErrorCode, Statement},
@@ -70,9 +72,13 @@
     }
 }
 
-/// Sends operations for `seconds`, `per_s` of each priority, in a random order at all VMs.
-fn load(world: &mut World, per_s: [f64; 3], seconds: u64) -> Outcome {
-    let vms = world.engines.len();
+/// Time in which a load uses up the burst, in steps of 10 ms; what is sent then does not count.
+const WARM_UP_STEPS: u64 = 300;
+
+/// Sends operations for `seconds` and the time to warm up before them, `per_s` of each priority, in a random order
+/// at the VMs `at`.
+fn load(world: &mut World, at: Range<usize>, per_s: [f64; 3], seconds: u64) -> Outcome {
+    let end = WARM_UP_STEPS + seconds * 100;
     let mut random: u64 = 7;
     let mut next_below = |bound: u64| {
         random =
@@ -80,26 +86,31 @@
         (random >> 33) % bound
     };
     let mut outcome = Outcome::default();
-    let mut open: Vec<(usize, Caller)> = Vec::new();
-    for step in 0..seconds * 100 + 200 {
+    let mut open: Vec<(usize, Caller, bool)> = Vec::new();
+    for step in 0..end + 200 {
+        let counts = step >= WARM_UP_STEPS;
         for (priority, per_s) in per_s.iter().enumerate() {
             // Operations in each step of 10 ms: `per_s / 100` on average.
             for _ in 0..4 {
                 let is_due = (next_below(1_000_000) as f64) < per_s / 400.0 * 1e6;
-                if is_due && step < seconds * 100 {
-                    let caller = world.open(next_below(vms as u64) as usize, HOSTS[priority], KEY);
+                if is_due && step < end {
+                    let caller = world.open(
+                        at.start + next_below(at.len() as u64) as usize,
+                        HOSTS[priority],
+                        KEY,
+                    );
                     world.send(caller, "op", read("1"));
-                    outcome.sent[priority] += 1;
-                    open.push((priority, caller));
+                    outcome.sent[priority] += usize::from(counts);
+                    open.push((priority, caller, counts));
                 }
             }
         }
         world.run_for(10);
-        open.retain(|(priority, caller)| {
+        open.retain(|(priority, caller, counts)| {
             let Some(response) = world.response(*caller) else { return true };
             match response.error {
                 None => {
-                    outcome.served[*priority] += 1;
+                    outcome.served[*priority] += usize::from(*counts);
                     outcome.served_at.push(world.now);
                 }
                 Some(error) => assert_eq!(error, ErrorCode::TooMany),
@@ -128,14 +139,12 @@
     const RATE: f64 = 40.0;
     const SECONDS: u64 = 15;
     for per_s in [[20.0, 50.0, 98.0], [35.0, 35.0, 98.0], [56.0, 56.0, 56.0]] {
-        for (vms, distant) in [(1, false), (9, false), (24, true)] {
+        for (vms, distant) in [(1, false), (9, false), (24, true), (48, true)] {
             let mut world = fleet(vms, RATE, true);
             if distant {
                 spread(&mut world);
             }
-            // Uses up the burst.
-            load(&mut world, per_s, 3);
-            let outcome = load(&mut world, per_s, SECONDS);
+            let outcome = load(&mut world, 0..vms, per_s, SECONDS);
             let covered = (outcome.sent[0] as f64).min(RATE * SECONDS as f64);
             let (total, most) = (outcome.total(), outcome.most_in_window());
             let (sent, served) = (outcome.sent, outcome.served);
@@ -148,6 +157,30 @@
     }
 }
 
+/// The home of a hot workspace's rate is lost. From 3 s later on, when another VM is the home, the urgent operations
+/// must be served as before, and both homes together must not exceed the rate at any time.
+#[test]
+fn hot_workspace_serves_the_urgent_first_after_its_home_was_lost() {
+    const RATE: f64 = 40.0;
+    let per_s = [35.0, 35.0, 98.0];
+    let mut world = fleet(12, RATE, true);
+    // Callers of VMs that are no witnesses, one of which is the home.
+    let witnesses = world.witnesses();
+    let at = witnesses.last().expect("a witness") + 1..12;
+    let mut before = load(&mut world, at.clone(), per_s, 3);
+    let received = |vm: &usize| -> u64 {
+        world.messages.iter().filter(|((_, to), _)| to == vm).map(|(_, count)| *count).sum()
+    };
+    let home = *witnesses.iter().max_by_key(|vm| received(vm)).expect("a witness");
+    world.kill_vm(home);
+    let outcome = load(&mut world, at, per_s, 10);
+    let (sent, served) = (outcome.sent, outcome.served);
+    assert!(sent[0] > 300 && served[0] * 100 >= sent[0] * 95, "sent {sent:?}, served {served:?}");
+    before.served_at.extend(outcome.served_at);
+    let most = before.most_in_window();
+    assert!(most as f64 <= (RATE * 5.0 + RATE) * 1.1 + 20.0, "{most} in 5 s");
+}
+
 /// At its usual demand, a workspace must not lose operations to tokens that are kept for urgent ones.
 #[test]
 fn workspace_at_its_usual_demand_is_served_as_without_priorities() {
@@ -155,7 +188,7 @@
         let served = |by_priority| {
             let mut world = fleet(vms, 40.0, by_priority);
             spread(&mut world);
-            load(&mut world, [8.0, 8.0, 8.0], 15).served
+            load(&mut world, 0..vms, [8.0, 8.0, 8.0], 15).served
         };
         let (with, without) = (served(true), served(false));
         for priority in 0..3 {
@@ -224,7 +257,7 @@
                 CallerState::Idle { .. } | CallerState::Waiting { .. } => {}
             }
         }
-        if let Some(request) = limiter.tokens_to_borrow(now, &workspace.name) {
+        if let Some(request) = limiter.tokens_to_borrow(now, &workspace.name, &[u32::MAX; 4]) {
             let lent = limiter.lend_by_class(now, &workspace.name, &vm, &request.by_class);
             limiter.receive_loan(now, &workspace.name, lent, lent == request.tokens);
         }
@@ -275,7 +308,7 @@
         world.run_for(3_000);
     }
     for _ in 0..2 {
-        let outcome = load(&mut world, [30.0, 30.0, 90.0], 4);
+        let outcome = load(&mut world, 0..12, [30.0, 30.0, 90.0], 4);
         assert!(outcome.total() >= 150, "served {:?}", outcome.served);
         // Another home.
         let home = world.witnesses().into_iter().find(|vm| vm % 3 == 0).expect("a witness");
