Don't count short waits as a rate that is used up

Cause, found by review: an operation that may wait for less than the way to the home takes (a target latency of 100 ms allows 40 ms) got no token in time also below the rate, which marked its class as getting none and had less urgent ones refused; and no tokens were requested for it, though what is lent for one serves the next.

Change: a class counts as getting none only if the home had too few tokens lately; new operations are always in a request; a time to retry is 5 s at most; only a less urgent operation is displaced.

--- a/crates/gateway/src/engine/callers.rs
+++ b/crates/gateway/src/engine/callers.rs
@@ -239,7 +239,7 @@
         let priority = auth.route.priority;
         let wait = match self.rates.enqueue(self.now, workspace, priority, max_wait) {
             Ok(queued) => {
-                self.make_room(queued, workspace);
+                self.make_room(queued, workspace, priority);
                 return true;
             }
             Err(wait) => wait,
--- a/crates/gateway/src/engine/refusals.rs
+++ b/crates/gateway/src/engine/refusals.rs
@@ -5,6 +5,7 @@
 
 use super::{Engine, STARTUP_PERIOD, STOP_IDLE_GRACE, Waiter, placement::Requirement};
 use crate::{
+    admission::class_of,
     contact::Contact,
     effect::{CallerKey, UpstreamKey},
     message::{ErrorCode, Reply},
@@ -35,9 +36,9 @@
         self.counts.refusals.record(reason, priority);
     }
 
-    /// Refuses the least urgent operation of the workspace that waits for a token, the latest first, where a more
-    /// urgent one has taken its place.
-    pub(super) fn make_room(&mut self, queued: Queued, workspace: &WorkspaceName) {
+    /// Refuses the least urgent operation of the workspace that waits for a token, the latest first, where one of
+    /// priority `urgency` has taken its place.
+    pub(super) fn make_room(&mut self, queued: Queued, workspace: &WorkspaceName, urgency: u32) {
         if queued == Queued::InRoom {
             return;
         }
@@ -46,8 +47,10 @@
             let session = self.sessions.get(key)?;
             let current = session.current.as_ref().filter(|current| current.needs_token)?;
             let auth = session.authorization.as_ref()?;
+            // While waiting statements are being placed, not all of them are in the list.
+            let is_less_urgent = class_of(auth.route.priority) > class_of(urgency);
             let is_same = auth.workspace.as_ref() == Some(workspace);
-            is_same.then_some((auth.route.priority, current.refuse_at, key))
+            (is_same && is_less_urgent).then_some((auth.route.priority, current.refuse_at, key))
         });
         let Some((priority, _, key)) = waiting.max() else { return };
         self.rates.cancel(workspace, priority);
--- a/crates/gateway/src/engine/sharing.rs
+++ b/crates/gateway/src/engine/sharing.rs
@@ -46,7 +46,8 @@
                 short.push((workspace.clone(), in_time));
                 short.len() - 1
             });
-            if by_priority && now + self.rates.loan_delay(workspace) < current.refuse_at {
+            let (arrived, refuse_at) = (current.arrived, current.refuse_at);
+            if by_priority && self.rates.may_borrow(now, workspace, arrived, refuse_at) {
                 short[index].1[class_of(auth.route.priority)] += 1;
             }
         }
--- a/crates/gateway/src/rates.rs
+++ b/crates/gateway/src/rates.rs
@@ -56,6 +56,9 @@
 /// Operations of a workspace that wait at one VM, beyond which a more urgent one takes the place of a less urgent
 /// one: as many as one request asks tokens for.
 const QUEUE_MAX: u32 = BORROW_MAX_TOKENS;
+/// Longest time after which a refused operation is told to come again: the window in which rates are measured. What
+/// more urgent operations leave may be close to nothing.
+const RETRY_AFTER_MAX: DurationUs = DurationUs::from_ms(5_000);
 /// How long after an operation got no token in time further ones of its class and of less urgent ones count as
 /// hopeless; longer than the most urgent ones wait (320 ms), so that the mark lasts while they get none.
 const STARVED_PERIOD: DurationUs = DurationUs::from_ms(500);
@@ -300,19 +303,30 @@
         }
     }
 
-    /// Removes an operation that has waited for a token for too long.
+    /// Removes an operation that has waited for a token for too long. Its class counts as getting none if the home
+    /// had too few; otherwise the operation may only have had too little time to ask.
     pub fn expire(&mut self, now: MonoTime, workspace: &WorkspaceName, priority: u32) {
         self.cancel(workspace, priority);
         let class = self.class_of(priority);
-        if let Some(limiter) = self.limiters.get_mut(workspace) {
+        if let Some(limiter) = self.limiters.get_mut(workspace)
+            && limiter.home_empty_until > now
+        {
             limiter.starved_until[class] = now + STARVED_PERIOD;
         }
     }
 
-    /// How long the home took for its last answer to a request for tokens, at most [`BORROW_TIMEOUT`]; zero before
-    /// the first.
-    pub fn loan_delay(&self, workspace: &WorkspaceName) -> DurationUs {
-        self.limiters.get(workspace).map_or(DurationUs(0), |limiter| limiter.loan_delay)
+    /// Whether tokens are to be requested for an operation that waits until `refuse_at`: it can still use one when
+    /// the answer arrives, or it may not have been in a request yet. The latter counts for operations that may
+    /// wait for less than the way to the home takes: what is lent for one serves the next.
+    pub fn may_borrow(
+        &self,
+        now: MonoTime,
+        workspace: &WorkspaceName,
+        arrived: MonoTime,
+        refuse_at: MonoTime,
+    ) -> bool {
+        let delay = self.limiters.get(workspace).map_or(DurationUs(0), |l| l.loan_delay);
+        now + delay < refuse_at || now < arrived + delay + BORROW_INTERVAL
     }
 
     /// The tokens to request from the home now, if any, at most `in_time` of each class: the waiting operations
@@ -517,13 +531,13 @@
     ) -> Result<(), DurationUs> {
         if let Some(until) = self.starved_until[..class].iter().copied().find(|u| *u > now) {
             // What more urgent operations want exceeds the rate.
-            return Err(until.since(now).max(wait));
+            return Err(until.since(now));
         }
         // One operation may always wait: only its request tells the home of the demand.
         let is_first = self.waiting[..=class].iter().all(|count| *count == 0);
         let is_starved = self.starved_until[class] > now;
         if (is_full || (is_starved && !is_first)) && wait > max_wait {
-            return Err(wait);
+            return Err(wait.min(RETRY_AFTER_MAX));
         }
         Ok(())
     }
