--- a/crates/gateway/src/engine/callers.rs
+++ b/crates/gateway/src/engine/callers.rs
@@ -4,12 +4,13 @@
 use model::prelude::*;
 use slog::info;
 
-use super::{Engine, Waiter};
+use super::{Engine, Waiter, refusals::no_contact_text};
 use crate::{
     catalog::Route,
     effect::{CallerKey, Effect},
     message::{Access, CallerMessage, ErrorCode, Reply, Statement, TransactionState},
     queue,
+    refusals::RefusalReason,
     regions::AllowedRegions,
     session::{
         CurrentStatement, PIPELINE_MAX, QueuedStatement, SESSION_ENTRIES_MAX, Session, Stage,
@@ -56,6 +57,8 @@
                 session.queued.push_back(QueuedStatement { id, statement, arrived: now });
                 self.start_queued(key);
                 self.place_waiting();
+                self.refuse_out_of_contact();
+                self.refuse_late_starts();
                 let current = self.sessions.get(key).and_then(|session| session.current.as_ref());
                 if current.is_some_and(|current| current.needs_token) {
                     self.borrow_tokens();
@@ -244,10 +247,23 @@
     fn admit(&mut self, key: CallerKey, id: &str, auth: &Authorization) -> bool {
         let Some(workspace) = &auth.workspace else { return true };
         let max_wait = self.max_rate_wait(&auth.route);
-        let Err(wait) = self.rates.enqueue(self.now, workspace, max_wait) else { return true };
+        let priority = auth.route.priority;
+        let wait = match self.rates.enqueue(self.now, workspace, priority, max_wait) {
+            Ok(queued) => {
+                self.make_room(queued, workspace, priority);
+                return true;
+            }
+            Err(wait) => wait,
+        };
+        if self.contact.refuses(self.now) && !self.has_lease() {
+            self.counts.refusals.record(RefusalReason::NoContact, priority);
+            self.answer_error(key, id, ErrorCode::Busy, &no_contact_text());
+            return false;
+        }
         self.counts.rate_limited += 1;
+        self.counts.refusals.record(RefusalReason::Rate, priority);
         info!(self.log, "refused"; "id" => id, "code" => "TooMany", "reason" => "rate exceeded",
-            "workspace" => %workspace, "retry_ms" => wait.as_ms());
+            "workspace" => %workspace, "priority" => priority, "retry_ms" => wait.as_ms());
         let text =
             format!("workspace {workspace} exceeded its rate; retry after {} ms", wait.as_ms());
         self.answer_error(key, id, ErrorCode::TooMany, &text);
@@ -375,9 +391,10 @@
         let Some(session) = self.sessions.get_mut(key) else { return };
         let current = session.current.take();
         let awaits_token = current.as_ref().is_some_and(|current| current.needs_token);
-        let workspace = session.authorization.as_ref().and_then(|auth| auth.workspace.clone());
-        if let Some(workspace) = workspace.filter(|_| awaits_token) {
-            self.rates.cancel(&workspace);
+        if let Some(auth) = session.authorization.as_ref().filter(|_| awaits_token)
+            && let Some(workspace) = &auth.workspace
+        {
+            self.rates.cancel(workspace, auth.route.priority);
         }
         let transaction = std::mem::replace(&mut session.transaction, Transaction::None);
         let in_progress = current.as_ref().and_then(|current| current.stage.upstream());
--- a/crates/gateway/src/engine/evacuations.rs
+++ b/crates/gateway/src/engine/evacuations.rs
@@ -157,9 +157,7 @@
         if members.any(may_run) {
             return false;
         }
-        if let Some(workspace) = auth.workspace.clone().filter(|_| current.needs_token) {
-            self.rates.cancel(&workspace);
-        }
+        self.cancel_token(key);
         self.counts.evacuation_refusals += 1;
         let text = format!(
             "all databases of the service are in data centres that are being evacuated; retry after {} ms",
--- a/crates/gateway/src/engine/homes.rs
+++ b/crates/gateway/src/engine/homes.rs
@@ -62,11 +62,7 @@
         if auth.regions == AllowedRegions::All || self.can_serve_within_regions(session, auth) {
             return false;
         }
-        let awaits_token = session.current.as_ref().is_some_and(|current| current.needs_token);
-        let workspace = auth.workspace.clone().filter(|_| awaits_token);
-        if let Some(workspace) = workspace {
-            self.rates.cancel(&workspace);
-        }
+        self.cancel_token(key);
         self.counts.region_refusals += 1;
         let reason =
             format!("no database of an allowed region can serve it; retry after {RETRY_MS} ms");
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -19,6 +19,7 @@
 mod membership;
 mod placement;
 mod primaries;
+mod refusals;
 mod registry;
 mod replies;
 mod sharing;
@@ -41,6 +42,7 @@
 
 use crate::{
     catalog::{Catalog, Database},
+    contact::Contact,
     effect::{CallerKey, Effect},
     evacuation::Evacuations,
     failover::{FailoverAttempt, StatusRow},
@@ -51,7 +53,9 @@
     policy::Policy,
     pool::Pool,
     rates::RateLimiter,
+    refusals::Refusals,
     session::Session,
+    start::ServiceTime,
     witnesses::WitnessSet,
 };
 
@@ -99,6 +103,8 @@
     /// Moving average of the time from sending a statement to its answer, in microseconds; 0 before the
     /// first.
     pub(crate) avg_response_us: f64,
+    /// How long it takes for a statement over own connections.
+    pub(crate) service_time: ServiceTime,
     /// When `avg_response_us` was last updated.
     pub(crate) response_measured_at: MonoTime,
     /// Failures since it last answered.
@@ -184,6 +190,9 @@
     is_fetching: bool,
     /// Whether this VM had a lease at the last tick.
     had_lease: bool,
+    contact: Contact,
+    /// Whether this VM refused what needs a lease at the last tick.
+    is_refusing: bool,
     /// Whether the promotions that earlier runs requested are known here. Until then, but for no longer
     /// than a lease lasts, the heartbeats of this VM give no leases.
     intents_known: bool,
@@ -224,6 +233,8 @@
     pub cold_held_back: u64,
     /// Operations refused because their workspace was past its rate.
     pub rate_limited: u64,
+    /// Refusals by reason and priority.
+    pub refusals: Refusals,
     /// Connections opened to upstreams.
     pub connections_opened: u64,
     /// Connections that databases refused because too many were open.
@@ -267,6 +278,7 @@
     /// Creates an engine without a configuration; callers wait until [`Engine::set_catalog`].
     pub fn new(id: Identity, log: Logger, now: MonoTime) -> Engine {
         let intents_known = id.first_start;
+        let rates = RateLimiter::with_priorities(id.policy.rates_by_priority);
         let fleet = FleetView::new(id.vm.clone(), id.incarnation, id.dc.clone());
         let evacuations = Evacuations::new(id.policy.evacuation_bound, now);
         Engine {
@@ -289,7 +301,7 @@
             links: Links::default(),
             channels: Channels::default(),
             fleet,
-            rates: RateLimiter::default(),
+            rates,
             failovers: Vec::new(),
             next_failover_id: 1,
             next_heartbeat_at: now,
@@ -297,6 +309,8 @@
             last_fetch_at: MonoTime(0),
             is_fetching: false,
             had_lease: false,
+            contact: Engine::initial_contact(now),
+            is_refusing: false,
             intents_known,
             intents_requested_at: now,
             membership: Membership::default(),
@@ -490,6 +504,9 @@
         self.start_due_failovers();
         self.find_primaries();
         self.place_waiting();
+        self.follow_contact();
+        self.refuse_out_of_contact();
+        self.refuse_late_starts();
         self.close_idle_sessions();
     }
 
@@ -598,6 +615,7 @@
             avoided_until: now,
             lag_backoff: None,
             avg_response_us: 0.0,
+            service_time: ServiceTime::default(),
             response_measured_at: now,
             failures: 0,
         }
--- a/crates/gateway/src/engine/sharing.rs
+++ b/crates/gateway/src/engine/sharing.rs
@@ -5,6 +5,7 @@
 
 use super::{Engine, Waiter};
 use crate::{
+    admission::{ByClass, CLASSES, class_of},
     peers::PeerBody,
     rates::{Demand, RateGrant},
 };
@@ -27,41 +28,94 @@
     /// Asks the home VMs of workspaces whose operations wait here to lend tokens.
     pub(super) fn borrow_tokens(&mut self) {
         let now = self.now;
-        let mut short: Vec<WorkspaceName> = Vec::new();
+        let by_priority = self.id.policy.rates_by_priority;
+        // Operations of each class that can still use a token when the home's answer arrives. A token for one
+        // that was refused meanwhile would go to a less urgent one.
+        let mut short: Vec<(WorkspaceName, ByClass<u32>)> = Vec::new();
         for waiter in &self.waiting {
             let Waiter::Session(key) = *waiter else { continue };
             let Some(session) = self.sessions.get(key) else { continue };
-            let waits = session.current.as_ref().is_some_and(|current| current.needs_token);
-            let workspace = session.authorization.as_ref().and_then(|auth| auth.workspace.as_ref());
-            if let Some(workspace) = workspace.filter(|_| waits)
-                && !short.contains(workspace)
-            {
-                short.push(workspace.clone());
+            let Some(current) = session.current.as_ref().filter(|c| c.needs_token) else {
+                continue;
+            };
+            let Some(auth) = &session.authorization else { continue };
+            let Some(workspace) = &auth.workspace else { continue };
+            let index = short.iter().position(|(name, _)| name == workspace);
+            let index = index.unwrap_or_else(|| {
+                let in_time = if by_priority { [0; CLASSES] } else { [u32::MAX; CLASSES] };
+                short.push((workspace.clone(), in_time));
+                short.len() - 1
+            });
+            let (arrived, refuse_at) = (current.arrived, current.refuse_at);
+            if by_priority && self.rates.may_borrow(now, workspace, arrived, refuse_at) {
+                short[index].1[class_of(auth.route.priority)] += 1;
             }
         }
-        for workspace in short {
-            let Some(tokens) = self.rates.tokens_to_borrow(now, &workspace) else { continue };
+        for (workspace, in_time) in short {
+            let request = self.rates.tokens_to_borrow(now, &workspace, &in_time);
+            let Some(request) = request else { continue };
+            let tokens = request.tokens;
             let home = self.fleet.home_of(now, &workspace);
             if home == self.id.vm {
                 // Without a lease, another VM may be the home.
                 if self.has_lease() {
-                    let lent = self.rates.lend(now, &workspace, tokens);
+                    let by_class = &request.by_class;
+                    let lent = self.rates.lend_by_class(now, &workspace, &home, by_class);
                     self.rates.receive_loan(now, &workspace, lent, lent >= tokens);
                 }
             } else {
-                self.send_to_vm(&home, PeerBody::Borrow { workspace, tokens });
+                let knows = self.fleet.knows_classes(now, &home) && by_priority;
+                let by_class = if knows { request.by_class.to_vec() } else { Vec::new() };
+                self.send_to_vm(&home, PeerBody::Borrow { workspace, tokens, by_class });
             }
         }
     }
 
-    pub(super) fn lend_tokens(&mut self, to: &VmName, workspace: WorkspaceName, asked: u32) {
+    /// Lends tokens to a VM that asked for them, each class in `by_class`. A request without classes counts as
+    /// one of the most urgent class: it comes from an earlier version, and some of its operations may be.
+    pub(super) fn lend_tokens(
+        &mut self,
+        to: &VmName,
+        workspace: WorkspaceName,
+        asked: u32,
+        by_class: &[u32],
+    ) {
         if !self.has_lease() {
             return;
         }
-        let tokens = self.rates.lend(self.now, &workspace, asked);
+        let mut classes = [0_u32; CLASSES];
+        for (index, count) in by_class.iter().enumerate() {
+            let class = &mut classes[index.min(CLASSES - 1)];
+            *class = class.saturating_add(*count);
+        }
+        if by_class.is_empty() {
+            classes[0] = asked;
+        }
+        let tokens = self.rates.lend_by_class(self.now, &workspace, to, &classes);
         self.send_to_vm(to, PeerBody::Lend { workspace, tokens, all: tokens >= asked });
     }
 
+    /// The bits of [`crate::peers::Heartbeat::live_witnesses`] by which this VM announces that it and others
+    /// understand classes; none where priorities don't count.
+    pub(super) fn announced_classes(&self) -> u16 {
+        match self.id.policy.rates_by_priority {
+            true => self.fleet.witnesses_with_classes(),
+            false => 0,
+        }
+    }
+
+    /// The demand to report to a peer: that of workspaces whose home it is, by class if it understands them.
+    pub(super) fn demands_for(&mut self, to: &VmName, demands: &[Demand]) -> Vec<Demand> {
+        let now = self.now;
+        let knows_classes = self.fleet.knows_classes(now, to);
+        let demands = demands.iter().filter(|d| self.fleet.home_of(now, &d.workspace) == *to);
+        let mut demands: Vec<Demand> = demands.cloned().collect();
+        if !knows_classes {
+            demands.iter_mut().for_each(|demand| demand.by_class.clear());
+        }
+        demands
+    }
+
     pub(super) fn grant_to_self(&mut self, demands: &[Demand]) {
         let me = self.id.vm.clone();
         let grants = self.grant_rates(&me, demands);
@@ -81,14 +135,18 @@
         }
         let now = self.now;
         let mut grants = Vec::new();
-        for Demand { workspace, per_s } in demands {
+        for demand in demands {
+            let workspace = &demand.workspace;
             if self.fleet.home_of(now, workspace) != self.id.vm {
                 continue;
             }
             let others = self.fleet.members().filter(|(vm, _)| self.fleet.is_live(now, vm));
-            let others: f64 = others.map(|(_, member)| member.demand_for(workspace)).sum();
-            let all = self.rates.demand_for(now, workspace) + others;
-            grants.extend(self.rates.grant(now, workspace, vm, f64::from(*per_s), all));
+            let mut all = self.rates.demand_for(now, workspace);
+            for (_, member) in others {
+                let more = member.demand_for(workspace);
+                (0..CLASSES).for_each(|class| all[class] += more[class]);
+            }
+            grants.extend(self.rates.grant(now, workspace, vm, &demand.classes(), &all));
         }
         grants
     }
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -11,6 +11,7 @@
 use model::{prelude::*, request::stable_hash};
 
 use crate::{
+    admission::{ByClass, CLASSES},
     peers::{
         Echo, Heartbeat, HeartbeatTiming, LIVENESS_TIMEOUT, LOCAL_WITNESS_TIMEOUT, MemberList,
         MemberRecord, ServiceReport, Timestamps,
@@ -19,6 +20,9 @@
     witnesses::{Health, LEASE_DURATION, WitnessSet},
 };
 
+/// Position of the upper half of [`Heartbeat::live_witnesses`]; there are at most seven witnesses.
+const WITNESS_CLASSES_SHIFT: u32 = 8;
+
 /// A VM of the member list other than this one, with its state according to its heartbeats.
 #[derive(Clone, Debug)]
 pub(crate) struct Member {
@@ -76,6 +80,8 @@
     expects_heartbeats: bool,
     /// Whether the member list contains this VM.
     is_listed: bool,
+    /// See [`FleetView::changed_by_others_at`].
+    changed_by_others_at: Option<MonoTime>,
     /// When the set of members last changed; `None` until the list is known.
     members_changed_at: Option<MonoTime>,
     /// Version of the member list in use.
@@ -98,6 +104,7 @@
             delegated_lease_until: None,
             expects_heartbeats: false,
             is_listed: false,
+            changed_by_others_at: None,
             members_changed_at: None,
             version: 0,
             homes: FxHashMap::default(),
@@ -118,6 +125,7 @@
         self.version = list.version;
         let before: Vec<VmName> = self.members.keys().cloned().collect();
         self.members.retain(|vm, _| list.records.iter().any(|record| record.vm == *vm));
+        let was_listed = self.is_listed;
         self.is_listed = list.records.iter().any(|record| record.vm == self.me);
         for record in list.records.iter().filter(|record| record.vm != self.me) {
             match self.members.get_mut(&record.vm) {
@@ -132,6 +140,12 @@
         }
         self.stored_step = list.witnesses.as_ref().map_or(0, |set| set.step);
         let later = list.witnesses.as_ref().filter(|set| set.step > self.witnesses.step);
+        // VMs without a lease write a set only where most witnesses have left the list, or there are none.
+        let by_lease_holder =
+            later.is_some() && self.witnesses.step > 0 && !self.has_lost_witness_majority();
+        if by_lease_holder || (was_listed && !self.is_listed) {
+            self.changed_by_others_at = Some(now);
+        }
         if let Some(witnesses) = later {
             self.witnesses = witnesses.clone();
         }
@@ -349,7 +363,54 @@
         })
     }
 
-    /// Witnesses that are live for this VM, encoded as [`Heartbeat::live_witnesses`].
+    /// Witnesses that are known here to understand the classes of [`crate::admission`], each from its own
+    /// heartbeats, encoded as the upper half of [`Heartbeat::live_witnesses`].
+    pub(crate) fn witnesses_with_classes(&self) -> u16 {
+        let knows = |(bit, vm): (usize, &VmName)| {
+            let own_word = |member: &Member| self.reports_classes(member, bit);
+            (*vm == self.me || self.members.get(vm).is_some_and(own_word)).then_some(1 << bit)
+        };
+        self.witnesses.vms.iter().enumerate().filter_map(knows).fold(0, |bits, bit: u16| bits | bit)
+            << WITNESS_CLASSES_SHIFT
+    }
+
+    /// Whether the witness `vm` understands the classes of [`crate::admission`], as its own heartbeats say or
+    /// those of a witness in contact.
+    pub(crate) fn knows_classes(&self, now: MonoTime, vm: &VmName) -> bool {
+        let Some(bit) = self.witnesses.vms.iter().position(|witness| witness == vm) else {
+            return false;
+        };
+        let mut reporters = self.other_witnesses();
+        reporters.any(|(from, member)| {
+            self.reports_classes(member, bit) && self.is_in_contact(now, from)
+        })
+    }
+
+    /// Whether a member reports of the witness at position `bit` of the set that it understands classes.
+    fn reports_classes(&self, member: &Member, bit: usize) -> bool {
+        member.witness_step == self.witnesses.step
+            && member.live_witnesses & (1 << bit) << WITNESS_CLASSES_SHIFT != 0
+    }
+
+    /// When the last change of the list arrived that only a VM with a lease makes: a later set of witnesses, or the
+    /// removal of this VM.
+    pub(crate) fn changed_by_others_at(&self) -> Option<MonoTime> {
+        self.changed_by_others_at
+    }
+
+    /// Whether most VMs are in data centres with a witness. A data centre that is cut off from most witnesses loses
+    /// its own to others.
+    pub(crate) fn are_most_vms_near_witnesses(&self) -> bool {
+        let dc_of = |vm: &VmName| match *vm == self.me {
+            true => Some(&self.dc),
+            false => self.members.get(vm).map(|member| &member.dc),
+        };
+        let served: BTreeSet<&DcName> = self.witnesses.vms.iter().filter_map(dc_of).collect();
+        let dcs = self.members.values().map(|member| &member.dc).chain([&self.dc]);
+        2 * dcs.filter(|dc| served.contains(dc)).count() > self.vm_count()
+    }
+
+    /// Witnesses that are live for this VM, encoded as the lower half of [`Heartbeat::live_witnesses`].
     pub(crate) fn live_witnesses(&self, now: MonoTime) -> u16 {
         let live = self.witnesses.vms.iter().enumerate().filter(|(_, vm)| self.is_live(now, vm));
         live.fold(0, |bits, (bit, _)| bits | 1 << bit)
@@ -453,9 +514,9 @@
     }
 
     /// The member's demand for a workspace, in operations per second.
-    pub(crate) fn demand_for(&self, workspace: &WorkspaceName) -> f64 {
+    pub(crate) fn demand_for(&self, workspace: &WorkspaceName) -> ByClass<f64> {
         let demand = self.demands.iter().find(|demand| demand.workspace == *workspace);
-        demand.map_or(0.0, |demand| f64::from(demand.per_s))
+        demand.map_or([0.0; CLASSES], Demand::classes)
     }
 
     fn health(&self, now: MonoTime) -> Health {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,7 +5,9 @@
 //! current time, and queues [`Effect`]s for the process to carry out. Times are of a monotonic
 //! clock that keeps running while the machine is suspended.
 
+pub mod admission;
 pub mod catalog;
+pub mod contact;
 pub mod effect;
 mod engine;
 pub mod evacuation;
@@ -21,8 +23,10 @@
 mod pool;
 mod queue;
 pub mod rates;
+pub mod refusals;
 pub mod regions;
 mod session;
+pub mod start;
 pub mod warmup;
 pub mod witnesses;
 
