Decide which share of reads leaves the nearest databases

Cause: reads go to the database with the least estimated time. VMs with the same estimates all move at once, and the estimate does not know how much the other databases can take.

Change: gateway::spill, a pure decision with a state for each service. It is not used yet.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod rates;
 pub mod regions;
 mod session;
+pub mod spill;
 pub mod witnesses;
 
 pub use effect::{CallerKey, Effect, LinkKey, PlatformRequest, UpstreamKey};
--- /dev/null
+++ b/crates/gateway/tests/spill.rs
@@ -0,0 +1,323 @@
+//! The share of reads that leaves the nearest databases: the decision in closed loops with queues as plain numbers.
+
+use gateway::spill::{
+    DatabaseLoad, Decision, GROW_EXCESS, Level, STEP_INTERVAL, STEP_MAX, ServiceLoad, Side, Spill,
+    mix, pick,
+};
+use model::prelude::*;
+
+/// Time of one step of the simulation, in microseconds.
+const STEP_US: u64 = 5_000;
+/// Age of what VMs know of a database in their data centre, and of one elsewhere, in steps.
+const REPORT_AGE: [usize; 2] = [10, 17];
+/// Round trip to a database in the same data centre and elsewhere, in microseconds.
+const ROUND_TRIP_US: [f64; 2] = [500.0, 35_000.0];
+
+/// A database: requests that it has not answered, and what it reported at each step.
+struct Database {
+    slots: u32,
+    service_us: f64,
+    unanswered: f64,
+    reports: Vec<(u32, u32)>,
+}
+
+/// Databases, one in each data centre, and VMs that read from them.
+struct Loop {
+    databases: Vec<Database>,
+    /// The data centre of each VM, its reads in a second and its decision.
+    vms: Vec<(usize, f64, Spill)>,
+    /// Whether VMs decide; otherwise all reads stay near.
+    spills: bool,
+    /// Times of reads in ms: each step's sum and number.
+    times: Vec<(f64, u64)>,
+    now: MonoTime,
+    draws: u64,
+}
+
+impl Loop {
+    /// `vms` VMs for each data centre, with the sum of their reads in a second.
+    fn new(databases: &[(u32, f64)], vms: usize, reads_per_s: &[f64]) -> Loop {
+        let new = |(slots, service_us): &(u32, f64)| Database {
+            slots: *slots,
+            service_us: *service_us,
+            unanswered: 0.0,
+            reports: vec![(*slots, 0)],
+        };
+        let of =
+            |dc: usize| (0..vms).map(move |_| (dc, reads_per_s[dc] / vms as f64, Spill::default()));
+        Loop {
+            databases: databases.iter().map(new).collect(),
+            vms: (0..databases.len()).flat_map(of).collect(),
+            spills: true,
+            times: Vec::new(),
+            now: MonoTime(1_000_000),
+            draws: 0,
+        }
+    }
+
+    fn known(&self, dc: usize, database: usize) -> DatabaseLoad {
+        let is_far = usize::from(dc != database);
+        let state = &self.databases[database];
+        let (free, queued) = state.reports[state.reports.len().saturating_sub(REPORT_AGE[is_far])];
+        let (slots, service_us) = (state.slots, state.service_us);
+        let round_trip_us = ROUND_TRIP_US[is_far];
+        DatabaseLoad { slots, free, queued, service_us, round_trip_us, is_primary: false }
+    }
+
+    fn draw(&mut self) -> u64 {
+        self.draws += 1;
+        mix(self.draws)
+    }
+
+    /// Runs one step. Returns the decision of each VM.
+    fn step(&mut self) -> Vec<Decision> {
+        self.now = self.now + DurationUs(STEP_US);
+        let mut time = (0.0, 0);
+        let mut decisions = Vec::new();
+        for vm in 0..self.vms.len() {
+            let (dc, reads_per_s, _) = self.vms[vm];
+            let known: Vec<DatabaseLoad> =
+                (0..self.databases.len()).map(|database| self.known(dc, database)).collect();
+            let mut load = ServiceLoad { reads_per_s, ..ServiceLoad::default() };
+            for (database, known) in known.iter().enumerate() {
+                load.levels[if database == dc { 0 } else { 2 }].add(Some(*known));
+            }
+            let decision = self.vms[vm].2.decide(&load, self.now);
+            decisions.push(decision);
+            // The number of reads in a step is random with the right mean.
+            let mean = reads_per_s * STEP_US as f64 / 1e6;
+            let random = (self.draw() >> 11) as f64 / (1u64 << 53) as f64;
+            for _ in 0..(mean.floor() as u64 + u64::from(random < mean.fract())) {
+                let seed = self.draw();
+                let side = match decision {
+                    Decision::Split(split) if self.spills => split.side(seed),
+                    _ => Side::Near,
+                };
+                let weights = known.iter().enumerate().map(|(database, known)| {
+                    let usable = database != dc && known.spare() > 0.0;
+                    if usable { known.weight() } else { 0.0 }
+                });
+                let far = pick(&weights.collect::<Vec<_>>(), mix(seed));
+                let to = far.filter(|_| side == Side::Far).unwrap_or(dc);
+                let state = &mut self.databases[to];
+                let wait = (state.unanswered - f64::from(state.slots)).max(0.0);
+                let run = 1.0 + wait / f64::from(state.slots);
+                time.0 += (ROUND_TRIP_US[usize::from(to != dc)] + state.service_us * run) / 1e3;
+                time.1 += 1;
+                state.unanswered += 1.0;
+            }
+        }
+        for state in &mut self.databases {
+            let running = state.unanswered.min(f64::from(state.slots));
+            state.unanswered -= running * STEP_US as f64 / state.service_us;
+            let running = state.unanswered.min(f64::from(state.slots));
+            let queued = state.unanswered - running;
+            state.reports.push((state.slots - running.ceil() as u32, queued.round() as u32));
+        }
+        self.times.push(time);
+        decisions
+    }
+
+    fn run_s(&mut self, seconds: u64) {
+        for _ in 0..seconds * 1_000_000 / STEP_US {
+            self.step();
+        }
+    }
+
+    /// Mean time of the reads of the last seconds, in ms.
+    fn mean_ms(&self, seconds: u64) -> f64 {
+        let steps = (seconds * 1_000_000 / STEP_US) as usize;
+        let last = &self.times[self.times.len() - steps..];
+        let (sum, count) = last.iter().fold((0.0, 0), |a, b| (a.0 + b.0, a.1 + b.1));
+        sum / count as f64
+    }
+
+    /// Mean share of the VMs of a data centre.
+    fn share(&self, dc: usize) -> f64 {
+        let shares: Vec<f64> =
+            self.vms.iter().filter(|vm| vm.0 == dc).map(|vm| vm.2.share()).collect();
+        shares.iter().sum::<f64>() / shares.len() as f64
+    }
+}
+
+fn load(free: u32, queued: u32) -> DatabaseLoad {
+    let (service_us, round_trip_us) = (25_000.0, 500.0);
+    DatabaseLoad { slots: 10, free, queued, service_us, round_trip_us, is_primary: false }
+}
+
+/// A near and a far database.
+fn two(near: DatabaseLoad, far: Option<DatabaseLoad>) -> ServiceLoad {
+    let mut load = ServiceLoad { reads_per_s: 100.0, ..ServiceLoad::default() };
+    load.levels[0].add(Some(near));
+    load.levels[2].add(far.map(|far| DatabaseLoad { round_trip_us: 35_000.0, ..far }));
+    load
+}
+
+fn share_of(decision: Decision) -> f64 {
+    match decision {
+        Decision::Split(split) => split.share,
+        Decision::Unrestricted => 0.0,
+    }
+}
+
+/// Guards against reads that leave a data centre whose databases suffice: with 70 % of the capacity in use, each
+/// decision leaves the choice as it is.
+#[test]
+fn near_capacity_suffices_is_unrestricted() {
+    // 400 reads a second are the capacity of each database.
+    let mut world = Loop::new(&[(10, 25_000.0); 3], 80, &[280.0, 280.0, 280.0]);
+    for _ in 0..2_000 {
+        let decisions = world.step();
+        assert!(decisions.iter().all(|decision| *decision == Decision::Unrestricted));
+    }
+}
+
+/// Guards against VMs that move together: 80 VMs with the same reports, whose data centre gets 1.75 times what its
+/// database can run. Shares settle, no database gets more than 1.5 times the mean, and callers' times fall.
+#[test]
+fn eighty_vms_three_databases_settle() {
+    let run = |spills: bool| {
+        let mut world = Loop::new(&[(10, 25_000.0); 3], 80, &[700.0, 100.0, 100.0]);
+        world.vms.retain(|vm| vm.0 == 0 || vm.1 > 0.0);
+        world.spills = spills;
+        world.run_s(8);
+        let (mut shares, mut busy, mut queued) = (Vec::new(), [0.0; 3], [0.0; 3]);
+        for _ in 0..2_000 {
+            world.step();
+            shares.push(world.share(0));
+            for (database, state) in world.databases.iter().enumerate() {
+                busy[database] += state.unanswered.min(10.0) / 2_000.0;
+                queued[database] += (state.unanswered - 10.0).max(0.0) / 2_000.0;
+            }
+        }
+        (shares, busy, queued, world.mean_ms(10))
+    };
+    let (shares, busy, queued, mean_ms) = run(true);
+    let mean = busy.iter().sum::<f64>() / 3.0;
+    let most = busy.iter().fold(0.0f64, |a, b| a.max(*b));
+    assert!(most <= 1.5 * mean, "{busy:?}");
+    let middle = shares.iter().sum::<f64>() / shares.len() as f64;
+    let variance = shares.iter().map(|share| (share - middle).powi(2)).sum::<f64>();
+    let deviation = (variance / shares.len() as f64).sqrt();
+    assert!((0.38..=0.5).contains(&middle), "{middle}");
+    assert!(deviation <= 0.06, "the share moves by {deviation}");
+    assert!(busy[0] >= 9.8, "slots of the near database are idle: {busy:?}");
+    assert!(queued[1] <= 0.5 && queued[2] <= 0.5, "far databases are overloaded: {queued:?}");
+    let (.., near_only_ms) = run(false);
+    assert!(mean_ms <= 120.0 && mean_ms * 5.0 < near_only_ms, "{mean_ms} ms, {near_only_ms} ms");
+}
+
+/// Guards against an overload of the far databases by the VMs of two data centres that both lack capacity.
+#[test]
+fn far_capacity_is_short_is_not_overloaded() {
+    let mut world = Loop::new(&[(10, 25_000.0); 3], 40, &[900.0, 900.0, 280.0]);
+    world.run_s(5);
+    let mut queued = 0.0;
+    for _ in 0..1_000 {
+        world.step();
+        queued += (world.databases[2].unanswered - 10.0).max(0.0) / 1_000.0;
+    }
+    assert!(queued <= 2.0, "{queued} requests wait at the far database");
+    assert!(world.databases[2].unanswered >= 5.0, "its capacity is not used");
+}
+
+/// Guards against a share that stays after the load has gone.
+#[test]
+fn load_ends_share_returns_to_zero() {
+    let mut world = Loop::new(&[(10, 25_000.0); 3], 80, &[700.0, 0.0, 0.0]);
+    world.run_s(8);
+    assert!(world.share(0) > 0.3);
+    for vm in &mut world.vms {
+        vm.1 *= 0.3;
+    }
+    world.run_s(8);
+    assert!(world.step().iter().all(|decision| *decision == Decision::Unrestricted));
+}
+
+/// A database that answers slowly has free slots, but its time counts.
+#[test]
+fn near_is_slow_share_grows() {
+    let mut world = Loop::new(&[(10, 400_000.0), (10, 25_000.0)], 4, &[20.0, 0.0]);
+    world.run_s(8);
+    assert!(world.share(0) >= 0.7, "{}", world.share(0));
+}
+
+/// Guards against decisions on reports that have expired.
+#[test]
+fn reports_missing_is_unrestricted_and_forgotten() {
+    let (mut spill, mut now) = (Spill::default(), MonoTime(1_000_000));
+    let full = two(load(0, 60), Some(load(10, 0)));
+    for _ in 0..5 {
+        now = now + STEP_INTERVAL;
+        spill.decide(&full, now);
+    }
+    let before = spill.share();
+    assert!(before > 0.2);
+    let unknown = two(load(0, 60), None);
+    assert_eq!(spill.decide(&unknown, now), Decision::Unrestricted);
+    assert!(share_of(spill.decide(&full, now)) >= before, "a short gap ended the share");
+    now = now + DurationUs::from_ms(2_100);
+    assert_eq!(spill.decide(&unknown, now), Decision::Unrestricted);
+    assert_eq!(spill.share(), 0.0);
+    let mut near_unknown = ServiceLoad::default();
+    near_unknown.levels = [Level::Unknown, Level::Empty, full.levels[2]];
+    assert_eq!(spill.decide(&near_unknown, now), Decision::Unrestricted);
+}
+
+/// Guards against a share that changes back and forth while the times are about equal.
+#[test]
+fn excess_within_margin_share_holds() {
+    let (mut spill, mut now) = (Spill::default(), MonoTime(1_000_000));
+    for _ in 0..4 {
+        now = now + STEP_INTERVAL;
+        spill.decide(&two(load(0, 60), Some(load(8, 0))), now);
+    }
+    // The share first follows the excess back to the margin.
+    let within = two(load(0, 20), Some(load(8, 0)));
+    let mut share = 0.0;
+    for _ in 0..4 {
+        now = now + STEP_INTERVAL;
+        share = share_of(spill.decide(&within, now));
+    }
+    assert!(share > 0.0);
+    for queued in [20, 21, 19, 20, 20] {
+        now = now + STEP_INTERVAL;
+        let next = share_of(spill.decide(&two(load(0, queued), Some(load(8, 0))), now));
+        assert!((next - share).abs() <= 0.01, "{share} {next}");
+    }
+    let mut fresh = Spill::default();
+    assert_eq!(fresh.decide(&within, now), Decision::Unrestricted, "{GROW_EXCESS}");
+}
+
+/// Guards against steps that are too large, and against any share of a far side that has nothing to spare.
+#[test]
+fn far_is_full_share_falls_to_zero() {
+    let (mut spill, mut now) = (Spill::default(), MonoTime(1_000_000));
+    let mut last = 0.0;
+    let mut step = |far: DatabaseLoad, steps: u32| {
+        for _ in 0..steps {
+            now = now + STEP_INTERVAL;
+            let share = share_of(spill.decide(&two(load(0, 200), Some(far)), now));
+            assert!((share - last).abs() <= STEP_MAX + 1e-9, "{last} {share}");
+            last = share;
+        }
+        last
+    };
+    assert!(step(load(10, 0), 8) > 0.4);
+    // One free slot of ten is the reserve.
+    assert_eq!(step(load(1, 0), 40), 0.0);
+    // After that it grows carefully, since other VMs see the same capacity.
+    assert!((0.05..=0.1).contains(&step(load(10, 0), 10)));
+    let full = two(load(0, 200), Some(load(0, 0)));
+    assert_eq!(share_of(Spill::default().decide(&full, MonoTime(1_000_000))), 0.0);
+}
+
+/// Guards against a share beyond what the far side can run of a VM with many reads.
+#[test]
+fn little_to_spare_bounds_the_step() {
+    let (mut spill, now) = (Spill::default(), MonoTime(1_000_000));
+    let mut many = two(load(0, 200), Some(load(2, 0)));
+    many.reads_per_s = 10_000.0;
+    // One request beyond the reserve is 40 a second.
+    assert!(share_of(spill.decide(&many, now)) <= 40.0 / 10_000.0);
+}
