--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -5,6 +5,7 @@
 //! current time; what the process has to do in response is queued as [`Effect`]s.
 //! [`crate::peers`] explains leases and witnesses.
 
+mod balance;
 mod callers;
 mod channels;
 mod connections;
@@ -26,6 +27,7 @@
 mod suspensions;
 mod warmups;
 
+use balance::Balance;
 pub(crate) use callers::Authorization;
 pub(crate) use channels::ChannelKey;
 use channels::Channels;
@@ -175,6 +177,8 @@
     links: Links,
     /// Channels of peers that use this VM's connections.
     channels: Channels,
+    /// Load of the databases and the split of reads among them.
+    balance: Balance,
     /// The other VMs, the witnesses and this VM's lease.
     fleet: FleetView,
     rates: RateLimiter,
@@ -300,6 +304,7 @@
             warmups: Warmups::default(),
             links: Links::default(),
             channels: Channels::default(),
+            balance: Balance::default(),
             fleet,
             rates,
             failovers: Vec::new(),
@@ -503,6 +508,7 @@
         self.advance_failovers();
         self.start_due_failovers();
         self.find_primaries();
+        self.update_splits();
         self.place_waiting();
         self.follow_contact();
         self.refuse_out_of_contact();
--- a/crates/gateway/src/engine/placement.rs
+++ b/crates/gateway/src/engine/placement.rs
@@ -6,7 +6,8 @@
 use model::prelude::*;
 
 use super::{
-    DatabaseState, Engine, Waiter, callers::access_of, holders::Path, warmups::COLD_PENALTY_US,
+    DatabaseState, Engine, Waiter, balance::Candidates, callers::access_of, holders::Path,
+    warmups::COLD_PENALTY_US,
 };
 use crate::{
     catalog::Freshness,
@@ -17,6 +18,7 @@
     queue,
     regions::AllowedRegions,
     session::{Session, SessionVariables, Stage, Transaction},
+    spill::Side,
 };
 
 /// Which databases can serve a statement.
@@ -69,6 +71,8 @@
     requirement: Requirement,
     policy: ConnectionPolicy,
     regions: AllowedRegions,
+    /// The side that the statement has drawn; `None` if all databases were searched.
+    side: Option<Side>,
 }
 
 /// Searches that failed during one pass over the waiting statements.
@@ -97,12 +101,17 @@
         requirement: Requirement,
         waited: DurationUs,
         regions: &AllowedRegions,
+        side: Option<Side>,
     ) -> bool {
         let policy = ConnectionPolicy::after(waited);
         self.searches.iter().any(|search| {
             search.policy >= policy
                 && (search.regions == AllowedRegions::All || search.regions == *regions)
-                && search.requirement.is_implied_by(requirement)
+                // A search of one side says nothing of statements that may not use its databases.
+                && match search.side {
+                    None => search.requirement.is_implied_by(requirement),
+                    Some(_) => search.side == side && search.requirement == requirement,
+                }
                 && search.service == *service
                 && search.workspace == *workspace
         })
@@ -155,9 +164,9 @@
 
 /// Round trip times assumed until answers are measured, in microseconds: to a database in the same data
 /// centre, in the same region, and elsewhere.
-const ASSUMED_ROUND_TRIP_US: [f64; 3] = [500.0, 2_500.0, 35_000.0];
+pub(super) const ASSUMED_ROUND_TRIP_US: [f64; 3] = [500.0, 2_500.0, 35_000.0];
 /// Execution time of a statement assumed until answers are measured, in microseconds.
-const ASSUMED_EXECUTION_US: f64 = 25_000.0;
+pub(super) const ASSUMED_EXECUTION_US: f64 = 25_000.0;
 /// Time that a database takes to accept a connection, in microseconds.
 const CONNECT_COST_US: f64 = 12_000.0;
 /// Added to the estimate for the primary, in microseconds, to leave its capacity to writes.
@@ -273,7 +282,10 @@
         };
         let waited = now.since(current.arrived);
         let regions = auth.regions.clone();
-        if failures.rules_out(&auth.route.service, &auth.workspace, requirement, waited, &regions) {
+        let draw = self.draw_side(key, &auth.route.service, requirement);
+        let side = draw.map(|draw| draw.side);
+        let (service, workspace) = (&auth.route.service, &auth.workspace);
+        if failures.rules_out(service, workspace, requirement, waited, &regions, side) {
             return false;
         }
         let service = auth.route.service.clone();
@@ -282,7 +294,7 @@
         let prepared = self.prepared_key_of(key);
         let session = &self.sessions[key];
         let share_needed = self.share_needed(session, requirement);
-        let mut best: Option<(f64, DatabaseName, ConnectionChoice)> = None;
+        let mut candidates = Candidates::default();
         for (name, state) in &self.databases {
             let is_allowed = self.permits_database(&regions, state);
             if state.record.service != service
@@ -294,23 +306,26 @@
             if self.share_of(state) < share_needed {
                 continue;
             }
+            let distance = self.distance(&state.record.dc);
+            if state.avoided_until <= now {
+                candidates.add_usable(distance);
+            }
             let Some(choice) = self.choose_connection(state, session, prepared, waited) else {
                 continue;
             };
             let cost = self.estimated_us(name, state, &choice);
-            if best.as_ref().is_none_or(|(least, ..)| cost < *least) {
-                best = Some((cost, name.clone(), choice));
-            }
+            candidates.add(cost, distance, state, choice);
         }
-        let usable = best.filter(|(.., choice)| {
+        let usable = self.choose_candidate(draw, candidates, waited).filter(|(_, choice)| {
             may_open || !matches!(choice, ConnectionChoice::Open | ConnectionChoice::Evict(_))
         });
-        let Some((_, database, choice)) = usable else {
+        let Some((database, choice)) = usable else {
             // Another statement may be one of the share that goes to more databases, and what a cold database has
             // room for differs from one statement to the next.
             if share_needed == 0.0 && !self.has_cold_databases() {
                 let policy = ConnectionPolicy::after(waited);
-                let search = FailedSearch { service, workspace, requirement, policy, regions };
+                let search =
+                    FailedSearch { service, workspace, requirement, policy, regions, side };
                 failures.searches.push(search);
             }
             return false;
@@ -611,6 +626,7 @@
         }
         let request = UpstreamRequest::Forward { id, after: min_position(requirement), statement };
         self.send(upstream, PendingKind::Statement, request);
+        self.note_sent(upstream, requirement);
         let session = &mut self.sessions[key];
         let wrote = pinned
             && session
--- a/crates/gateway/src/start.rs
+++ b/crates/gateway/src/start.rs
@@ -34,6 +34,11 @@
         self.measured_at = now;
     }
 
+    /// Mean of the last measurements; `None` without any.
+    pub fn mean(&self) -> Option<DurationUs> {
+        (self.count > 0).then_some(DurationUs(self.mean_us as u64))
+    }
+
     /// Time until a statement with `ahead` others before it in the queue can start, at the earliest: all of the
     /// database's slots are busy and serve this queue only. `None` without enough recent measurements.
     pub fn until_start(&self, now: MonoTime, ahead: usize, slots: u32) -> Option<DurationUs> {
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -191,6 +191,12 @@
     pub vms_without_links: BTreeSet<usize>,
     /// VMs of an earlier version, which can't decode classes of priorities.
     pub vms_without_classes: BTreeSet<usize>,
+    /// VMs of an earlier build, which decode no load reports.
+    pub vms_of_earlier_build: BTreeSet<usize>,
+    /// Senders and receivers of all load reports.
+    pub load_reports: Vec<(usize, Option<usize>)>,
+    /// Whether load reports are lost.
+    pub loses_load_reports: bool,
     /// VMs that can't reach the store.
     pub vms_without_store: BTreeSet<usize>,
     /// Number of failed calls of the store, by VMs of `vms_without_store`.
@@ -341,6 +347,9 @@
             messages: BTreeMap::new(),
             vms_without_links: BTreeSet::new(),
             vms_without_classes: BTreeSet::new(),
+            vms_of_earlier_build: BTreeSet::new(),
+            load_reports: Vec::new(),
+            loses_load_reports: false,
             vms_without_store: BTreeSet::new(),
             failed_store_calls: 0,
             corruption: None,
