--- a/crates/node/tests/datagram.rs
+++ b/crates/node/tests/datagram.rs
@@ -59,7 +59,7 @@
         stopping: true,
         evacuations,
     };
-    let from = VmName::new("front-1").expect("a name");
+    let from = VmName::new("vm-1").expect("a name");
     PeerMessage { from, incarnation: Incarnation(7), body: PeerBody::Heartbeat(heartbeat) }
 }
 
--- a/crates/node/tests/links.rs
+++ b/crates/node/tests/links.rs
@@ -17,7 +17,7 @@
 }
 
 fn parameters() -> LinkParameters {
-    LinkParameters::new(VmName::new("front-a-1").expect("a valid name"))
+    LinkParameters::new(VmName::new("vm-a-1").expect("a valid name"))
 }
 
 /// Guards against a link that a peer of an earlier build refuses because of what this build announces.
@@ -31,6 +31,6 @@
 /// Guards against load reports to a peer of an earlier build, which announces nothing.
 #[test]
 fn query_of_earlier_build_asks_for_no_reports() {
-    let parameters: LinkParameters = decode("vm=front-a-1");
+    let parameters: LinkParameters = decode("vm=vm-a-1");
     assert!(!parameters.load_reports);
 }
