Keep the slow database of a test from being replaced

Its logs show why: 0.6 s after the test had made the primary slow, a VM promoted another member (term 2 of quote-ledger-1-a), and the caller's VM had not heard of it yet. The test delayed every answer by 400 ms, which is the time limit of a status query, so the primary counted as silent; beside load the four reads took longer than the 500 ms of silence after which a primary is replaced.

Change: 250 ms, which is still later than the callers' 100 ms, so that the answers come late as before. No assertion changed.

--- a/crates/rig/tests/outcomes.rs
+++ b/crates/rig/tests/outcomes.rs
@@ -116,7 +116,8 @@
         assert_eq!(written.expect("a response").status, 200);
     }
     let slow = primary_of(&fleet, "gym");
-    fleet.set_faults(slow, &json!({"slow_ms": 400})).await.expect("set faults");
+    // Below the 400 ms in which a database has to answer a status query, so that it is not replaced meanwhile.
+    fleet.set_faults(slow, &json!({"slow_ms": 250})).await.expect("set faults");
     let mut hasty = caller.clone().with_timeout(DurationUs::from_ms(100));
     for n in 0..4 {
         let name = [json!(format!("name-{n}"))];
