Count and log where tokens of rates go

Neither logs nor metrics told which VM lent a workspace's tokens, whether it was their home, nor how many were lent and never spent: the hypotheses of the incident could not be told apart without a trial build that traces each token.

Now metrics count tokens of a VM's own, borrowed, spent, expired, lent and not lent, and rates that were taken over; a home logs when it takes over rates or leaves them.

--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -54,7 +54,7 @@
     message::TransactionState,
     policy::Policy,
     pool::Pool,
-    rates::RateLimiter,
+    rates::{RateCounts, RateLimiter},
     refusals::Refusals,
     session::Session,
     start::ServiceTime,
@@ -345,6 +345,11 @@
         self.counts
     }
 
+    /// Returns the numbers of tokens of workspaces' rates since the process started.
+    pub fn rate_counts(&self) -> RateCounts {
+        self.rates.counts()
+    }
+
     /// Returns the distributions of statement times since the process started.
     pub fn latencies(&self) -> &Latencies {
         &self.latencies
--- a/crates/gateway/src/engine/sharing.rs
+++ b/crates/gateway/src/engine/sharing.rs
@@ -1,7 +1,7 @@
 //! Resources that VMs share: workspaces' rates, and connections that a peer of an earlier version needs.
 
 use model::prelude::*;
-use slog::debug;
+use slog::{debug, info};
 
 use super::{Engine, Waiter};
 use crate::{
@@ -129,18 +129,27 @@
             Some(had_lease) => had_lease,
         };
         if has_lease && !had_lease {
+            info!(self.log, "may be the home of rates again"; "step" => self.witness_step());
             self.rates.take_over_all(now);
         }
         if has_lease || self.had_lease_as_home.is_some() {
             self.had_lease_as_home = Some(has_lease);
         }
         let Some([before, after]) = self.fleet.take_live_change(now) else { return };
+        let (mut taken, mut left) = (0, 0);
         for workspace in &self.catalog.workspaces {
             let was = home_among(&before, &workspace.name);
             let is = home_among(&after, &workspace.name);
             if is == Some(&self.id.vm) && was.is_some_and(|vm| *vm != self.id.vm) {
                 self.rates.take_over(now, &workspace.name);
+                taken += 1;
             }
+            left += usize::from(was == Some(&self.id.vm) && is != was);
+        }
+        if taken + left > 0 {
+            info!(self.log, "homes of rates changed"; "taken_over" => taken, "left" => left,
+                "witnesses_before" => before.len(), "witnesses" => after.len(),
+                "step" => self.witness_step());
         }
     }
 
--- a/crates/gateway/src/rates.rs
+++ b/crates/gateway/src/rates.rs
@@ -186,10 +186,30 @@
     }
 }
 
+/// Numbers of tokens since the process started, and of take-overs of rates.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RateCounts {
+    /// Tokens of this VM's even shares and grants that operations spent.
+    pub spent_own: u64,
+    /// Tokens borrowed from homes that operations spent.
+    pub spent_borrowed: u64,
+    /// Tokens borrowed from homes.
+    pub borrowed: u64,
+    /// Borrowed tokens that no operation spent in time.
+    pub expired: u64,
+    /// Tokens that this VM lent as a home, to itself too.
+    pub lent: u64,
+    /// Tokens that were asked of this VM and not lent.
+    pub not_lent: u64,
+    /// Rates that this VM took over from another home.
+    pub takeovers: u64,
+}
+
 /// The rate limits of all workspaces at one VM.
 #[derive(Debug, Default)]
 pub struct RateLimiter {
     limiters: FxHashMap<WorkspaceName, WorkspaceLimiter>,
+    counts: RateCounts,
     vm_count: usize,
     /// Whether tokens go to the most urgent operations first.
     by_priority: bool,
@@ -243,6 +263,11 @@
         }
     }
 
+    /// Numbers of tokens and take-overs since the process started.
+    pub fn counts(&self) -> RateCounts {
+        self.counts
+    }
+
     /// The class of operations of a priority; one for all where priorities are not distinguished.
     fn class_of(&self, priority: u32) -> usize {
         if self.by_priority { admission::class_of(priority) } else { 0 }
@@ -293,8 +318,11 @@
         let (borrowed, until) = limiter.borrowed;
         if borrowed > 0 && until > now {
             limiter.borrowed.0 -= 1;
+            self.counts.spent_borrowed += 1;
         } else if !limiter.has_to_spare(now, class) || limiter.bucket.try_spend(1, now).is_err() {
             return false;
+        } else {
+            self.counts.spent_own += 1;
         }
         limiter.waiting[class] = limiter.waiting[class].saturating_sub(1);
         limiter.record_served(now, class);
@@ -365,7 +393,10 @@
     pub fn lend(&mut self, now: MonoTime, workspace: &WorkspaceName, asked: u32) -> u32 {
         let Some(limiter) = self.limiters.get_mut(workspace) else { return 0 };
         limiter.refresh(now, self.vm_count);
-        limiter.lend(now, asked.min(BORROW_MAX_TOKENS), 0.0)
+        let asked = asked.min(BORROW_MAX_TOKENS);
+        let lent = limiter.lend(now, asked, 0.0);
+        self.counts.record_loan(asked, lent);
+        lent
     }
 
     /// Like [`RateLimiter::lend`], for a request that says how many tokens each class asks for. Where priorities
@@ -393,6 +424,7 @@
             lent += got;
         }
         limiter.unmet.record(now, vm, unmet);
+        self.counts.record_loan(lent + unmet.iter().sum::<u32>(), lent);
         lent
     }
 
@@ -413,8 +445,11 @@
             if !all {
                 limiter.home_empty_until = now + HOME_EMPTY_BACKOFF;
             }
-            let held = if limiter.borrowed.1 > now { limiter.borrowed.0 } else { 0 };
+            let (held, until) = limiter.borrowed;
+            let (held, expired) = if until > now { (held, 0) } else { (0, held) };
             limiter.borrowed = (held + tokens, now + LOAN_LIFETIME);
+            self.counts.borrowed += u64::from(tokens);
+            self.counts.expired += u64::from(expired);
         }
     }
 
@@ -497,6 +532,7 @@
         if let Some(limiter) = self.limiters.get_mut(workspace) {
             limiter.restart_lending(now, SILENT_HOME_GRANTS);
             limiter.refresh(now, self.vm_count);
+            self.counts.takeovers += 1;
         }
     }
 
@@ -527,6 +563,13 @@
     }
 }
 
+impl RateCounts {
+    fn record_loan(&mut self, asked: u32, lent: u32) {
+        self.lent += u64::from(lent);
+        self.not_lent += u64::from(asked - lent);
+    }
+}
+
 impl WorkspaceLimiter {
     fn decay(&mut self, now: MonoTime) {
         let elapsed = now.since(self.demand_updated_at).0 as f64;
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -46,6 +46,7 @@
     let counts = engine.counts();
     let (sessions, waiting) = engine.load();
     let open = engine.open_connections();
+    let rates = engine.rate_counts();
     let latencies = engine.latencies();
     let [in_dc, in_region, beyond] = engine.statements_by_distance();
     let mut text = String::new();
@@ -54,6 +55,13 @@
         ("refused_total", counts.refused),
         ("failed_total", counts.failed),
         ("rate_limited_total", counts.rate_limited),
+        ("rate_tokens_own_total", rates.spent_own),
+        ("rate_tokens_borrowed_total", rates.borrowed),
+        ("rate_tokens_borrowed_spent_total", rates.spent_borrowed),
+        ("rate_tokens_expired_total", rates.expired),
+        ("rate_tokens_lent_total", rates.lent),
+        ("rate_tokens_not_lent_total", rates.not_lent),
+        ("rate_takeovers_total", rates.takeovers),
         ("region_refusals_total", counts.region_refusals),
         ("cold_held_back_total", counts.cold_held_back),
         ("cold_databases", engine.cold_databases() as u64),
