Make the VMs with the most processor time witnesses

Cause: a witness is the home of a seventh of all rates, and at a few operations a second per VM and workspace nearly every operation asks a home for a token. Which VMs are witnesses followed from a hash of their names, or from which had registered by then.

Change: a VM's entry says how much processor time it has, and of a data centre's VMs those with the most become witnesses.

Measured: witness_set_prefers_vms_with_more_processor_time does not compile without the change, since candidates had no capacity. All tests of gateway passed.

--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -17,7 +17,7 @@
         MemberRecord, ServiceReport, Timestamps,
     },
     rates::Demand,
-    witnesses::{Health, LEASE_DURATION, WitnessSet},
+    witnesses::{Capacity, Health, LEASE_DURATION, WitnessSet},
 };
 
 /// Position of the upper half of [`Heartbeat::live_witnesses`]; there are at most seven witnesses.
@@ -31,6 +31,7 @@
     dc: DcName,
     /// Whether it accepts links.
     accepts_links: bool,
+    capacity: Capacity,
     /// When the member was last certainly alive, on this VM's clock: a lower bound of when it sent
     /// the newest message that echoed a timestamp of this VM.
     last_contact: Option<MonoTime>,
@@ -87,6 +88,8 @@
     expects_heartbeats: bool,
     /// Whether the member list contains this VM.
     is_listed: bool,
+    /// This VM's processor time, as in the member list.
+    capacity: Capacity,
     /// Whether this VM is shutting down.
     is_stopping: bool,
     /// See [`FleetView::changed_by_others_at`].
@@ -117,6 +120,7 @@
             delegated_lease_until: None,
             expects_heartbeats: false,
             is_listed: false,
+            capacity: Capacity::default(),
             is_stopping: false,
             changed_by_others_at: None,
             members_changed_at: None,
@@ -141,7 +145,9 @@
         let before: Vec<VmName> = self.members.keys().cloned().collect();
         self.members.retain(|vm, _| list.records.iter().any(|record| record.vm == *vm));
         let was_listed = self.is_listed;
-        self.is_listed = list.records.iter().any(|record| record.vm == self.me);
+        let own_record = list.records.iter().find(|record| record.vm == self.me);
+        self.is_listed = own_record.is_some();
+        self.capacity = own_record.map_or(self.capacity, |record| record.capacity);
         for record in list.records.iter().filter(|record| record.vm != self.me) {
             match self.members.get_mut(&record.vm) {
                 Some(member) if member.incarnation >= record.incarnation => {}
@@ -289,8 +295,9 @@
         }
         if incarnation != member.incarnation {
             let (address, dc) = (member.address, member.dc.clone());
-            let accepts_links = member.accepts_links;
-            let record = MemberRecord { vm: from.clone(), address, incarnation, dc, accepts_links };
+            let (accepts_links, capacity) = (member.accepts_links, member.capacity);
+            let vm = from.clone();
+            let record = MemberRecord { vm, address, incarnation, dc, accepts_links, capacity };
             let earlier_contact = member.last_contact.max(member.earlier_contact);
             *member = Member { earlier_contact, ..Member::new(now, &record) };
         }
@@ -569,6 +576,7 @@
             incarnation: record.incarnation,
             dc: record.dc.clone(),
             accepts_links: record.accepts_links,
+            capacity: record.capacity,
             last_contact: None,
             earlier_contact: None,
             listed_at: now,
--- a/crates/gateway/src/fleet/health.rs
+++ b/crates/gateway/src/fleet/health.rs
@@ -6,7 +6,10 @@
 use model::prelude::*;
 
 use super::FleetView;
-use crate::witnesses::{Health, MEMBER_EXPIRY, REACHABLE_MIN, VmHealth, WITNESSES_MAX, WitnessSet};
+use crate::witnesses::{
+    Candidate, Capacity, Health, MEMBER_EXPIRY, REACHABLE_MIN, VmHealth, WITNESSES_MAX, WitnessSet,
+    preference,
+};
 
 impl FleetView {
     /// For how long the set of members has been the same; `None` until the list is known.
@@ -27,8 +30,13 @@
 
     /// A new witness set, chosen from all listed VMs.
     pub(crate) fn choose_witness_set(&self) -> WitnessSet {
-        let others = self.members.iter().map(|(vm, member)| (vm, &member.dc));
-        let me = self.is_listed.then_some((&self.me, &self.dc));
+        let others = self.members.iter().map(|(vm, member)| Candidate {
+            vm,
+            dc: &member.dc,
+            capacity: member.capacity,
+        });
+        let me = Candidate { vm: &self.me, dc: &self.dc, capacity: self.capacity };
+        let me = self.is_listed.then_some(me);
         self.witnesses.choose_next(others.chain(me))
     }
 
@@ -45,6 +53,7 @@
             vm,
             dc: Some(&member.dc),
             health: member.health(now),
+            capacity: member.capacity,
         });
         let reachable = Health::Reachable(DurationUs(u64::MAX));
         let named = self
@@ -52,11 +61,18 @@
             .filter(|(vm, _)| self.is_in_contact(now, vm))
             .filter_map(|(_, witness)| self.members.get_key_value(witness.spare.as_ref()?))
             .filter(|(_, member)| member.expected_since.is_none())
-            .map(|(vm, member)| VmHealth { vm, dc: Some(&member.dc), health: reachable });
-        let me = VmHealth { vm: &self.me, dc: Some(&self.dc), health: reachable };
+            .map(|(vm, member)| VmHealth {
+                vm,
+                dc: Some(&member.dc),
+                health: reachable,
+                capacity: member.capacity,
+            });
+        let (dc, capacity) = (Some(&self.dc), self.capacity);
+        let me = VmHealth { vm: &self.me, dc, health: reachable, capacity };
         let unlisted =
             self.witnesses.vms.iter().filter(|vm| **vm != self.me && !self.is_in_list(vm));
-        let left = unlisted.map(|vm| VmHealth { vm, dc: None, health: Health::Left });
+        let capacity = Capacity::default();
+        let left = unlisted.map(|vm| VmHealth { vm, dc: None, health: Health::Left, capacity });
         expected.chain(named).chain([me]).chain(left).collect()
     }
 
@@ -86,7 +102,7 @@
         live.map(|(_, member)| member.dc.clone()).chain(own).collect()
     }
 
-    /// A VM of the own data centre that could become a witness; `None` if the witness set is full.
+    /// The VM of the own data centre that should become a witness next; `None` if the witness set is full.
     pub(crate) fn spare_vm(&self, now: MonoTime) -> Option<&VmName> {
         if self.witnesses.vms.len() >= WITNESSES_MAX {
             return None;
@@ -94,9 +110,10 @@
         let others = self.members.iter().filter(|(vm, _)| !self.is_witness(vm));
         others
             .filter(|(_, member)| member.dc == self.dc)
-            .find(
+            .filter(
                 |(_, m)| matches!(m.health(now), Health::Reachable(span) if span >= REACHABLE_MIN),
             )
+            .min_by_key(|(vm, member)| preference(vm, member.capacity))
             .map(|(vm, _)| vm)
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -24,7 +24,7 @@
 
 use crate::{
     rates::{Demand, HandedRate, RateGrant},
-    witnesses::WitnessSet,
+    witnesses::{Candidate, Capacity, WitnessSet},
 };
 
 /// Time between two heartbeats to the same VM.
@@ -251,6 +251,14 @@
     pub dc: DcName,
     /// Whether it accepts links, so that it can hold connections for other VMs.
     pub accepts_links: bool,
+    /// Its processor time.
+    pub capacity: Capacity,
+}
+
+impl<'a> From<&'a MemberRecord> for Candidate<'a> {
+    fn from(record: &'a MemberRecord) -> Candidate<'a> {
+        Candidate { vm: &record.vm, dc: &record.dc, capacity: record.capacity }
+    }
 }
 
 /// The member list and the witness set, as read from the store.
--- a/crates/gateway/src/witnesses.rs
+++ b/crates/gateway/src/witnesses.rs
@@ -4,8 +4,14 @@
 //! changes by one VM at a time, and only once a majority of the witnesses is known to use the
 //! current set. A majority of one set therefore shares a VM with any majority of the next, so a VM
 //! that has missed a change can't get a lease from an outdated majority.
+//!
+//! Witnesses answer for the rates whose home they are, and hear from all VMs of their data centre, so those with the
+//! most processor time come first.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BTreeSet},
+};
 
 use model::{prelude::*, request::stable_hash};
 use serde::{Deserialize, Serialize};
@@ -39,6 +45,20 @@
 /// Minimum time between two attempts to change the witness set or the member list.
 pub const CHANGE_INTERVAL: DurationUs = DurationUs::from_ms(1_500);
 
+/// Processor time that a VM has, in thousandths of a core; zero if that is not known.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Capacity(pub u32);
+
+impl Capacity {
+    /// Returns a capacity in cores, or zero if it is not a positive number.
+    pub fn from_cores(cores: f64) -> Capacity {
+        Capacity((cores * 1e3) as u32)
+    }
+}
+
 /// The witnesses: the VMs whose majority grants leases.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WitnessSet {
@@ -64,14 +84,12 @@
         WitnessSet { step: self.step + 1, vms }
     }
 
-    /// The next set, chosen from scratch among `vms` and spread evenly over data centres.
-    pub fn choose_next<'a>(
-        &self,
-        vms: impl Iterator<Item = (&'a VmName, &'a DcName)>,
-    ) -> WitnessSet {
-        let mut by_dc: BTreeMap<&DcName, Vec<(u64, &VmName)>> = BTreeMap::new();
-        for (vm, dc) in vms {
-            by_dc.entry(dc).or_default().push((stable_hash(vm.as_str()), vm));
+    /// The next set, chosen from scratch among `vms` and spread evenly over data centres; in each, VMs with more
+    /// processor time come first.
+    pub fn choose_next<'a>(&self, vms: impl Iterator<Item = Candidate<'a>>) -> WitnessSet {
+        let mut by_dc: BTreeMap<&DcName, Vec<(Preference, &VmName)>> = BTreeMap::new();
+        for Candidate { vm, dc, capacity } in vms {
+            by_dc.entry(dc).or_default().push((preference(vm, capacity), vm));
         }
         for vms in by_dc.values_mut() {
             vms.sort_unstable_by(|a, b| b.cmp(a));
@@ -88,6 +106,25 @@
     }
 }
 
+/// A VM that can become a witness.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate<'a> {
+    /// Name of the VM.
+    pub vm: &'a VmName,
+    /// Its data centre.
+    pub dc: &'a DcName,
+    /// Its processor time.
+    pub capacity: Capacity,
+}
+
+/// Sort key of candidates of a data centre: the least is preferred.
+type Preference = (Reverse<Capacity>, u64);
+
+/// VMs with more processor time come first, and those with the same in an order that depends on their names alone.
+pub(crate) fn preference(vm: &VmName, capacity: Capacity) -> Preference {
+    (Reverse(capacity), stable_hash(vm.as_str()))
+}
+
 /// The health of a VM, as seen by the VM that decides.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Health {
@@ -110,6 +147,8 @@
     pub dc: Option<&'a DcName>,
     /// The VM's health, as seen by the VM that decides.
     pub health: Health,
+    /// The VM's processor time.
+    pub capacity: Capacity,
 }
 
 /// The next change of the witness set, by one VM: lost witnesses are removed first, then VMs are
@@ -137,6 +176,6 @@
         .iter()
         .filter(|vm_health| !set.vms.contains(vm_health.vm))
         .filter(|s| matches!(s.health, Health::Reachable(span) if span >= REACHABLE_MIN))
-        .min_by_key(|vm_health| (in_dc(vm_health.dc), stable_hash(vm_health.vm.as_str())));
+        .min_by_key(|s| (in_dc(s.dc), preference(s.vm, s.capacity)));
     spare.map(|vm_health| set.with(vm_health.vm))
 }
--- a/crates/gateway/tests/peers.rs
+++ b/crates/gateway/tests/peers.rs
@@ -11,7 +11,7 @@
         Timestamps,
     },
     policy::Policy,
-    witnesses::{LEASE_DURATION, WitnessSet},
+    witnesses::{Candidate, Capacity, LEASE_DURATION, WitnessSet},
 };
 use model::prelude::*;
 use slog::{Discard, Logger, o};
@@ -35,9 +35,10 @@
         address: ([10, 0, 0, index as u8], 7000).into(),
         incarnation: Incarnation(1),
         dc: dc.clone(),
+        capacity: Capacity::default(),
     };
     let records: Vec<MemberRecord> = (0..members).map(record).collect();
-    let vms = records.iter().map(|record| (&record.vm, &record.dc));
+    let vms = records.iter().map(Candidate::from);
     let witnesses = Some(WitnessSet::default().choose_next(vms));
     MemberList { version: 1, records, witnesses }
 }
--- a/crates/gateway/tests/witnesses.rs
+++ b/crates/gateway/tests/witnesses.rs
@@ -5,8 +5,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use gateway::witnesses::{
-    Health, REACHABLE_MIN, VmHealth, WITNESS_LOST_AFTER, WITNESSES_MAX, WitnessSet,
-    next_witness_set,
+    Candidate, Capacity, Health, REACHABLE_MIN, VmHealth, WITNESS_LOST_AFTER, WITNESSES_MAX,
+    WitnessSet, next_witness_set,
 };
 use model::prelude::*;
 use quickcheck::{TestResult, quickcheck};
@@ -27,7 +27,7 @@
         .zip(health)
         .map(|((vm, dc), health)| {
             let dc = (*health != Health::Left).then_some(dc);
-            VmHealth { vm, dc, health: *health }
+            VmHealth { vm, dc, health: *health, capacity: Capacity::default() }
         })
         .collect();
     let before = set(witnesses.iter().copied());
@@ -71,6 +71,37 @@
     check(&[0], &with(2, &[(0, silent), (1, Health::Stopping)]), None);
 }
 
+/// Guards against small VMs that answer for the rates of a whole fleet while larger ones are there.
+#[test]
+fn witness_set_prefers_vms_with_more_processor_time() {
+    const VMS: usize = 24;
+    /// One in each data centre.
+    const LARGE: [usize; 3] = [5, 10, 15];
+    let names: Vec<(VmName, DcName)> = (0..VMS).map(|vm| (vm_name(vm), dc(vm))).collect();
+    let capacity = |vm: usize| Capacity(if LARGE.contains(&vm) { 500 } else { 120 });
+    let candidates = names.iter().enumerate();
+    let candidates =
+        candidates.map(|(index, (vm, dc))| Candidate { vm, dc, capacity: capacity(index) });
+    let chosen = WitnessSet::default().choose_next(candidates);
+    assert_eq!(chosen.vms.len(), WITNESSES_MAX);
+    for large in LARGE {
+        assert!(chosen.vms.contains(&vm_name(large)), "VM {large} is not in {chosen:?}");
+    }
+    let fleet_health: Vec<VmHealth<'_>> = names
+        .iter()
+        .enumerate()
+        .map(|(index, (vm, dc))| VmHealth {
+            vm,
+            dc: Some(dc),
+            health: REACHABLE,
+            capacity: capacity(index),
+        })
+        .collect();
+    // The third data centre has no witness yet.
+    let next = next_witness_set(&set([0, 1, 3, 4]), &fleet_health).expect("a VM is added");
+    assert_eq!(next.vms, set([0, 1, 3, 4, 5]).vms);
+}
+
 quickcheck! {
     fn next_witness_set_changes_one_vm(witnesses: Vec<u8>, health: Vec<(u8, u16)>) -> TestResult {
         let vms: BTreeSet<VmName> = witnesses.iter().map(|vm| vm_name(usize::from(*vm % 12))).collect();
@@ -87,7 +118,7 @@
                 2 => Health::Silent(span),
                 _ => Health::Left
             };
-            VmHealth { vm, dc: Some(dc), health }
+            VmHealth { vm, dc: Some(dc), health, capacity: Capacity::default() }
         }).collect();
         let Some(after) = next_witness_set(&before, &fleet_health) else { return TestResult::passed() };
         let changed = before.vms.symmetric_difference(&after.vms).count();
--- a/crates/gateway/tests/world/fleet.rs
+++ b/crates/gateway/tests/world/fleet.rs
@@ -6,6 +6,7 @@
     PlatformRequest, UpstreamKey,
     catalog::Catalog,
     peers::{MemberList, MemberRecord, PeerBody, PeerMessage},
+    witnesses::Capacity,
 };
 use model::prelude::*;
 
@@ -22,6 +23,7 @@
             incarnation: Incarnation(0),
             dc: dc(vm),
             accepts_links: !self.vms_without_links.contains(&vm),
+            capacity: Capacity::default(),
         };
         (0..self.engines.len()).map(record).collect()
     }
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -25,7 +25,7 @@
     peers::{MemberList, PeerBody, PeerMessage},
     policy::Policy,
     regions::AllowedRegions,
-    witnesses::WitnessSet,
+    witnesses::{Candidate, WitnessSet},
 };
 use model::prelude::*;
 use serde::{Serialize, de::DeserializeOwned};
@@ -393,7 +393,7 @@
         let catalog = Arc::new(catalog);
         if self.member_list.version == 0 {
             let records = self.member_records();
-            let vms = records.iter().map(|record| (&record.vm, &record.dc));
+            let vms = records.iter().map(Candidate::from);
             let witnesses = Some(WitnessSet::default().choose_next(vms));
             self.member_list = MemberList { version: 1, records, witnesses };
         }
--- a/crates/xtask/src/bench_gateway.rs
+++ b/crates/xtask/src/bench_gateway.rs
@@ -17,7 +17,7 @@
     peers::{MemberList, MemberRecord, PeerMessage},
     policy::Policy,
     regions::AllowedRegions,
-    witnesses::WitnessSet,
+    witnesses::{Candidate, Capacity, WitnessSet},
 };
 use model::prelude::*;
 use slog::{Discard, Logger, o};
@@ -98,7 +98,7 @@
     let catalog = Arc::new(catalog(database_count / DATABASES_PER_SERVICE)?);
     let databases = databases(database_count / DATABASES_PER_SERVICE)?;
     let index: BTreeMap<SocketAddr, usize> = (0..vms).map(|vm| (address(vm), vm)).collect();
-    let names = members.iter().map(|record| (&record.vm, &record.dc));
+    let names = members.iter().map(Candidate::from);
     let witnesses = Some(WitnessSet::default().choose_next(names));
     let list = MemberList { version: 1, records: members, witnesses };
     for engine in &mut engines {
@@ -216,7 +216,14 @@
 fn member(vm: usize) -> eyre::Result<MemberRecord> {
     let (vm_name, dc) = (vm_name(vm)?, dc(vm)?);
     let incarnation = Incarnation(1);
-    Ok(MemberRecord { vm: vm_name, address: address(vm), incarnation, dc, accepts_links: true })
+    Ok(MemberRecord {
+        vm: vm_name,
+        address: address(vm),
+        incarnation,
+        dc,
+        accepts_links: true,
+        capacity: Capacity::default(),
+    })
 }
 
 fn service(index: usize) -> eyre::Result<ServiceName> {
