Hold tokens of tiny shares for a part of the time only

What callers could see: a workspace beyond its rate gets up to one operation for each VM in addition. Cause: each VM's bucket held at least one token, whatever its share of the burst, which adds up to 300 tokens with 300 VMs.

Ruled out: no share of less than a token (VMs without contact would serve nothing), and counting one token for each VM as part of the burst (it may be smaller).

Change: where a VM's part of the burst is less than a token, a gained token expires after the time that the part of the burst lasts, 0.5 s at least, and VMs gain theirs at different times.

--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -38,7 +38,7 @@
 
 use std::{collections::BTreeMap, sync::Arc};
 
-use model::prelude::*;
+use model::{prelude::*, request::stable_hash};
 use slog::{Logger, info};
 use slotmap::SlotMap;
 
@@ -289,7 +289,8 @@
     /// Creates an engine without a configuration; callers wait until [`Engine::set_catalog`].
     pub fn new(id: Identity, log: Logger, now: MonoTime) -> Engine {
         let intents_known = id.first_start;
-        let rates = RateLimiter::with_priorities(id.policy.rates_by_priority);
+        let seed = stable_hash(&format!("{}/{}", id.vm, id.incarnation.0));
+        let rates = RateLimiter::with_priorities(id.policy.rates_by_priority).with_seed(seed);
         let fleet = FleetView::new(id.vm.clone(), id.incarnation, id.dc.clone());
         let evacuations = Evacuations::new(id.policy.evacuation_bound, now);
         Engine {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod refusals;
 pub mod regions;
 mod session;
+mod share;
 pub mod spill;
 pub mod start;
 pub mod warmup;
--- a/crates/gateway/src/rates.rs
+++ b/crates/gateway/src/rates.rs
@@ -9,13 +9,14 @@
 
 use std::collections::BTreeMap;
 
-use model::prelude::*;
+use model::{prelude::*, request::stable_hash};
 use quota::bucket::{MICRO, RateLimit, TokenBucket};
 use serde::{Deserialize, Serialize};
 
 use crate::{
     admission::{self, ByClass, CLASSES, UnmetRequests},
     catalog::Workspace,
+    share::Share,
     witnesses::LEASE_DURATION,
 };
 
@@ -156,7 +157,7 @@
     /// The whole burst of the workspace, in operations.
     burst: f64,
     /// Tokens of this VM's even share and grant.
-    bucket: TokenBucket,
+    share: Share,
     /// Moving average of the operations per second of each class that callers ask for, admitted or not.
     demand: ByClass<f64>,
     /// Moving average of the operations per second of each class that got a token.
@@ -257,6 +258,8 @@
     limiters: FxHashMap<WorkspaceName, WorkspaceLimiter>,
     counts: RateCounts,
     vm_count: usize,
+    /// Differs from VM to VM; see [`Share::new`].
+    seed: u64,
     /// Whether tokens go to the most urgent operations first.
     by_priority: bool,
 }
@@ -267,6 +270,11 @@
         RateLimiter { by_priority, ..RateLimiter::default() }
     }
 
+    /// Sets a number that differs from VM to VM and from run to run.
+    pub fn with_seed(self, seed: u64) -> RateLimiter {
+        RateLimiter { seed, ..self }
+    }
+
     /// Replaces the rate and burst of all workspaces.
     pub fn configure(&mut self, now: MonoTime, workspaces: &[Workspace]) {
         let limited: FxHashMap<&WorkspaceName, (f64, f64)> = workspaces
@@ -274,11 +282,12 @@
             .filter_map(|w| w.rate_per_s.map(|rate| (&w.name, (rate, w.burst))))
             .collect();
         self.limiters.retain(|name, _| limited.contains_key(name));
+        let seed = self.seed;
         for (name, (rate_per_s, burst)) in limited {
             let limiter = self.limiters.entry(name.clone()).or_insert_with(|| WorkspaceLimiter {
                 rate_per_s,
                 burst,
-                bucket: TokenBucket::new(now),
+                share: Share::new(now, phase(seed, name)),
                 demand: [0.0; CLASSES],
                 served: [0.0; CLASSES],
                 demand_updated_at: now,
@@ -368,7 +377,7 @@
         if borrowed > 0 && until > now {
             limiter.borrowed.0 -= 1;
             self.counts.spent_borrowed += 1;
-        } else if !limiter.has_to_spare(now, class) || limiter.bucket.try_spend(1, now).is_err() {
+        } else if !limiter.has_to_spare(now, class) || !limiter.share.try_spend(now) {
             return false;
         } else {
             self.counts.spent_own += 1;
@@ -707,9 +716,8 @@
         if class == 0 || self.home_empty_until <= now {
             return true;
         }
-        let capacity = self.bucket.limit().burst_micro as f64 / MICRO as f64;
-        let kept = admission::reserve(&self.demand, class, capacity);
-        self.bucket.level_micro(now) as f64 >= (kept + 1.0) * MICRO as f64
+        let kept = admission::reserve(&self.demand, class, self.share.capacity());
+        self.share.level_micro(now) as f64 >= (kept + 1.0) * MICRO as f64
     }
 
     /// As the home: number of tokens to keep for operations more urgent than `class`, at VMs other than `vm` or
@@ -776,7 +784,7 @@
         let granted = self.granted.live_fraction(now);
         let fraction = EVEN_FRACTION / vm_count.max(1) as f64 + GRANTED_FRACTION * granted;
         let (rate, burst) = (self.rate_per_s, self.burst);
-        set_fraction(&mut self.bucket, rate, burst, fraction, now);
+        self.share.set(rate, burst, fraction, now);
         let lendable = self.lendable_fraction(now);
         set_fraction(&mut self.lendable, rate, burst, lendable, now);
     }
@@ -784,10 +792,10 @@
     /// Expected wait of a new operation of `class` for a token, at this VM's share of the whole rate that more
     /// urgent operations leave.
     fn expected_wait(&mut self, now: MonoTime, class: usize) -> DurationUs {
-        let level = self.bucket.level_micro(now);
+        let level = self.share.level_micro(now);
         let need = u64::from(self.waiting[..=class].iter().sum::<u32>() + 1) * MICRO;
         // The home lends this VM at least the same share of the rest.
-        let rate = self.bucket.limit().rate_micro_per_s.max(1);
+        let rate = self.share.rate_micro_per_s().max(1);
         let rate = (rate as f64 / (EVEN_FRACTION + GRANTED_FRACTION)) as u64;
         let rate = self.left_for(class, rate);
         let missing = u128::from(need.saturating_sub(level));
@@ -806,6 +814,11 @@
     }
 }
 
+/// The part of a token of its share that a VM counts as gained when it starts.
+fn phase(seed: u64, workspace: &WorkspaceName) -> f64 {
+    stable_hash(&format!("{seed}/{workspace}")) as f64 / u64::MAX as f64
+}
+
 /// Returns a bucket with the tokens that were refilled while this VM was starting.
 fn bucket_after_start(now: MonoTime, rate_per_s: f64, burst: f64) -> TokenBucket {
     let ended = MonoTime(now.0.saturating_sub(RESTART_MIN.0));
--- a/crates/gateway/tests/rates.rs
+++ b/crates/gateway/tests/rates.rs
@@ -185,3 +185,43 @@
     let lent = limiter.lend(now + DurationUs::from_ms(100), &workspace.name, 64);
     assert!((20..=24).contains(&lent), "{lent} tokens of 40 per second after 0.1 s");
 }
+
+/// Most operations of a workspace that the platform accepts in 5 s.
+fn allowed_in_window(rate_per_s: f64, burst: f64) -> f64 {
+    (rate_per_s * 5.0 + burst) * 1.1 + 20.0
+}
+
+/// Guards against what each of hundreds of VMs may hold at least adding up to more than the rate. The home lends all
+/// that it has, and callers then come to every VM.
+#[test]
+fn even_shares_of_hundreds_of_idle_vms_stay_within_the_rate() {
+    const BURST: f64 = 20.0;
+    for (vms, rate_per_s) in [(300, 20.0), (1_000, 20.0), (300, 400.0), (1_000, 400.0)] {
+        let start = MonoTime(1_000_000_000);
+        let mut workspace = world::catalog(1, rate_per_s, 200).workspaces.swap_remove(0);
+        workspace.burst = BURST;
+        let limiter = |seed| {
+            let mut limiter = RateLimiter::default().with_seed(seed);
+            limiter.set_vm_count(start, vms);
+            limiter.configure(start, std::slice::from_ref(&workspace));
+            limiter
+        };
+        let mut limiters: Vec<RateLimiter> = (0..vms as u64).map(limiter).collect();
+        let idle = DurationUs::from_ms(600_000);
+        let (mut spent, mut lent) = (0, 0);
+        for step in 0..500 {
+            let now = start + idle + DurationUs::from_ms(10 * step);
+            lent += limiters[0].lend(now, &workspace.name, 64);
+            for limiter in &mut limiters {
+                let _ = limiter.enqueue(now, &workspace.name, 1, DurationUs(0));
+                spent += usize::from(limiter.try_take(now, &workspace.name, 1));
+                limiter.cancel(&workspace.name, 1);
+            }
+        }
+        let allowed = allowed_in_window(rate_per_s, BURST);
+        let case = format!("{vms} VMs, {rate_per_s}/s: {spent} spent, {lent} lent");
+        assert!(spent as f64 + f64::from(lent) <= allowed, "{case} of {allowed}");
+        // VMs without contact have their share, too.
+        assert!(spent as f64 >= rate_per_s * 5.0 * 0.02, "{case}");
+    }
+}
