--- a/crates/model/src/time.rs
+++ b/crates/model/src/time.rs
@@ -15,7 +15,7 @@
 impl DurationUs {
     /// Converts from milliseconds.
     pub const fn from_ms(ms: u64) -> DurationUs {
-        DurationUs(ms * 1_000)
+        DurationUs(ms.saturating_mul(1_000))
     }
 
     /// The span in whole milliseconds, rounded down.
