--- a/crates/gateway/tests/rates.rs
+++ b/crates/gateway/tests/rates.rs
@@ -2,7 +2,11 @@
 
 mod world;
 
-use gateway::{message::ErrorCode, rates::RateLimiter, witnesses::LEASE_DURATION};
+use gateway::{
+    message::ErrorCode,
+    rates::{HandedRate, Predecessor, RateLimiter},
+    witnesses::LEASE_DURATION,
+};
 use model::prelude::*;
 use world::{Endpoint, KEY, LATEST, World, dc, read};
 
@@ -225,3 +229,53 @@
         assert!(spent as f64 >= rate_per_s * 5.0 * 0.02, "{case}");
     }
 }
+
+/// What a home hands over is lent once by its successor, also if it arrives before the successor knows or twice.
+#[test]
+fn handed_over_tokens_are_lent_once_in_any_order() {
+    const LEFT: u32 = 30;
+    let (start, later) = (MonoTime(1_000_000_000), MonoTime(1_001_000_000));
+    let workspace = world::catalog(1, 40.0, 200).workspaces.swap_remove(0);
+    let name = &workspace.name;
+    let limiter = || {
+        let mut limiter = RateLimiter::default();
+        limiter.set_vm_count(start, 9);
+        limiter.configure(start, std::slice::from_ref(&workspace));
+        limiter
+    };
+    let check =
+        |case: &str,
+         expected: u32,
+         events: fn(&mut RateLimiter, &HandedRate, &WorkspaceName, MonoTime)| {
+            let mut home = limiter();
+            home.lend(later, name, 64);
+            let handed = home.hand_over(later + DurationUs::from_ms(800), name).expect("a rate");
+            assert_eq!(home.lend(later + DurationUs::from_ms(800), name, 64), 0, "{case}");
+            let handed = HandedRate { tokens: LEFT as f32, ..handed };
+            let mut successor = limiter();
+            events(&mut successor, &handed, name, later);
+            assert_eq!(successor.lend(later, name, 64), expected, "{case}");
+        };
+    check("after the take-over", LEFT, |limiter, handed, name, now| {
+        limiter.take_over(now, name, Predecessor::Active);
+        limiter.receive_rate(now, handed.clone());
+    });
+    check("before the take-over", LEFT, |limiter, handed, name, now| {
+        limiter.receive_rate(now, handed.clone());
+        limiter.take_over(now, name, Predecessor::Active);
+    });
+    check("twice", LEFT, |limiter, handed, name, now| {
+        limiter.take_over(now, name, Predecessor::Active);
+        limiter.receive_rate(now, handed.clone());
+        limiter.receive_rate(now, handed.clone());
+    });
+    check("lost", 0, |limiter, _, name, now| limiter.take_over(now, name, Predecessor::Active));
+    check("long before the take-over", 0, |limiter, handed, name, now| {
+        limiter.receive_rate(MonoTime(now.0 - 2_000_000), handed.clone());
+        limiter.take_over(now, name, Predecessor::Active);
+    });
+    check("damaged", 0, |limiter, handed, name, now| {
+        limiter.take_over(now, name, Predecessor::Active);
+        limiter.receive_rate(now, HandedRate { tokens: f32::NAN, granted: -1.0, ..handed.clone() });
+    });
+}
