Look for homes that changed at witnesses alone

Each VM went through all rates at each change of the live witnesses, to find those whose home it becomes or was; only a witness can be one. Now VMs that are in neither set return at once. Not measured by itself; admission, rate_homes and rates passed.

--- a/crates/gateway/src/engine/sharing.rs
+++ b/crates/gateway/src/engine/sharing.rs
@@ -168,6 +168,9 @@
             self.had_lease_as_home = Some(has_lease);
         }
         let Some([before, after]) = self.fleet.take_home_change(now) else { return };
+        if !before.contains(&self.id.vm) && !after.contains(&self.id.vm) {
+            return;
+        }
         let (mut taken, mut left) = (0, 0);
         let mut handed: BTreeMap<VmName, Vec<HandedRate>> = BTreeMap::new();
         for workspace in &self.catalog.workspaces {
