--- a/crates/gateway/src/engine/sharing.rs
+++ b/crates/gateway/src/engine/sharing.rs
@@ -157,8 +157,10 @@
         };
         if has_lease && !had_lease {
             let others_served = self.others_had_lease.unwrap_or(false);
-            info!(self.log, "may be the home of rates again"; "step" => self.witness_step(),
-                "others_served" => others_served);
+            if self.fleet.self_is_witness() {
+                info!(self.log, "may be the home of rates again"; "step" => self.witness_step(),
+                    "others_served" => others_served);
+            }
             self.rates.take_over_all(now, Predecessor::new(!others_served));
         }
         if had_lease && !has_lease {
--- a/crates/gateway/src/fleet.rs
+++ b/crates/gateway/src/fleet.rs
@@ -479,7 +479,8 @@
         2 * dcs.filter(|dc| served.contains(dc)).count() > self.vm_count()
     }
 
-    /// Witnesses that are live for this VM and know that they are witnesses, encoded as the lower half of [`Heartbeat::live_witnesses`].
+    /// Witnesses that are live for this VM and know that they are witnesses, encoded as the lower half of
+    /// [`Heartbeat::live_witnesses`].
     pub(crate) fn live_witnesses(&self, now: MonoTime) -> u16 {
         let is_usable = |vm| self.is_live(now, vm) && self.knows_that_it_joined(vm);
         let live = self.witnesses.vms.iter().enumerate().filter(|(_, vm)| is_usable(vm));
