--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -12,7 +12,7 @@
 
 def free_ports(count):
     """Ports below the ephemeral range that nothing listens on now."""
-    found, port = [], 12000 + (os.getpid() * 37) % 15000
+    found, port = [], 12000 + (os.getpid() * 1237) % 19000
     while len(found) < count:
         port += 1
         if port > 31900:
@@ -82,6 +82,9 @@
         self.history = []  # (revision, kind, object as bytes, deleted)
         self.changed = asyncio.Event()
         self.is_down = False
+        self.delay_s = 0.0  # one way to the store
+        self.loses_answer = None  # says of a kind whether the answer to its next write is lost
+        self.on_write = None  # called with kind and name when a write of the system has taken effect
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, HOST, 0)
@@ -103,6 +106,13 @@
         self.note(kind, data, False)
         return data
 
+    def write(self, kind, name, document):
+        data = self.put(kind, name, document.get("spec"))
+        self.record.write("store: the system writes", kind, name, json.dumps(document.get("spec")))
+        if self.on_write:
+            self.on_write(kind, name)
+        return data
+
     def remove(self, kind, name):
         if (kind, name) in self.objects:
             spec, _ = self.objects.pop((kind, name))
@@ -120,7 +130,13 @@
                 request = await read_http(reader)
                 if request is None:
                     break
+                await asyncio.sleep(self.delay_s)
                 status, body = await self.answer(*request)
+                if request[0] != "GET" and self.loses_answer and self.loses_answer(request[1].split("/")[2]):
+                    self.loses_answer = None
+                    self.record.say("store: a write is done, its answer is lost:", request[0], request[1])
+                    await asyncio.sleep(3600)
+                await asyncio.sleep(self.delay_s)
                 writer.write(http_answer(status, body, [("Store-Era", self.era)]))
                 await writer.drain()
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -146,7 +162,7 @@
             name = document["meta"]["name"]
             if (kind, name) in self.objects:
                 return 409, self.object_bytes(name, *self.objects[kind, name])
-            return 200, self.put(kind, name, document.get("spec"))
+            return 200, self.write(kind, name, document)
         if (kind, name) not in self.objects:
             return 404, b"{}"
         spec, revision = self.objects[kind, name]
@@ -157,8 +173,7 @@
         if expected is not None and int(expected) != revision:
             return 409, self.object_bytes(name, spec, revision)
         if method == "PUT":
-            self.record.write("store: PUT", kind, name, json.dumps(document.get("spec")))
-            return 200, self.put(kind, name, document.get("spec"))
+            return 200, self.write(kind, name, document)
         self.remove(kind, name)
         return 200, b"{}"
 
@@ -208,7 +223,9 @@
             return
         self.term += 1
         self.leader = member
-        member.term, member.is_primary, member.paused_by = self.term, True, None
+        member.term, member.is_primary = self.term, True
+        for other in self.members:
+            other.paused_by = None  # a promote ends every pause
         self.promotions.append((self.record.now(), self.term, member.name, list(member.log)))
         self.record.say("platform:", member.name, "leads term", self.term, "with", len(member.log), "commits")
         member.write_entry()
@@ -415,7 +432,7 @@
     """The platform's interface for promotions."""
 
     def __init__(self, record, groups):
-        self.record, self.groups, self.calls = record, groups, []
+        self.record, self.groups, self.calls, self.is_down = record, groups, [], False
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, HOST, 0)
@@ -434,7 +451,7 @@
                 self.calls.append((self.record.now(), holder, token, document["service"], document["id"]))
                 group = next(g for g in self.groups if g.service == document["service"])
                 member = next((m for m in group.members if m.name == document["id"]), None)
-                status = 200 if member and member.up else 409
+                status = 503 if self.is_down else 200 if member and member.up else 409
                 self.record.say("platform: promote", document["service"], "to", document["id"], "from", holder,
                                 "token", token, "->", status)
                 if status == 200:
@@ -571,8 +588,9 @@
 class Fleet:
     """Everything of a run, and its end."""
 
-    def __init__(self, record, zones):
+    def __init__(self, record, fleets, zones):
         self.record, self.zones, self.ports, self.fronts, self.first = record, zones, set(), [], True
+        fleets.append(self)
         self.folder = tempfile.mkdtemp(prefix="jasminepass-review-")
         self.store = Store(record)
 
@@ -585,6 +603,12 @@
         until = time.monotonic() + limit_s
         waiting = list(fronts)
         while waiting and time.monotonic() < until:
+            for front in waiting:
+                if front.process.poll() is not None:
+                    # Something else took one of its ports meanwhile.
+                    front.front, front.ready, front.peer = free_ports_for(self, 3)
+                    front.first = self.first
+                    front.start()
             waiting = [front for front in waiting if not await front.is_ready()]
             await asyncio.sleep(0.1)
         return not waiting
@@ -652,3 +676,36 @@
             "services": [{"name": service, "maxConns": max_conns, "syncReplicas": sync}],
             "limits": {"txIdleMs": 5000},
             "tenants": [{"name": "tenant-a", "apiKeys": ["key-a"], "ratePerS": 400, "burst": 800}]}
+
+
+def main(run, script):
+    """Runs a case and ends the script with its code: 0 held, 1 broken, 2 could not run. All processes that it started
+    are ended, also if it takes too long or is asked to stop."""
+    record = Record(os.path.join(os.path.dirname(os.path.abspath(script)), "record.txt"))
+    fleets = []
+
+    def finish(code):
+        for fleet in fleets:
+            fleet.stop()
+        record.say({0: "held", 1: "BROKEN", 2: "could not run"}[code])
+        record.close()
+        sys.stdout.flush()
+        os._exit(code)
+
+    def give_up(number, _):
+        record.say("ended by", signal.Signals(number).name)
+        finish(2)
+
+    for number in (signal.SIGALRM, signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, give_up)
+    signal.alarm(112)
+
+    async def whole():
+        try:
+            code = await run(record, fleets)
+        except Exception as error:
+            record.say("the case could not run:", repr(error))
+            code = 2
+        finish(code)
+
+    asyncio.run(whole())
