--- a/review/1/run.py
+++ b/review/1/run.py
@@ -34,55 +34,52 @@
         await asyncio.sleep(0.03)
 
 
-async def run(record):
-    fleet = Fleet(record, {"uusimaa-a": "uusimaa", "pirkanmaa-a": "pirkanmaa"})
-    try:
-        await fleet.store.start()
-        group = Group(record, fleet.store, "dispatch-db", ["i-db1", "i-db2", "i-db3"],
-                      ["pirkanmaa-a", "pirkanmaa-a", "uusimaa-a"], promote_s=1.0)
-        db1, db2, db3 = group.members
-        db2.delay_s = 0.020  # db2 is in the other region
-        await group.start()
-        cloud = Cloud(record, [group])
-        await cloud.start()
-        fleet.cloud_address = cloud.address
-        fleet.store.put("config", "main", configuration(1, "dispatch-db"))
-        for name, zone in (("front-a-1", "uusimaa-a"), ("front-a-2", "uusimaa-a"), ("front-a-3", "uusimaa-a"),
-                           ("front-b-1", "pirkanmaa-a"), ("front-b-2", "pirkanmaa-a")):
-            fleet.add(name, zone).start()
-        first = fleet.fronts[0]  # the first witness by name replaces primaries
-        if not await fleet.until_ready(fleet.fronts, 25):
-            record.say("the processes were not ready in time")
-            return 2
-        acked = {}
-        # No requester uses the VM that stands still, so that none is excused.
-        tasks = [asyncio.ensure_future(writes(fleet, group, front, number, acked))
-                 for number, front in enumerate(fleet.fronts[1:] * 2)]
-        await asyncio.sleep(5)
-        before = len(acked)
-        frozen = []
+async def run(record, fleets):
+    fleet = Fleet(record, fleets, {"uusimaa-a": "uusimaa", "pirkanmaa-a": "pirkanmaa"})
+    await fleet.store.start()
+    group = Group(record, fleet.store, "dispatch-db", ["i-db1", "i-db2", "i-db3"],
+                  ["pirkanmaa-a", "pirkanmaa-a", "uusimaa-a"], promote_s=1.0)
+    db1, db2, db3 = group.members
+    db2.delay_s = 0.020  # db2 is in the other region
+    await group.start()
+    cloud = Cloud(record, [group])
+    await cloud.start()
+    fleet.cloud_address = cloud.address
+    fleet.store.put("config", "main", configuration(1, "dispatch-db"))
+    for name, zone in (("front-a-1", "uusimaa-a"), ("front-a-2", "uusimaa-a"), ("front-a-3", "uusimaa-a"),
+                       ("front-b-1", "pirkanmaa-a"), ("front-b-2", "pirkanmaa-a")):
+        fleet.add(name, zone).start()
+    first = fleet.fronts[0]  # the first witness by name replaces primaries
+    if not await fleet.until_ready(fleet.fronts, 25):
+        record.say("the processes were not ready in time")
+        return 2
+    acked = {}
+    # No requester uses the VM that stands still, so that none is excused.
+    tasks = [asyncio.ensure_future(writes(fleet, group, front, number, acked))
+             for number, front in enumerate(fleet.fronts[1:] * 2)]
+    await asyncio.sleep(5)
+    before = len(acked)
+    frozen = []
 
-        def stop_soon(database):
-            database.on_status = None
-            if TROUBLE:
-                asyncio.get_event_loop().call_later(0.008, stop)
+    def stop_soon(database):
+        database.on_status = None
+        if TROUBLE:
+            asyncio.get_event_loop().call_later(0.008, stop)
 
-        def stop():
-            first.signal(signal.SIGSTOP)
-            frozen.append(record.now())
-            asyncio.get_event_loop().call_later(FREEZE_S, lambda: first.signal(signal.SIGCONT))
+    def stop():
+        first.signal(signal.SIGSTOP)
+        frozen.append(record.now())
+        asyncio.get_event_loop().call_later(FREEZE_S, lambda: first.signal(signal.SIGCONT))
 
-        # The replicas are asked for their position only while a primary is replaced.
-        db3.on_status = stop_soon
-        db1.crash()
-        await asyncio.sleep(7)
-        await db1.restart()
-        await asyncio.sleep(5)
-        for task in tasks:
-            task.cancel()
-        return judge(record, group, cloud, acked, before, frozen)
-    finally:
-        fleet.stop()
+    # The replicas are asked for their position only while a primary is replaced.
+    db3.on_status = stop_soon
+    db1.crash()
+    await asyncio.sleep(7)
+    await db1.restart()
+    await asyncio.sleep(5)
+    for task in tasks:
+        task.cancel()
+    return judge(record, group, cloud, acked, before, frozen)
 
 
 def judge(record, group, cloud, acked, before, frozen):
@@ -108,12 +105,4 @@
 
 
 if __name__ == "__main__":
-    record = Record(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"))
-    code = 2
-    try:
-        code = asyncio.run(asyncio.wait_for(run(record), 110))
-    except Exception as error:
-        record.say("the case could not run:", repr(error))
-    record.say({0: "held", 1: "BROKEN", 2: "could not run"}[code])
-    record.close()
-    sys.exit(code)
+    main(run, __file__)
