Promote one database a term, and only on confirmations that still hold

Cause: a promotion request carries no term, so two requests for one term begin two, and all VMs serve the first. A VM that stood still while it replaced a primary went on with what it knew: bounds that had run out meanwhile, rows and confirmations from before. The conditional update of the token refused it, or the VM that had taken the failover over, and both just tried again.

The new test fails before the change for a standstill of 1.7 s and more; with equal choices of both VMs it passes, so the second promotion alone is not the fault. Ruled out: the order of tokens (they rise), leases (no VM without one acknowledged anything).

Change: the record beside the token names the database. A VM whose database is another one leaves the outcome to the recorded promotion, and then prepares a later term, for which every VM confirms anew. An attempt counts only the time in which its process ran, and starts over after a standstill, a lost lease or a refused update. Attempts may now end with a primary of an earlier term than the prepared one, where an earlier request took no effect.

Tests of the gateway pass.

--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -53,16 +53,19 @@
 /// A call to the platform's store or to its promotion service.
 #[derive(Clone, Debug)]
 pub enum PlatformRequest {
-    /// Read the fencing token, so that it can be raised without delay.
+    /// Read the fencing token, so that it can be raised without delay, and the promotions recorded with it.
     ReadToken,
     /// Raise the fencing token by a conditional update of the value that was read last, and record
-    /// the intent with it, from which a VM that restarts learns which promotions may be in
-    /// progress.
+    /// the intent with it, from which other VMs, and one that restarts, learn which promotions may be in
+    /// progress. Not done where [`RecordedPromotion::admits`](crate::promotions::RecordedPromotion::admits) is
+    /// false for the record of the service.
     RaiseToken {
         /// Number of the failover attempt, returned with the answer.
         attempt: u64,
         /// The promotion that is about to be requested.
         intent: PromotionIntent,
+        /// Token of an earlier record of this VM under which no promotion can take effect.
+        void: Option<u64>,
     },
     /// Request a promotion, unless it is later than `not_after`.
     Promote {
--- a/crates/gateway/src/engine/failovers.rs
+++ b/crates/gateway/src/engine/failovers.rs
@@ -11,11 +11,10 @@
 };
 use crate::{
     effect::{Effect, PlatformRequest},
-    failover::{
-        self, FailoverAttempt, Phase, PrimaryHealth, PromotionIntent, PromotionOutcome, Step,
-    },
+    failover::{self, FailoverAttempt, Phase, PrimaryHealth, PromotionOutcome, Step},
     peers::PeerBody,
     pool::ControlRequest,
+    promotions::{PromotionIntent, RecordedPromotion, TokenOutcome},
 };
 
 /// How long a suspension is left to the VM that asked for it before the coordinator takes the failover
@@ -163,6 +162,7 @@
         let limits = self.catalog.services.get(name);
         let synchronous = limits.is_some_and(|limits| limits.synchronous);
         let attempt = FailoverAttempt::new(id, name.clone(), term, now)
+            .with_known_term(service.term)
             .with_old_primary(old_primary, planned)
             .with_candidates(candidates)
             .with_spared_old_primary(spares_old_primary)
@@ -170,14 +170,27 @@
             .with_synchronous(synchronous);
         self.failovers.push(attempt);
         self.effects.push(Effect::CallPlatform(PlatformRequest::ReadToken));
-        let me = self.id.vm.clone();
-        self.suspend_primary(name, term, planned, &me, self.id.incarnation);
         self.advance_failovers();
     }
 
+    /// Discards what failovers rest on after this VM stood still or was without a lease: other VMs may have taken them
+    /// over, and may have ended the suspensions that they had confirmed.
+    fn discard_outdated(&mut self) {
+        let (now, has_lease) = (self.now, self.has_lease());
+        let still = now.since(std::mem::replace(&mut self.failovers_stepped_at, now));
+        let had_lease = std::mem::replace(&mut self.had_lease_in_failovers, has_lease);
+        for attempt in &mut self.failovers {
+            attempt.note_standstill(now, still);
+            if has_lease != had_lease {
+                attempt.discard_confirmations(now);
+            }
+        }
+    }
+
     /// Takes the next step of each failover in progress.
     pub(super) fn advance_failovers(&mut self) {
-        let now = self.now;
+        self.discard_outdated();
+        let (now, has_lease) = (self.now, self.has_lease());
         let ids: Vec<u64> = self.failovers.iter().map(|attempt| attempt.id).collect();
         for id in ids {
             let Some(index) = self.failovers.iter().position(|attempt| attempt.id == id) else {
@@ -199,17 +212,14 @@
             let service = attempt.service.clone();
             let term = attempt.term;
             let state = self.services.get(&service).filter(|state| state.term >= term);
-            if let Some((term, primary)) = state.map(|state| (state.term, state.primary.clone())) {
-                self.failovers.remove(index);
-                info!(self.log, "primary replaced"; "attempt" => id, "service" => %service,
-                    "database" => ?primary, "term" => term.0);
-                if primary.is_some() {
-                    self.broadcast(PeerBody::Decided { service, term, primary });
-                }
+            if let Some(primary) = state.map(|state| state.primary.clone()) {
+                self.finish_failover(index, primary);
                 continue;
             }
-            attempt.note_majority(now, self.fleet.is_witness_majority(&attempt.suspended));
-            let all_confirmed = self.fleet.includes_all_members(&attempt.suspended);
+            // Without a lease, this VM may not know of suspensions that have ended.
+            let is_majority = has_lease && self.fleet.is_witness_majority(&attempt.suspended);
+            attempt.note_majority(now, is_majority);
+            let all_confirmed = has_lease && self.fleet.includes_all_members(&attempt.suspended);
             match attempt.step(now, all_confirmed) {
                 Step::Wait => {}
                 Step::QueryStatus(databases) => {
@@ -225,23 +235,47 @@
                     self.request_control(&database, id, ControlRequest::Demote(term))
                 }
                 Step::RaiseToken => {
+                    let Phase::RaisingToken { candidate, .. } = &attempt.phase else { continue };
                     info!(self.log, "raising the fencing token"; "attempt" => id, "service" => %service,
+                        "term" => term.0, "candidate" => %candidate, "requested" => ?attempt.requested,
                         "rows" => ?attempt.statuses, "stopped" => attempt.suspended.len());
-                    let intent = PromotionIntent { service, term };
-                    self.effects.push(Effect::CallPlatform(PlatformRequest::RaiseToken {
-                        attempt: id,
-                        intent,
-                    }));
+                    let intent = PromotionIntent { service, term, database: candidate.clone() };
+                    let void = attempt.void_token;
+                    let request = PlatformRequest::RaiseToken { attempt: id, intent, void };
+                    self.effects.push(Effect::CallPlatform(request));
                 }
                 Step::GiveUp(reason) => self.give_up(index, reason),
                 Step::Announce(database, term) => {
-                    // The next call finds the new term and announces it to all VMs.
-                    self.begin_term(&service, term, Some(database), "replaced by this VM");
+                    self.begin_term(&service, term, Some(database.clone()), "replaced by this VM");
+                    self.finish_failover(index, Some(database));
                 }
             }
         }
     }
 
+    /// Ends a failover whose service has a new primary, and announces it. If it leads an earlier term than the one
+    /// that was prepared, that one is given up.
+    fn finish_failover(&mut self, index: usize, primary: Option<DatabaseName>) {
+        let FailoverAttempt { id, service, term: prepared, .. } = self.failovers.remove(index);
+        let Some(term) = self.services.get(&service).map(|service| service.term) else { return };
+        info!(self.log, "primary replaced"; "attempt" => id, "service" => %service,
+            "database" => ?primary, "term" => term.0, "prepared" => prepared.0);
+        if primary.is_some() {
+            let service = service.clone();
+            self.broadcast(PeerBody::Decided { service, term, primary });
+        }
+        if term < prepared {
+            self.announce_given_up(service, prepared);
+        }
+    }
+
+    /// Tells all VMs, and this one, that this VM does not prepare a term any more.
+    fn announce_given_up(&mut self, service: ServiceName, term: Term) {
+        let me = self.id.vm.clone();
+        self.handle_decision(&service, term, None, &me);
+        self.broadcast(PeerBody::Decided { service, term, primary: None });
+    }
+
     /// Asks the VMs that have not confirmed to suspend the primary, if the last request is old enough.
     fn send_due_suspend_requests(&mut self, index: usize) {
         let now = self.now;
@@ -252,8 +286,13 @@
         if attempt.phase != Phase::AwaitingSuspension || !due {
             return;
         }
-        attempt.suspend_sent_at = Some(now);
+        let is_first = attempt.suspend_sent_at.replace(now).is_none();
         let (service, term, planned) = (attempt.service.clone(), attempt.term, attempt.planned);
+        if is_first {
+            let me = self.id.vm.clone();
+            self.suspend_primary(&service, term, planned, &me, self.id.incarnation);
+        }
+        let attempt = &self.failovers[index];
         let suspended = attempt.suspended.clone();
         let addresses: Vec<_> = self
             .fleet
@@ -282,7 +321,7 @@
         if attempt.promotion_requested {
             // The promotion may still take effect, so the old primary must not be used again.
             let now = self.now;
-            self.failovers[index].restart_collection(now);
+            self.failovers[index].try_again(now);
             return;
         }
         let attempt = self.failovers.remove(index);
@@ -297,34 +336,44 @@
         if let Some(service) = self.services.get_mut(&attempt.service) {
             service.next_failover_at = self.now + failover::ATTEMPT_RETRY_DELAY;
         }
-        let me = self.id.vm.clone();
-        self.handle_decision(&attempt.service, attempt.term, None, &me);
-        let (service, term) = (attempt.service, attempt.term);
-        self.broadcast(PeerBody::Decided { service, term, primary: None });
+        self.announce_given_up(attempt.service, attempt.term);
     }
 
-    /// Handles the store's answer to the conditional update of the fencing token: its new value, or
-    /// `None` where it was not raised. `sent` is when the update was sent.
+    /// Handles the outcome of raising the fencing token for `intent`. `sent` is when the update was sent.
     pub fn token_raised(
         &mut self,
         now: MonoTime,
         attempt: u64,
-        token: Option<u64>,
+        intent: &PromotionIntent,
+        outcome: TokenOutcome,
         sent: MonoTime,
     ) {
         self.now = now;
+        self.discard_outdated();
         let Some(found) = self.failovers.iter_mut().find(|a| a.id == attempt) else { return };
-        let service = found.service.clone();
-        info!(self.log, "fencing token update answered"; "attempt" => attempt, "token" => ?token,
-            "age_ms" => now.since(sent).as_ms());
-        if let (Some(database), Some(token)) = (found.token_raised(now, token), token) {
+        info!(self.log, "fencing token update answered"; "attempt" => attempt,
+            "outcome" => ?outcome, "age_ms" => now.since(sent).as_ms());
+        if let Some((database, token)) = found.token_raised(now, intent, outcome) {
             let not_after = sent + failover::PROMOTION_SEND_WINDOW;
+            let service = intent.service.clone();
             let request = PlatformRequest::Promote { attempt, service, database, token, not_after };
             self.effects.push(Effect::CallPlatform(request));
         }
         self.advance_failovers();
     }
 
+    /// Takes the promotions that are recorded with the fencing token, which was read for a failover.
+    pub fn token_read(&mut self, now: MonoTime, recorded: &[(ServiceName, RecordedPromotion)]) {
+        self.now = now;
+        self.discard_outdated();
+        for (service, recorded) in recorded {
+            for attempt in self.failovers.iter_mut().filter(|a| a.service == *service) {
+                attempt.note_recorded(now, recorded);
+            }
+        }
+        self.advance_failovers();
+    }
+
     /// Handles the platform's answer to a promotion request.
     pub fn promotion_answered(&mut self, now: MonoTime, attempt: u64, outcome: PromotionOutcome) {
         self.now = now;
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -185,6 +185,10 @@
     /// Failovers that this VM carries out.
     failovers: Vec<FailoverAttempt>,
     next_failover_id: u64,
+    /// When the failovers were last stepped; a gap shows that this process stood still.
+    failovers_stepped_at: MonoTime,
+    /// Whether this VM had a lease then.
+    had_lease_in_failovers: bool,
     next_heartbeat_at: MonoTime,
     /// Number of rounds of heartbeats sent.
     heartbeats: u64,
@@ -317,6 +321,8 @@
             rates,
             failovers: Vec::new(),
             next_failover_id: 1,
+            failovers_stepped_at: now,
+            had_lease_in_failovers: false,
             next_heartbeat_at: now,
             heartbeats: 0,
             last_fetch_at: MonoTime(0),
--- a/crates/gateway/src/engine/primaries.rs
+++ b/crates/gateway/src/engine/primaries.rs
@@ -137,11 +137,6 @@
         self.observe_status(&database, done.sent_at, row);
         if let Some(attempt) = self.failovers.iter_mut().find(|a| a.id == attempt) {
             attempt.note_status(self.now, &database, row);
-            let (service, term, planned) = (attempt.service.clone(), attempt.term, attempt.planned);
-            let me = self.id.vm.clone();
-            if attempt.suspended.is_empty() {
-                self.suspend_primary(&service, term, planned, &me, self.id.incarnation);
-            }
             self.advance_failovers();
         }
     }
--- a/crates/gateway/src/engine/suspensions.rs
+++ b/crates/gateway/src/engine/suspensions.rs
@@ -5,12 +5,8 @@
 
 use super::{Engine, ServiceState};
 use crate::{
-    effect::CallerKey,
-    failover::{self, PromotionIntent},
-    message::TransactionState,
-    peers::PeerBody,
-    session::Transaction,
-    witnesses::LEASE_DURATION,
+    effect::CallerKey, failover, message::TransactionState, peers::PeerBody,
+    promotions::RecordedPromotion, session::Transaction, witnesses::LEASE_DURATION,
 };
 
 /// How long a suspension lasts if its outcome is never heard. A failover is over much sooner.
@@ -235,18 +231,18 @@
         }
     }
 
-    /// Takes the promotions that were requested before this run began. Any of them may still take
+    /// Takes the promotions that were recorded before this run began. Any of them may still take
     /// effect, so the primaries that they replace are suspended.
-    pub fn set_intents(&mut self, now: MonoTime, intents: Vec<PromotionIntent>) {
+    pub fn set_intents(&mut self, now: MonoTime, recorded: &[(ServiceName, RecordedPromotion)]) {
         self.now = now;
         self.intents_known = true;
-        for PromotionIntent { service: name, term } in intents {
+        for (name, RecordedPromotion { term, .. }) in recorded {
             let preparer = Preparer { vm: self.id.vm.clone(), run: UNOWNED_RUN };
             let service =
                 self.services.entry(name.clone()).or_insert_with(|| ServiceState::new(now));
-            if term > service.term && service.suspension.is_none() {
+            if *term > service.term && service.suspension.is_none() {
                 info!(self.log, "promotion may be under way"; "service" => %name, "term" => term.0);
-                service.suspension = Some(Suspension::new(now, term, preparer));
+                service.suspension = Some(Suspension::new(now, *term, preparer));
             }
         }
     }
--- a/crates/gateway/src/failover.rs
+++ b/crates/gateway/src/failover.rs
@@ -11,7 +11,11 @@
 
 use model::prelude::*;
 
-use crate::{peers::ServiceReport, witnesses::LEASE_DURATION};
+use crate::{
+    peers::{LIVENESS_TIMEOUT, ServiceReport},
+    promotions::{PromotionIntent, RecordedPromotion, TokenOutcome},
+    witnesses::LEASE_DURATION,
+};
 
 /// How long a VM must have had no usable answer from a primary before the primary is replaced.
 ///
@@ -54,6 +58,12 @@
 /// Minimum time between a failed attempt and the next one for the same service.
 pub const ATTEMPT_RETRY_DELAY: DurationUs = DurationUs::from_ms(700);
 
+/// Time without any step of an attempt after which the process counts as having stood still: what it waited for meanwhile
+/// had no time to arrive. Ticks are much shorter.
+pub const STANDSTILL_MIN: DurationUs = DurationUs::from_ms(200);
+/// Standstill after which other VMs may have taken an attempt over.
+pub const STANDSTILL_MAX: DurationUs = LIVENESS_TIMEOUT;
+
 /// A database's answer to a status query.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StatusRow {
@@ -96,11 +106,9 @@
         /// The database to promote.
         candidate: DatabaseName,
     },
-    /// The promotion request was answered or timed out, and the database is not known to be primary
-    /// yet.
+    /// The promotion request was answered or timed out, or another VM may have sent one, and the database is not known
+    /// to be primary yet.
     Confirming {
-        /// When the request was answered or timed out.
-        since: MonoTime,
         /// The database to promote.
         candidate: DatabaseName,
     },
@@ -132,6 +140,8 @@
     pub service: ServiceName,
     /// The term that begins with the promotion.
     pub term: Term,
+    /// The newest term that was known when the attempt began.
+    pub known_term: Term,
     /// Whether the change is planned: the old primary still serves, and is about to be withdrawn.
     pub planned: bool,
     /// Whether a commit is acknowledged only once a replica has received it. Then the most advanced
@@ -165,9 +175,17 @@
     pub excluded: BTreeSet<DatabaseName>,
     /// The token is not raised before this time.
     pub token_retry_at: MonoTime,
-    /// Whether a promotion request may have been sent. From then on, only a new primary ends the
-    /// attempt.
+    /// Whether a promotion request may have been sent, by this VM or another one. From then on, only a new primary
+    /// ends the attempt.
     pub promotion_requested: bool,
+    /// The database whose promotion for this term may have been requested. No other is promoted for the term.
+    pub requested: Option<DatabaseName>,
+    /// Until when a requested promotion is waited for before it is requested again.
+    pub request_until: MonoTime,
+    /// The token of this attempt's last record, where no promotion can take effect under it.
+    pub void_token: Option<u64>,
+    /// Whether the confirmations are outdated, so that all VMs have to confirm again before a promotion is requested.
+    is_outdated: bool,
 }
 
 impl FailoverAttempt {
@@ -193,9 +211,19 @@
             excluded: BTreeSet::new(),
             token_retry_at: now,
             promotion_requested: false,
+            requested: None,
+            request_until: now,
+            void_token: None,
+            known_term: Term(0),
+            is_outdated: false,
         }
     }
 
+    /// Sets the newest term that is known.
+    pub fn with_known_term(self, known_term: Term) -> FailoverAttempt {
+        FailoverAttempt { known_term, ..self }
+    }
+
     /// Sets the primary to replace; `planned` says whether it is still serving.
     pub fn with_old_primary(
         self,
@@ -248,20 +276,70 @@
     /// starts over with the next term, so all VMs have to confirm again.
     pub fn note_status(&mut self, now: MonoTime, database: &DatabaseName, row: StatusRow) {
         if row.term >= self.term && !row.is_primary && !self.promotion_requested {
-            let (old_primary, planned) = (self.old_primary.take(), self.planned);
-            let candidates = std::mem::take(&mut self.candidates);
-            let observed = std::mem::take(&mut self.observed);
-            *self = FailoverAttempt::new(self.id, self.service.clone(), row.term.next(), now)
-                .with_old_primary(old_primary, planned)
-                .with_candidates(candidates)
-                .with_spared_old_primary(self.spares_old_primary)
-                .with_observed(observed)
-                .with_synchronous(self.synchronous);
-            return;
+            return self.restart_in(now, row.term.next());
         }
         self.statuses.insert(database.clone(), row);
     }
 
+    /// Starts over with a later term, for which all VMs have to confirm again.
+    fn restart_in(&mut self, now: MonoTime, term: Term) {
+        self.term = term;
+        self.requested = None;
+        self.void_token = None;
+        self.excluded.clear();
+        self.restart_suspension(now);
+    }
+
+    /// Starts over: all VMs have to confirm again. A planned change whose old primary may have been demoted goes on as
+    /// an unplanned one.
+    fn restart_suspension(&mut self, now: MonoTime) {
+        self.planned &=
+            matches!(self.phase, Phase::AwaitingSuspension | Phase::CollectingStatus { .. });
+        self.is_outdated = false;
+        self.started = now;
+        self.suspended.clear();
+        self.majority_suspended_at = None;
+        self.suspend_sent_at = None;
+        self.statuses.clear();
+        self.status_queried_at.clear();
+        self.phase = Phase::AwaitingSuspension;
+    }
+
+    /// Discards what the attempt learned before this VM stood still for `span`. After a long standstill, another VM may
+    /// have completed the failover.
+    pub fn note_standstill(&mut self, now: MonoTime, span: DurationUs) {
+        if span >= STANDSTILL_MAX {
+            self.discard_confirmations(now);
+        } else if span >= STANDSTILL_MIN && matches!(self.phase, Phase::CollectingStatus { .. }) {
+            self.restart_collection(now);
+        }
+    }
+
+    /// Has all VMs confirm again before a promotion is requested. One that was requested is waited for first.
+    pub fn discard_confirmations(&mut self, now: MonoTime) {
+        match self.phase {
+            Phase::Promoting { .. } | Phase::Confirming { .. } => self.is_outdated = true,
+            _ => self.restart_suspension(now),
+        }
+    }
+
+    /// Takes a promotion into account that another VM, or an earlier run, recorded for the service. It may take effect
+    /// at any time, so this attempt promotes the same database, or prepares a later term.
+    pub fn note_recorded(&mut self, now: MonoTime, recorded: &RecordedPromotion) {
+        let is_own = self.requested.is_some() && self.requested == recorded.database
+            || self.void_token == Some(recorded.token);
+        if recorded.term < self.term || (recorded.term == self.term && is_own) {
+            return;
+        }
+        self.promotion_requested = true;
+        match &recorded.database {
+            Some(_) if recorded.term > self.term => self.restart_in(now, recorded.term),
+            Some(_) => {}
+            None => return self.restart_in(now, recorded.term.next()),
+        }
+        self.requested.clone_from(&recorded.database);
+    }
+
     /// Returns the action due at `now`; `all_confirmed` says whether all VMs have confirmed that
     /// they suspended use of the old primary.
     pub fn step(&mut self, now: MonoTime, all_confirmed: bool) -> Step {
@@ -274,16 +352,27 @@
             }
             Phase::Promoting { since, candidate } if now.since(since) >= PLATFORM_CALL_TIMEOUT => {
                 // The request may have been carried out without an answer.
-                self.phase = Phase::Confirming { since: now, candidate };
+                self.await_primary(now, candidate);
                 Step::Wait
             }
             Phase::RaisingToken { .. } | Phase::Promoting { .. } => Step::Wait,
-            Phase::Confirming { since, candidate } => self.step_confirming(now, since, candidate),
+            Phase::Confirming { candidate } => self.step_confirming(now, candidate),
         }
     }
 
+    /// Waits until a database whose promotion this VM may have requested is known to be primary.
+    fn await_primary(&mut self, now: MonoTime, candidate: DatabaseName) {
+        self.requested = Some(candidate.clone());
+        self.void_token = None;
+        self.request_until = now + PROMOTION_TIMEOUT;
+        self.phase = Phase::Confirming { candidate };
+    }
+
     fn step_awaiting_suspension(&mut self, now: MonoTime, all_confirmed: bool) -> Step {
         if self.all_suspended(now, all_confirmed) {
+            if let Some(candidate) = self.requested.clone().filter(|_| now < self.request_until) {
+                return self.step_confirming(now, candidate);
+            }
             self.phase = Phase::CollectingStatus { since: now };
             return self.query_status(now);
         }
@@ -303,7 +392,10 @@
             .statuses
             .iter()
             .filter(|(name, row)| row.is_primary && self.old_primary.as_ref() != Some(*name));
-        if let Some((primary, row)) = primaries.clone().find(|(_, row)| row.term >= self.term) {
+        let leads = |(name, row): &(&DatabaseName, &StatusRow)| {
+            row.term >= self.term || self.is_outcome(name, row)
+        };
+        if let Some((primary, row)) = primaries.clone().find(leads) {
             return Step::Announce(primary.clone(), row.term);
         }
         if !self.promotion_requested && !self.planned && primaries.next().is_some() {
@@ -326,6 +418,11 @@
         if now < self.token_retry_at {
             return Step::Wait;
         }
+        let newest = self.statuses.values().map(|row| row.term).max().unwrap_or_default();
+        if newest >= self.term {
+            self.restart_in(now, newest.next());
+            return Step::Wait;
+        }
         let best = eligible
             .iter()
             .filter_map(|name| self.statuses.get(*name).map(|row| (row.received, *name)))
@@ -340,6 +437,10 @@
             return self.query_status(now);
         }
         match best.map(|(_, name)| name.clone()) {
+            Some(candidate) if self.must_not_promote(&candidate) => {
+                self.restart_in(now, self.term.next());
+                Step::Wait
+            }
             Some(candidate) => {
                 self.phase = Phase::RaisingToken { since: now, candidate };
                 Step::RaiseToken
@@ -351,9 +452,28 @@
         }
     }
 
-    /// Compares candidates by preference; the preferred one is less.
+    /// Whether another database may have been promoted for the term.
+    fn must_not_promote(&self, candidate: &DatabaseName) -> bool {
+        self.requested.as_ref().is_some_and(|requested| requested != candidate)
+    }
+
+    /// Whether a primary is the outcome of the last promotion that may have been requested, if an earlier one did not
+    /// take effect: then it begins an earlier term than the one that was prepared.
+    fn is_outcome(&self, name: &DatabaseName, row: &StatusRow) -> bool {
+        let is_requested = match &self.requested {
+            Some(requested) => requested == name,
+            None => self.promotion_requested,
+        };
+        is_requested && self.known_term > Term(0) && row.term > self.known_term
+    }
+
+    /// Compares candidates by preference; the preferred one is less. One whose promotion may have been requested comes
+    /// first.
     fn preference(&self, a: &DatabaseName, b: &DatabaseName) -> std::cmp::Ordering {
-        let rank = |name| self.candidates.iter().position(|c| c == name);
+        let rank = |name: &DatabaseName| {
+            let is_requested = self.requested.as_ref() == Some(name);
+            (!is_requested, self.candidates.iter().position(|candidate| candidate == name))
+        };
         rank(a).cmp(&rank(b))
     }
 
@@ -368,6 +488,10 @@
                 .find(|name| self.statuses.get(*name).is_some_and(|row| row.received >= all))
         });
         if let Some(candidate) = caught_up.cloned() {
+            if self.must_not_promote(&candidate) {
+                self.restart_in(now, self.term.next());
+                return Step::Wait;
+            }
             self.phase = Phase::Demoting { since: now, candidate };
             return Step::Demote(old);
         }
@@ -391,14 +515,15 @@
         Step::Wait
     }
 
-    fn step_confirming(&mut self, now: MonoTime, since: MonoTime, candidate: DatabaseName) -> Step {
+    fn step_confirming(&mut self, now: MonoTime, candidate: DatabaseName) -> Step {
+        self.phase = Phase::Confirming { candidate: candidate.clone() };
         if let Some(row) = self.statuses.get(&candidate)
             && row.is_primary
-            && row.term >= self.term
+            && (row.term >= self.term || self.is_outcome(&candidate, row))
         {
             return Step::Announce(candidate, row.term);
         }
-        if now.since(since) > PROMOTION_TIMEOUT {
+        if now > self.request_until {
             return self.restart_collection(now);
         }
         let due = self
@@ -430,14 +555,25 @@
         }
     }
 
-    /// Discards all answers and queries the candidates again.
+    /// Discards all answers and queries the candidates again, once all VMs have confirmed.
     pub fn restart_collection(&mut self, now: MonoTime) -> Step {
+        if self.is_outdated {
+            self.restart_suspension(now);
+            return Step::Wait;
+        }
         self.statuses.clear();
         self.status_queried_at.clear();
         self.phase = Phase::CollectingStatus { since: now };
         self.query_status(now)
     }
 
+    /// Starts the collection over after a pause, also with databases that were not running.
+    pub fn try_again(&mut self, now: MonoTime) {
+        self.excluded.clear();
+        self.token_retry_at = now + TOKEN_RETRY_DELAY;
+        self.restart_collection(now);
+    }
+
     fn query_status(&mut self, now: MonoTime) -> Step {
         let old = self.old_primary.iter().filter(|old| {
             self.planned && !(self.spares_old_primary && self.statuses.contains_key(*old))
@@ -465,19 +601,45 @@
         Step::QueryStatus(due)
     }
 
-    /// Records the outcome of raising the fencing token: the new token, or `None` if it was not
-    /// raised. Returns the database to promote under the token.
-    pub fn token_raised(&mut self, now: MonoTime, token: Option<u64>) -> Option<DatabaseName> {
-        let Phase::RaisingToken { candidate, .. } = self.phase.clone() else { return None };
-        if token.is_none() {
-            self.token_retry_at = now + TOKEN_RETRY_DELAY;
-            self.restart_collection(now);
-            return None;
+    /// Records the outcome of raising the fencing token for `intent`. Returns the database to promote and the token.
+    pub fn token_raised(
+        &mut self,
+        now: MonoTime,
+        intent: &PromotionIntent,
+        outcome: TokenOutcome,
+    ) -> Option<(DatabaseName, u64)> {
+        let is_current = intent.term == self.term
+            && matches!(&self.phase, Phase::RaisingToken { candidate, .. } if *candidate == intent.database);
+        match outcome {
+            TokenOutcome::Raised(token) if is_current => {
+                let candidate = intent.database.clone();
+                self.promotion_requested = true;
+                self.void_token = Some(token);
+                self.statuses.remove(&candidate);
+                self.phase = Phase::Promoting { since: now, candidate: candidate.clone() };
+                return Some((candidate, token));
+            }
+            // The attempt has started over meanwhile, so no request is sent under the token.
+            TokenOutcome::Raised(token) if intent.term == self.term => {
+                self.void_token = Some(token)
+            }
+            _ if !is_current => {}
+            TokenOutcome::Raised(_) => {}
+            TokenOutcome::Recorded(recorded) => {
+                self.restart_suspension(now);
+                self.note_recorded(now, &recorded);
+                self.request_until = now + PROMOTION_TIMEOUT;
+            }
+            TokenOutcome::Conflict => {
+                self.token_retry_at = now + TOKEN_RETRY_DELAY;
+                self.restart_suspension(now);
+            }
+            TokenOutcome::NoAnswer => {
+                self.token_retry_at = now + TOKEN_RETRY_DELAY;
+                self.restart_collection(now);
+            }
         }
-        self.promotion_requested = true;
-        self.statuses.remove(&candidate);
-        self.phase = Phase::Promoting { since: now, candidate: candidate.clone() };
-        Some(candidate)
+        None
     }
 
     /// Records the outcome of the promotion request.
@@ -485,7 +647,7 @@
         let Phase::Promoting { candidate, .. } = self.phase.clone() else { return };
         match outcome {
             PromotionOutcome::Accepted | PromotionOutcome::Unknown => {
-                self.phase = Phase::Confirming { since: now, candidate };
+                self.await_primary(now, candidate);
             }
             PromotionOutcome::NotRunning => {
                 self.excluded.insert(candidate);
@@ -498,15 +660,6 @@
     }
 }
 
-/// A promotion that was requested, or may be: recorded with the fencing token before the request.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PromotionIntent {
-    /// The service whose primary changes.
-    pub service: ServiceName,
-    /// The term that begins with the promotion.
-    pub term: Term,
-}
-
 /// The outcome of a promotion request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PromotionOutcome {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod peers;
 pub mod policy;
 mod pool;
+pub mod promotions;
 mod queue;
 pub mod rates;
 pub mod refusals;
@@ -34,4 +35,4 @@
 
 pub use effect::{CallerKey, Effect, LinkKey, PlatformRequest, UpstreamKey};
 pub use engine::{Engine, EvacuationStatus, Identity, OpenConnections};
-pub use failover::PromotionIntent;
+pub use promotions::PromotionIntent;
--- a/crates/gateway/tests/failover.rs
+++ b/crates/gateway/tests/failover.rs
@@ -4,10 +4,10 @@
 mod world;
 
 use gateway::{
-    PromotionIntent,
     failover::PLANNED_SUSPEND_TIMEOUT,
     message::{Access, ErrorCode, Statement},
     peers::PeerBody,
+    promotions::RecordedPromotion,
     witnesses::LEASE_DURATION,
 };
 use model::prelude::*;
@@ -329,7 +329,8 @@
     assert!(world.query(a, "a0", write("1")).succeeded());
     world.restart(0, world::catalog(1, 1e6, 100));
     let now = world.now;
-    world.engines[0].set_intents(now, vec![PromotionIntent { service: service(), term: Term(2) }]);
+    let recorded = RecordedPromotion { term: Term(2), database: Some(database_name(1)), token: 1 };
+    world.engines[0].set_intents(now, &[(service(), recorded)]);
     let b = world.open(0, LATEST, KEY);
     world.run_for(100);
     assert!(!world.query(b, "b0", read("1")).succeeded());
@@ -609,8 +610,11 @@
     assert!(world.query(caller, "w0", write("1")).succeeded());
     for vm in [1, 4] {
         world.restart(vm, world::catalog(1, 1e6, 100));
-        let (now, intent) = (world.now, PromotionIntent { service: service(), term: Term(2) });
-        world.engines[vm].set_intents(now, vec![intent]);
+        let now = world.now;
+        world.recorded =
+            Some(RecordedPromotion { term: Term(2), database: Some(database_name(1)), token: 0 });
+        let recorded = world.recorded();
+        world.engines[vm].set_intents(now, &recorded);
     }
     world.run_for(5_000);
     for vm in 0..5 {
@@ -774,3 +778,59 @@
         }
     }
 }
+
+/// The VM that replaces a primary stands still in its attempt, and another one takes the failover over. Guards against a
+/// second promotion for the same term, after which writes are acknowledged at the first of the two databases.
+#[test]
+fn vm_that_stood_still_promotes_no_second_database_in_the_term() {
+    for after_ms in [0, 10, 20, 100, 400, 620] {
+        for still_ms in [1_700, 2_100, 2_600, 3_400] {
+            check_standstill(after_ms, still_ms);
+        }
+    }
+}
+
+fn check_standstill(after_ms: u64, still_ms: u64) {
+    let case = format!("stands still after {after_ms} ms, for {still_ms} ms");
+    let mut world = World::new(5);
+    world.promotion_ms = 1_000;
+    let callers: Vec<Caller> = (1..5).map(|vm| world.open(vm, LATEST, KEY)).collect();
+    for (index, caller) in callers.iter().enumerate() {
+        assert!(world.query(*caller, &format!("w{index}-0"), write("1")).succeeded());
+    }
+    // Replicas that differ, so that VMs with different answers choose different databases.
+    world.replicating = false;
+    assert!(world.query(callers[0], "last", write("1")).succeeded());
+    world.group.replicate(0, 1);
+    world.cut_database_from_vms(0);
+    world.delays_ms.insert((Endpoint::Database(1), Endpoint::Vm(0)), 8_000);
+    let mut sent = 0;
+    let mut write_all = |world: &mut World, ms: u64| {
+        for _ in 0..ms / 10 {
+            for (index, caller) in callers.iter().enumerate() {
+                if world.response(*caller).is_some() {
+                    sent += 1;
+                    world.send(*caller, &format!("w{index}-{sent}"), write("1"));
+                }
+            }
+            world.run_for(10);
+        }
+    };
+    for _ in 0..300 {
+        if world.engines[0].counts().takeovers > 0 {
+            break;
+        }
+        write_all(&mut world, 10);
+    }
+    write_all(&mut world, after_ms);
+    world.freeze(0);
+    write_all(&mut world, still_ms);
+    world.thaw(0);
+    write_all(&mut world, 9_000);
+    let late = world.succeeded_at_old_primaries();
+    assert!(late.is_empty(), "{case}: {late:?} at an old primary, {:?}", world.promotions);
+    let served = callers.iter().all(|caller| {
+        world.responses(*caller).iter().rev().take(20).any(|response| response.succeeded())
+    });
+    assert!(served, "{case}: not served at the end");
+}
--- a/crates/gateway/tests/hierarchy.rs
+++ b/crates/gateway/tests/hierarchy.rs
@@ -176,7 +176,7 @@
     (0..vms).for_each(|vm| world.restart(vm, world::catalog(1, 1e6, 100)));
     let now = world.now;
     for engine in &mut world.engines {
-        engine.set_intents(now, Vec::new());
+        engine.set_intents(now, &[]);
     }
     world.run_for(HEARTBEAT_PERIOD.as_ms());
     let waiting = world.engines.iter().filter(|engine| !engine.is_ready()).count();
@@ -197,7 +197,7 @@
     for vm in 0..vms {
         match world.vms_without_store.contains(&vm) {
             true => world.engines[vm].note_store_result(now, false),
-            false => world.engines[vm].set_intents(now, Vec::new()),
+            false => world.engines[vm].set_intents(now, &[]),
         }
     }
     world.run_for(LEASE_DURATION.as_ms() + 2 * HEARTBEAT_PERIOD.as_ms());
--- a/crates/gateway/tests/world/fleet.rs
+++ b/crates/gateway/tests/world/fleet.rs
@@ -3,18 +3,22 @@
 use std::collections::BTreeSet;
 
 use gateway::{
-    PlatformRequest, UpstreamKey,
+    PlatformRequest, PromotionIntent, UpstreamKey,
     catalog::Catalog,
     peers::{MemberList, MemberRecord, PeerBody, PeerMessage},
+    promotions::{RecordedPromotion, TokenOutcome},
     witnesses::Capacity,
 };
 use model::prelude::*;
 
 use super::{
-    Connection, Event, ONE_WAY_DELAY_US, PROMOTION_DELAY_US, STORE_DELAY_US, World, database_name,
-    dc, service, vm_address, vm_name,
+    Connection, Event, ONE_WAY_DELAY_US, STORE_DELAY_US, World, database_name, dc, service,
+    vm_address, vm_name,
 };
 
+/// Time from when a VM first sees the token of another VM until it replaces it.
+const HANDOVER: DurationUs = DurationUs::from_ms(600);
+
 impl World {
     pub fn member_records(&self) -> Vec<MemberRecord> {
         let record = |vm| MemberRecord {
@@ -126,22 +130,26 @@
         if self.vms_without_store.contains(&vm) {
             self.failed_store_calls += 1;
             self.schedule(STORE_DELAY_US, Event::StoreFailed { vm });
-            if let PlatformRequest::RaiseToken { attempt, .. } = request {
-                let (token, sent) = (None, self.now);
-                self.schedule(STORE_DELAY_US, Event::TokenRaised { vm, attempt, token, sent });
+            if let PlatformRequest::RaiseToken { attempt, intent, .. } = request {
+                let (outcome, sent) = (TokenOutcome::NoAnswer, self.now);
+                let event = Event::TokenRaised { vm, attempt, intent, outcome, sent };
+                self.schedule(STORE_DELAY_US, event);
             }
             return;
         }
         match request {
-            PlatformRequest::RaiseToken { attempt, .. } => {
-                self.token += 1;
-                let (token, sent) = (Some(self.token), self.now);
-                self.schedule(STORE_DELAY_US, Event::TokenRaised { vm, attempt, token, sent });
+            PlatformRequest::RaiseToken { attempt, intent, void } => {
+                let seen = *self.tokens_seen.entry(vm).or_insert((self.token, self.now));
+                let by_other = self.token_holder.is_some_and(|holder| holder != vm);
+                let until = seen.1 + HANDOVER;
+                let wait = if by_other { until.since(self.now).0 } else { 0 };
+                let seen = seen.0;
+                self.schedule(wait, Event::RaiseToken { vm, attempt, intent, void, seen });
             }
             PlatformRequest::Promote { attempt, database, token, not_after, .. } => {
                 if self.now <= not_after {
                     self.promotion_requests.push((vm, token));
-                    self.schedule(PROMOTION_DELAY_US, Event::Promote { database });
+                    self.schedule(self.promotion_ms * 1_000, Event::Promote { database });
                     self.schedule(ONE_WAY_DELAY_US, Event::PromotionAccepted { vm, attempt });
                 }
             }
@@ -160,7 +168,55 @@
                 let (now, version) = (self.now, self.member_list.version);
                 self.drive(vm, |engine| engine.registered(now, version));
             }
-            PlatformRequest::ReadToken | PlatformRequest::ReadIntents => {}
+            PlatformRequest::ReadToken => {
+                self.see_token(vm);
+                self.schedule(STORE_DELAY_US, Event::TokenRead { vm });
+            }
+            PlatformRequest::ReadIntents => {}
+        }
+    }
+
+    /// The promotions that are recorded with the token.
+    pub fn recorded(&self) -> Vec<(ServiceName, RecordedPromotion)> {
+        self.recorded.iter().map(|recorded| (service(), recorded.clone())).collect()
+    }
+
+    /// Records the token that a VM has read or written, and when it first saw it.
+    fn see_token(&mut self, vm: usize) {
+        let (token, now) = (self.token, self.now);
+        let seen = self.tokens_seen.entry(vm).or_insert((token, now));
+        if seen.0 != token {
+            *seen = (token, now);
         }
     }
+
+    /// Carries out the conditional update of the token by a VM that has last seen `seen`.
+    pub(super) fn raise_token(
+        &mut self,
+        vm: usize,
+        attempt: u64,
+        intent: PromotionIntent,
+        void: Option<u64>,
+        seen: u64,
+    ) {
+        let sent = self.now;
+        let is_newest = seen == self.token;
+        let refuses = |recorded: &RecordedPromotion| match is_newest {
+            true => !recorded.admits(&intent, void),
+            false => recorded.term >= intent.term,
+        };
+        let outcome = match self.recorded.clone().filter(refuses) {
+            Some(recorded) => TokenOutcome::Recorded(recorded),
+            None if !is_newest => TokenOutcome::Conflict,
+            None => {
+                self.token += 1;
+                self.token_holder = Some(vm);
+                let (term, database) = (intent.term, Some(intent.database.clone()));
+                self.recorded = Some(RecordedPromotion { term, database, token: self.token });
+                TokenOutcome::Raised(self.token)
+            }
+        };
+        self.see_token(vm);
+        self.schedule(STORE_DELAY_US, Event::TokenRaised { vm, attempt, intent, outcome, sent });
+    }
 }
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -14,7 +14,7 @@
 };
 
 use gateway::{
-    CallerKey, Effect, Engine, Identity, LinkKey, UpstreamKey,
+    CallerKey, Effect, Engine, Identity, LinkKey, PromotionIntent, UpstreamKey,
     catalog::{Catalog, Database, Freshness, Role, Route, ServiceLimits, Workspace},
     failover::PromotionOutcome,
     link::LinkMessage,
@@ -24,20 +24,19 @@
     },
     peers::{MemberList, PeerBody, PeerMessage},
     policy::Policy,
+    promotions::{RecordedPromotion, TokenOutcome},
     regions::AllowedRegions,
     witnesses::{Candidate, WitnessSet},
 };
 use model::prelude::*;
 use serde::{Serialize, de::DeserializeOwned};
 use slog::{Discard, Logger, o};
-use standin::replica_group::{self, ConnectionId, ReplicaGroup};
+use standin::replica_group::{self, ConnectionId, ExecutedStatement, ReplicaGroup};
 
 /// Delay of a message between any two endpoints, in microseconds.
 const ONE_WAY_DELAY_US: u64 = 1_000;
 /// Virtual time between two ticks of each engine, in microseconds.
 const TICK_INTERVAL_US: u64 = 10_000;
-/// Time from a promotion request until the database is the primary, in microseconds.
-const PROMOTION_DELAY_US: u64 = 300_000;
 /// Time from a call of the store to its reply, in microseconds.
 const STORE_DELAY_US: u64 = 5_000;
 
@@ -71,20 +70,77 @@
 
 /// Something that is scheduled to happen at a later time.
 enum Event {
-    PeerMessage { from: usize, to: usize, message: PeerMessage },
-    Request { vm: usize, key: UpstreamKey, request: UpstreamRequest },
-    Reply { vm: usize, key: UpstreamKey, reply: Reply },
-    Closed { vm: usize, key: UpstreamKey },
-    LinkConnects { from: usize, to: usize, key: LinkKey },
-    LinkOpened { vm: usize, key: LinkKey },
-    LinkMessage { vm: usize, key: LinkKey, message: LinkMessage },
-    LinkClosed { vm: usize, key: LinkKey },
-    TokenRaised { vm: usize, attempt: u64, token: Option<u64>, sent: MonoTime },
-    StoreFailed { vm: usize },
-    Promote { database: DatabaseName },
-    PromotionAccepted { vm: usize, attempt: u64 },
-    ListChanged { vm: usize },
-    ListFetched { vm: usize, list: Option<MemberList> },
+    PeerMessage {
+        from: usize,
+        to: usize,
+        message: PeerMessage,
+    },
+    Request {
+        vm: usize,
+        key: UpstreamKey,
+        request: UpstreamRequest,
+    },
+    Reply {
+        vm: usize,
+        key: UpstreamKey,
+        reply: Reply,
+    },
+    Closed {
+        vm: usize,
+        key: UpstreamKey,
+    },
+    LinkConnects {
+        from: usize,
+        to: usize,
+        key: LinkKey,
+    },
+    LinkOpened {
+        vm: usize,
+        key: LinkKey,
+    },
+    LinkMessage {
+        vm: usize,
+        key: LinkKey,
+        message: LinkMessage,
+    },
+    LinkClosed {
+        vm: usize,
+        key: LinkKey,
+    },
+    RaiseToken {
+        vm: usize,
+        attempt: u64,
+        intent: PromotionIntent,
+        void: Option<u64>,
+        seen: u64,
+    },
+    TokenRaised {
+        vm: usize,
+        attempt: u64,
+        intent: PromotionIntent,
+        outcome: TokenOutcome,
+        sent: MonoTime,
+    },
+    TokenRead {
+        vm: usize,
+    },
+    StoreFailed {
+        vm: usize,
+    },
+    Promote {
+        database: DatabaseName,
+    },
+    PromotionAccepted {
+        vm: usize,
+        attempt: u64,
+    },
+    ListChanged {
+        vm: usize,
+    },
+    ListFetched {
+        vm: usize,
+        list: Option<MemberList>,
+    },
 }
 
 impl Event {
@@ -224,8 +280,20 @@
     broken_links: BTreeSet<(usize, LinkKey)>,
     /// Answers to each caller's statements, in order.
     responses: BTreeMap<Caller, Vec<Response>>,
+    /// Ids of each caller's statements, in order.
+    sent_ids: BTreeMap<Caller, Vec<Box<str>>>,
+    /// Number of statements that had run when each promotion took effect.
+    runs_at_promotions: Vec<usize>,
     /// Value of the fencing token in the store.
     token: u64,
+    /// The VM that raised the token last.
+    token_holder: Option<usize>,
+    /// The newest promotion that is recorded with the token.
+    pub recorded: Option<RecordedPromotion>,
+    /// The token that each VM has read or written last, and when it first saw it.
+    tokens_seen: BTreeMap<usize, (u64, MonoTime)>,
+    /// Time from a promotion request until the database is the primary, in milliseconds.
+    pub promotion_ms: u64,
     /// Every request that a database has received, with the time.
     pub requests: Vec<(MonoTime, usize)>,
 }
@@ -364,7 +432,13 @@
             unsent: BTreeMap::new(),
             broken_links: BTreeSet::new(),
             responses: BTreeMap::new(),
+            sent_ids: BTreeMap::new(),
+            runs_at_promotions: Vec::new(),
             token: 0,
+            token_holder: None,
+            recorded: None,
+            tokens_seen: BTreeMap::new(),
+            promotion_ms: 300,
             requests: Vec::new(),
         };
         world.engines = (0..vms).map(|vm| world.engine(vm, true)).collect();
@@ -477,6 +551,7 @@
     /// Sends a statement without waiting for its answer.
     pub fn send(&mut self, caller: Caller, id: &str, statement: Statement) {
         self.responses.entry(caller).or_default().push(Response::default());
+        self.sent_ids.entry(caller).or_default().push(id.into());
         self.send_message(
             caller,
             CallerMessage::Query { id: id.into(), statement: Some(statement) },
@@ -505,6 +580,29 @@
         self.responses[&caller].last().filter(|response| response.state.is_some()).cloned()
     }
 
+    /// Ids of the statements that succeeded.
+    pub fn succeeded_ids(&self) -> BTreeSet<Box<str>> {
+        let answered = |caller: &Caller| self.responses[caller].iter().map(Response::succeeded);
+        let sent = self.sent_ids.iter().filter(|(caller, _)| self.responses.contains_key(caller));
+        sent.flat_map(|(caller, ids)| ids.iter().zip(answered(caller)))
+            .filter(|(_, succeeded)| *succeeded)
+            .map(|(id, _)| id.clone())
+            .collect()
+    }
+
+    /// Ids of the statements that succeeded although they ran at a database after another one had been promoted.
+    pub fn succeeded_at_old_primaries(&self) -> Vec<Box<str>> {
+        let succeeded = self.succeeded_ids();
+        let runs = self.group.runs.iter().enumerate();
+        let is_outdated = |(index, run): &(usize, &ExecutedStatement)| {
+            let promotions = self.runs_at_promotions.iter().zip(&self.promotions);
+            let newest = promotions.rev().find(|(runs_before, _)| *runs_before <= index);
+            newest.is_some_and(|(_, primary)| run.database != *primary)
+        };
+        let outdated = runs.filter(is_outdated).map(|(_, run)| run.id.clone());
+        outdated.filter(|id| succeeded.contains(id)).collect()
+    }
+
     /// Whether a database holds a write that ran after the first promotion.
     pub fn committed_after_promotion(&self, member: usize, id: &str) -> bool {
         let Some(runs_before) = self.runs_before_promotion else { return false };
@@ -616,8 +714,26 @@
             Event::LinkClosed { vm, key } => {
                 self.drive(vm, |engine| engine.link_closed(now, key));
             }
-            Event::TokenRaised { vm, attempt, token, sent } => {
-                self.drive(vm, |engine| engine.token_raised(now, attempt, token, sent));
+            // What a paused VM would do or receive happens once it runs again.
+            Event::RaiseToken { vm, .. }
+            | Event::TokenRaised { vm, .. }
+            | Event::TokenRead { vm }
+            | Event::PromotionAccepted { vm, .. }
+                if self.frozen.contains(&vm) =>
+            {
+                self.schedule(TICK_INTERVAL_US, event);
+            }
+            Event::RaiseToken { vm, attempt, intent, void, seen } => {
+                self.raise_token(vm, attempt, intent, void, seen);
+            }
+            Event::TokenRaised { vm, attempt, intent, outcome, sent } => {
+                self.drive(vm, |engine| {
+                    engine.token_raised(now, attempt, &intent, outcome, sent);
+                });
+            }
+            Event::TokenRead { vm } => {
+                let recorded = self.recorded();
+                self.drive(vm, |engine| engine.token_read(now, &recorded));
             }
             Event::StoreFailed { vm } => {
                 self.drive(vm, |engine| engine.note_store_result(now, false));
@@ -625,6 +741,7 @@
             Event::Promote { database } => {
                 self.group.promote(&database);
                 self.runs_before_promotion.get_or_insert(self.group.runs.len());
+                self.runs_at_promotions.push(self.group.runs.len());
                 self.promotions.push(database);
             }
             Event::ListChanged { vm } if self.frozen.contains(&vm) => {
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -14,7 +14,10 @@
 use eyre::WrapErr;
 use gateway::{
     CallerKey, Effect, Engine, LinkKey, PlatformRequest, PromotionIntent, UpstreamKey,
-    catalog::Catalog, failover::PromotionOutcome, peers::MemberList,
+    catalog::Catalog,
+    failover::PromotionOutcome,
+    peers::MemberList,
+    promotions::{RecordedPromotion, TokenOutcome},
 };
 use model::prelude::*;
 use slog::{Logger, info, warn};
@@ -221,14 +224,24 @@
 
     /// Sets the promotions that were requested before this process started; see
     /// [`Engine::set_intents`].
-    pub fn set_intents(&self, intents: Vec<PromotionIntent>) {
-        self.drive(|engine, now| engine.set_intents(now, intents));
+    pub fn set_intents(&self, recorded: &[(ServiceName, RecordedPromotion)]) {
+        self.drive(|engine, now| engine.set_intents(now, recorded));
     }
 
-    /// Handles the result of raising the fencing token: its new value, or `None` if it was not
-    /// raised. `sent` is when the update was sent.
-    pub fn token_raised(&self, attempt: u64, token: Option<u64>, sent: MonoTime) {
-        self.drive(|engine, now| engine.token_raised(now, attempt, token, sent));
+    /// Takes the recorded promotions that were read for a failover.
+    pub fn token_read(&self, recorded: &[(ServiceName, RecordedPromotion)]) {
+        self.drive(|engine, now| engine.token_read(now, recorded));
+    }
+
+    /// Handles the outcome of raising the fencing token for `intent`. `sent` is when the update was sent.
+    pub fn token_raised(
+        &self,
+        attempt: u64,
+        intent: &PromotionIntent,
+        outcome: TokenOutcome,
+        sent: MonoTime,
+    ) {
+        self.drive(|engine, now| engine.token_raised(now, attempt, intent, outcome, sent));
     }
 
     /// Handles the outcome of a promotion request to the platform.
