End promotions that were recorded and never requested

Cause: the record of a promotion outlives the VM that made it. VMs that start suspend the primary for it; a failover that finds the old primary serving is given up, but only the VM that gave up leaves the list of those that prepare the term, each VM still names itself, and every new attempt renews the 30 s that would end the suspension. Where a primary had restarted, the next attempt began before the suspension of the last one had ended, so it was never seen.

Ruled out: leases (all VMs hold one) and the registry (all databases are listed).

Change: giving a term up is a conditional write beside the token. It is made once no promotion under an earlier token can take effect any more and the database that was to be promoted is known not to be primary; a VM about to record a promotion then fails its own write. VMs drop what lost VMs and earlier runs prepared for the term, and tell those that still report it. A VM whose own record had no answer writes the end later. A store that was restored from an older copy may lack a record: then neither is written before the bound is over.

--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -67,6 +67,18 @@
         /// Token of an earlier record of this VM under which no promotion can take effect.
         void: Option<u64>,
     },
+    /// Record that a term was given up, once no promotion for it can take effect any more. Raises the token, so that a
+    /// VM that was about to record one learns of it.
+    EndPromotion {
+        /// Number of the failover attempt, returned with the answer.
+        attempt: u64,
+        /// The service whose primary stays.
+        service: ServiceName,
+        /// The term that does not begin.
+        term: Term,
+        /// The newest term that has begun; promotions for it and for earlier ones are over.
+        known_term: Term,
+    },
     /// Request a promotion, unless it is later than `not_after`.
     Promote {
         /// Number of the failover attempt, returned with the answer.
--- a/crates/gateway/src/engine/failovers.rs
+++ b/crates/gateway/src/engine/failovers.rs
@@ -14,13 +14,27 @@
     failover::{self, FailoverAttempt, Phase, PrimaryHealth, PromotionOutcome, Step},
     peers::PeerBody,
     pool::ControlRequest,
-    promotions::{PromotionIntent, RecordedPromotion, TokenOutcome},
+    promotions::{EndOutcome, PromotionIntent, RecordedPromotion, TokenOutcome},
 };
 
 /// How long a suspension is left to the VM that asked for it before the coordinator takes the failover
 /// over.
 const ORPHANED_SUSPENSION_AFTER: DurationUs = DurationUs::from_ms(1_500);
 
+/// Attempt number of requests that belong to no failover in progress.
+const NO_ATTEMPT: u64 = 0;
+/// Time between two requests to record that a term was given up.
+const END_RETRY_INTERVAL: DurationUs = DurationUs(failover::PROMOTION_EFFECT_MAX.0 + 500_000);
+
+/// A term that this VM gave up without knowing whether its promotion is recorded in the store. No promotion is
+/// requested for it, but VMs that start would wait for one.
+#[derive(Debug)]
+pub(super) struct UnrecordedEnd {
+    service: ServiceName,
+    term: Term,
+    next_try: MonoTime,
+}
+
 /// Action that is due for a service's primary.
 enum PrimaryAction {
     /// Query the database's status: others report it as lost, but this VM has not seen it fail.
@@ -80,6 +94,10 @@
         }
         let Some(primary) = service.primary.as_ref().and_then(|name| self.databases.get(name))
         else {
+            if service.suspension.is_some() {
+                // It has been given up, and the primary is queried once it ends.
+                return None;
+            }
             let lasted = service.no_primary_since.map(|since| self.now.since(since));
             let bound = match (service.term, self.id.first_start) {
                 (Term(0), true) => failover::NO_PRIMARY_TIMEOUT_FIRST_START,
@@ -114,17 +132,20 @@
     /// them may have requested a promotion, so the failover has to be completed.
     fn is_orphaned(&self, service: &ServiceState) -> bool {
         let Some(suspension) = &service.suspension else { return false };
-        let is_gone = |preparer: &Preparer| {
-            // Where this VM still prepares the term itself, it does not come here.
-            preparer.vm == self.id.vm
-                || preparer.run == UNOWNED_RUN
-                || self.fleet.has_restarted(&preparer.vm, preparer.run)
-                || !self.fleet.is_live(self.now, &preparer.vm)
-        };
         suspension.confirmed
             && self.now.since(suspension.heard_at) >= ORPHANED_SUSPENSION_AFTER
             && !suspension.preparing.is_empty()
-            && suspension.preparing.iter().all(is_gone)
+            // Where this VM still prepares the term itself, it does not come here.
+            && suspension.preparing.iter().all(|preparer| {
+                preparer.vm == self.id.vm || self.is_gone(preparer)
+            })
+    }
+
+    /// Whether a VM that prepared a term is gone, or knows nothing of it since it has restarted.
+    pub(super) fn is_gone(&self, preparer: &Preparer) -> bool {
+        preparer.run == UNOWNED_RUN
+            || self.fleet.has_restarted(&preparer.vm, preparer.run)
+            || !self.fleet.is_live(self.now, &preparer.vm)
     }
 
     fn start_failover(&mut self, name: &ServiceName, planned: bool) {
@@ -163,6 +184,7 @@
         let synchronous = limits.is_some_and(|limits| limits.synchronous);
         let attempt = FailoverAttempt::new(id, name.clone(), term, now)
             .with_known_term(service.term)
+            .with_takeover(suspended_term > service.term)
             .with_old_primary(old_primary, planned)
             .with_candidates(candidates)
             .with_spared_old_primary(spares_old_primary)
@@ -244,6 +266,14 @@
                     let request = PlatformRequest::RaiseToken { attempt: id, intent, void };
                     self.effects.push(Effect::CallPlatform(request));
                 }
+                Step::EndPromotion => {
+                    info!(self.log, "giving up the term"; "attempt" => id, "service" => %service,
+                        "term" => term.0, "rows" => ?attempt.statuses);
+                    let known_term = attempt.known_term;
+                    let request =
+                        PlatformRequest::EndPromotion { attempt: id, service, term, known_term };
+                    self.effects.push(Effect::CallPlatform(request));
+                }
                 Step::GiveUp(reason) => self.give_up(index, reason),
                 Step::Announce(database, term) => {
                     self.begin_term(&service, term, Some(database.clone()), "replaced by this VM");
@@ -265,10 +295,75 @@
             self.broadcast(PeerBody::Decided { service, term, primary });
         }
         if term < prepared {
+            self.note_unrecorded_end(service.clone(), prepared);
             self.announce_given_up(service, prepared);
         }
     }
 
+    fn note_unrecorded_end(&mut self, service: ServiceName, term: Term) {
+        let next_try = self.now;
+        self.unrecorded_ends.push(UnrecordedEnd { service, term, next_try });
+    }
+
+    /// Requests the record of terms that this VM gave up, until one is made or a later term has begun.
+    pub(super) fn record_ends(&mut self) {
+        let now = self.now;
+        let services = &self.services;
+        self.unrecorded_ends.retain(|end| {
+            services.get(&end.service).is_some_and(|service| service.term < end.term)
+        });
+        if !self.reaches_store() {
+            return;
+        }
+        for end in self.unrecorded_ends.iter_mut().filter(|end| end.next_try <= now) {
+            end.next_try = now + END_RETRY_INTERVAL;
+            let (attempt, service, term) = (NO_ATTEMPT, end.service.clone(), end.term);
+            let known_term = self.services.get(&service).map_or(Term(0), |service| service.term);
+            let request = PlatformRequest::EndPromotion { attempt, service, term, known_term };
+            self.effects.push(Effect::CallPlatform(request));
+        }
+    }
+
+    /// Handles the outcome of recording that a term of a service was given up.
+    pub fn promotion_ended(
+        &mut self,
+        now: MonoTime,
+        attempt: u64,
+        service: &ServiceName,
+        term: Term,
+        outcome: EndOutcome,
+    ) {
+        self.now = now;
+        info!(self.log, "record of a term that was given up answered"; "attempt" => attempt,
+            "service" => %service, "term" => term.0, "outcome" => ?outcome);
+        let is_over = matches!(outcome, EndOutcome::Ended | EndOutcome::Recorded(_));
+        if is_over {
+            self.unrecorded_ends.retain(|end| end.service != *service || end.term > term);
+        }
+        let index = self.failovers.iter().position(|a| a.id == attempt && a.term == term);
+        let Some(index) = index else { return };
+        match outcome {
+            EndOutcome::Ended => {
+                let attempt = self.failovers.remove(index);
+                self.resume_replication(&attempt);
+                self.announce_given_up(service.clone(), term);
+                self.end_term(service, term);
+                self.broadcast(PeerBody::Ended { service: service.clone(), term });
+            }
+            _ => self.failovers[index].promotion_not_ended(now, outcome),
+        }
+        self.advance_failovers();
+    }
+
+    /// Has the databases of an attempt receive the primary's log again.
+    fn resume_replication(&mut self, attempt: &FailoverAttempt) {
+        if attempt.synchronous {
+            for database in attempt.candidates.iter().chain(&attempt.observed) {
+                self.request_control(database, NO_FAILOVER, ControlRequest::Resume);
+            }
+        }
+    }
+
     /// Tells all VMs, and this one, that this VM does not prepare a term any more.
     fn announce_given_up(&mut self, service: ServiceName, term: Term) {
         let me = self.id.vm.clone();
@@ -328,10 +423,9 @@
         warn!(self.log, "primary not replaced"; "attempt" => attempt.id,
             "service" => %attempt.service, "reason" => reason, "rows" => ?attempt.statuses,
             "stopped" => attempt.suspended.len());
-        if attempt.synchronous {
-            for database in attempt.candidates.iter().chain(&attempt.observed) {
-                self.request_control(database, NO_FAILOVER, ControlRequest::Resume);
-            }
+        self.resume_replication(&attempt);
+        if attempt.may_be_recorded {
+            self.note_unrecorded_end(attempt.service.clone(), attempt.term);
         }
         if let Some(service) = self.services.get_mut(&attempt.service) {
             service.next_failover_at = self.now + failover::ATTEMPT_RETRY_DELAY;
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -135,6 +135,8 @@
     pub(crate) primary: Option<DatabaseName>,
     /// Set while this VM does not use the primary because a new term is being prepared.
     pub(crate) suspension: Option<suspensions::Suspension>,
+    /// Newest term that was given up, as is recorded in the store.
+    pub(crate) ended: Option<Term>,
     /// Lower bounds on confirmed positions, for reads of a bounded age.
     pub(crate) freshness: ServiceFreshness,
     /// When its databases were last queried for their primary.
@@ -185,6 +187,8 @@
     /// Failovers that this VM carries out.
     failovers: Vec<FailoverAttempt>,
     next_failover_id: u64,
+    /// Terms that this VM gave up, and that may be recorded in the store as promotions.
+    unrecorded_ends: Vec<failovers::UnrecordedEnd>,
     /// When the failovers were last stepped; a gap shows that this process stood still.
     failovers_stepped_at: MonoTime,
     /// Whether this VM had a lease then.
@@ -321,6 +325,7 @@
             rates,
             failovers: Vec::new(),
             next_failover_id: 1,
+            unrecorded_ends: Vec::new(),
             failovers_stepped_at: now,
             had_lease_in_failovers: false,
             next_heartbeat_at: now,
@@ -531,6 +536,7 @@
         self.maintain_membership();
         self.advance_failovers();
         self.start_due_failovers();
+        self.record_ends();
         self.find_primaries();
         self.update_splits();
         self.place_waiting();
@@ -625,6 +631,7 @@
             term_since: now,
             primary: None,
             suspension: None,
+            ended: None,
             freshness: ServiceFreshness::default(),
             primary_queried_at: None,
             no_primary_since: None,
--- a/crates/gateway/src/engine/primaries.rs
+++ b/crates/gateway/src/engine/primaries.rs
@@ -33,6 +33,8 @@
         for service in self.services.values_mut() {
             match service.primary {
                 Some(_) => service.no_primary_since = None,
+                // Databases' reports count once the suspension has ended.
+                None if service.suspension.is_some() => service.no_primary_since = Some(now),
                 None => drop(service.no_primary_since.get_or_insert(now)),
             }
         }
--- a/crates/gateway/src/engine/suspensions.rs
+++ b/crates/gateway/src/engine/suspensions.rs
@@ -69,6 +69,15 @@
         }
     }
 
+    /// Removes VMs that are gone, after the term was given up in the store.
+    fn end(&mut self, now: MonoTime, is_gone: impl Fn(&Preparer) -> bool) {
+        let gone: Vec<Preparer> = self.preparing.extract_if(.., |known| is_gone(known)).collect();
+        if !gone.is_empty() && self.preparing.is_empty() {
+            self.heard_at = now;
+        }
+        self.given_up.extend(gone.into_iter().map(|preparer| preparer.vm));
+    }
+
     /// Removes a VM that gave the term up. After the last one, the suspension lasts for
     /// [`LEASE_DURATION`]: a VM that this one does not know of may prepare the term, too. By then the lease of
     /// this VM rests on heartbeats that were sent later, and one of them names that VM.
@@ -231,12 +240,32 @@
         }
     }
 
+    /// Records that a term was given up in the store. What earlier runs and lost VMs prepared for it is over.
+    pub(super) fn end_term(&mut self, name: &ServiceName, term: Term) {
+        let now = self.now;
+        let is_preparing = self.failovers.iter().any(|a| a.service == *name && a.term <= term);
+        let Some(mut service) = self.services.remove(name) else { return };
+        service.ended = service.ended.max(Some(term));
+        if let Some(suspension) = service.suspension.as_mut().filter(|s| s.term <= term) {
+            suspension.end(now, |preparer| match preparer.vm == self.id.vm {
+                true => !is_preparing,
+                false => self.is_gone(preparer),
+            });
+        }
+        self.services.insert(name.clone(), service);
+    }
+
     /// Takes the promotions that were recorded before this run began. Any of them may still take
     /// effect, so the primaries that they replace are suspended.
     pub fn set_intents(&mut self, now: MonoTime, recorded: &[(ServiceName, RecordedPromotion)]) {
         self.now = now;
         self.intents_known = true;
-        for (name, RecordedPromotion { term, .. }) in recorded {
+        for (name, RecordedPromotion { term, ended, .. }) in recorded {
+            if *ended {
+                self.services.entry(name.clone()).or_insert_with(|| ServiceState::new(now));
+                self.end_term(name, *term);
+                continue;
+            }
             let preparer = Preparer { vm: self.id.vm.clone(), run: UNOWNED_RUN };
             let service =
                 self.services.entry(name.clone()).or_insert_with(|| ServiceState::new(now));
--- a/crates/gateway/src/failover.rs
+++ b/crates/gateway/src/failover.rs
@@ -13,7 +13,7 @@
 
 use crate::{
     peers::{LIVENESS_TIMEOUT, ServiceReport},
-    promotions::{PromotionIntent, RecordedPromotion, TokenOutcome},
+    promotions::{EndOutcome, PromotionIntent, RecordedPromotion, TokenOutcome},
     witnesses::LEASE_DURATION,
 };
 
@@ -64,6 +64,13 @@
 /// Standstill after which other VMs may have taken an attempt over.
 pub const STANDSTILL_MAX: DurationUs = LIVENESS_TIMEOUT;
 
+/// Time from the update of the fencing token after which no promotion that was requested under it can take effect any
+/// more: it was sent within [`PROMOTION_SEND_WINDOW`], and has arrived and taken effect.
+pub const PROMOTION_EFFECT_MAX: DurationUs =
+    DurationUs(PROMOTION_SEND_WINDOW.0 + 200_000 + PROMOTION_TIMEOUT.0);
+/// Time between two collections while an attempt waits until its term can be given up.
+const END_QUERY_INTERVAL: DurationUs = DurationUs::from_ms(200);
+
 /// A database's answer to a status query.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StatusRow {
@@ -92,6 +99,11 @@
         /// The database to promote.
         candidate: DatabaseName,
     },
+    /// The store is asked to record that the term was given up.
+    Ending {
+        /// When that was requested.
+        since: MonoTime,
+    },
     /// The fencing token is being raised.
     RaisingToken {
         /// When the update was requested.
@@ -125,6 +137,8 @@
     Demote(DatabaseName),
     /// Raise the fencing token.
     RaiseToken,
+    /// Record that the term was given up.
+    EndPromotion,
     /// End the attempt for this reason; the old primary may be used again.
     GiveUp(&'static str),
     /// The database is primary in this term: tell all VMs.
@@ -184,6 +198,13 @@
     pub request_until: MonoTime,
     /// The token of this attempt's last record, where no promotion can take effect under it.
     pub void_token: Option<u64>,
+    /// Whether the attempt goes on with a term that lost VMs or earlier runs prepared. Only a new primary, or the record
+    /// that the term was given up, ends what they began.
+    pub takes_over: bool,
+    /// Earliest time at which giving up the term may be recorded, as far as is known.
+    pub end_after: MonoTime,
+    /// Whether the token was to be raised, and the outcome is not known.
+    pub may_be_recorded: bool,
     /// Whether the confirmations are outdated, so that all VMs have to confirm again before a promotion is requested.
     is_outdated: bool,
 }
@@ -214,6 +235,9 @@
             requested: None,
             request_until: now,
             void_token: None,
+            takes_over: false,
+            end_after: now,
+            may_be_recorded: false,
             known_term: Term(0),
             is_outdated: false,
         }
@@ -233,6 +257,11 @@
         FailoverAttempt { old_primary, planned, ..self }
     }
 
+    /// Sets whether the attempt goes on with a term that lost VMs or earlier runs prepared.
+    pub fn with_takeover(self, takes_over: bool) -> FailoverAttempt {
+        FailoverAttempt { takes_over, ..self }
+    }
+
     /// Sets the databases that may be promoted, in order of preference.
     pub fn with_candidates(self, candidates: Vec<DatabaseName>) -> FailoverAttempt {
         FailoverAttempt { candidates, ..self }
@@ -328,7 +357,8 @@
     pub fn note_recorded(&mut self, now: MonoTime, recorded: &RecordedPromotion) {
         let is_own = self.requested.is_some() && self.requested == recorded.database
             || self.void_token == Some(recorded.token);
-        if recorded.term < self.term || (recorded.term == self.term && is_own) {
+        let is_over = recorded.ended || recorded.term < self.term;
+        if is_over || (recorded.term == self.term && is_own) {
             return;
         }
         self.promotion_requested = true;
@@ -347,7 +377,9 @@
             Phase::AwaitingSuspension => self.step_awaiting_suspension(now, all_confirmed),
             Phase::CollectingStatus { since } => self.step_collecting_status(now, since),
             Phase::Demoting { since, candidate } => self.step_demoting(now, since, candidate),
-            Phase::RaisingToken { since, .. } if now.since(since) >= PLATFORM_CALL_TIMEOUT => {
+            Phase::RaisingToken { since, .. } | Phase::Ending { since }
+                if now.since(since) >= PLATFORM_CALL_TIMEOUT =>
+            {
                 self.restart_collection(now)
             }
             Phase::Promoting { since, candidate } if now.since(since) >= PLATFORM_CALL_TIMEOUT => {
@@ -355,7 +387,9 @@
                 self.await_primary(now, candidate);
                 Step::Wait
             }
-            Phase::RaisingToken { .. } | Phase::Promoting { .. } => Step::Wait,
+            Phase::RaisingToken { .. } | Phase::Ending { .. } | Phase::Promoting { .. } => {
+                Step::Wait
+            }
             Phase::Confirming { candidate } => self.step_confirming(now, candidate),
         }
     }
@@ -398,8 +432,13 @@
         if let Some((primary, row)) = primaries.clone().find(leads) {
             return Step::Announce(primary.clone(), row.term);
         }
-        if !self.promotion_requested && !self.planned && primaries.next().is_some() {
-            return Step::GiveUp("another database is already the primary");
+        if !self.planned && primaries.next().is_some() {
+            if !self.promotion_requested && !self.takes_over {
+                return Step::GiveUp("another database is already the primary");
+            }
+            if let Some(step) = self.step_giving_up_term(now, since) {
+                return step;
+            }
         }
         let eligible: Vec<&DatabaseName> =
             self.candidates.iter().filter(|name| !self.excluded.contains(*name)).collect();
@@ -423,9 +462,10 @@
             self.restart_in(now, newest.next());
             return Step::Wait;
         }
+        let row_of = |name: &DatabaseName| self.statuses.get(name).filter(|row| !row.is_primary);
         let best = eligible
             .iter()
-            .filter_map(|name| self.statuses.get(*name).map(|row| (row.received, *name)))
+            .filter_map(|name| row_of(name).map(|row| (row.received, *name)))
             .max_by(|a, b| a.0.cmp(&b.0).then_with(|| self.preference(b.1, a.1)));
         let received = |name| self.statuses.get(name).map(|row| row.received);
         let most_observed = self.observed.iter().filter_map(received).max();
@@ -452,6 +492,43 @@
         }
     }
 
+    /// Gives the term up while the primary of an earlier one serves: once no promotion can take effect any more, and
+    /// the database that may have been promoted is known not to be primary. `None` where that can't be known.
+    fn step_giving_up_term(&mut self, now: MonoTime, since: MonoTime) -> Option<Step> {
+        let has_answered = |name: &DatabaseName| self.statuses.contains_key(name);
+        let is_known = match &self.requested {
+            Some(requested) => has_answered(requested),
+            None => !self.promotion_requested || self.candidates.iter().all(has_answered),
+        };
+        if !is_known {
+            return (now.since(since) < STATUS_TIMEOUT).then(|| self.query_status(now));
+        }
+        if since >= self.end_after {
+            self.phase = Phase::Ending { since: now };
+            return Some(Step::EndPromotion);
+        }
+        let is_due = now >= self.end_after || now.since(since) >= END_QUERY_INTERVAL;
+        Some(if is_due { self.restart_collection(now) } else { Step::Wait })
+    }
+
+    /// Records the outcome of recording that the term was given up, unless that is done.
+    pub fn promotion_not_ended(&mut self, now: MonoTime, outcome: EndOutcome) {
+        if !matches!(self.phase, Phase::Ending { .. }) {
+            return;
+        }
+        match outcome {
+            EndOutcome::NotBefore(moment) => self.end_after = moment,
+            EndOutcome::Recorded(recorded) => {
+                self.restart_suspension(now);
+                return self.note_recorded(now, &recorded);
+            }
+            EndOutcome::Conflict | EndOutcome::NoAnswer | EndOutcome::Ended => {
+                self.end_after = now + TOKEN_RETRY_DELAY;
+            }
+        }
+        self.restart_collection(now);
+    }
+
     /// Whether another database may have been promoted for the term.
     fn must_not_promote(&self, candidate: &DatabaseName) -> bool {
         self.requested.as_ref().is_some_and(|requested| requested != candidate)
@@ -635,6 +712,7 @@
                 self.restart_suspension(now);
             }
             TokenOutcome::NoAnswer => {
+                self.may_be_recorded = true;
                 self.token_retry_at = now + TOKEN_RETRY_DELAY;
                 self.restart_collection(now);
             }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -225,6 +225,14 @@
         /// The rates.
         rates: Vec<HandedRate>,
     },
+    /// A term was given up, as is recorded in the store: what earlier runs and lost VMs prepared for it is over. Versions
+    /// that don't understand it wait until their suspension ends.
+    Ended {
+        /// The service whose primary stays.
+        service: ServiceName,
+        /// The term that does not begin.
+        term: Term,
+    },
 }
 
 /// A message between VMs.
--- a/crates/gateway/src/promotions.rs
+++ b/crates/gateway/src/promotions.rs
@@ -27,13 +27,17 @@
     pub database: Option<DatabaseName>,
     /// The fencing token that was raised with the record.
     pub token: u64,
+    /// Whether the term was given up: no promotion for it can take effect any more.
+    #[serde(default)]
+    pub ended: bool,
 }
 
 impl RecordedPromotion {
     /// Whether a VM may request the promotion `intent` after this record. `void` is the token of an earlier record
     /// of that VM under which no promotion can take effect.
     pub fn admits(&self, intent: &PromotionIntent, void: Option<u64>) -> bool {
-        self.term < intent.term
+        self.ended
+            || self.term < intent.term
             || self.term == intent.term
                 && (self.database.as_ref() == Some(&intent.database) || void == Some(self.token))
     }
@@ -51,3 +55,18 @@
     /// The store gave no usable answer; the update may still take effect.
     NoAnswer,
 }
+
+/// The outcome of recording that a term was given up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EndOutcome {
+    /// It is recorded.
+    Ended,
+    /// Not recorded: a promotion may take effect until this time.
+    NotBefore(MonoTime),
+    /// Not recorded: another VM has recorded a promotion for a later term.
+    Recorded(RecordedPromotion),
+    /// Not recorded: another VM changed the token first.
+    Conflict,
+    /// The store gave no usable answer.
+    NoAnswer,
+}
--- a/crates/gateway/tests/failover.rs
+++ b/crates/gateway/tests/failover.rs
@@ -15,6 +15,12 @@
     Caller, Endpoint, HOST, KEY, LATEST, World, begin, database_name, read, service, write,
 };
 
+/// A recorded promotion of the second database.
+fn promotion(term: u64, token: u64) -> RecordedPromotion {
+    let database = Some(database_name(1));
+    RecordedPromotion { term: Term(term), database, token, ended: false }
+}
+
 /// Indices of the databases that are primary.
 fn primaries(world: &World) -> Vec<usize> {
     (0..3).filter(|member| world.group.members[*member].is_primary).collect()
@@ -329,7 +335,7 @@
     assert!(world.query(a, "a0", write("1")).succeeded());
     world.restart(0, world::catalog(1, 1e6, 100));
     let now = world.now;
-    let recorded = RecordedPromotion { term: Term(2), database: Some(database_name(1)), token: 1 };
+    let recorded = promotion(2, 1);
     world.engines[0].set_intents(now, &[(service(), recorded)]);
     let b = world.open(0, LATEST, KEY);
     world.run_for(100);
@@ -611,8 +617,7 @@
     for vm in [1, 4] {
         world.restart(vm, world::catalog(1, 1e6, 100));
         let now = world.now;
-        world.recorded =
-            Some(RecordedPromotion { term: Term(2), database: Some(database_name(1)), token: 0 });
+        world.recorded = Some(promotion(2, 0));
         let recorded = world.recorded();
         world.engines[vm].set_intents(now, &recorded);
     }
@@ -834,3 +839,86 @@
     });
     assert!(served, "{case}: not served at the end");
 }
+
+/// Checks that every VM serves writes.
+fn check_all_serve(world: &mut World, case: &str) {
+    for vm in 0..world.engines.len() {
+        if world.frozen.contains(&vm) {
+            continue;
+        }
+        let caller = world.open(vm, LATEST, KEY);
+        let response = world.query(caller, &format!("end-{vm}"), write("1"));
+        assert!(response.succeeded(), "{case}: VM {vm}, {response:?}");
+    }
+}
+
+/// Runs until a VM raises the token for a promotion, and returns that VM.
+fn run_until_recorded(world: &mut World, caller: Caller) -> usize {
+    for round in 0..800 {
+        if world.recorded.is_some() {
+            let by = (0..world.engines.len()).find(|vm| world.engines[*vm].counts().takeovers > 0);
+            return by.expect("a VM that replaces the primary");
+        }
+        if world.response(caller).is_some() {
+            world.send(caller, &format!("lost{round}"), write("1"));
+        }
+        world.run_for(10);
+    }
+    panic!("the token was not raised within 8 s");
+}
+
+/// All VMs are killed after the store has recorded a promotion that is never requested, and the primary returns. Guards
+/// against waiting for that promotion for ever after the start.
+#[test]
+fn recorded_promotion_that_nobody_requests_ends_after_a_restart_of_all() {
+    for down_ms in [0, 500, 2_500] {
+        let mut world = World::new(5);
+        let caller = world.open(3, LATEST, KEY);
+        assert!(world.query(caller, "w0", write("1")).succeeded());
+        world.cut_database_from_vms(0);
+        run_until_recorded(&mut world, caller);
+        world.restart_all(&world::catalog(1, 1e6, 100));
+        world.run_for(down_ms);
+        world.restart_database(0, 2);
+        world.run_for(9_000);
+        check_all_serve(&mut world, &format!("primary back after {down_ms} ms"));
+        let recorded = world.recorded.clone().expect("a record");
+        assert!(recorded.ended || !world.promotions.is_empty(), "{down_ms} ms: {recorded:?}");
+    }
+}
+
+/// The VM that replaces a primary is lost for good between the record and the request of the promotion, and the primary
+/// returns. Guards against failovers that are given up and begun again for as long as the suspension lasts.
+#[test]
+fn recorded_promotion_of_a_lost_vm_ends() {
+    for back_after_ms in [0, 500, 1_500, 3_000] {
+        let mut world = World::new(5);
+        let caller = world.open(3, LATEST, KEY);
+        assert!(world.query(caller, "w0", write("1")).succeeded());
+        world.cut_database_from_vms(0);
+        let by = run_until_recorded(&mut world, caller);
+        world.kill_vm(by);
+        world.run_for(back_after_ms);
+        world.restart_database(0, 2);
+        world.run_for(9_000);
+        check_all_serve(&mut world, &format!("primary back after {back_after_ms} ms"));
+    }
+}
+
+/// The store's answer to the record of a promotion is lost and the failover is given up as the primary returns. Guards
+/// against VMs that start much later and take the record for a promotion under way.
+#[test]
+fn promotion_recorded_without_an_answer_does_not_outlast_its_failover() {
+    let mut world = World::new(3);
+    let caller = world.open(1, LATEST, KEY);
+    assert!(world.query(caller, "w0", write("1")).succeeded());
+    world.lost_token_answers = 1;
+    world.cut_database_from_vms(0);
+    run_until_recorded(&mut world, caller);
+    world.restart_database(0, 2);
+    world.run_for(15_000);
+    check_all_serve(&mut world, "before the restart");
+    world.restart_all(&world::catalog(1, 1e6, 100));
+    world.run_for(9_000);
+    check_all_serve(&mut world, "after the restart");
+}
--- a/crates/gateway/tests/world/fleet.rs
+++ b/crates/gateway/tests/world/fleet.rs
@@ -5,15 +5,16 @@
 use gateway::{
     PlatformRequest, PromotionIntent, UpstreamKey,
     catalog::Catalog,
+    failover::PROMOTION_EFFECT_MAX,
     peers::{MemberList, MemberRecord, PeerBody, PeerMessage},
-    promotions::{RecordedPromotion, TokenOutcome},
+    promotions::{EndOutcome, RecordedPromotion, TokenOutcome},
     witnesses::Capacity,
 };
 use model::prelude::*;
 
 use super::{
-    Connection, Event, ONE_WAY_DELAY_US, STORE_DELAY_US, World, database_name, dc, service,
-    vm_address, vm_name,
+    Connection, Endpoint, Event, ONE_WAY_DELAY_US, STORE_DELAY_US, World, database_name, dc,
+    service, vm_address, vm_name,
 };
 
 /// Time from when a VM first sees the token of another VM until it replaces it.
@@ -173,9 +174,56 @@
                 self.schedule(STORE_DELAY_US, Event::TokenRead { vm });
             }
             PlatformRequest::ReadIntents => {}
+            PlatformRequest::EndPromotion { attempt, service, term, known_term } => {
+                self.see_token(vm);
+                let outcome = self.end_promotion(vm, term, known_term);
+                let event = Event::PromotionEnded { vm, attempt, service, term, outcome };
+                self.schedule(STORE_DELAY_US, event);
+            }
         }
     }
 
+    fn end_promotion(&mut self, vm: usize, term: Term, known_term: Term) -> EndOutcome {
+        let seen_at = self.tokens_seen[&vm].1;
+        match &self.recorded {
+            Some(recorded) if recorded.ended && recorded.term >= term => return EndOutcome::Ended,
+            Some(recorded) if recorded.ended || recorded.term <= known_term => {}
+            Some(recorded) if recorded.term > term => {
+                return EndOutcome::Recorded(recorded.clone());
+            }
+            Some(_) if self.now < seen_at + PROMOTION_EFFECT_MAX => {
+                return EndOutcome::NotBefore(seen_at + PROMOTION_EFFECT_MAX);
+            }
+            Some(_) | None => {}
+        }
+        self.token += 1;
+        self.token_holder = Some(vm);
+        let token = self.token;
+        self.recorded = Some(RecordedPromotion { term, database: None, token, ended: true });
+        self.see_token(vm);
+        EndOutcome::Ended
+    }
+
+    /// Starts all VMs again, which read the recorded promotions.
+    pub fn restart_all(&mut self, catalog: &Catalog) {
+        self.tokens_seen.clear();
+        for vm in 0..self.engines.len() {
+            self.thaw(vm);
+            self.restart(vm, catalog.clone());
+            self.see_token(vm);
+            let (now, recorded) = (self.now, self.recorded());
+            self.drive(vm, |engine| engine.set_intents(now, &recorded));
+        }
+    }
+
+    /// Starts a database again with its log, which registers anew.
+    pub fn restart_database(&mut self, database: usize, version: u64) {
+        let healed = |end: &Endpoint| *end == Endpoint::Database(database);
+        self.cuts.retain(|(a, b)| !healed(a) && !healed(b));
+        self.databases[database].incarnation += 1;
+        self.publish_databases(version);
+    }
+
     /// The promotions that are recorded with the token.
     pub fn recorded(&self) -> Vec<(ServiceName, RecordedPromotion)> {
         self.recorded.iter().map(|recorded| (service(), recorded.clone())).collect()
@@ -212,11 +260,21 @@
                 self.token += 1;
                 self.token_holder = Some(vm);
                 let (term, database) = (intent.term, Some(intent.database.clone()));
-                self.recorded = Some(RecordedPromotion { term, database, token: self.token });
+                self.recorded =
+                    Some(RecordedPromotion { term, database, token: self.token, ended: false });
                 TokenOutcome::Raised(self.token)
             }
         };
         self.see_token(vm);
+        let outcome = match outcome {
+            TokenOutcome::Raised(_) if self.lost_token_answers > 0 => {
+                self.lost_token_answers -= 1;
+                let now = self.now;
+                self.drive(vm, |engine| engine.note_store_result(now, false));
+                TokenOutcome::NoAnswer
+            }
+            outcome => outcome,
+        };
         self.schedule(STORE_DELAY_US, Event::TokenRaised { vm, attempt, intent, outcome, sent });
     }
 }
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -24,7 +24,7 @@
     },
     peers::{MemberList, PeerBody, PeerMessage},
     policy::Policy,
-    promotions::{RecordedPromotion, TokenOutcome},
+    promotions::{EndOutcome, RecordedPromotion, TokenOutcome},
     regions::AllowedRegions,
     witnesses::{Candidate, WitnessSet},
 };
@@ -124,6 +124,13 @@
     TokenRead {
         vm: usize,
     },
+    PromotionEnded {
+        vm: usize,
+        attempt: u64,
+        service: ServiceName,
+        term: Term,
+        outcome: EndOutcome,
+    },
     StoreFailed {
         vm: usize,
     },
@@ -290,6 +297,8 @@
     token_holder: Option<usize>,
     /// The newest promotion that is recorded with the token.
     pub recorded: Option<RecordedPromotion>,
+    /// Number of further updates of the token that are carried out without an answer.
+    pub lost_token_answers: u32,
     /// The token that each VM has read or written last, and when it first saw it.
     tokens_seen: BTreeMap<usize, (u64, MonoTime)>,
     /// Time from a promotion request until the database is the primary, in milliseconds.
@@ -437,6 +446,7 @@
             token: 0,
             token_holder: None,
             recorded: None,
+            lost_token_answers: 0,
             tokens_seen: BTreeMap::new(),
             promotion_ms: 300,
             requests: Vec::new(),
@@ -718,6 +728,7 @@
             Event::RaiseToken { vm, .. }
             | Event::TokenRaised { vm, .. }
             | Event::TokenRead { vm }
+            | Event::PromotionEnded { vm, .. }
             | Event::PromotionAccepted { vm, .. }
                 if self.frozen.contains(&vm) =>
             {
@@ -731,6 +742,11 @@
                     engine.token_raised(now, attempt, &intent, outcome, sent);
                 });
             }
+            Event::PromotionEnded { vm, attempt, service, term, outcome } => {
+                self.drive(vm, |engine| {
+                    engine.promotion_ended(now, attempt, &service, term, outcome);
+                });
+            }
             Event::TokenRead { vm } => {
                 let recorded = self.recorded();
                 self.drive(vm, |engine| engine.token_read(now, &recorded));
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -17,7 +17,7 @@
     catalog::Catalog,
     failover::PromotionOutcome,
     peers::MemberList,
-    promotions::{RecordedPromotion, TokenOutcome},
+    promotions::{EndOutcome, RecordedPromotion, TokenOutcome},
 };
 use model::prelude::*;
 use slog::{Logger, info, warn};
@@ -244,6 +244,17 @@
         self.drive(|engine, now| engine.token_raised(now, attempt, intent, outcome, sent));
     }
 
+    /// Handles the outcome of recording that a term of a service was given up.
+    pub fn promotion_ended(
+        &self,
+        attempt: u64,
+        service: &ServiceName,
+        term: Term,
+        outcome: EndOutcome,
+    ) {
+        self.drive(|engine, now| engine.promotion_ended(now, attempt, service, term, outcome));
+    }
+
     /// Handles the outcome of a promotion request to the platform.
     pub fn promotion_answered(&self, attempt: u64, outcome: PromotionOutcome) {
         self.drive(|engine, now| engine.promotion_answered(now, attempt, outcome));
