Promote with synchronous commits only what provably has them all

Cause: a failover waited 4 s for the positions of the replicas and then took the best of those that had answered. A database that does not answer, whose entry has lapsed, or that nobody remembers after a start of all VMs was left out, and so was a replica that had started again without its log.

Evidence: synchronous_commit_is_not_lost_while_its_databases_are_silent failed before the change, with the third database promoted. A longer wait would only move the loss: with the others down for 20 s it is the same.

Change: a commit is at two databases when it is acknowledged, so the logs of all members but one hold it. The members of each such service are kept in the store; one ends to be a member when it leaves with notice. Until all but one have answered, nothing is promoted, and the old primary is used again if it comes back. A standstill below a second extends the time for answers instead of discarding them, so that a VM that is always late still completes a failover.

A crash of the primary alone is replaced within the same 4 s bound as without synchronous commits. Not covered: a replica that joins and acknowledges a commit in the moments before the store has its name, if all VMs then start again and it stays silent.

--- a/crates/gateway/src/effect.rs
+++ b/crates/gateway/src/effect.rs
@@ -10,6 +10,7 @@
     link::LinkMessage,
     message::{Reply, UpstreamRequest},
     peers::PeerMessage,
+    replicas::ReplicaRoster,
     witnesses::WitnessSet,
 };
 
@@ -94,6 +95,17 @@
     },
     /// Read the recorded intents of promotions.
     ReadIntents,
+    /// Read the rosters of services with synchronous commits.
+    ReadRosters,
+    /// Replace the stored roster of a service, if it is still the one before.
+    WriteRoster {
+        /// The service.
+        service: ServiceName,
+        /// The stored roster as far as is known.
+        before: ReplicaRoster,
+        /// The new roster.
+        roster: ReplicaRoster,
+    },
     /// Register this VM: enter it in the member list.
     Enter,
     /// Replace the witness set, if the stored one is the set before it.
--- a/crates/gateway/src/engine/failovers.rs
+++ b/crates/gateway/src/engine/failovers.rs
@@ -155,33 +155,19 @@
             service.suspension.as_ref().map_or(Term(0), |suspension| suspension.term);
         let term = service.term.next().max(suspended_term);
         let old_primary = service.primary.clone();
-        let mut candidates: Vec<&DatabaseState> = self
-            .databases
-            .values()
-            .filter(|state| state.record.service == *name && !state.record.leaving)
-            .filter(|state| !self.is_evacuated(state))
-            .filter(|state| Some(&state.record.name) != old_primary.as_ref())
-            .collect();
         let old_dc = old_primary
             .as_ref()
             .and_then(|name| self.databases.get(name))
             .map(|state| state.record.dc.clone());
         let spares_old_primary = old_dc.as_ref().is_some_and(|dc| self.evacuations.contains(dc));
-        candidates.sort_by_key(|state| {
-            let is_returning = self.share_of(state) < 1.0;
-            let is_elsewhere = Some(&state.record.dc) != old_dc.as_ref();
-            let excluded = self.routes_excluding(state);
-            (state.failing_since.is_some(), excluded, is_returning, is_elsewhere)
-        });
-        let candidates = candidates.into_iter().map(|state| state.record.name.clone()).collect();
+        let candidates = self.failover_candidates(name, old_primary.as_ref());
         let id = self.next_failover_id;
         self.next_failover_id += 1;
         self.counts.takeovers += 1;
         warn!(self.log, "replacing the primary"; "attempt" => id, "service" => %name,
             "term" => term.0, "planned" => planned, "old" => ?old_primary,
             "candidates" => ?candidates);
-        let limits = self.catalog.services.get(name);
-        let synchronous = limits.is_some_and(|limits| limits.synchronous);
+        let synchronous = self.is_synchronous(name);
         let attempt = FailoverAttempt::new(id, name.clone(), term, now)
             .with_known_term(service.term)
             .with_takeover(suspended_term > service.term)
@@ -192,9 +178,57 @@
             .with_synchronous(synchronous);
         self.failovers.push(attempt);
         self.effects.push(Effect::CallPlatform(PlatformRequest::ReadToken));
+        if synchronous {
+            self.read_rosters();
+        }
         self.advance_failovers();
     }
 
+    /// The databases that may replace the primary of a service, in order of preference.
+    fn failover_candidates(
+        &self,
+        name: &ServiceName,
+        old_primary: Option<&DatabaseName>,
+    ) -> Vec<DatabaseName> {
+        let old_dc =
+            old_primary.and_then(|name| self.databases.get(name)).map(|state| &state.record.dc);
+        let mut candidates: Vec<&DatabaseState> = self
+            .databases
+            .values()
+            .filter(|state| state.record.service == *name && !state.record.leaving)
+            .filter(|state| !self.is_evacuated(state))
+            .filter(|state| Some(&state.record.name) != old_primary)
+            .collect();
+        candidates.sort_by_key(|state| {
+            let is_returning = self.share_of(state) < 1.0;
+            let is_elsewhere = Some(&state.record.dc) != old_dc;
+            let excluded = self.routes_excluding(state);
+            (state.failing_since.is_some(), excluded, is_returning, is_elsewhere)
+        });
+        candidates.into_iter().map(|state| state.record.name.clone()).collect()
+    }
+
+    /// Gives a failover of a service with synchronous commits what is known now of the service's databases.
+    fn update_synchronous(&mut self, index: usize) {
+        let attempt = &self.failovers[index];
+        if !attempt.synchronous || attempt.planned {
+            return;
+        }
+        let service = &attempt.service;
+        // An old primary that was demoted may have commits that no other has.
+        let is_demoted =
+            |name: &&DatabaseName| attempt.statuses.get(*name).is_some_and(|row| !row.is_primary);
+        let old_primary = attempt.old_primary.as_ref().filter(|name| !is_demoted(name));
+        let listed = self.failover_candidates(service, old_primary);
+        let roster = self
+            .services
+            .get(service)
+            .and_then(|service| service.stored_roster.as_ref().map(|_| service.roster.clone()));
+        let attempt = &mut self.failovers[index];
+        attempt.add_candidates(listed);
+        attempt.roster = roster;
+    }
+
     /// Discards what failovers rest on after this VM stood still or was without a lease: other VMs may have taken them
     /// over, and may have ended the suspensions that they had confirmed.
     fn discard_outdated(&mut self) {
@@ -230,6 +264,7 @@
                 continue;
             }
             self.send_due_suspend_requests(index);
+            self.update_synchronous(index);
             let attempt = &mut self.failovers[index];
             let service = attempt.service.clone();
             let term = attempt.term;
@@ -245,11 +280,13 @@
             match attempt.step(now, all_confirmed) {
                 Step::Wait => {}
                 Step::QueryStatus(databases) => {
-                    let request = match attempt.pauses_replication() {
-                        true => ControlRequest::Pause(term),
-                        false => ControlRequest::Status,
-                    };
+                    let pauses = attempt.pauses_replication();
+                    let old_primary = attempt.old_primary.clone();
                     for database in databases {
+                        let request = match pauses && Some(&database) != old_primary.as_ref() {
+                            true => ControlRequest::Pause(term),
+                            false => ControlRequest::Status,
+                        };
                         self.request_control(&database, id, request);
                     }
                 }
@@ -274,6 +311,12 @@
                         PlatformRequest::EndPromotion { attempt: id, service, term, known_term };
                     self.effects.push(Effect::CallPlatform(request));
                 }
+                Step::AwaitProof(unanswered) => {
+                    warn!(self.log, "no database provably has all acknowledged commits";
+                        "attempt" => id, "service" => %service, "unanswered" => ?unanswered,
+                        "roster" => ?attempt.roster, "rows" => ?attempt.statuses);
+                    self.read_rosters();
+                }
                 Step::GiveUp(reason) => self.give_up(index, reason),
                 Step::Announce(database, term) => {
                     self.begin_term(&service, term, Some(database.clone()), "replaced by this VM");
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -23,6 +23,7 @@
 mod refusals;
 mod registry;
 mod replies;
+mod rosters;
 mod sharing;
 mod suspensions;
 mod warmups;
@@ -56,6 +57,7 @@
     pool::Pool,
     rates::{RateCounts, RateLimiter},
     refusals::Refusals,
+    replicas::ReplicaRoster,
     session::Session,
     start::ServiceTime,
     witnesses::WitnessSet,
@@ -135,6 +137,10 @@
     pub(crate) primary: Option<DatabaseName>,
     /// Set while this VM does not use the primary because a new term is being prepared.
     pub(crate) suspension: Option<suspensions::Suspension>,
+    /// Databases that may hold acknowledged commits, as far as is known here.
+    pub(crate) roster: ReplicaRoster,
+    /// The roster in the store; `None` until it was read.
+    pub(crate) stored_roster: Option<ReplicaRoster>,
     /// Newest term that was given up, as is recorded in the store.
     pub(crate) ended: Option<Term>,
     /// Lower bounds on confirmed positions, for reads of a bounded age.
@@ -216,6 +222,8 @@
     /// When the list of those promotions was last requested from the store.
     intents_requested_at: MonoTime,
     membership: Membership,
+    /// When rosters were last read or written.
+    rosters_requested_at: Option<MonoTime>,
     /// When this VM was asked to stop.
     stopping_since: Option<MonoTime>,
     /// Whether each session is closed with its next answer, because the stop is about to end.
@@ -340,6 +348,7 @@
             intents_known,
             intents_requested_at: now,
             membership: Membership::default(),
+            rosters_requested_at: None,
             stopping_since: None,
             closes_after_answers: false,
             counts: Counts::default(),
@@ -537,6 +546,7 @@
         self.advance_failovers();
         self.start_due_failovers();
         self.record_ends();
+        self.maintain_rosters();
         self.find_primaries();
         self.update_splits();
         self.place_waiting();
@@ -631,6 +641,8 @@
             term_since: now,
             primary: None,
             suspension: None,
+            roster: ReplicaRoster::default(),
+            stored_roster: None,
             ended: None,
             freshness: ServiceFreshness::default(),
             primary_queried_at: None,
--- a/crates/gateway/src/engine/primaries.rs
+++ b/crates/gateway/src/engine/primaries.rs
@@ -135,6 +135,10 @@
                 "outcome" => ?done.outcome);
             return;
         };
+        let service = self.databases.get(&database).map(|state| state.record.service.clone());
+        if let Some(service) = service.and_then(|service| self.services.get_mut(&service)) {
+            service.roster.lost.remove(&database);
+        }
         self.note_status(&database, row);
         self.observe_status(&database, done.sent_at, row);
         if let Some(attempt) = self.failovers.iter_mut().find(|a| a.id == attempt) {
--- a/crates/gateway/src/engine/registry.rs
+++ b/crates/gateway/src/engine/registry.rs
@@ -33,6 +33,7 @@
         }
         for name in gone {
             self.drop_database(&name, "left");
+            self.services.values_mut().for_each(|service| service.roster.remove(&name));
         }
         for record in databases {
             self.set_database(record);
@@ -66,10 +67,11 @@
                 info!(self.log, "database listed"; "database" => %name,
                     "service" => %record.service, "role" => ?record.role, "dc" => %record.dc,
                     "leaving" => record.leaving, "incarnation" => record.incarnation);
-                let service = record.service.clone();
-                self.databases.insert(name, DatabaseState::new(record, self.now));
-                let now = self.now;
-                self.services.entry(service).or_insert_with(|| ServiceState::new(now));
+                let (now, service) = (self.now, record.service.clone());
+                let service =
+                    self.services.entry(service).or_insert_with(|| ServiceState::new(now));
+                service.roster.add(&name);
+                self.databases.insert(name, DatabaseState::new(record, now));
             }
         }
     }
@@ -97,7 +99,13 @@
         });
         let gone: Vec<DatabaseName> = gone.map(|(name, _)| name.clone()).collect();
         for name in gone {
+            let service = self.databases[&name].record.service.clone();
             self.drop_database(&name, "registry entry missing");
+            if let Some(state) = self.services.get_mut(&service).filter(|_| {
+                !self.catalog.services.get(&service).is_some_and(|limits| limits.synchronous)
+            }) {
+                state.roster.remove(&name);
+            }
         }
     }
 }
--- a/crates/gateway/src/failover.rs
+++ b/crates/gateway/src/failover.rs
@@ -14,6 +14,7 @@
 use crate::{
     peers::{LIVENESS_TIMEOUT, ServiceReport},
     promotions::{EndOutcome, PromotionIntent, RecordedPromotion, TokenOutcome},
+    replicas::ReplicaRoster,
     witnesses::LEASE_DURATION,
 };
 
@@ -36,9 +37,9 @@
 pub const PLANNED_SUSPEND_TIMEOUT: DurationUs = DurationUs::from_ms(1_500);
 /// How long to wait for a database to report its position.
 pub const STATUS_TIMEOUT: DurationUs = DurationUs::from_ms(400);
-/// How long to wait for all replicas to report their position when commits are synchronous: any one
-/// of them may be the only replica that holds an acknowledged commit.
-pub const SYNCHRONOUS_STATUS_TIMEOUT: DurationUs = DurationUs::from_ms(4_000);
+/// Time after which positions are collected again while the databases that answered may lack an acknowledged commit:
+/// one of them may have started again without its log.
+const PROOF_RETRY_INTERVAL: DurationUs = DurationUs::from_ms(2_000);
 /// How long a replica may take to receive everything in a planned change.
 pub const CATCH_UP_TIMEOUT: DurationUs = DurationUs::from_ms(1_500);
 /// A promotion request is sent within this time after the update of the fencing token was sent, or
@@ -139,6 +140,8 @@
     RaiseToken,
     /// Record that the term was given up.
     EndPromotion,
+    /// Wait: databases that don't answer may hold a commit that no other has.
+    AwaitProof(Vec<DatabaseName>),
     /// End the attempt for this reason; the old primary may be used again.
     GiveUp(&'static str),
     /// The database is primary in this term: tell all VMs.
@@ -158,9 +161,12 @@
     pub known_term: Term,
     /// Whether the change is planned: the old primary still serves, and is about to be withdrawn.
     pub planned: bool,
-    /// Whether a commit is acknowledged only once a replica has received it. Then the most advanced
-    /// replica holds every acknowledged commit, provided that replication is paused everywhere.
+    /// Whether a commit is acknowledged only once a replica has received it. Then a database is promoted only if it
+    /// provably has every acknowledged commit, and replication is paused while that is found out.
     pub synchronous: bool,
+    /// The databases that may hold an acknowledged commit; `None` while that is not known. Only used where commits are
+    /// synchronous.
+    pub roster: Option<ReplicaRoster>,
     /// The primary to replace; `None` where none is known.
     pub old_primary: Option<DatabaseName>,
     /// When the attempt began.
@@ -218,6 +224,7 @@
             term,
             planned: false,
             synchronous: false,
+            roster: None,
             old_primary: None,
             started: now,
             phase: Phase::AwaitingSuspension,
@@ -334,13 +341,15 @@
         self.phase = Phase::AwaitingSuspension;
     }
 
-    /// Discards what the attempt learned before this VM stood still for `span`. After a long standstill, another VM may
-    /// have completed the failover.
+    /// Takes into account that this VM stood still for `span`: databases had no time to answer meanwhile, and after a long
+    /// standstill, another VM may have completed the failover.
     pub fn note_standstill(&mut self, now: MonoTime, span: DurationUs) {
         if span >= STANDSTILL_MAX {
             self.discard_confirmations(now);
-        } else if span >= STANDSTILL_MIN && matches!(self.phase, Phase::CollectingStatus { .. }) {
-            self.restart_collection(now);
+        } else if let Phase::CollectingStatus { since } = &mut self.phase
+            && span >= STANDSTILL_MIN
+        {
+            *since = now.min(*since + span);
         }
     }
 
@@ -422,10 +431,13 @@
     }
 
     fn step_collecting_status(&mut self, now: MonoTime, since: MonoTime) -> Step {
-        let mut primaries = self
-            .statuses
-            .iter()
-            .filter(|(name, row)| row.is_primary && self.old_primary.as_ref() != Some(*name));
+        // With synchronous commits, the old primary is used again if it serves before another one provably has them.
+        let counts = |name| self.old_primary.as_ref() != Some(name) || self.synchronous;
+        let is_planned = self.planned;
+        let mut primaries = self.statuses.iter().filter(|(name, row)| {
+            let is_old = self.old_primary.as_ref() == Some(*name);
+            row.is_primary && counts(name) && !(is_planned && is_old)
+        });
         let leads = |(name, row): &(&DatabaseName, &StatusRow)| {
             row.term >= self.term || self.is_outcome(name, row)
         };
@@ -448,11 +460,31 @@
         if self.planned {
             return self.step_catching_up(now, since);
         }
-        let mut asked = eligible.iter().copied().chain(&self.observed);
-        let all_answered = asked.all(|name| self.statuses.contains_key(name));
-        let timeout = if self.synchronous { SYNCHRONOUS_STATUS_TIMEOUT } else { STATUS_TIMEOUT };
-        if !all_answered && now.since(since) < timeout {
-            return self.query_status(now);
+        if self.synchronous {
+            let has_proof = self
+                .roster
+                .as_ref()
+                .is_some_and(|roster| roster.is_proof(|name| self.has_answered(name)));
+            let most_received = self.statuses.values().map(|row| row.received).max();
+            let has_all = |name: &&DatabaseName| {
+                let received = self.statuses.get(*name).map(|row| row.received);
+                received.is_some() && received >= most_received
+            };
+            if !has_proof || !eligible.iter().any(has_all) {
+                if now.since(since) < PROOF_RETRY_INTERVAL {
+                    return self.query_status(now);
+                }
+                let roster = self.roster.clone().unwrap_or_default();
+                let unanswered = roster.unanswered(|name| self.has_answered(name));
+                self.restart_collection(now);
+                return Step::AwaitProof(unanswered);
+            }
+        } else {
+            let mut asked = eligible.iter().copied().chain(&self.observed);
+            let all_answered = asked.all(|name| self.statuses.contains_key(name));
+            if !all_answered && now.since(since) < STATUS_TIMEOUT {
+                return self.query_status(now);
+            }
         }
         if now < self.token_retry_at {
             return Step::Wait;
@@ -544,6 +576,23 @@
         is_requested && self.known_term > Term(0) && row.term > self.known_term
     }
 
+    /// Whether a database's answer shows what it holds of acknowledged commits. One without a log, where others have
+    /// one, has started again without it.
+    fn has_answered(&self, name: &DatabaseName) -> bool {
+        let all_empty = self.statuses.values().all(|row| row.received == Position::ZERO);
+        let received = self.statuses.get(name).map(|row| row.received);
+        received.is_some_and(|received| received > Position::ZERO || all_empty)
+    }
+
+    /// Adds databases that were listed meanwhile; of synchronous commits, they may be the only ones that have some.
+    pub fn add_candidates(&mut self, listed: Vec<DatabaseName>) {
+        for name in listed {
+            if !self.candidates.contains(&name) && !self.observed.contains(&name) {
+                self.candidates.push(name);
+            }
+        }
+    }
+
     /// Compares candidates by preference; the preferred one is less. One whose promotion may have been requested comes
     /// first.
     fn preference(&self, a: &DatabaseName, b: &DatabaseName) -> std::cmp::Ordering {
@@ -653,7 +702,8 @@
 
     fn query_status(&mut self, now: MonoTime) -> Step {
         let old = self.old_primary.iter().filter(|old| {
-            self.planned && !(self.spares_old_primary && self.statuses.contains_key(*old))
+            (self.planned || self.synchronous)
+                && !(self.spares_old_primary && self.statuses.contains_key(*old))
         });
         let due: Vec<DatabaseName> = self
             .candidates
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod rates;
 pub mod refusals;
 pub mod regions;
+pub mod replicas;
 mod session;
 mod share;
 pub mod spill;
--- a/crates/gateway/tests/failover.rs
+++ b/crates/gateway/tests/failover.rs
@@ -922,3 +922,121 @@
     world.run_for(9_000);
     check_all_serve(&mut world, "after the restart");
 }
+
+/// Returns a fleet in which one replica has received nothing of the last write, which the other one has.
+fn synchronous_world_with_a_replica_behind() -> (World, Caller) {
+    let mut world = World::synchronous(5);
+    let caller = world.open(1, LATEST, KEY);
+    assert!(world.query(caller, "w0", write("1")).succeeded());
+    world.run_for(100);
+    world.deaf.insert(2);
+    assert!(world.query(caller, "w1", write("1")).succeeded());
+    world.run_for(50);
+    assert!(world.group.has_write(1, "w1") && !world.group.has_write(2, "w1"));
+    (world, caller)
+}
+
+/// The two databases that have an acknowledged commit crash together. Guards against promoting the third one because
+/// the others stay silent for long, or because their entries have lapsed.
+#[test]
+fn synchronous_commit_is_not_lost_while_its_databases_are_silent() {
+    for lapses in [false, true] {
+        let (mut world, caller) = synchronous_world_with_a_replica_behind();
+        world.crash_database(0);
+        world.crash_database(1);
+        world.send(caller, "lost", write("1"));
+        let all = world.databases.clone();
+        if lapses {
+            world.databases.truncate(0);
+            world.databases.push(all[2].clone());
+            world.publish_databases(2);
+        }
+        world.run_for(20_000);
+        assert!(world.promotions.is_empty(), "lapses: {lapses}, {:?}", world.promotions);
+        world.databases = all;
+        world.restart_database(1, 3);
+        world.run_for(4_000);
+        let response = world.query(caller, "w2", write("1"));
+        assert!(response.succeeded(), "lapses: {lapses}, {response:?}");
+        let primary = primaries(&world).into_iter().max_by_key(|p| world.group.members[*p].term);
+        assert!(world.group.has_write(primary.expect("a primary"), "w1"), "lapses: {lapses}");
+    }
+}
+
+/// The primary alone crashes. Guards against a slower replacement where commits are synchronous.
+#[test]
+fn synchronous_service_replaces_a_crashed_primary_soon() {
+    let mut world = World::synchronous(5);
+    let caller = world.open(1, LATEST, KEY);
+    assert!(world.query(caller, "w0", write("1")).succeeded());
+    world.run_for(100);
+    world.crash_database(0);
+    let began = world.now;
+    for round in 0..40 {
+        if world.query(caller, &format!("w1-{round}"), write("1")).succeeded() {
+            break;
+        }
+    }
+    let gap = world.now.since(began);
+    assert!(gap < DurationUs::from_ms(4_000), "{} ms", gap.as_ms());
+    assert_eq!(world.promotions.len(), 1);
+}
+
+/// Guards against forgetting a database whose entry has lapsed as all VMs start again: it may be the only one that has
+/// a commit. Once its loss is accepted, the remaining one is promoted.
+#[test]
+fn synchronous_commit_is_not_lost_by_a_restart_of_all_vms() {
+    let (mut world, caller) = synchronous_world_with_a_replica_behind();
+    world.crash_database(0);
+    world.crash_database(1);
+    world.send(caller, "lost", write("1"));
+    let remaining = world.databases[2].clone();
+    world.databases = vec![remaining];
+    world.publish_databases(2);
+    world.run_for(5_000);
+    world.restart_all(&world::synchronous_catalog());
+    world.run_for(20_000);
+    assert!(world.promotions.is_empty(), "{:?}", world.promotions);
+    let roster = world.rosters.get_mut(&service()).expect("a roster");
+    roster.lost.insert(database_name(1));
+    world.run_for(8_000);
+    assert_eq!(world.promotions, [database_name(2)]);
+    check_all_serve(&mut world, "after the loss was accepted");
+}
+
+/// A replica that starts again without its log answers at once, and shows nothing of what it had acknowledged.
+#[test]
+fn synchronous_commit_is_not_lost_with_a_replica_that_restarts_empty() {
+    let (mut world, caller) = synchronous_world_with_a_replica_behind();
+    world.crash_database(0);
+    world.group.members[1].log.clear();
+    world.deaf.insert(1);
+    world.send(caller, "lost", write("1"));
+    world.run_for(10_000);
+    assert!(world.promotions.is_empty(), "{:?}", world.promotions);
+    world.restart_database(0, 2);
+    world.run_for(4_000);
+    assert!(world.promotions.is_empty(), "{:?}", world.promotions);
+    check_all_serve(&mut world, "after the primary is back");
+    assert!(world.group.has_write(0, "w1"));
+}
+
+/// A database that leaves with notice is no longer waited for.
+#[test]
+fn synchronous_service_does_not_wait_for_a_database_that_has_left() {
+    let mut world = World::synchronous(5);
+    let caller = world.open(1, LATEST, KEY);
+    assert!(world.query(caller, "w0", write("1")).succeeded());
+    world.databases[2].leaving = true;
+    world.publish_databases(2);
+    world.run_for(500);
+    world.databases.truncate(2);
+    world.publish_databases(3);
+    world.run_for(3_000);
+    assert!(!world.rosters[&service()].members.contains(&database_name(2)));
+    world.crash_database(2);
+    world.crash_database(0);
+    world.send(caller, "lost", write("1"));
+    world.run_for(6_000);
+    assert_eq!(world.promotions, [database_name(1)]);
+}
--- a/crates/gateway/tests/world/fleet.rs
+++ b/crates/gateway/tests/world/fleet.rs
@@ -174,6 +174,15 @@
                 self.schedule(STORE_DELAY_US, Event::TokenRead { vm });
             }
             PlatformRequest::ReadIntents => {}
+            PlatformRequest::ReadRosters => {
+                self.schedule(STORE_DELAY_US, Event::RostersRead { vm });
+            }
+            PlatformRequest::WriteRoster { service, before, roster } => {
+                if self.rosters.get(&service).cloned().unwrap_or_default() == before {
+                    self.rosters.insert(service, roster);
+                }
+                self.schedule(STORE_DELAY_US, Event::RostersRead { vm });
+            }
             PlatformRequest::EndPromotion { attempt, service, term, known_term } => {
                 self.see_token(vm);
                 let outcome = self.end_promotion(vm, term, known_term);
@@ -220,6 +229,7 @@
     pub fn restart_database(&mut self, database: usize, version: u64) {
         let healed = |end: &Endpoint| *end == Endpoint::Database(database);
         self.cuts.retain(|(a, b)| !healed(a) && !healed(b));
+        self.deaf.remove(&database);
         self.databases[database].incarnation += 1;
         self.publish_databases(version);
     }
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -26,6 +26,7 @@
     policy::Policy,
     promotions::{EndOutcome, RecordedPromotion, TokenOutcome},
     regions::AllowedRegions,
+    replicas::ReplicaRoster,
     witnesses::{Candidate, WitnessSet},
 };
 use model::prelude::*;
@@ -124,6 +125,9 @@
     TokenRead {
         vm: usize,
     },
+    RostersRead {
+        vm: usize,
+    },
     PromotionEnded {
         vm: usize,
         attempt: u64,
@@ -242,6 +246,8 @@
     pub runs_before_promotion: Option<usize>,
     /// Whether replicas receive the primary's log.
     pub replicating: bool,
+    /// Databases that send and receive nothing of the log.
+    pub deaf: BTreeSet<usize>,
     /// Callers whose connection the gateway has closed.
     pub closed: BTreeSet<Caller>,
     /// Extra delay of messages from one endpoint to another, in milliseconds.
@@ -297,6 +303,8 @@
     token_holder: Option<usize>,
     /// The newest promotion that is recorded with the token.
     pub recorded: Option<RecordedPromotion>,
+    /// The rosters in the store.
+    pub rosters: FxHashMap<ServiceName, ReplicaRoster>,
     /// Number of further updates of the token that are carried out without an answer.
     pub lost_token_answers: u32,
     /// The token that each VM has read or written last, and when it first saw it.
@@ -374,7 +382,24 @@
     }
 }
 
+/// Returns [`catalog`] with commits that are acknowledged once a replica has received them.
+pub fn synchronous_catalog() -> Catalog {
+    let mut catalog = catalog(1, 1e6, 100);
+    for limits in catalog.services.values_mut() {
+        limits.synchronous = true;
+    }
+    catalog
+}
+
 impl World {
+    /// Like [`World::new`], with [`synchronous_catalog`].
+    pub fn synchronous(vms: usize) -> World {
+        let mut world = World::unconfigured(vms);
+        world.configure(synchronous_catalog());
+        world.run_for(3_000);
+        world
+    }
+
     /// Returns a fleet of `vms` engines that has been configured and has run for 3 s.
     pub fn new(vms: usize) -> World {
         let mut world = World::unconfigured(vms);
@@ -418,6 +443,7 @@
             promotions: Vec::new(),
             runs_before_promotion: None,
             replicating: true,
+            deaf: BTreeSet::new(),
             closed: BTreeSet::new(),
             delays_ms: BTreeMap::new(),
             slow_connects_ms: 0,
@@ -446,6 +472,7 @@
             token: 0,
             token_holder: None,
             recorded: None,
+            rosters: FxHashMap::default(),
             lost_token_answers: 0,
             tokens_seen: BTreeMap::new(),
             promotion_ms: 300,
@@ -620,6 +647,12 @@
         self.group.has_write(member, id) && run.is_some_and(|run| run >= runs_before)
     }
 
+    /// Has a database end without notice; [`World::restart_database`] brings it back with its log.
+    pub fn crash_database(&mut self, database: usize) {
+        self.cut_database_from_vms(database);
+        self.deaf.insert(database);
+    }
+
     /// Pauses a VM, as when its process is suspended.
     pub fn freeze(&mut self, vm: usize) {
         self.frozen.insert(vm);
@@ -676,7 +709,9 @@
             return;
         };
         for replica in (0..3).filter(|replica| *replica != primary) {
-            let cut = self.is_cut(Endpoint::Database(primary), Endpoint::Database(replica));
+            let cut = self.is_cut(Endpoint::Database(primary), Endpoint::Database(replica))
+                || self.deaf.contains(&primary)
+                || self.deaf.contains(&replica);
             if !cut {
                 // An old primary becomes a replica once it reaches the new one.
                 self.group.members[replica].is_primary = false;
@@ -728,6 +763,7 @@
             Event::RaiseToken { vm, .. }
             | Event::TokenRaised { vm, .. }
             | Event::TokenRead { vm }
+            | Event::RostersRead { vm }
             | Event::PromotionEnded { vm, .. }
             | Event::PromotionAccepted { vm, .. }
                 if self.frozen.contains(&vm) =>
@@ -747,6 +783,10 @@
                     engine.promotion_ended(now, attempt, &service, term, outcome);
                 });
             }
+            Event::RostersRead { vm } => {
+                let rosters = self.rosters.clone();
+                self.drive(vm, |engine| engine.set_rosters(now, &rosters));
+            }
             Event::TokenRead { vm } => {
                 let recorded = self.recorded();
                 self.drive(vm, |engine| engine.token_read(now, &recorded));
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -18,6 +18,7 @@
     failover::PromotionOutcome,
     peers::MemberList,
     promotions::{EndOutcome, RecordedPromotion, TokenOutcome},
+    replicas::ReplicaRoster,
 };
 use model::prelude::*;
 use slog::{Logger, info, warn};
@@ -244,6 +245,11 @@
         self.drive(|engine, now| engine.token_raised(now, attempt, intent, outcome, sent));
     }
 
+    /// Takes the rosters in the store.
+    pub fn set_rosters(&self, rosters: &FxHashMap<ServiceName, ReplicaRoster>) {
+        self.drive(|engine, now| engine.set_rosters(now, rosters));
+    }
+
     /// Handles the outcome of recording that a term of a service was given up.
     pub fn promotion_ended(
         &self,
