Keep waiting for confirmations where another VM's promotion is recorded

An attempt that learned of a recorded promotion before all VMs had confirmed went on without them once its wait for a majority was over: giving up is not possible then, and what it did instead began with the collection. With synchronous commits, a replica behind the serving primary could be promoted while the recorded database was silent, and one that had refused as not running was not asked again.

Found in a read of the change; no run had shown it. The new tests of single attempts fail for the first two without the change (a term raised without a confirmation; a token raised for a replica with less than the primary has).

--- a/crates/gateway/src/failover.rs
+++ b/crates/gateway/src/failover.rs
@@ -467,8 +467,8 @@
                 .is_some_and(|roster| roster.is_proof(|name| self.has_answered(name)));
             let most_received = self.statuses.values().map(|row| row.received).max();
             let has_all = |name: &&DatabaseName| {
-                let received = self.statuses.get(*name).map(|row| row.received);
-                received.is_some() && received >= most_received
+                let row = self.statuses.get(*name).filter(|row| !row.is_primary);
+                row.is_some_and(|row| Some(row.received) >= most_received)
             };
             if !has_proof || !eligible.iter().any(has_all) {
                 if now.since(since) < PROOF_RETRY_INTERVAL {
@@ -476,6 +476,7 @@
                 }
                 let roster = self.roster.clone().unwrap_or_default();
                 let unanswered = roster.unanswered(|name| self.has_answered(name));
+                self.excluded.clear();
                 self.restart_collection(now);
                 return Step::AwaitProof(unanswered);
             }
@@ -693,11 +694,15 @@
         self.query_status(now)
     }
 
-    /// Starts the collection over after a pause, also with databases that were not running.
+    /// Goes on after a pause, also with databases that were not running: from the collection, or from the confirmations
+    /// where VMs have not confirmed.
     pub fn try_again(&mut self, now: MonoTime) {
         self.excluded.clear();
         self.token_retry_at = now + TOKEN_RETRY_DELAY;
-        self.restart_collection(now);
+        match self.phase {
+            Phase::AwaitingSuspension => self.restart_suspension(now),
+            _ => drop(self.restart_collection(now)),
+        }
     }
 
     fn query_status(&mut self, now: MonoTime) -> Step {
