Tell a replica that has just joined from one that lost its log

With synchronous commits, a primary that crashed while a new replica had received nothing yet could not be replaced: the empty log counted as lost, and replication is paused, so that it stayed empty. A member that this VM saw join and not restart since had nothing to lose. The loss of a database that answers without its log stays accepted; before, the next status query revoked it.

--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -37,7 +37,10 @@
 use membership::Membership;
 use warmups::Warmups;
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use model::{prelude::*, request::stable_hash};
 use slog::{Logger, info};
@@ -139,6 +142,8 @@
     pub(crate) suspension: Option<suspensions::Suspension>,
     /// Databases that may hold acknowledged commits, as far as is known here.
     pub(crate) roster: ReplicaRoster,
+    /// Members that this run saw join, and not restart since: they have lost nothing if their log is empty.
+    pub(crate) newcomers: BTreeSet<DatabaseName>,
     /// The roster in the store; `None` until it was read.
     pub(crate) stored_roster: Option<ReplicaRoster>,
     /// Newest term that was given up, as is recorded in the store.
@@ -642,6 +647,7 @@
             primary: None,
             suspension: None,
             roster: ReplicaRoster::default(),
+            newcomers: BTreeSet::new(),
             stored_roster: None,
             ended: None,
             freshness: ServiceFreshness::default(),
--- a/crates/gateway/src/engine/primaries.rs
+++ b/crates/gateway/src/engine/primaries.rs
@@ -136,7 +136,9 @@
             return;
         };
         let service = self.databases.get(&database).map(|state| state.record.service.clone());
-        if let Some(service) = service.and_then(|service| self.services.get_mut(&service)) {
+        if let Some(service) = service.and_then(|service| self.services.get_mut(&service))
+            && row.received > Position::ZERO
+        {
             service.roster.lost.remove(&database);
         }
         self.note_status(&database, row);
--- a/crates/gateway/src/engine/registry.rs
+++ b/crates/gateway/src/engine/registry.rs
@@ -53,6 +53,9 @@
         });
         if restarted {
             self.drop_database(&name, "restarted");
+            for service in self.services.values_mut() {
+                service.newcomers.remove(&name);
+            }
         }
         match self.databases.get_mut(&name) {
             Some(state) => {
@@ -70,6 +73,10 @@
                 let (now, service) = (self.now, record.service.clone());
                 let service =
                     self.services.entry(service).or_insert_with(|| ServiceState::new(now));
+                let is_known = service.roster.members.contains(&name);
+                if !is_known && service.stored_roster.is_some() {
+                    service.newcomers.insert(name.clone());
+                }
                 service.roster.add(&name);
                 self.databases.insert(name, DatabaseState::new(record, now));
             }
--- a/crates/gateway/src/failover.rs
+++ b/crates/gateway/src/failover.rs
@@ -167,6 +167,8 @@
     /// The databases that may hold an acknowledged commit; `None` while that is not known. Only used where commits are
     /// synchronous.
     pub roster: Option<ReplicaRoster>,
+    /// Members of the roster that have lost nothing if their log is empty.
+    pub newcomers: BTreeSet<DatabaseName>,
     /// The primary to replace; `None` where none is known.
     pub old_primary: Option<DatabaseName>,
     /// When the attempt began.
@@ -225,6 +227,7 @@
             planned: false,
             synchronous: false,
             roster: None,
+            newcomers: BTreeSet::new(),
             old_primary: None,
             started: now,
             phase: Phase::AwaitingSuspension,
@@ -578,11 +581,12 @@
     }
 
     /// Whether a database's answer shows what it holds of acknowledged commits. One without a log, where others have
-    /// one, has started again without it.
+    /// one, has started again without it, unless it has just joined.
     fn has_answered(&self, name: &DatabaseName) -> bool {
         let all_empty = self.statuses.values().all(|row| row.received == Position::ZERO);
         let received = self.statuses.get(name).map(|row| row.received);
-        received.is_some_and(|received| received > Position::ZERO || all_empty)
+        let may_be_empty = all_empty || self.newcomers.contains(name);
+        received.is_some_and(|received| received > Position::ZERO || may_be_empty)
     }
 
     /// Adds databases that were listed meanwhile; of synchronous commits, they may be the only ones that have some.
--- a/crates/gateway/tests/attempt.rs
+++ b/crates/gateway/tests/attempt.rs
@@ -106,3 +106,21 @@
         }
     }
 }
+
+/// A replica without a log has lost what it had, if it was a member before, and has nothing to lose if it just joined.
+#[test]
+fn step_counts_an_empty_replica_only_if_it_just_joined() {
+    for joined in [false, true] {
+        let mut attempt = attempt(3).with_synchronous(true);
+        let mut roster = ReplicaRoster::default();
+        (0..3).for_each(|index| roster.add(&name(index)));
+        attempt.roster = Some(roster);
+        attempt.newcomers.extend(joined.then(|| name(2)));
+        attempt.step(after(10), true);
+        attempt.note_status(after(20), &name(1), row(false, 1, 5));
+        let empty = StatusRow { received: Position::ZERO, ..row(false, 1, 0) };
+        attempt.note_status(after(20), &name(2), empty);
+        let step = attempt.step(after(30), true);
+        assert_eq!(step == Step::RaiseToken, joined, "{step:?}");
+    }
+}
