--- a/crates/gateway/src/engine/failovers.rs
+++ b/crates/gateway/src/engine/failovers.rs
@@ -220,13 +220,11 @@
             |name: &&DatabaseName| attempt.statuses.get(*name).is_some_and(|row| !row.is_primary);
         let old_primary = attempt.old_primary.as_ref().filter(|name| !is_demoted(name));
         let listed = self.failover_candidates(service, old_primary);
-        let roster = self
-            .services
-            .get(service)
-            .and_then(|service| service.stored_roster.as_ref().map(|_| service.roster.clone()));
+        let Some(state) = self.services.get(service) else { return };
         let attempt = &mut self.failovers[index];
         attempt.add_candidates(listed);
-        attempt.roster = roster;
+        attempt.newcomers.clone_from(&state.newcomers);
+        attempt.roster = state.stored_roster.is_some().then(|| state.roster.clone());
     }
 
     /// Discards what failovers rest on after this VM stood still or was without a lease: other VMs may have taken them
--- a/crates/gateway/tests/failover.rs
+++ b/crates/gateway/tests/failover.rs
@@ -1040,3 +1040,25 @@
     world.run_for(6_000);
     assert_eq!(world.promotions, [database_name(1)]);
 }
+
+/// The primary crashes while a new replica has received nothing yet. Guards against waiting for a log that it never had.
+#[test]
+fn synchronous_service_does_not_wait_for_a_replica_that_has_just_joined() {
+    let mut world = World::unconfigured(5);
+    let all = world.databases.clone();
+    world.databases.truncate(2);
+    world.group.members[2].log.clear();
+    world.deaf.insert(2);
+    world.configure(world::synchronous_catalog());
+    world.run_for(6_000);
+    let caller = world.open(1, LATEST, KEY);
+    assert!(world.query(caller, "w0", write("1")).succeeded());
+    world.run_for(100);
+    world.databases = all;
+    world.publish_databases(2);
+    world.run_for(200);
+    world.crash_database(0);
+    world.send(caller, "lost", write("1"));
+    world.run_for(6_000);
+    assert_eq!(world.promotions, [database_name(1)]);
+}
