Take no VM's word that a term was given up

A VM that knew of the end of a term ignored reports that lost VMs prepared it, and told their senders to drop it. Terms are prepared again after an end, so such a report may be of a later attempt, by a VM that this one alone counts as lost: this VM and the sender would use the old primary while a promotion is under way.

Now every report suspends the primary, and only the VM that has just made the record announces it. A VM that misses the announcement reports its suspension, upon which the coordinator gives the term up again. That always writes, so that a VM which has read the record since can't use it to promote. The new test cuts a VM off during the end and expects all to serve within 9 s.

--- a/crates/gateway/src/engine/gossip.rs
+++ b/crates/gateway/src/engine/gossip.rs
@@ -171,13 +171,6 @@
             let (service, primary) = (report.service.clone(), None);
             return self.send_to_vm(from, PeerBody::Decided { service, term, primary });
         }
-        let ended = service.ended.filter(|ended| term <= *ended);
-        if ended.is_some() && self.is_gone(&Preparer { vm: by.clone(), run }) {
-            // The sender has missed that the term was given up.
-            let service = report.service.clone();
-            return self.send_to_vm(from, PeerBody::Ended { service, term });
-        }
-        let Some(service) = self.services.get_mut(&report.service) else { return };
         // Only a report of the VM that prepares the term prolongs the suspension. A later run of that VM does
         // not prepare it, but has learned of it from others.
         let is_preparing =
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -146,8 +146,6 @@
     pub(crate) newcomers: BTreeSet<DatabaseName>,
     /// The roster in the store; `None` until it was read.
     pub(crate) stored_roster: Option<ReplicaRoster>,
-    /// Newest term that was given up, as is recorded in the store.
-    pub(crate) ended: Option<Term>,
     /// Lower bounds on confirmed positions, for reads of a bounded age.
     pub(crate) freshness: ServiceFreshness,
     /// When its databases were last queried for their primary.
@@ -649,7 +647,6 @@
             roster: ReplicaRoster::default(),
             newcomers: BTreeSet::new(),
             stored_roster: None,
-            ended: None,
             freshness: ServiceFreshness::default(),
             primary_queried_at: None,
             no_primary_since: None,
--- a/crates/gateway/src/engine/suspensions.rs
+++ b/crates/gateway/src/engine/suspensions.rs
@@ -240,19 +240,24 @@
         }
     }
 
-    /// Records that a term was given up in the store. What earlier runs and lost VMs prepared for it is over.
+    /// Ends what lost VMs and earlier runs prepared for a term that was given up in the store. A VM that still
+    /// prepares it fails to record its promotion, and asks again.
     pub(super) fn end_term(&mut self, name: &ServiceName, term: Term) {
         let now = self.now;
         let is_preparing = self.failovers.iter().any(|a| a.service == *name && a.term <= term);
-        let Some(mut service) = self.services.remove(name) else { return };
-        service.ended = service.ended.max(Some(term));
-        if let Some(suspension) = service.suspension.as_mut().filter(|s| s.term <= term) {
-            suspension.end(now, |preparer| match preparer.vm == self.id.vm {
-                true => !is_preparing,
-                false => self.is_gone(preparer),
-            });
+        let service = self.services.get_mut(name).filter(|service| {
+            service.suspension.as_ref().is_some_and(|suspension| suspension.term <= term)
+        });
+        let Some(mut suspension) = service.and_then(|service| service.suspension.take()) else {
+            return;
+        };
+        suspension.end(now, |preparer| match preparer.vm == self.id.vm {
+            true => !is_preparing,
+            false => self.is_gone(preparer),
+        });
+        if let Some(service) = self.services.get_mut(name) {
+            service.suspension = Some(suspension);
         }
-        self.services.insert(name.clone(), service);
     }
 
     /// Takes the promotions that were recorded before this run began. Any of them may still take
@@ -262,7 +267,6 @@
         self.intents_known = true;
         for (name, RecordedPromotion { term, ended, .. }) in recorded {
             if *ended {
-                self.services.entry(name.clone()).or_insert_with(|| ServiceState::new(now));
                 self.end_term(name, *term);
                 continue;
             }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -225,8 +225,8 @@
         /// The rates.
         rates: Vec<HandedRate>,
     },
-    /// A term was given up, as is recorded in the store: what earlier runs and lost VMs prepared for it is over. Versions
-    /// that don't understand it wait until their suspension ends.
+    /// A term was given up, as the sender has just recorded in the store: what earlier runs and lost VMs prepared for it
+    /// is over. Versions that don't understand it report it, so that it is given up again, until they restart.
     Ended {
         /// The service whose primary stays.
         service: ServiceName,
--- a/crates/gateway/tests/failover.rs
+++ b/crates/gateway/tests/failover.rs
@@ -1062,3 +1062,32 @@
     world.run_for(6_000);
     assert_eq!(world.promotions, [database_name(1)]);
 }
+
+/// A VM is cut off while the record of a promotion ends, and reports its suspension afterwards. Guards against keeping
+/// the others from the primary for good.
+#[test]
+fn vm_that_misses_the_end_of_a_promotion_learns_of_it() {
+    let mut world = World::new(5);
+    let caller = world.open(3, LATEST, KEY);
+    assert!(world.query(caller, "w0", write("1")).succeeded());
+    world.cut_database_from_vms(0);
+    run_until_recorded(&mut world, caller);
+    world.restart_all(&world::catalog(1, 1e6, 100));
+    world.restart_database(0, 2);
+    world.run_for(1_000);
+    world.isolate_vm(4);
+    for _ in 0..1_000 {
+        if world.recorded.as_ref().is_some_and(|recorded| recorded.ended) {
+            break;
+        }
+        world.run_for(10);
+    }
+    assert!(world.recorded.as_ref().is_some_and(|recorded| recorded.ended));
+    world.run_for(2_000);
+    for other in 0..4 {
+        world.heal(Endpoint::Vm(4), Endpoint::Vm(other));
+    }
+    world.run_for(9_000);
+    check_all_serve(&mut world, "after the cut");
+    assert!(world.promotions.is_empty(), "{:?}", world.promotions);
+}
--- a/crates/gateway/tests/world/fleet.rs
+++ b/crates/gateway/tests/world/fleet.rs
@@ -195,7 +195,6 @@
     fn end_promotion(&mut self, vm: usize, term: Term, known_term: Term) -> EndOutcome {
         let seen_at = self.tokens_seen[&vm].1;
         match &self.recorded {
-            Some(recorded) if recorded.ended && recorded.term >= term => return EndOutcome::Ended,
             Some(recorded) if recorded.ended || recorded.term <= known_term => {}
             Some(recorded) if recorded.term > term => {
                 return EndOutcome::Recorded(recorded.clone());
