Split the step of a failover that collects positions

The step judged primaries that were found, waited for positions or their proof, and chose a database. Each of the first two is a function of its own now, and the two conditions on the old primary are one predicate. No change of behaviour: the tests of gateway and platform pass without a change.

--- a/crates/gateway/src/engine/registry.rs
+++ b/crates/gateway/src/engine/registry.rs
@@ -108,9 +108,9 @@
         for name in gone {
             let service = self.databases[&name].record.service.clone();
             self.drop_database(&name, "registry entry missing");
-            if let Some(state) = self.services.get_mut(&service).filter(|_| {
-                !self.catalog.services.get(&service).is_some_and(|limits| limits.synchronous)
-            }) {
+            if !self.is_synchronous(&service)
+                && let Some(state) = self.services.get_mut(&service)
+            {
                 state.roster.remove(&name);
             }
         }
--- a/crates/gateway/src/failover.rs
+++ b/crates/gateway/src/failover.rs
@@ -45,6 +45,8 @@
 /// A promotion request is sent within this time after the update of the fencing token was sent, or
 /// not at all.
 pub const PROMOTION_SEND_WINDOW: DurationUs = DurationUs::from_ms(400);
+/// Time after [`PROMOTION_SEND_WINDOW`] by which a request that was sent within it has arrived.
+pub const PROMOTION_ARRIVAL_MARGIN: DurationUs = DurationUs::from_ms(200);
 /// How long to wait for the answer to a token update or a promotion request.
 pub const PLATFORM_CALL_TIMEOUT: DurationUs = DurationUs::from_ms(1_500);
 /// How long a database may take to become primary after the promotion request was answered.
@@ -68,7 +70,7 @@
 /// Time from the update of the fencing token after which no promotion that was requested under it can take effect any
 /// more: it was sent within [`PROMOTION_SEND_WINDOW`], and has arrived and taken effect.
 pub const PROMOTION_EFFECT_MAX: DurationUs =
-    DurationUs(PROMOTION_SEND_WINDOW.0 + 200_000 + PROMOTION_TIMEOUT.0);
+    DurationUs(PROMOTION_SEND_WINDOW.0 + PROMOTION_ARRIVAL_MARGIN.0 + PROMOTION_TIMEOUT.0);
 /// Time between two collections while an attempt waits until its term can be given up.
 const END_QUERY_INTERVAL: DurationUs = DurationUs::from_ms(200);
 
@@ -434,61 +436,20 @@
     }
 
     fn step_collecting_status(&mut self, now: MonoTime, since: MonoTime) -> Step {
-        // With synchronous commits, the old primary is used again if it serves before another one provably has them.
-        let counts = |name| self.old_primary.as_ref() != Some(name) || self.synchronous;
-        let is_planned = self.planned;
-        let mut primaries = self.statuses.iter().filter(|(name, row)| {
-            let is_old = self.old_primary.as_ref() == Some(*name);
-            row.is_primary && counts(name) && !(is_planned && is_old)
-        });
-        let leads = |(name, row): &(&DatabaseName, &StatusRow)| {
-            row.term >= self.term || self.is_outcome(name, row)
-        };
-        if let Some((primary, row)) = primaries.clone().find(leads) {
-            return Step::Announce(primary.clone(), row.term);
+        if let Some(step) = self.step_found_primary(now, since) {
+            return step;
         }
-        if !self.planned && primaries.next().is_some() {
-            if !self.promotion_requested && !self.takes_over {
-                return Step::GiveUp("another database is already the primary");
-            }
-            if let Some(step) = self.step_giving_up_term(now, since) {
-                return step;
-            }
-        }
-        let eligible: Vec<&DatabaseName> =
-            self.candidates.iter().filter(|name| !self.excluded.contains(*name)).collect();
+        let is_eligible = |name: &&DatabaseName| !self.excluded.contains(*name);
+        let eligible: Vec<DatabaseName> =
+            self.candidates.iter().filter(is_eligible).cloned().collect();
         if eligible.is_empty() {
             return Step::GiveUp("no database can be promoted");
         }
         if self.planned {
             return self.step_catching_up(now, since);
         }
-        if self.synchronous {
-            let has_proof = self
-                .roster
-                .as_ref()
-                .is_some_and(|roster| roster.is_proof(|name| self.has_answered(name)));
-            let most_received = self.statuses.values().map(|row| row.received).max();
-            let has_all = |name: &&DatabaseName| {
-                let row = self.statuses.get(*name).filter(|row| !row.is_primary);
-                row.is_some_and(|row| Some(row.received) >= most_received)
-            };
-            if !has_proof || !eligible.iter().any(has_all) {
-                if now.since(since) < PROOF_RETRY_INTERVAL {
-                    return self.query_status(now);
-                }
-                let roster = self.roster.clone().unwrap_or_default();
-                let unanswered = roster.unanswered(|name| self.has_answered(name));
-                self.excluded.clear();
-                self.restart_collection(now);
-                return Step::AwaitProof(unanswered);
-            }
-        } else {
-            let mut asked = eligible.iter().copied().chain(&self.observed);
-            let all_answered = asked.all(|name| self.statuses.contains_key(name));
-            if !all_answered && now.since(since) < STATUS_TIMEOUT {
-                return self.query_status(now);
-            }
+        if let Some(step) = self.step_awaiting_positions(now, since, &eligible) {
+            return step;
         }
         if now < self.token_retry_at {
             return Step::Wait;
@@ -501,7 +462,7 @@
         let row_of = |name: &DatabaseName| self.statuses.get(name).filter(|row| !row.is_primary);
         let best = eligible
             .iter()
-            .filter_map(|name| row_of(name).map(|row| (row.received, *name)))
+            .filter_map(|name| row_of(name).map(|row| (row.received, name)))
             .max_by(|a, b| a.0.cmp(&b.0).then_with(|| self.preference(b.1, a.1)));
         let received = |name| self.statuses.get(name).map(|row| row.received);
         let most_observed = self.observed.iter().filter_map(received).max();
@@ -528,6 +489,69 @@
         }
     }
 
+    /// Announces a database that has become primary for the term. Where another one serves, ends the attempt or gives the
+    /// term up. `None` if neither is so.
+    fn step_found_primary(&mut self, now: MonoTime, since: MonoTime) -> Option<Step> {
+        let mut primaries =
+            self.statuses.iter().filter(|(name, row)| row.is_primary && self.may_serve(name));
+        let leads = |(name, row): &(&DatabaseName, &StatusRow)| {
+            row.term >= self.term || self.is_outcome(name, row)
+        };
+        if let Some((primary, row)) = primaries.clone().find(leads) {
+            return Some(Step::Announce(primary.clone(), row.term));
+        }
+        if self.planned || primaries.next().is_none() {
+            return None;
+        }
+        if !self.promotion_requested && !self.takes_over {
+            return Some(Step::GiveUp("another database is already the primary"));
+        }
+        self.step_giving_up_term(now, since)
+    }
+
+    /// Whether a database that calls itself primary may serve. The old primary may only after a crash and with
+    /// synchronous commits, before another database provably has them.
+    fn may_serve(&self, name: &DatabaseName) -> bool {
+        self.old_primary.as_ref() != Some(name) || (self.synchronous && !self.planned)
+    }
+
+    /// Waits for the positions that decide which database is promoted; `None` once they are known.
+    fn step_awaiting_positions(
+        &mut self,
+        now: MonoTime,
+        since: MonoTime,
+        eligible: &[DatabaseName],
+    ) -> Option<Step> {
+        let span = now.since(since);
+        if !self.synchronous {
+            let mut asked = eligible.iter().chain(&self.observed);
+            let all_answered = asked.all(|name| self.statuses.contains_key(name));
+            return (!all_answered && span < STATUS_TIMEOUT).then(|| self.query_status(now));
+        }
+        if self.has_proof(eligible) {
+            return None;
+        }
+        if span < PROOF_RETRY_INTERVAL {
+            return Some(self.query_status(now));
+        }
+        let roster = self.roster.clone().unwrap_or_default();
+        let unanswered = roster.unanswered(|name| self.has_answered(name));
+        self.excluded.clear();
+        self.restart_collection(now);
+        Some(Step::AwaitProof(unanswered))
+    }
+
+    /// Whether the answers contain every acknowledged synchronous commit, and one of `eligible` has all of them.
+    fn has_proof(&self, eligible: &[DatabaseName]) -> bool {
+        let is_proof = |roster: &ReplicaRoster| roster.is_proof(|name| self.has_answered(name));
+        let most_received = self.statuses.values().map(|row| row.received).max();
+        let has_all = |name: &DatabaseName| {
+            let row = self.statuses.get(name).filter(|row| !row.is_primary);
+            row.is_some_and(|row| Some(row.received) >= most_received)
+        };
+        self.roster.as_ref().is_some_and(is_proof) && eligible.iter().any(has_all)
+    }
+
     /// Gives the term up while the primary of an earlier one serves: once no promotion can take effect any more, and
     /// the database that may have been promoted is known not to be primary. `None` where that can't be known.
     fn step_giving_up_term(&mut self, now: MonoTime, since: MonoTime) -> Option<Step> {
--- a/crates/gateway/src/promotions.rs
+++ b/crates/gateway/src/promotions.rs
@@ -23,7 +23,7 @@
 pub struct RecordedPromotion {
     /// The term that begins with the promotion.
     pub term: Term,
-    /// The database to promote; `None` if a version recorded it that does not name the database.
+    /// The database to promote; `None` if the term was given up, or an earlier version wrote the record.
     pub database: Option<DatabaseName>,
     /// The fencing token that was raised with the record.
     pub token: u64,
