--- a/review/standins-2/database.rs
+++ b/review/standins-2/database.rs
@@ -1,9 +1,9 @@
 //! The databases of one service, which speak the line protocol, and the platform's interface for promotions.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     io::{BufRead, BufReader, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Condvar, Mutex},
     thread,
     time::Duration,
@@ -11,6 +11,9 @@
 
 use crate::{Record, random};
 
+/// How often replicas receive what is new in the primary's log.
+const REPLICATION_PERIOD: Duration = Duration::from_millis(8);
+
 pub const SERVICE: &str = "ledger";
 
 #[derive(Clone, Debug)]
@@ -21,6 +24,14 @@
     /// Commits as term and id of the write, oldest first.
     pub log: Vec<(u64, String)>,
     pub is_up: bool,
+    /// Unix millisecond of its start.
+    pub born: u64,
+    /// Whether it receives nothing from the primary.
+    pub is_deaf: bool,
+    /// Whether it was told to receive nothing until it is promoted or told to go on.
+    pub is_paused: bool,
+    /// Most commits that it receives in [`REPLICATION_PERIOD`].
+    pub pace: usize,
 }
 
 impl Member {
@@ -44,6 +55,8 @@
     pub runs: Vec<Run>,
     /// Share of the requests that each database fails.
     pub failing: BTreeMap<usize, f64>,
+    /// Databases that began to lead, and the commits that they had then.
+    pub led: Vec<(usize, BTreeSet<String>)>,
     connections: BTreeMap<(usize, u64), TcpStream>,
     busy: Vec<usize>,
     next_connection: u64,
@@ -57,6 +70,8 @@
     /// Least and greatest time of a statement, in milliseconds.
     pub work_ms: (u64, u64),
     pub promote_ms: u64,
+    /// Whether a commit is acknowledged once a replica has received it.
+    pub is_synchronous: bool,
 }
 
 #[derive(Clone)]
@@ -80,6 +95,10 @@
             term: 1,
             log: vec![(1, "start".to_owned())],
             is_up: true,
+            born: 1_790_000_000_000 + index as u64,
+            is_deaf: false,
+            is_paused: false,
+            pace: usize::MAX,
         });
         let state = State { members: members.collect(), busy: vec![0; count], ..State::default() };
         let state = Arc::new((Mutex::new(state), Condvar::new()));
@@ -99,7 +118,7 @@
         let own = databases.clone();
         thread::spawn(move || {
             loop {
-                thread::sleep(Duration::from_millis(8));
+                thread::sleep(REPLICATION_PERIOD);
                 own.replicate();
             }
         });
@@ -111,7 +130,7 @@
         let state = self.state.0.lock().unwrap();
         let role = if state.members[index].is_primary { "primary" } else { "replica" };
         let (address, slots) = (self.addresses[index], self.options.slots);
-        let born = 1_790_000_000_000_u64 + index as u64;
+        let born = state.members[index].born;
         format!(
             r#"{{"service":"{SERVICE}","address":"{address}","zone":"{zone}","version":"v1","capacity":{slots},"state":"ready","coldLeftMs":0,"dbRole":"{role}","sequence":4,"born":{born}}}"#
         )
@@ -122,14 +141,54 @@
         let primaries = state.members.iter().filter(|m| m.is_primary && m.is_up);
         let Some(source) = primaries.max_by_key(|m| m.term).cloned() else { return };
         for member in state.members.iter_mut().filter(|m| m.is_up && m.name != source.name) {
-            if member.term <= source.term && (!member.is_primary || member.term < source.term) {
-                member.is_primary = false;
-                member.term = source.term;
-                member.log.clone_from(&source.log);
+            let is_older = member.term < source.term || !member.is_primary;
+            if member.is_deaf || member.is_paused || member.term > source.term || !is_older {
+                continue;
             }
+            member.is_primary = false;
+            member.term = source.term;
+            let same = member.log.iter().zip(&source.log).take_while(|(a, b)| a == b).count();
+            member.log.truncate(same);
+            member.log.extend(source.log.iter().skip(same).take(member.pace).cloned());
+        }
+        drop(state);
+        self.state.1.notify_all();
+    }
+
+    /// Has a database crash, or start again with its log.
+    pub fn set_up(&self, index: usize, is_up: bool) {
+        let mut state = self.state.0.lock().unwrap();
+        state.members[index].is_up = is_up;
+        if !is_up {
+            state.connections.retain(|(at, _), stream| {
+                if *at == index {
+                    let _ = stream.shutdown(Shutdown::Both);
+                }
+                *at != index
+            });
         }
     }
 
+    /// Has a database that crashed start again under its id: it holds and knows nothing of before, and receives the log
+    /// anew, `pace` commits at a time.
+    pub fn start_again(&self, index: usize, pace: usize) {
+        let mut state = self.state.0.lock().unwrap();
+        let member = &mut state.members[index];
+        member.is_up = true;
+        member.is_primary = false;
+        member.is_paused = false;
+        member.term = 0;
+        member.log.clear();
+        member.born += 60_000;
+        member.pace = pace;
+    }
+
+    /// Whether a replica has received the first `count` commits.
+    fn is_received(state: &State, index: usize, count: usize) -> bool {
+        let replicas = state.members.iter().enumerate().filter(|(other, _)| *other != index);
+        replicas.into_iter().any(|(_, member)| member.is_up && member.log.len() >= count)
+    }
+
     /// Makes a database the primary of the next term after a while. Returns whether it runs.
     pub fn promote(&self, name: &str) -> bool {
         let state = self.state.0.lock().unwrap();
@@ -147,8 +206,15 @@
             let member = &mut state.members[index];
             if member.is_up && !member.is_primary {
                 member.is_primary = true;
+                member.is_paused = false;
                 member.term = term;
-                own.record.write(&format!("database {} leads term {term}", member.name));
+                own.record.write(&format!(
+                    "database {} leads term {term} with {} commits",
+                    member.name,
+                    member.log.len()
+                ));
+                let log = member.log.iter().map(|(_, id)| id.clone()).collect();
+                state.led.push((index, log));
             }
         });
         true
@@ -267,9 +333,8 @@
             }
         }
         let (word, rest) = text.split_once(' ').unwrap_or((text, ""));
-        let is_primary = |databases: &Databases| {
-            databases.state.0.lock().unwrap().members[index].is_primary
-        };
+        let is_primary =
+            |databases: &Databases| databases.state.0.lock().unwrap().members[index].is_primary;
         match word {
             "BEGIN" if rest != "READ" && !is_primary(self) => Err("READONLY"),
             "BEGIN" => {
@@ -310,14 +375,19 @@
                 if word == "DEMOTE" && rest.parse::<u64>().is_ok_and(|term| member.term < term) {
                     member.is_primary = false;
                 }
+                match word {
+                    "PAUSE" => {
+                        member.is_paused |= rest.parse().is_ok_and(|term| member.term < term)
+                    }
+                    "RESUME" => member.is_paused = false,
+                    _ => {}
+                }
                 let role = if member.is_primary { "primary" } else { "replica" };
                 let (term, position) = (member.term, member.position());
                 let open = state.connections.keys().filter(|(at, _)| *at == index).count();
                 Ok(format!("DATAROW {role} {term} {position} 0 8 0 {open}\r\nCOMPLETE -\r\n"))
             }
-            "READ" | "WRITE" | "EXECUTE" | "COMMIT" => {
-                self.execute(index, session, id, word, rest)
-            }
+            "READ" | "WRITE" | "EXECUTE" | "COMMIT" => self.execute(index, session, id, word, rest),
             _ => Err("MALFORMED"),
         }
     }
@@ -366,6 +436,13 @@
             let term = state.members[index].term;
             let writes = session.writes.drain(..).map(|id| (term, id));
             state.members[index].log.extend(writes);
+            let count = state.members[index].log.len();
+            while self.options.is_synchronous
+                && state.members[index].is_up
+                && !Self::is_received(&state, index, count)
+            {
+                state = self.state.1.wait(state).unwrap();
+            }
         }
         let row = if word == "COMMIT" { "" } else { "DATAROW value\r\n" };
         Ok(format!("{row}COMPLETE {}.{run}\r\n", name(index)))
--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -134,7 +134,8 @@
 
     pub fn is_ready(&self) -> bool {
         let ask = || -> Option<String> {
-            let mut stream = TcpStream::connect_timeout(&self.ready, Duration::from_secs(1)).ok()?;
+            let mut stream =
+                TcpStream::connect_timeout(&self.ready, Duration::from_secs(1)).ok()?;
             stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
             stream
                 .write_all(b"GET /ready HTTP/1.1\r\nHost: vm\r\nConnection: close\r\n\r\n")
--- a/review/standins-2/grey.rs
+++ b/review/standins-2/grey.rs
@@ -35,7 +35,13 @@
 
 /// Returns whether the rule was broken.
 pub fn run(root: &Path, case: &Path, temp: &Path) -> bool {
-    let options = Options { slots: 3, connections_max: 36, work_ms: (4, 12), promote_ms: 1_000 };
+    let options = Options {
+        slots: 3,
+        connections_max: 36,
+        work_ms: (4, 12),
+        promote_ms: 1_000,
+        is_synchronous: false,
+    };
     let deployment = Deployment::start(root, case, temp, Setup { vms: 3, options });
     let record = deployment.record.clone();
     let is_over = Arc::new(AtomicBool::new(false));
@@ -56,7 +62,8 @@
                     };
                     let mut variables = BTreeMap::new();
                     if let Some(value) = &value {
-                        let answer = caller.query(&format!("{name}x{number}set"), &format!("SET lang {value}"));
+                        let answer = caller
+                            .query(&format!("{name}x{number}set"), &format!("SET lang {value}"));
                         if !matches!(answer, Answer::Done(_)) {
                             continue;
                         }
@@ -65,7 +72,8 @@
                     while !is_over.load(Ordering::Relaxed) {
                         number += 1;
                         let id = format!("{name}x{number}");
-                        let answer = caller.query(&id, &format!("WRITE item{} data{number}", session));
+                        let answer =
+                            caller.query(&id, &format!("WRITE item{} data{number}", session));
                         let cut = answer == Answer::Cut;
                         let sent = Sent { variables: variables.clone(), answer };
                         writes.lock().unwrap().insert(id, sent);
--- a/review/standins-2/json.rs
+++ b/review/standins-2/json.rs
@@ -76,11 +76,7 @@
     }
 }
 
-fn list(
-    rest: &mut &str,
-    end: char,
-    mut item: impl FnMut(&mut &str) -> Option<()>,
-) -> Option<()> {
+fn list(rest: &mut &str, end: char, mut item: impl FnMut(&mut &str) -> Option<()>) -> Option<()> {
     *rest = rest[1..].trim_start();
     if let Some(after) = rest.strip_prefix(end) {
         *rest = after;
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -10,6 +10,7 @@
 mod grey;
 mod http;
 mod json;
+mod partial;
 mod stop;
 mod store;
 
@@ -86,6 +87,7 @@
         let record = Record { file: Arc::new(Mutex::new(file)), began: Instant::now() };
         let store = Store::default();
         let connections = setup.options.connections_max;
+        let sync = u32::from(setup.options.is_synchronous);
         let route = |host: &str, kind: &str, timeout: u64, age: Option<u64>| {
             let age = age.map_or(String::new(), |age| format!(r#","maxStalenessMs":{age}"#));
             format!(
@@ -99,7 +101,7 @@
             route("book", "read_your_writes", 1000, Some(2500)),
         ];
         let configuration = format!(
-            r#"{{"version":7,"routes":[{}],"services":[{{"name":"{}","healthPath":"/health","maxConns":{connections},"protocol":"h1","tls":false,"syncReplicas":0}}],"limits":{{"txIdleMs":5000}},"tenants":[{{"name":"alpha","apiKeys":["key-a"],"priority":1,"ratePerS":2000,"burst":2000}}]}}"#,
+            r#"{{"version":7,"routes":[{}],"services":[{{"name":"{}","healthPath":"/health","maxConns":{connections},"protocol":"h1","tls":false,"syncReplicas":{sync}}}],"limits":{{"txIdleMs":5000}},"tenants":[{{"name":"alpha","apiKeys":["key-a"],"priority":1,"ratePerS":2000,"burst":2000}}]}}"#,
             routes.join(","),
             database::SERVICE
         );
@@ -160,6 +162,7 @@
     let (root, case, temp) = (PathBuf::from(root), PathBuf::from(case), PathBuf::from(temp));
     let broken = match &**name {
         "grey" => grey::run(&root, &case, &temp),
+        "partial" => partial::run(&root, &case, &temp),
         "stop" => stop::run(&root, &case, &temp),
         _ => exit(2),
     };
--- a/review/standins-2/stop.rs
+++ b/review/standins-2/stop.rs
@@ -30,7 +30,13 @@
 /// Returns whether the rule was broken.
 pub fn run(root: &Path, case: &Path, temp: &Path) -> bool {
     // Statements of catalogue-browse take up to 300 ms.
-    let options = Options { slots: 3, connections_max: 36, work_ms: (150, 300), promote_ms: 1_000 };
+    let options = Options {
+        slots: 3,
+        connections_max: 36,
+        work_ms: (150, 300),
+        promote_ms: 1_000,
+        is_synchronous: false,
+    };
     let mut deployment = Deployment::start(root, case, temp, Setup { vms: 3, options });
     let record = deployment.record.clone();
     pause(4_000);
@@ -46,14 +52,20 @@
                 let at = Instant::now();
                 let answer = caller.query(&id, text);
                 record.write(&format!("{id} {text}: {answer:?} after {:?}", at.elapsed()));
-                sent.lock().unwrap().push(Sent { id, at, ended: Instant::now(), answer: answer.clone() });
+                sent.lock().unwrap().push(Sent {
+                    id,
+                    at,
+                    ended: Instant::now(),
+                    answer: answer.clone(),
+                });
                 matches!(answer, Answer::Done(_))
             };
             if !ask(&mut caller, format!("t{session}begin"), "BEGIN READ") {
                 return;
             }
             for number in 0..STATEMENTS {
-                if !ask(&mut caller, format!("t{session}x{number}"), &format!("READ item{number}")) {
+                if !ask(&mut caller, format!("t{session}x{number}"), &format!("READ item{number}"))
+                {
                     return;
                 }
                 pause(150 + (random() * 150.0) as u64);
@@ -93,7 +105,11 @@
             record.write(&format!("BROKEN: {} got no answer", one.id));
         }
     }
-    println!("{} statements sent, {} at databases, {lost} cut without an answer", sent.len(), runs.len());
+    println!(
+        "{} statements sent, {} at databases, {lost} cut without an answer",
+        sent.len(),
+        runs.len()
+    );
     let done = sent.iter().filter(|one| matches!(one.answer, Answer::Done(_))).count();
     if done < SESSIONS * 4 {
         record.write("too few statements were served for a check");
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -163,7 +163,10 @@
             let left = until.saturating_duration_since(Instant::now());
             if !events.is_empty() || left.is_zero() {
                 let (events, revision) = (events.join(","), state.revision);
-                return Response::new(200, format!(r#"{{"events":[{events}],"atRev":{revision}}}"#));
+                return Response::new(
+                    200,
+                    format!(r#"{{"events":[{events}],"atRev":{revision}}}"#),
+                );
             }
             state = self.state.1.wait_timeout(state, left).unwrap().0;
         }
