--- a/review/standins-2/fleet.rs
+++ b/review/standins-2/fleet.rs
@@ -36,6 +36,9 @@
     }
 }
 
+/// Memory of a VM in MB.
+pub const MEMORY_MB: u64 = 260;
+
 pub const ZONES: [&str; 3] = ["sask-yxe", "alta-yyc", "mb-ywg"];
 
 impl Vm {
@@ -72,7 +75,7 @@
 [limits]
 cpuShare = 0.25
 cpus = 1
-memoryMb = 260
+memoryMb = {MEMORY_MB}
 maxFds = 4300
 linkMbps = 1000.0
 diskMb = 0
@@ -124,7 +127,6 @@
     }
 
     /// Starts the process again, as the platform does.
-    #[allow(dead_code)]
     pub fn restart(&mut self) {
         let text = fs::read_to_string(&self.settings).expect("read the settings file");
         let text = text.replace("bootstrap = true", "bootstrap = false");
@@ -132,6 +134,10 @@
         self.child = spawn(&self.root, &self.settings, &self.log);
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     pub fn is_ready(&self) -> bool {
         let ask = || -> Option<String> {
             let mut stream =
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod database;
 mod fleet;
+mod flood;
 mod grey;
 mod http;
 mod json;
@@ -101,7 +102,7 @@
             route("book", "read_your_writes", 1000, Some(2500)),
         ];
         let configuration = format!(
-            r#"{{"version":7,"routes":[{}],"services":[{{"name":"{}","healthPath":"/health","maxConns":{connections},"protocol":"h1","tls":false,"syncReplicas":{sync}}}],"limits":{{"txIdleMs":5000}},"tenants":[{{"name":"alpha","apiKeys":["key-a"],"priority":1,"ratePerS":2000,"burst":2000}}]}}"#,
+            r#"{{"version":7,"routes":[{}],"services":[{{"name":"{}","healthPath":"/health","maxConns":{connections},"protocol":"h1","tls":false,"syncReplicas":{sync}}}],"limits":{{"txIdleMs":5000}},"tenants":[{{"name":"alpha","apiKeys":["key-a"],"priority":1,"ratePerS":2000,"burst":2000}},{{"name":"beta","apiKeys":["key-b"],"priority":1,"ratePerS":200,"burst":200}}]}}"#,
             routes.join(","),
             database::SERVICE
         );
@@ -161,6 +162,7 @@
     };
     let (root, case, temp) = (PathBuf::from(root), PathBuf::from(case), PathBuf::from(temp));
     let broken = match &**name {
+        "flood" => flood::run(&root, &case, &temp),
         "grey" => grey::run(&root, &case, &temp),
         "partial" => partial::run(&root, &case, &temp),
         "stop" => stop::run(&root, &case, &temp),
