--- a/review/standins-2/grey.rs
+++ b/review/standins-2/grey.rs
@@ -42,7 +42,8 @@
         promote_ms: 1_000,
         is_synchronous: false,
     };
-    let deployment = Deployment::start(root, case, temp, Setup { vms: 3, options });
+    let deployment =
+        Deployment::start(root, case, temp, Setup { vms: 3, options, has_ways: false });
     let record = deployment.record.clone();
     let is_over = Arc::new(AtomicBool::new(false));
     let writes = Writes::default();
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -11,6 +11,7 @@
 mod grey;
 mod http;
 mod json;
+mod late;
 mod partial;
 mod stop;
 mod store;
@@ -73,12 +74,19 @@
     pub databases: Databases,
     pub vms: Vec<Vm>,
     pub record: Record,
+    /// Tokens of the promotion requests, in the order in which they came.
+    pub tokens: Tokens,
+    pub armed: late::Armed,
 }
 
+pub type Tokens = Arc<Mutex<Vec<u64>>>;
+
 /// How a deployment is set up.
 pub struct Setup {
     pub vms: usize,
     pub options: Options,
+    /// Whether each VM has a way of its own to the interface for promotions.
+    pub has_ways: bool,
 }
 
 impl Deployment {
@@ -111,9 +119,17 @@
         for (index, zone) in ZONES.iter().enumerate() {
             store.put("servers", &database::name(index), &databases.entry(index, zone));
         }
-        let platform = Platform { store: store.serve(), cloud: serve_cloud(&databases, &record) };
-        let vms = (0..setup.vms).map(|index| Vm::start(root, temp, index, platform)).collect();
-        let deployment = Deployment { store, databases, vms, record };
+        let (tokens, armed) = (Arc::default(), late::Armed::default());
+        let (store_address, cloud) = (store.serve(), serve_cloud(&databases, &record, &tokens));
+        let start = |index| {
+            let cloud = match setup.has_ways {
+                true => late::start_way(cloud, index, &armed, &record),
+                false => cloud,
+            };
+            Vm::start(root, temp, index, Platform { store: store_address, cloud })
+        };
+        let vms = (0..setup.vms).map(start).collect();
+        let deployment = Deployment { store, databases, vms, record, tokens, armed };
         let until = Instant::now() + Duration::from_secs(30);
         while !deployment.vms.iter().all(Vm::is_ready) {
             if Instant::now() > until {
@@ -128,10 +144,13 @@
 }
 
 /// The platform's interface for promotions.
-fn serve_cloud(databases: &Databases, record: &Record) -> SocketAddr {
-    let (databases, record) = (databases.clone(), record.clone());
+fn serve_cloud(databases: &Databases, record: &Record, tokens: &Tokens) -> SocketAddr {
+    let (databases, record, tokens) = (databases.clone(), record.clone(), tokens.clone());
     http::serve(move |request| {
         let body = Json::parse(&request.body).unwrap_or(Json::Null);
+        let token: Option<u64> =
+            request.header("jasminepass-fencing-token").and_then(|text| text.parse().ok());
+        tokens.lock().unwrap().extend(token);
         let name = body.get("id").text().unwrap_or("").to_owned();
         let status = if databases.promote(&name) { 200 } else { 409 };
         record.write(&format!(
@@ -164,6 +183,7 @@
     let broken = match &**name {
         "flood" => flood::run(&root, &case, &temp),
         "grey" => grey::run(&root, &case, &temp),
+        "late" => late::run(&root, &case, &temp),
         "partial" => partial::run(&root, &case, &temp),
         "stop" => stop::run(&root, &case, &temp),
         _ => exit(2),
--- a/review/standins-2/partial.rs
+++ b/review/standins-2/partial.rs
@@ -32,7 +32,8 @@
         promote_ms: 1_000,
         is_synchronous: true,
     };
-    let deployment = Deployment::start(root, case, temp, Setup { vms: 3, options });
+    let deployment =
+        Deployment::start(root, case, temp, Setup { vms: 3, options, has_ways: false });
     let (record, databases) = (deployment.record.clone(), deployment.databases.clone());
     let is_over = Arc::new(AtomicBool::new(false));
     let acknowledged: Arc<Mutex<BTreeSet<String>>> = Arc::default();
--- a/review/standins-2/stop.rs
+++ b/review/standins-2/stop.rs
@@ -37,7 +37,8 @@
         promote_ms: 1_000,
         is_synchronous: false,
     };
-    let mut deployment = Deployment::start(root, case, temp, Setup { vms: 3, options });
+    let mut deployment =
+        Deployment::start(root, case, temp, Setup { vms: 3, options, has_ways: false });
     let record = deployment.record.clone();
     pause(4_000);
     let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
