Send a statement only after its preparation is confirmed

Cause: `RESET`, `SET` and `PREPARE` were sent together with the statement and recorded as set when they were sent. After an error to one of them the database still ran the statement. The same at a holder (`start_channel_on`).

Ruled out: two sessions on one connection; each wrong run followed a failed preparation of its own session. Repeating only the failed request: without its answer the state of the connection is unknown.

Change: `engine::preparation`. Preparation, `BEGIN` and statement are sent one after the other, each once the step before is confirmed and still allowed. A preparation that fails, is cut off or has no answer in 500 ms closes the connection; the statement was not sent and is tried over up to six connections within its time, then refused as BUSY. Within a transaction it ends it with ABORTED, and a COMMIT is not sent. A holder answers BUSY, or ABORTED within a transaction, in place of the loss of the connection, which made a commit in doubt. A database that answers with an error is no longer suspected for it.

--- a/crates/gateway/src/engine/callers.rs
+++ b/crates/gateway/src/engine/callers.rs
@@ -311,6 +311,8 @@
             timeout_at: arrived + timeout,
             stage: Stage::Waiting,
             tries: 0,
+            needed_preparation: false,
+            failed_preparations: 0,
             holder: None,
             sent_in_term: Term(0),
             retry_at: self.now,
--- a/crates/gateway/src/engine/channels.rs
+++ b/crates/gateway/src/engine/channels.rs
@@ -39,6 +39,9 @@
 /// Longest time without a message to a peer that waits for answers.
 const ALIVE_INTERVAL: DurationUs = DurationUs::from_ms(150);
 
+/// Reason for the end of transactions at databases that must not get any more.
+const EVACUATED: &str = "the database's data centre is being evacuated";
+
 /// A peer's channel.
 #[derive(Debug)]
 pub(super) struct Channel {
@@ -216,7 +219,7 @@
                 });
                 match channel.upstream {
                     Some(upstream) => self.start_channel_on(key, upstream),
-                    None if channel.is_aborted => self.answer_aborted(key),
+                    None if channel.is_aborted => self.answer_aborted(key, EVACUATED),
                     None => self.waiting.push(Waiter::Channel(key)),
                 }
             }
@@ -377,7 +380,7 @@
         Some((self.pool.prepared_key(&prepared), prepared))
     }
 
-    /// Sends a channel's request on the connection that it occupies.
+    /// Sends a channel's request on the connection that it occupies, once that is prepared for it.
     pub(super) fn start_channel_on(&mut self, key: ChannelKey, upstream: UpstreamKey) {
         if !self.channels.all.contains_key(key) {
             return self.free(upstream);
@@ -404,9 +407,7 @@
             }
             return self.waiting.push(Waiter::Channel(key));
         }
-        current.sent = true;
         let mut request = current.request.clone();
-        let variables = channel.variables.clone();
         if let UpstreamRequest::Forward { statement, .. } = &mut request
             && let ForwardedStatement::Execute { key: number, .. } = statement
         {
@@ -415,17 +416,19 @@
                 None => return self.end_channel(key),
             }
         }
-        let connection = &mut self.pool.connections[upstream];
-        let setup = connection
-            .prepare_for(&variables, prepared.as_ref().map(|(key, prepared)| (*key, prepared)));
+        let connection = &self.pool.connections[upstream];
+        let setup = connection.preparation(&channel.variables, prepared.as_ref());
+        if self.send_preparation(upstream, setup) {
+            return;
+        }
+        if let Some(current) = &mut self.channels.all[key].current {
+            current.sent = true;
+        }
         let kind = match request {
             UpstreamRequest::Begin { .. } => PendingKind::Begin,
             _ => PendingKind::Statement,
         };
-        connection.in_transaction |= kind == PendingKind::Begin;
-        for request in setup {
-            self.send(upstream, PendingKind::Setup, request);
-        }
+        self.pool.connections[upstream].in_transaction |= kind == PendingKind::Begin;
         self.send(upstream, kind, request);
     }
 
@@ -502,7 +505,7 @@
                 return false;
             }
             self.abort_channel_transaction(key);
-            self.answer_aborted(key);
+            self.answer_aborted(key, EVACUATED);
         } else {
             if self.admits_operations(state) {
                 return false;
@@ -533,7 +536,7 @@
         channel.is_aborted = true;
         let Some(upstream) = channel.upstream.take() else { return };
         info!(self.log, "transaction of a peer rolled back";
-            "reason" => "the database's data centre is being evacuated",
+            "reason" => EVACUATED,
             "database" => %channel.database);
         self.counts.evacuation_aborts += 1;
         self.close_connection(upstream);
@@ -541,12 +544,12 @@
 
     /// Answers a channel's request, which is not sent, as the database answers after it has rolled back. Unlike the
     /// end of the channel, this also tells of a commit that it was not executed.
-    fn answer_aborted(&mut self, key: ChannelKey) {
+    fn answer_aborted(&mut self, key: ChannelKey, reason: &str) {
         let channel = &mut self.channels.all[key];
         channel.is_aborted = false;
         channel.current = None;
         let (link, number) = (channel.link, channel.number);
-        let text = "rolled back: the database's data centre is being evacuated".into();
+        let text = format!("rolled back: {reason}").into();
         let replies = vec![
             Reply::Error { code: ErrorCode::Aborted, text },
             Reply::Ready { state: TransactionState::Idle, position: None },
@@ -603,10 +606,30 @@
             Some(current) if !current.sent && !current.in_transaction => {
                 self.waiting.push(Waiter::Channel(key));
             }
+            Some(current) if !current.sent => self.answer_aborted(key, "its connection was lost"),
             _ => self.end_channel(key),
         }
     }
 
+    /// Answers a channel's request, which was not sent because its connection could not be prepared and was closed.
+    /// The peer decides whether and where it is tried again.
+    pub(super) fn settle_unprepared_channel(&mut self, key: ChannelKey, reason: &str) {
+        let Some(channel) = self.channels.all.get_mut(key) else { return };
+        channel.upstream = None;
+        let Some(current) = channel.current.as_ref() else { return };
+        if current.in_transaction {
+            return self.answer_aborted(key, reason);
+        }
+        self.counts.preparation_retries += 1;
+        channel.current = None;
+        let (link, number) = (channel.link, channel.number);
+        let replies = vec![
+            Reply::Error { code: ErrorCode::Busy, text: reason.into() },
+            Reply::Ready { state: TransactionState::Idle, position: None },
+        ];
+        self.send_on_link(link, LinkMessage::Replies { channel: number, replies });
+    }
+
     /// Ends a channel and tells the peer that its connection was lost.
     fn end_channel(&mut self, key: ChannelKey) {
         let Some(channel) = self.channels.all.get(key) else { return };
--- a/crates/gateway/src/engine/connections.rs
+++ b/crates/gateway/src/engine/connections.rs
@@ -49,7 +49,10 @@
         let reply = PendingReply::new(kind, self.now);
         match connection.link {
             None => {
-                connection.pending.push_back(reply);
+                connection.pending.push_back(match kind {
+                    PendingKind::Setup => reply.with_setup(request.clone()),
+                    _ => reply,
+                });
                 self.record_request(key);
                 self.effects.push(Effect::ToUpstream(key, request));
             }
@@ -127,10 +130,13 @@
     pub(super) fn expire_connections(&mut self) {
         let now = self.now;
         let mut late = Vec::new();
+        let mut unprepared = Vec::new();
         let mut silent = Vec::new();
         let mut idle = Vec::new();
         for (key, connection) in &self.pool.connections {
-            let oldest = connection.pending.front().map(|pending| pending.sent_at);
+            let front = connection.pending.front();
+            let oldest = front.map(|pending| pending.sent_at);
+            let prepares = front.is_some_and(|pending| pending.kind == PendingKind::Setup);
             if !connection.started && now.since(connection.opened_at) >= CONNECT_TIMEOUT {
                 late.push(key);
             } else if connection.link.is_some() && oldest.is_some() {
@@ -139,7 +145,9 @@
                 let heard = self.databases.get(&connection.database).and_then(|s| s.last_heard);
                 let unheard = heard.is_none_or(|heard| heard <= sent_at);
                 let is_late = now.since(sent_at) >= SILENCE_TIMEOUT;
-                if is_late && connection.user.is_none() {
+                if is_late && prepares && !unheard {
+                    unprepared.push(key);
+                } else if is_late && (prepares || connection.user.is_none()) {
                     late.push(key);
                 } else if is_late && unheard && !connection.is_silent {
                     silent.push((key, connection.database.clone(), sent_at));
@@ -160,6 +168,9 @@
         for key in late {
             self.lose_connection(key, "no answer in time");
         }
+        for key in unprepared {
+            self.fail_preparation(key, "no answer in time");
+        }
         for key in idle {
             self.close_connection(key);
         }
--- a/crates/gateway/src/engine/expiry.rs
+++ b/crates/gateway/src/engine/expiry.rs
@@ -24,9 +24,9 @@
             let Some(current) = &self.sessions[key].current else { continue };
             match current.stage {
                 Stage::Waiting | Stage::Connecting(_) => self.time_out_waiting(key),
-                Stage::Beginning(upstream) | Stage::Running(upstream) => {
-                    self.time_out_running(key, upstream)
-                }
+                Stage::Preparing(upstream)
+                | Stage::Beginning(upstream)
+                | Stage::Running(upstream) => self.time_out_running(key, upstream),
                 Stage::Unconfirmed => {
                     self.fail(key, ErrorCode::InDoubt, "the answer was not confirmed in time")
                 }
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -19,6 +19,7 @@
 mod links;
 mod membership;
 mod placement;
+mod preparation;
 mod primaries;
 mod refusals;
 mod registry;
@@ -271,6 +272,9 @@
     pub connections_refused: u64,
     /// Statements sent again, to the same or another upstream.
     pub retries: u64,
+    /// Statements and requests of peers that were not sent because the preparation of their connection failed, and
+    /// that were tried again.
+    pub preparation_retries: u64,
     /// Reads that replicas answered.
     pub replica_reads: u64,
     /// Failovers started by this VM.
--- a/crates/gateway/src/engine/placement.rs
+++ b/crates/gateway/src/engine/placement.rs
@@ -531,8 +531,8 @@
         if region.is_some() && region == self.id.regions.get(&self.id.dc) { 1 } else { 2 }
     }
 
-    /// Starts a session's current statement on a connection that it now holds; opens the transaction
-    /// first if there is one.
+    /// Starts a session's current statement on a connection that it now holds: prepares the connection, opens the
+    /// transaction if there is one, and sends the statement, each once the step before it is confirmed.
     pub(super) fn start_on(&mut self, key: CallerKey, upstream: UpstreamKey) {
         let session = &self.sessions[key];
         let requirement = self
@@ -542,14 +542,12 @@
         let Some(requirement) = requirement.filter(|_| has_room) else {
             return self.requeue_and_free(key, upstream);
         };
-        let session = &self.sessions[key];
-        let Transaction::Begun { access } = session.transaction else {
+        if self.awaits_preparation(key, upstream) {
+            return;
+        }
+        let Transaction::Begun { access } = self.sessions[key].transaction else {
             return self.forward(key, upstream, requirement);
         };
-        let variables = session.variables.clone();
-        for request in self.pool.connections[upstream].prepare_for(&variables, None) {
-            self.send(upstream, PendingKind::Setup, request);
-        }
         self.pool.connections[upstream].in_transaction = true;
         let after = min_position(requirement);
         self.send(upstream, PendingKind::Begin, UpstreamRequest::Begin { access, after });
@@ -581,6 +579,9 @@
         if !self.has_cold_room_for(key, upstream) {
             return self.hold_in_transaction(key);
         }
+        if self.awaits_preparation(key, upstream) {
+            return;
+        }
         // The transaction was opened with the required position.
         self.forward(key, upstream, Requirement::AtLeast(None));
     }
@@ -597,33 +598,20 @@
         writes && primary.is_some_and(|primary| primary != database)
     }
 
-    /// Sends a session's current statement on a connection that it holds.
+    /// Sends a session's current statement on a connection that it holds and that is prepared for it.
     fn forward(&mut self, key: CallerKey, upstream: UpstreamKey, requirement: Requirement) {
         let session = &self.sessions[key];
         let pinned = matches!(session.transaction, Transaction::Pinned { .. });
-        let Some(current) = &session.current else { return };
-        let prepared = match &current.statement {
-            Statement::Execute { name, .. } => session.prepared.get(name).cloned(),
-            _ => None,
-        };
-        let prepared = prepared.map(|prepared| (self.pool.prepared_key(&prepared), prepared));
-        let session = &self.sessions[key];
-        let Some(current) = &session.current else { return };
-        let statement = match (&current.statement, &prepared) {
+        let prepared = self.prepared_key_of(key);
+        let Some(current) = &self.sessions[key].current else { return };
+        let statement = match (&current.statement, prepared) {
             (Statement::Plain { text, .. }, _) => ForwardedStatement::Plain(text.clone()),
-            (Statement::Execute { arguments, .. }, Some((prepared, _))) => {
-                ForwardedStatement::Execute { key: *prepared, arguments: arguments.clone() }
+            (Statement::Execute { arguments, .. }, Some(prepared)) => {
+                ForwardedStatement::Execute { key: prepared, arguments: arguments.clone() }
             }
             _ => ForwardedStatement::Commit,
         };
         let id = current.id.clone();
-        let variables = session.variables.clone();
-        let connection = &mut self.pool.connections[upstream];
-        let setup = connection
-            .prepare_for(&variables, prepared.as_ref().map(|(key, prepared)| (*key, prepared)));
-        for request in setup {
-            self.send(upstream, PendingKind::Setup, request);
-        }
         let request = UpstreamRequest::Forward { id, after: min_position(requirement), statement };
         self.send(upstream, PendingKind::Statement, request);
         self.note_sent(upstream, requirement);
--- a/crates/gateway/src/engine/replies.rs
+++ b/crates/gateway/src/engine/replies.rs
@@ -14,9 +14,9 @@
 };
 
 /// Number of times that a statement is sent before its error is passed on to the caller.
-const TRIES_MAX: u32 = 6;
+pub(super) const TRIES_MAX: u32 = 6;
 /// Delay before a statement that was refused, other than for lag, is sent again.
-const STATEMENT_RETRY_DELAY: DurationUs = DurationUs::from_ms(15);
+pub(super) const STATEMENT_RETRY_DELAY: DurationUs = DurationUs::from_ms(15);
 /// First backoff from a replica that lagged behind, in microseconds. Doubles up to `LAG_BACKOFF_MAX_US`
 /// while it stays behind.
 const LAG_BACKOFF_MIN_US: u64 = 25_000;
@@ -141,6 +141,9 @@
             }
             return;
         };
+        if let Stage::Preparing(_) = current.stage {
+            return self.settle_unprepared(key, reason);
+        }
         let sent = matches!(current.stage, Stage::Running(_));
         let in_time = self.now < current.timeout_at;
         let commits = current.statement == Statement::Commit;
@@ -181,6 +184,7 @@
         let reads = access_of(session, &current.statement) == Access::Read;
         match current.stage {
             Stage::Running(_) => reads && session.transaction == Transaction::None,
+            Stage::Preparing(_) => !matches!(session.transaction, Transaction::Pinned { .. }),
             Stage::Connecting(_) | Stage::Beginning(_) => true,
             Stage::Waiting | Stage::Unconfirmed => false,
         }
@@ -229,12 +233,7 @@
         }
         match done.kind {
             PendingKind::Start => self.finish_start(key),
-            PendingKind::Setup => {
-                if let Some(Reply::Error { code, text }) = &done.outcome {
-                    info!(self.log, "connection setup failed"; "code" => %code, "text" => &**text);
-                    self.lose_connection(key, "connection setup failed");
-                }
-            }
+            PendingKind::Setup => self.finish_setup(key, done, state),
             PendingKind::Begin => self.finish_begin(key, done, position),
             PendingKind::Statement => self.finish_statement(key, done, state, position),
             PendingKind::Control => self.finish_control_request(key, done),
@@ -395,6 +394,9 @@
                 true => self.latencies.writes.record(took),
                 false => self.latencies.reads.record(took),
             }
+            if current.needed_preparation {
+                self.latencies.prepared.record(took);
+            }
         }
         session.last_active = now;
         if wrote_at.is_some() {
--- a/crates/gateway/src/histogram.rs
+++ b/crates/gateway/src/histogram.rs
@@ -45,6 +45,9 @@
     pub writes: Histogram,
     /// From the arrival of a statement to its refusal or failure.
     pub errors: Histogram,
+    /// From the arrival of a read, write or commit to its answer, if a connection of this VM's own had to be
+    /// prepared for it. These are also among the reads and writes.
+    pub prepared: Histogram,
     /// From the arrival of a statement until a connection was assigned to it.
     pub waits: Histogram,
 }
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -58,6 +58,8 @@
 #[derive(Debug)]
 pub(crate) struct PendingReply {
     pub(crate) kind: PendingKind,
+    /// The request, if it prepares the connection.
+    pub(crate) setup: Option<UpstreamRequest>,
     /// When the request was sent.
     pub(crate) sent_at: MonoTime,
     /// Result rows received so far.
@@ -68,7 +70,13 @@
 
 impl PendingReply {
     pub(crate) fn new(kind: PendingKind, sent_at: MonoTime) -> PendingReply {
-        PendingReply { kind, sent_at, rows: Vec::new(), outcome: None }
+        PendingReply { kind, setup: None, sent_at, rows: Vec::new(), outcome: None }
+    }
+
+    /// Sets the request that prepares the connection.
+    pub(crate) fn with_setup(mut self, request: UpstreamRequest) -> PendingReply {
+        self.setup = Some(request);
+        self
     }
 }
 
@@ -87,7 +95,7 @@
     pub(crate) in_transaction: bool,
     /// Who it is assigned to; `None` if it is free or used for control.
     pub(crate) user: Option<User>,
-    /// Variables and prepared statements that were set on it and not reset since.
+    /// Variables and prepared statements that the upstream has confirmed and that were not reset since.
     pub(crate) variables: SessionVariables,
     pub(crate) prepared: FxHashSet<PreparedKey>,
     /// Whether a variable or a prepared statement was set inside the open transaction.
@@ -148,50 +156,63 @@
         matches!(self.purpose, Purpose::Statements(_))
     }
 
-    /// Returns the requests that give the connection the variables and the prepared statement, and
-    /// records them as sent. The connection is reset first if it has other variables; inside a
-    /// transaction, which can't be reset, variables are only ever added.
-    pub(crate) fn prepare_for(
-        &mut self,
+    /// Returns the requests that give the connection the variables and the prepared statement. The
+    /// connection is reset first if it has other variables; inside a transaction, which can't be
+    /// reset, variables are only ever added.
+    pub(crate) fn preparation(
+        &self,
         variables: &SessionVariables,
-        prepared: Option<(PreparedKey, &PreparedStatement)>,
+        prepared: Option<&(PreparedKey, PreparedStatement)>,
     ) -> Vec<UpstreamRequest> {
         let mut requests = Vec::new();
-        if self.state_unknown || self.variables.keys().any(|name| !variables.contains_key(name)) {
+        let resets = self.needs_reset(variables);
+        if resets {
             requests.push(UpstreamRequest::Reset);
-            self.state_unknown = false;
-            self.variables.clear();
-            self.prepared.clear();
         }
         for (name, value) in variables {
-            if self.variables.get(name) != Some(value) {
+            if resets || self.variables.get(name) != Some(value) {
                 requests.push(UpstreamRequest::Set { name: name.clone(), value: value.clone() });
-                self.variables.insert(name.clone(), value.clone());
             }
         }
         if let Some((key, statement)) = prepared
-            && self.prepared.insert(key)
+            && (resets || !self.prepared.contains(key))
         {
-            requests.push(UpstreamRequest::Prepare { key, statement: statement.clone() });
+            requests.push(UpstreamRequest::Prepare { key: *key, statement: statement.clone() });
         }
-        self.set_in_transaction |= self.in_transaction && !requests.is_empty();
         requests
     }
 
-    /// Number of requests that [`Connection::prepare_for`] returns.
+    /// Records what a request of [`Connection::preparation`] has set.
+    pub(crate) fn confirm(&mut self, request: UpstreamRequest) {
+        match request {
+            UpstreamRequest::Reset => {
+                self.state_unknown = false;
+                self.variables.clear();
+                self.prepared.clear();
+            }
+            UpstreamRequest::Set { name, value } => drop(self.variables.insert(name, value)),
+            UpstreamRequest::Prepare { key, .. } => drop(self.prepared.insert(key)),
+            _ => {}
+        }
+    }
+
+    fn needs_reset(&self, variables: &SessionVariables) -> bool {
+        self.state_unknown || self.variables.keys().any(|name| !variables.contains_key(name))
+    }
+
+    /// Number of requests that [`Connection::preparation`] returns.
     pub(crate) fn setup_requests(
         &self,
         variables: &SessionVariables,
         prepared: Option<PreparedKey>,
     ) -> usize {
-        let foreign = self.variables.keys().any(|name| !variables.contains_key(name));
-        if self.state_unknown || foreign {
+        if self.needs_reset(variables) {
             return 1 + variables.len() + usize::from(prepared.is_some());
         }
         self.setup_cost(variables, prepared)
     }
 
-    /// Cost of [`Connection::prepare_for`]; 0 if nothing has to be sent.
+    /// Cost of [`Connection::preparation`]; 0 if nothing has to be sent.
     fn setup_cost(&self, variables: &SessionVariables, prepared: Option<PreparedKey>) -> usize {
         let foreign = self.variables.keys().any(|name| !variables.contains_key(name));
         let missing = variables
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -59,6 +59,8 @@
     Waiting,
     /// Its connection is being opened.
     Connecting(UpstreamKey),
+    /// The connection is being given the session's variables and the prepared statement that it executes.
+    Preparing(UpstreamKey),
     /// Its transaction is being begun on the connection.
     Beginning(UpstreamKey),
     /// It was sent over the connection.
@@ -72,7 +74,10 @@
     /// The connection that the statement occupies.
     pub(crate) fn upstream(self) -> Option<UpstreamKey> {
         match self {
-            Stage::Connecting(key) | Stage::Beginning(key) | Stage::Running(key) => Some(key),
+            Stage::Connecting(key)
+            | Stage::Preparing(key)
+            | Stage::Beginning(key)
+            | Stage::Running(key) => Some(key),
             Stage::Waiting | Stage::Unconfirmed => None,
         }
     }
@@ -108,6 +113,10 @@
     pub(crate) stage: Stage,
     /// Number of times that it was sent to an upstream.
     pub(crate) tries: u32,
+    /// Whether a connection had to be prepared for it.
+    pub(crate) needed_preparation: bool,
+    /// Number of connections whose preparation failed.
+    pub(crate) failed_preparations: u32,
     /// The holder that it was last sent through; `None` if it was not sent through one.
     pub(crate) holder: Option<VmName>,
     /// The service's term when it was last sent.
@@ -127,7 +136,9 @@
     pub(crate) fn is_overdue(&self, now: MonoTime) -> bool {
         match self.stage {
             Stage::Waiting | Stage::Connecting(_) => now >= self.refuse_at,
-            Stage::Beginning(_) | Stage::Running(_) | Stage::Unconfirmed => now >= self.timeout_at,
+            Stage::Preparing(_) | Stage::Beginning(_) | Stage::Running(_) | Stage::Unconfirmed => {
+                now >= self.timeout_at
+            }
         }
     }
 }
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, reason = "each test file uses its part")]
 
+pub mod faults;
 mod fleet;
 mod links;
 
@@ -34,6 +35,8 @@
 use slog::{Discard, Logger, o};
 use standin::replica_group::{self, ConnectionId, ExecutedStatement, ReplicaGroup};
 
+use faults::{FaultOutcome, RequestFault};
+
 /// Delay of a message between any two endpoints, in microseconds.
 const ONE_WAY_DELAY_US: u64 = 1_000;
 /// Virtual time between two ticks of each engine, in microseconds.
@@ -313,6 +316,8 @@
     pub promotion_ms: u64,
     /// Every request that a database has received, with the time.
     pub requests: Vec<(MonoTime, usize)>,
+    /// Requests that databases don't carry out.
+    pub request_faults: Vec<RequestFault>,
 }
 
 fn valid<T, E: std::fmt::Debug>(made: Result<T, E>) -> T {
@@ -477,6 +482,7 @@
             tokens_seen: BTreeMap::new(),
             promotion_ms: 300,
             requests: Vec::new(),
+            request_faults: Vec::new(),
         };
         world.engines = (0..vms).map(|vm| world.engine(vm, true)).collect();
         world
@@ -843,10 +849,14 @@
             | UpstreamRequest::Demote(_) => self.arrivals.push((self.now, database, true)),
             _ => self.arrivals.push((self.now, database, false)),
         }
-        let replies = self.group.execute(database, id, request);
-        let (replies, closes) = match replies {
-            Ok(replies) => (replies, false),
-            Err(replies) => (replies, true),
+        let (replies, closes) = match self.take_fault(database, &request) {
+            Some(FaultOutcome::Error(code)) => (self.group.refuse(database, id, code), false),
+            Some(FaultOutcome::Silence) => (Vec::new(), false),
+            Some(FaultOutcome::Close) => (Vec::new(), true),
+            None => match self.group.execute(database, id, request) {
+                Ok(replies) => (replies, false),
+                Err(replies) => (replies, true),
+            },
         };
         let us = self.one_way_us(Endpoint::Database(database), Endpoint::Vm(vm));
         for reply in replies {
--- a/crates/node/src/ops.rs
+++ b/crates/node/src/ops.rs
@@ -72,6 +72,7 @@
         ("holder_refusals_total", counts.holder_refusals),
         ("channel_refusals_total", counts.channel_refusals),
         ("retries_total", counts.retries),
+        ("preparation_retries_total", counts.preparation_retries),
         ("replica_reads_total", counts.replica_reads),
         ("takeovers_total", counts.takeovers),
         ("searches_total", counts.searches),
@@ -129,6 +130,7 @@
     for (name, histogram) in [
         ("read", &latencies.reads),
         ("write", &latencies.writes),
+        ("prepared", &latencies.prepared),
         ("error", &latencies.errors),
         ("wait", &latencies.waits),
     ] {
--- a/crates/standin/src/replica_group.rs
+++ b/crates/standin/src/replica_group.rs
@@ -212,6 +212,19 @@
         Ok(replies)
     }
 
+    /// Answers a request with an error instead of executing it. An open transaction fails.
+    pub fn refuse(
+        &mut self,
+        member: usize,
+        connection: ConnectionId,
+        code: ErrorCode,
+    ) -> Vec<Reply> {
+        let key = (member, connection);
+        let Some(session) = self.sessions.get_mut(&key) else { return Vec::new() };
+        session.failed |= session.transaction.is_some();
+        vec![error(code), self.ready(key)]
+    }
+
     fn ready(&self, key: (usize, ConnectionId)) -> Reply {
         let session = &self.sessions[&key];
         let state = match (session.transaction, session.failed) {
