End transactions and answer everything in the second half of a stop

Cause: the stop rolled back transactions once, at half of its time, and only those without a statement in progress; the others were served until the process ended in the middle of them. Found on related paths: of statements that were read together the second got no answer, as the first one closed the session; a COMMIT on its way to a holder that stops was in doubt; a statement was sent to a database however close the end was.

Ruled out: a longer time to the end (a transaction of 12 statements outlasts any); repeated looks for idle transactions (a caller that goes on at once is never idle at a look).

Change: `engine::stopping`. From half of graceS on a transaction is rolled back once nothing of it is in progress, unless its COMMIT was read; its caller hears ABORTED and is closed in state I. BEGIN is refused with what follows it. A statement is sent only if its time limit ends before the process, else it gets BUSY at once. Holders do the same for peers. The process ends when nothing is outstanding, or at 0.91 of graceS, and before that it answers all it owes.

--- a/crates/gateway/src/engine/callers.rs
+++ b/crates/gateway/src/engine/callers.rs
@@ -43,6 +43,25 @@
         self.place_waiting();
     }
 
+    /// Handles messages of a caller that were read together. While this VM is about to end, what becomes of a statement
+    /// depends on those that follow it, and the session is closed after the last one.
+    pub fn caller_messages(
+        &mut self,
+        now: MonoTime,
+        key: CallerKey,
+        messages: impl IntoIterator<Item = CallerMessage>,
+    ) {
+        let mut messages = messages.into_iter().peekable();
+        while let Some(message) = messages.next() {
+            let is_followed = matches!(messages.peek(), Some(CallerMessage::Query { .. }));
+            let waits = is_followed && self.is_ending();
+            if let Some(session) = self.sessions.get_mut(key) {
+                session.awaits_more = waits && session.queued.len() + 1 < PIPELINE_MAX;
+            }
+            self.caller_message(now, key, message);
+        }
+    }
+
     /// Handles a message of a caller.
     pub fn caller_message(&mut self, now: MonoTime, key: CallerKey, message: CallerMessage) {
         self.now = now;
@@ -55,6 +74,9 @@
                     return self.refuse_session(key, ErrorCode::Malformed, "unexpected statement");
                 }
                 session.queued.push_back(QueuedStatement { id, statement, arrived: now });
+                if session.awaits_more {
+                    return;
+                }
                 self.start_queued(key);
                 self.place_waiting();
                 self.refuse_out_of_contact();
@@ -141,8 +163,10 @@
             if session.current.is_some() {
                 return;
             }
+            self.end_open_transaction(key);
+            let Some(session) = self.sessions.get_mut(key) else { return };
             let Some(next) = session.queued.pop_front() else {
-                if self.closes_after_answers && session.is_idle() {
+                if session.is_idle() && self.is_ending() {
                     self.close_session(key);
                 }
                 return;
@@ -339,7 +363,7 @@
                 self.answer_error(key, id, ErrorCode::Aborted, "the transaction was rolled back");
             }
             _ if unreported => {
-                self.sessions[key].transaction = Transaction::Failed { unreported: false };
+                self.sessions[key].transaction = self.after_rollback(&self.sessions[key]);
                 self.answer_error(key, id, ErrorCode::Aborted, "the transaction was rolled back");
             }
             _ => {
--- a/crates/gateway/src/engine/channels.rs
+++ b/crates/gateway/src/engine/channels.rs
@@ -12,6 +12,7 @@
     DatabaseState, Engine, Waiter,
     links::LinkRole,
     placement::{ConnectionChoice, FailedSearches},
+    stopping::STOPPING,
 };
 use crate::{
     effect::{LinkKey, UpstreamKey},
@@ -219,7 +220,9 @@
                 });
                 match channel.upstream {
                     Some(upstream) => self.start_channel_on(key, upstream),
-                    None if channel.is_aborted => self.answer_aborted(key, EVACUATED),
+                    None if channel.is_aborted => {
+                        self.answer_aborted(key, "by the VM that holds its connection")
+                    }
                     None => self.waiting.push(Waiter::Channel(key)),
                 }
             }
@@ -260,7 +263,9 @@
             return true;
         }
         if let Some(upstream) = channel.upstream {
-            return !current.in_transaction || self.resume_channel(key, upstream);
+            return !current.in_transaction
+                || self.withhold_at_stop(key, upstream)
+                || self.resume_channel(key, upstream);
         }
         if self.returns_to_peer(key, &channel.database) {
             self.counts.cold_held_back += 1;
@@ -269,6 +274,10 @@
         }
         let Some(channel) = self.channels.all.get(key) else { return true };
         let Some(current) = channel.current.as_ref() else { return true };
+        if self.is_ending() {
+            self.refuse_channel_request(key, Refusal::NotHolder);
+            return true;
+        }
         let (state, limit) = match self.accepting_database(channel, current) {
             Ok(accepting) => accepting,
             Err(reason) => {
@@ -385,7 +394,7 @@
         if !self.channels.all.contains_key(key) {
             return self.free(upstream);
         }
-        if self.withhold_evacuated(key, upstream) {
+        if self.withhold_evacuated(key, upstream) || self.withhold_at_stop(key, upstream) {
             return;
         }
         let prepared = self.channel_prepared(key);
@@ -481,6 +490,9 @@
         if let Some((link, database)) = replied {
             self.report_load(link, &database);
         }
+        if self.is_ending() && self.channels.all[key].upstream.is_some() {
+            self.abort_channel_transaction(key, STOPPING);
+        }
     }
 
     fn refuse_channel_request(&mut self, key: ChannelKey, reason: Refusal) {
@@ -504,7 +516,8 @@
             if self.admits_next_statement(upstream) {
                 return false;
             }
-            self.abort_channel_transaction(key);
+            self.counts.evacuation_aborts += 1;
+            self.abort_channel_transaction(key, EVACUATED);
             self.answer_aborted(key, EVACUATED);
         } else {
             if self.admits_operations(state) {
@@ -526,19 +539,18 @@
         });
         let open: Vec<ChannelKey> = open.map(|(key, _)| key).collect();
         for key in open {
-            self.abort_channel_transaction(key);
+            self.counts.evacuation_aborts += 1;
+            self.abort_channel_transaction(key, EVACUATED);
         }
     }
 
     /// Rolls back a channel's transaction by closing its connection.
-    fn abort_channel_transaction(&mut self, key: ChannelKey) {
+    fn abort_channel_transaction(&mut self, key: ChannelKey, reason: &str) {
         let channel = &mut self.channels.all[key];
         channel.is_aborted = true;
         let Some(upstream) = channel.upstream.take() else { return };
         info!(self.log, "transaction of a peer rolled back";
-            "reason" => EVACUATED,
-            "database" => %channel.database);
-        self.counts.evacuation_aborts += 1;
+            "reason" => reason, "database" => %channel.database);
         self.close_connection(upstream);
     }
 
@@ -670,14 +682,38 @@
         }
     }
 
-    /// Ends channels with an open transaction and no request in progress, because this VM is stopping.
-    pub(super) fn end_idle_channel_transactions(&mut self) {
+    /// Rolls back transactions of peers without a request in progress, because this VM is stopping. The peer is told
+    /// with its next request, which may be a `COMMIT` on its way: an end of the channel would leave that in doubt.
+    pub(super) fn end_channel_transactions(&mut self) {
         let open = self.channels.all.iter();
         let open = open.filter(|(_, c)| c.upstream.is_some() && c.current.is_none());
         let open: Vec<ChannelKey> = open.map(|(key, _)| key).collect();
         for key in open {
-            self.end_channel(key);
+            self.abort_channel_transaction(key, STOPPING);
+        }
+    }
+
+    /// Refuses a peer's request, or rolls its transaction back, because this VM is about to end. A `COMMIT` is sent.
+    /// Returns whether it was withheld.
+    fn withhold_at_stop(&mut self, key: ChannelKey, upstream: UpstreamKey) -> bool {
+        if !self.is_ending() {
+            return false;
         }
+        let channel = &mut self.channels.all[key];
+        match &channel.current {
+            Some(current) if current.request.is_commit() => return false,
+            Some(current) if current.in_transaction => {
+                self.abort_channel_transaction(key, STOPPING);
+                self.answer_aborted(key, STOPPING);
+            }
+            Some(_) => {
+                channel.upstream = None;
+                self.free(upstream);
+                self.refuse_channel_request(key, Refusal::NotHolder);
+            }
+            None => return false,
+        }
+        true
     }
 
     /// Reports to a peer that the database owes its channel an answer and is silent.
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -26,6 +26,7 @@
 mod replies;
 mod rosters;
 mod sharing;
+mod stopping;
 mod suspensions;
 mod warmups;
 
@@ -56,7 +57,6 @@
     fleet::FleetView,
     freshness::ServiceFreshness,
     histogram::Latencies,
-    message::TransactionState,
     policy::Policy,
     pool::Pool,
     rates::{RateCounts, RateLimiter},
@@ -67,9 +67,6 @@
     witnesses::WitnessSet,
 };
 
-/// How long an idle session stays open once the VM is stopping: its next statement may be in transit.
-const STOP_IDLE_GRACE: DurationUs = DurationUs::from_ms(300);
-
 /// Identity and fixed properties of the VM that an engine runs on.
 #[derive(Clone, Debug)]
 pub struct Identity {
@@ -230,8 +227,8 @@
     rosters_requested_at: Option<MonoTime>,
     /// When this VM was asked to stop.
     stopping_since: Option<MonoTime>,
-    /// Whether each session is closed with its next answer, because the stop is about to end.
-    closes_after_answers: bool,
+    /// When the process ends at the latest; set from half of the grace period of a stop on.
+    ends_at: Option<MonoTime>,
     counts: Counts,
     latencies: Latencies,
     effects: Vec<Effect>,
@@ -357,7 +354,7 @@
             membership: Membership::default(),
             rosters_requested_at: None,
             stopping_since: None,
-            closes_after_answers: false,
+            ends_at: None,
             counts: Counts::default(),
             latencies: Latencies::default(),
             effects: Vec::new(),
@@ -413,11 +410,6 @@
             && self.knows_evacuations()
     }
 
-    /// Whether this VM was asked to stop and all its sessions have ended.
-    pub fn is_stopped(&self) -> bool {
-        self.stopping_since.is_some() && self.sessions.is_empty() && self.channels.are_idle()
-    }
-
     /// Returns the generation of the configuration in force; 0 before there is one.
     pub fn generation(&self) -> u64 {
         self.catalog.generation
@@ -495,41 +487,6 @@
         self.place_waiting();
     }
 
-    /// Begins to stop: this VM is no longer ready and closes idle sessions, while work in progress goes
-    /// on.
-    pub fn stop(&mut self, now: MonoTime) {
-        self.now = now;
-        if self.stopping_since.is_none() {
-            info!(self.log, "stopping"; "sessions" => self.sessions.len());
-            self.stopping_since = Some(now);
-            self.fleet.set_stopping();
-            self.follow_homes();
-            self.announce_leaving();
-            self.send_heartbeats();
-        }
-    }
-
-    /// Rolls back open transactions without a statement in progress, because this VM is stopping.
-    pub fn roll_back_idle_transactions(&mut self, now: MonoTime) {
-        self.now = now;
-        let open = self.sessions.iter().filter(|(_, session)| {
-            session.transaction.state() == TransactionState::Open && session.current.is_none()
-        });
-        let open: Vec<CallerKey> = open.map(|(key, _)| key).collect();
-        for key in open {
-            self.abandon_transaction(key, "this VM is stopping");
-        }
-        self.end_idle_channel_transactions();
-    }
-
-    /// From now on closes each session as soon as its statements are answered, because this VM is stopping. A
-    /// caller that sends one statement after another is never idle, and would be cut off in the middle of one at
-    /// the end of the stop.
-    pub fn close_sessions_after_answers(&mut self, now: MonoTime) {
-        self.now = now;
-        self.closes_after_answers = true;
-    }
-
     /// Handles everything that is due by time: timeouts, heartbeats, failovers and waiting statements.
     pub fn tick(&mut self, now: MonoTime) {
         self.now = now;
@@ -563,19 +520,6 @@
         self.close_idle_sessions();
     }
 
-    /// Closes idle sessions while this VM is stopping.
-    fn close_idle_sessions(&mut self) {
-        let Some(at) = self.stopping_since else { return };
-        let now = self.now;
-        let idle = self.sessions.iter().filter(|(_, session)| {
-            session.is_idle() && now.since(at.max(session.last_active)) >= STOP_IDLE_GRACE
-        });
-        let idle: Vec<CallerKey> = idle.map(|(key, _)| key).collect();
-        for key in idle {
-            self.close_session(key);
-        }
-    }
-
     fn close_session(&mut self, key: CallerKey) {
         self.release_transaction(key);
         if self.sessions.remove(key).is_some() {
--- a/crates/gateway/src/engine/placement.rs
+++ b/crates/gateway/src/engine/placement.rs
@@ -240,6 +240,9 @@
     /// Tries to place a session's current statement. Returns whether it no longer waits.
     fn try_place(&mut self, key: CallerKey, may_open: bool, failures: &mut FailedSearches) -> bool {
         let now = self.now;
+        if self.refuse_at_stop(key) {
+            return true;
+        }
         let Some(current) = &self.sessions[key].current else { return true };
         if current.retry_at > now {
             return false;
@@ -534,6 +537,9 @@
     /// Starts a session's current statement on a connection that it now holds: prepares the connection, opens the
     /// transaction if there is one, and sends the statement, each once the step before it is confirmed.
     pub(super) fn start_on(&mut self, key: CallerKey, upstream: UpstreamKey) {
+        if self.refuse_at_stop(key) {
+            return self.free(upstream);
+        }
         let session = &self.sessions[key];
         let requirement = self
             .requirement(session)
@@ -566,6 +572,9 @@
 
     /// Sends a session's current statement on the connection that its transaction holds.
     pub(super) fn forward_in_transaction(&mut self, key: CallerKey, upstream: UpstreamKey) {
+        if self.refuse_at_stop(key) {
+            return;
+        }
         if self.is_pinned_to_old_primary(key, upstream) {
             self.roll_back(upstream);
             return self.fail(key, ErrorCode::Aborted, "the primary was replaced");
--- a/crates/gateway/src/engine/refusals.rs
+++ b/crates/gateway/src/engine/refusals.rs
@@ -3,7 +3,7 @@
 use model::prelude::*;
 use slog::info;
 
-use super::{Engine, STARTUP_PERIOD, STOP_IDLE_GRACE, Waiter, placement::Requirement};
+use super::{Engine, STARTUP_PERIOD, Waiter, placement::Requirement, stopping::STOP_IDLE_GRACE};
 use crate::{
     admission::class_of,
     contact::Contact,
--- a/crates/gateway/src/engine/replies.rs
+++ b/crates/gateway/src/engine/replies.rs
@@ -201,13 +201,15 @@
 
     /// Ends a session's current statement with an error, and with it the transaction that it was part of.
     pub(super) fn fail(&mut self, key: CallerKey, code: ErrorCode, reason: &str) {
-        let Some(session) = self.sessions.get_mut(key) else { return };
+        let Some(session) = self.sessions.get(key) else { return };
+        let failed = self.after_rollback(session);
+        let session = &mut self.sessions[key];
         let Some(current) = session.current.take() else { return };
         let ends = current.statement == Statement::Commit;
         session.transaction = match &session.transaction {
             Transaction::None => Transaction::None,
             _ if ends => Transaction::None,
-            _ => Transaction::Failed { unreported: false },
+            _ => failed,
         };
         session.last_active = self.now;
         let took = self.now.since(current.arrived);
@@ -465,6 +467,7 @@
         }
         if code == ErrorCode::Busy
             && state == TransactionState::Open
+            && !self.is_ending()
             && session
                 .current
                 .as_ref()
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -251,6 +251,13 @@
     },
 }
 
+impl UpstreamRequest {
+    /// Whether it commits a transaction.
+    pub(crate) fn is_commit(&self) -> bool {
+        matches!(self, UpstreamRequest::Forward { statement: ForwardedStatement::Commit, .. })
+    }
+}
+
 /// A caller's statement as it is sent to an upstream.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ForwardedStatement {
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -165,6 +165,8 @@
     pub(crate) wrote_in_transaction: bool,
     pub(crate) current: Option<CurrentStatement>,
     pub(crate) queued: VecDeque<QueuedStatement>,
+    /// Whether the queued statements start only with the next one, which was read together with them.
+    pub(crate) awaits_more: bool,
     /// When the caller last sent a message or a statement was last answered.
     pub(crate) last_active: MonoTime,
 }
@@ -185,6 +187,7 @@
             wrote_in_transaction: false,
             current: None,
             queued: VecDeque::new(),
+            awaits_more: false,
             last_active: now,
         }
     }
@@ -193,4 +196,11 @@
     pub(crate) fn is_idle(&self) -> bool {
         self.current.is_none() && self.queued.is_empty() && self.transaction == Transaction::None
     }
+
+    /// Whether the current statement or a queued one is a `COMMIT`.
+    pub(crate) fn has_read_commit(&self) -> bool {
+        let current = self.current.as_ref().map(|current| &current.statement);
+        let queued = self.queued.iter().filter_map(|queued| queued.statement.as_ref());
+        current.into_iter().chain(queued).any(|statement| *statement == Statement::Commit)
+    }
 }
--- a/crates/gateway/tests/world/fleet.rs
+++ b/crates/gateway/tests/world/fleet.rs
@@ -107,10 +107,16 @@
         self.drive(vm, |engine| engine.stop(now));
     }
 
-    /// Has a VM that was asked to stop close each session with its next answer.
-    pub fn close_sessions_after_answers(&mut self, vm: usize) {
+    /// Has a VM that was asked to stop end its work, `ms` before its process ends at the latest.
+    pub fn end_work(&mut self, vm: usize, ms: u64) {
         let now = self.now;
-        self.drive(vm, |engine| engine.close_sessions_after_answers(now));
+        self.drive(vm, |engine| engine.end_work(now, now + DurationUs::from_ms(ms)));
+    }
+
+    /// Has a VM answer what is still outstanding at the end of its stop.
+    pub fn answer_outstanding(&mut self, vm: usize) {
+        let now = self.now;
+        self.drive(vm, |engine| engine.answer_outstanding(now));
     }
 
     /// Ends a VM that was asked to stop and removes its entry from the stored list.
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -601,6 +601,18 @@
         );
     }
 
+    /// Sends statements in a single write, without waiting for their answers.
+    pub fn send_together(&mut self, caller: Caller, statements: Vec<(&str, Statement)>) {
+        let now = self.now;
+        let mut messages = Vec::new();
+        for (id, statement) in statements {
+            self.responses.entry(caller).or_default().push(Response::default());
+            self.sent_ids.entry(caller).or_default().push(id.into());
+            messages.push(CallerMessage::Query { id: id.into(), statement: Some(statement) });
+        }
+        self.drive(caller.vm, |engine| engine.caller_messages(now, caller.key, messages));
+    }
+
     /// Sends a statement and waits for its answer.
     pub fn query(&mut self, caller: Caller, id: &str, statement: Statement) -> Response {
         self.send(caller, id, statement);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -266,21 +266,21 @@
         self.drive(|engine, now| engine.promotion_answered(now, attempt, outcome));
     }
 
-    /// Stops the node and returns once no session is left, or after `grace`. Callers are still
-    /// accepted until load balancers have noticed that this VM is not ready.
+    /// Stops the node and returns once nothing is outstanding, or when [`STOP_PERCENT`] of `grace`, the time from
+    /// SIGTERM to SIGKILL, have passed. Callers are still accepted until load balancers have noticed that this VM is
+    /// not ready.
     pub async fn stop(&self, grace: Duration) {
         self.drive(|engine, now| engine.stop(now));
         let began = tokio::time::Instant::now();
         let accept_for = ACCEPT_AFTER_STOP.min(grace / 2);
-        let mut transactions_ended = false;
-        while began.elapsed() < grace {
+        let end = grace * STOP_PERCENT / 100;
+        let mut ends_work = false;
+        while began.elapsed() < end {
             tokio::time::sleep(STOP_POLL_INTERVAL).await;
-            if !transactions_ended && began.elapsed() >= grace / 2 {
-                transactions_ended = true;
-                self.drive(|engine, now| {
-                    engine.roll_back_idle_transactions(now);
-                    engine.close_sessions_after_answers(now);
-                });
+            if !ends_work && began.elapsed() >= grace / 2 {
+                ends_work = true;
+                let left = DurationUs(end.saturating_sub(began.elapsed()).as_micros() as u64);
+                self.drive(|engine, now| engine.end_work(now, now + left));
             }
             if began.elapsed() >= accept_for {
                 self.inner.accepting.close();
@@ -289,6 +289,7 @@
                 }
             }
         }
+        self.drive(Engine::answer_outstanding);
         info!(self.inner.log, "no longer serving"; "took_ms" => began.elapsed().as_millis() as u64,
             "sessions_cut" => self.with_engine(|engine| engine.load().0));
         // Leaves time to send the last replies before the process exits.
@@ -471,8 +472,9 @@
     }
 
     fn on_caller_data(&self, key: CallerKey, buf: &mut BytesMut) -> ReadOutcome {
-        while let Some(message) = self.inner.codec.decode_caller(buf) {
-            self.drive(|engine, now| engine.caller_message(now, key, message));
+        let messages: Vec<_> = std::iter::from_fn(|| self.inner.codec.decode_caller(buf)).collect();
+        if !messages.is_empty() {
+            self.drive(|engine, now| engine.caller_messages(now, key, messages));
         }
         ReadOutcome::Continue
     }
@@ -601,5 +603,8 @@
 /// Time for which callers are still accepted after a stop: load balancers check readiness once a
 /// second and react to the second failure.
 const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(2_500);
+/// Percentage of the time from SIGTERM to SIGKILL after which a stop ends with what is outstanding; the rest is for
+/// leaving the list of VMs.
+const STOP_PERCENT: u32 = 91;
 /// Interval at which [`Node::stop`] checks whether the engine has stopped.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(20);
