--- a/crates/xtask/src/soak.rs
+++ b/crates/xtask/src/soak.rs
@@ -16,15 +16,23 @@
         .arg(number("seconds", "10", "Time during which faults are injected, in seconds"))
         .arg(number("vms", "5", "Number of gateway processes"))
         .arg(number("callers", "12", "Number of callers"))
+        .arg(
+            clap::Arg::new("stops")
+                .long("stops")
+                .action(clap::ArgAction::SetTrue)
+                .help("Only planned stops, with transactions that are busy meanwhile"),
+        )
 }
 
 /// Runs the soak test with every seed, also after a failure; the error lists the failed seeds.
 pub fn run(matches: &ArgMatches) -> eyre::Result<()> {
     let number = |name: &str| value(matches, name);
     let first = number("seed");
+    let stops = matches.get_flag("stops");
     let mut failed = Vec::new();
     for seed in first..first + number("seeds") {
-        let test = ["test", "--package", "platform", "--test", "soak", "--", "soak_of_a_seed"];
+        let name = if stops { "soak_stops_of_a_seed" } else { "soak_of_a_seed" };
+        let test = ["test", "--package", "platform", "--test", "soak", "--", name];
         let status = Command::new(env!("CARGO"))
             .args(test)
             .args(["--ignored", "--nocapture"])
