Close sessions with their answers as soon as no callers are accepted

Cause: sessions were closed with their last answer only from half of graceS on (3.0 s), before that from 2.55 s on. Callers that are not sent here any more went on for 0.45 s longer, and the VM came back later.

Change: closing with the answers begins once no callers are accepted, as before; only transactions have the whole first half.

Tests of `stop` pass.

--- a/crates/gateway/src/engine/callers.rs
+++ b/crates/gateway/src/engine/callers.rs
@@ -43,7 +43,7 @@
         self.place_waiting();
     }
 
-    /// Handles messages of a caller that were read together. While this VM is about to end, what becomes of a statement
+    /// Handles messages of a caller that were read together. While this VM is stopping, what becomes of a statement
     /// depends on those that follow it, and the session is closed after the last one.
     pub fn caller_messages(
         &mut self,
@@ -54,7 +54,7 @@
         let mut messages = messages.into_iter().peekable();
         while let Some(message) = messages.next() {
             let is_followed = matches!(messages.peek(), Some(CallerMessage::Query { .. }));
-            let waits = is_followed && self.is_ending();
+            let waits = is_followed && self.closes_after_answers;
             if let Some(session) = self.sessions.get_mut(key) {
                 session.awaits_more = waits && session.queued.len() + 1 < PIPELINE_MAX;
             }
@@ -166,7 +166,7 @@
             self.end_open_transaction(key);
             let Some(session) = self.sessions.get_mut(key) else { return };
             let Some(next) = session.queued.pop_front() else {
-                if session.is_idle() && self.is_ending() {
+                if session.is_idle() && self.closes_after_answers {
                     self.close_session(key);
                 }
                 return;
--- a/crates/gateway/src/engine/mod.rs
+++ b/crates/gateway/src/engine/mod.rs
@@ -227,6 +227,8 @@
     rosters_requested_at: Option<MonoTime>,
     /// When this VM was asked to stop.
     stopping_since: Option<MonoTime>,
+    /// Whether each session is closed with its next answer, because new callers are no longer accepted.
+    closes_after_answers: bool,
     /// When the process ends at the latest; set from half of the grace period of a stop on.
     ends_at: Option<MonoTime>,
     counts: Counts,
@@ -354,6 +356,7 @@
             membership: Membership::default(),
             rosters_requested_at: None,
             stopping_since: None,
+            closes_after_answers: false,
             ends_at: None,
             counts: Counts::default(),
             latencies: Latencies::default(),
--- a/crates/gateway/src/engine/stopping.rs
+++ b/crates/gateway/src/engine/stopping.rs
@@ -1,9 +1,10 @@
 //! A planned stop: what goes on until half of the grace period, and how everything is answered before the process ends.
 //!
-//! Until half of the grace period this VM serves as before, closes idle sessions, and is not ready. From then on each
-//! session is closed with its last answer, no transaction begins, and one that is open is rolled back as soon as it has no statement
-//! in progress, unless its `COMMIT` was read already. A statement is sent to a database only if its time limit ends before
-//! the process does; any other is refused at once, and what has no answer at the end is answered by this VM.
+//! Until half of the grace period this VM serves as before, closes idle sessions, and is not ready. Once no callers are
+//! accepted any more, each session is closed with its last answer. In the second half no transaction begins, and one that is
+//! open is rolled back as soon as it has no statement in progress, unless its `COMMIT` was read already. A statement
+//! is sent to a database only if its time limit ends before the process does; any other is refused at once, and what has no
+//! answer at the end is answered by this VM.
 
 use model::prelude::*;
 use slog::info;
@@ -43,10 +44,17 @@
         }
     }
 
+    /// From now on closes each session as soon as its statements are answered. A caller that sends one statement after
+    /// another is never idle.
+    pub fn close_sessions_after_answers(&mut self, now: MonoTime) {
+        self.now = now;
+        self.closes_after_answers = true;
+    }
+
     /// Begins the second half of a stop: transactions end, and each session is closed with its last answer. The process
     /// ends at `ends_at` at the latest.
     pub fn end_work(&mut self, now: MonoTime, ends_at: MonoTime) {
-        self.now = now;
+        self.close_sessions_after_answers(now);
         self.ends_at = Some(ends_at);
         info!(self.log, "ending transactions and sessions"; "sessions" => self.sessions.len(),
             "waiting" => self.waiting.len(), "left_ms" => ends_at.since(now).as_ms());
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -284,6 +284,7 @@
             }
             if began.elapsed() >= accept_for {
                 self.inner.accepting.close();
+                self.drive(Engine::close_sessions_after_answers);
                 if self.with_engine(Engine::is_stopped) {
                     break;
                 }
