Answer a session start that waits for the configuration when a VM stops

What callers saw: a START that was read before the first configuration arrived got no answer if the VM was stopped then.

Cause: such a session has no statement, so the stop closed it as idle after 300 ms.

Evidence: `stop::stop_before_the_configuration` failed before (no answer).

Change: it gets BUSY before it is closed.

--- a/crates/gateway/src/engine/callers.rs
+++ b/crates/gateway/src/engine/callers.rs
@@ -134,7 +134,7 @@
     }
 
     /// Sends an error and closes the session.
-    fn refuse_session(&mut self, key: CallerKey, code: ErrorCode, text: &str) {
+    pub(super) fn refuse_session(&mut self, key: CallerKey, code: ErrorCode, text: &str) {
         let session = &self.sessions[key];
         info!(self.log, "session refused"; "host" => &*session.host, "code" => %code,
             "reason" => text, "generation" => self.catalog.generation);
--- a/crates/gateway/src/engine/stopping.rs
+++ b/crates/gateway/src/engine/stopping.rs
@@ -102,7 +102,10 @@
         });
         let idle: Vec<CallerKey> = idle.map(|(key, _)| key).collect();
         for key in idle {
-            self.close_session(key);
+            match self.sessions[key].start_deferred {
+                true => self.refuse_session(key, ErrorCode::Busy, STOPPING),
+                false => self.close_session(key),
+            }
         }
     }
 
--- a/crates/gateway/tests/stop.rs
+++ b/crates/gateway/tests/stop.rs
@@ -304,3 +304,15 @@
         assert!(world.closed.contains(&caller) && world.engines[vm].is_stopped());
     }
 }
+
+/// A session start that waits for the first configuration is answered before its connection is closed.
+#[test]
+fn stop_before_the_configuration() {
+    let mut world = World::unconfigured(1);
+    let caller = world.open(0, LATEST, KEY);
+    world.await_start(caller);
+    world.stop_vm(0);
+    world.run_for(500);
+    assert_eq!(world.responses(caller)[0].error, Some(ErrorCode::Busy));
+    assert!(world.closed.contains(&caller));
+}
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -586,6 +586,11 @@
         caller
     }
 
+    /// Records the next reply to a caller, which has no answer to its start yet.
+    pub fn await_start(&mut self, caller: Caller) {
+        self.responses.entry(caller).or_default().push(Response::default());
+    }
+
     pub fn send_message(&mut self, caller: Caller, message: CallerMessage) {
         let now = self.now;
         self.drive(caller.vm, |engine| engine.caller_message(now, caller.key, message));
