Look a channel up again after its answer

What callers saw: nothing. `finish_channel_request` indexed the channel after other calls had run; none of them removes it today. A missing channel would have ended the process.

Change: it is looked up. Measured: all tests of `gateway` pass.

--- a/crates/gateway/src/engine/channels.rs
+++ b/crates/gateway/src/engine/channels.rs
@@ -494,7 +494,8 @@
         if let Some((link, database)) = replied {
             self.report_load(link, &database);
         }
-        if self.is_ending() && self.channels.all[key].upstream.is_some() {
+        let is_open = self.channels.all.get(key).is_some_and(|channel| channel.upstream.is_some());
+        if is_open && self.is_ending() {
             self.abort_channel_transaction(key, STOPPING);
         }
     }
