Serve other statements while a connection is prepared

Cause: a connection that was being prepared counted as a slot of the database in use. For a round trip the slot was idle.

Change: preparations don't count as running. A statement that is prepared waits for a slot if others have taken it, and leaves the prepared connection, which it finds again as the cheapest. No more connections are prepared at a time than the database has slots.

Evidence: `preparation::preparation_occupies_no_slot` failed before (no other statement ran during the preparation).

--- a/crates/gateway/src/engine/channels.rs
+++ b/crates/gateway/src/engine/channels.rs
@@ -420,6 +420,7 @@
             }
             return self.waiting.push(Waiter::Channel(key));
         }
+        let in_transaction = current.in_transaction;
         let mut request = current.request.clone();
         if let UpstreamRequest::Forward { statement, .. } = &mut request
             && let ForwardedStatement::Execute { key: number, .. } = statement
@@ -434,6 +435,11 @@
         if self.send_preparation(upstream, setup) {
             return;
         }
+        if !in_transaction && !self.has_slot_for(upstream) {
+            self.channels.all[key].upstream = None;
+            self.free(upstream);
+            return self.waiting.push(Waiter::Channel(key));
+        }
         if let Some(current) = &mut self.channels.all[key].current {
             current.sent = true;
         }
--- a/crates/gateway/src/engine/placement.rs
+++ b/crates/gateway/src/engine/placement.rs
@@ -461,6 +461,27 @@
         self.pool.running_count(&state.record.name) < state.record.slots.max(1) as usize
     }
 
+    /// Whether a free connection may be prepared now, if it has to be. No slot is idle meanwhile, since a preparation
+    /// occupies none; but no more connections are prepared at a time than statements can follow.
+    fn may_prepare(
+        &self,
+        state: &DatabaseState,
+        upstream: UpstreamKey,
+        variables: &SessionVariables,
+        prepared: Option<PreparedKey>,
+    ) -> bool {
+        self.pool.connections[upstream].setup_requests(variables, prepared) == 0
+            || self.pool.preparing_count(&state.record.name) < state.record.slots.max(1) as usize
+    }
+
+    /// Whether a request may be sent on a connection of this VM's own that is prepared for it: others may have taken
+    /// the slots of the database meanwhile.
+    pub(super) fn has_slot_for(&self, upstream: UpstreamKey) -> bool {
+        let Some(connection) = self.pool.connections.get(upstream) else { return true };
+        let state = self.databases.get(&connection.database);
+        connection.link.is_some() || state.is_none_or(|state| self.has_free_slot(state))
+    }
+
     /// Chooses among this VM's own connections to a database, of which it may open `limit`. No more requests
     /// are sent at a time than the database has slots: it would refuse them, and a queue here is in order.
     pub(super) fn choose_own_connection(
@@ -480,7 +501,8 @@
             return None;
         }
         if let Some(key) = self.pool.best_free(name, None, workspace, variables, prepared) {
-            let has_room = self.has_cold_room(key, variables, prepared);
+            let has_room = self.has_cold_room(key, variables, prepared)
+                && self.may_prepare(state, key, variables, prepared);
             return has_room.then_some(ConnectionChoice::Reuse(key));
         }
         if state.retry_at > self.now {
@@ -551,6 +573,9 @@
         if self.awaits_preparation(key, upstream) {
             return;
         }
+        if !self.has_slot_for(upstream) {
+            return self.requeue_and_free(key, upstream);
+        }
         let Transaction::Begun { access } = self.sessions[key].transaction else {
             return self.forward(key, upstream, requirement);
         };
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -327,9 +327,18 @@
         self.connections_to(database).filter(|(_, c)| !c.is_free()).count()
     }
 
-    /// Number of own connections on which the database owes a reply: it is accepting them or runs a
-    /// request.
+    /// Number of own connections on which the database is accepting the connection or runs a request. A preparation
+    /// occupies none of its slots.
     pub(crate) fn running_count(&self, database: &DatabaseName) -> usize {
-        self.own_connections_to(database).filter(|(_, c)| !c.pending.is_empty()).count()
+        let is_running = |c: &Connection| c.pending.iter().any(|p| p.kind != PendingKind::Setup);
+        self.own_connections_to(database).filter(|(_, c)| is_running(c)).count()
+    }
+
+    /// Number of own connections that are being prepared or rolled back.
+    pub(crate) fn preparing_count(&self, database: &DatabaseName) -> usize {
+        let is_preparing = |c: &Connection| {
+            c.pending.front().is_some_and(|pending| pending.kind == PendingKind::Setup)
+        };
+        self.own_connections_to(database).filter(|(_, c)| is_preparing(c)).count()
     }
 }
--- a/crates/gateway/tests/preparation.rs
+++ b/crates/gateway/tests/preparation.rs
@@ -6,7 +6,7 @@
 use gateway::message::{Access, ErrorCode, Statement, TransactionState};
 use model::prelude::*;
 use world::{
-    BOUNDED, Caller, KEY, LATEST, Response, World, begin, execute,
+    BOUNDED, Caller, Endpoint, KEY, LATEST, Response, World, begin, execute,
     faults::{FaultOutcome, RequestFault, RequestKind},
     prepare, read, set, write,
 };
@@ -297,3 +297,35 @@
     assert!(took <= DurationUs::from_ms(1_050), "{took:?}");
     assert_eq!(values_of(&world, "w"), None, "it did not run");
 }
+
+/// Guards against slots of a database that stay idle while connections are prepared, and against more statements at a
+/// time than it has slots once they are.
+#[test]
+fn preparation_occupies_no_slot() {
+    let mut world = World::unconfigured(1);
+    world.databases.iter_mut().for_each(|database| database.slots = 1);
+    world.configure(world::catalog(1, 1e6, 100));
+    world.run_for(3_000);
+    // Opens two connections.
+    let holding = world.open(0, LATEST, KEY);
+    assert!(world.query(holding, "b", begin(Access::Read)).succeeded());
+    assert!(world.query(holding, "r", read("1")).succeeded());
+    let plain = world.open(0, LATEST, KEY);
+    assert!(world.query(plain, "p", read("1")).succeeded());
+    assert!(world.query(holding, "e", Statement::Rollback).succeeded());
+    let caller = session_with_value(&mut world, 0);
+    world.run_for(50);
+    // Preparation and statement are answered 200 ms after they were sent.
+    world.delays_ms.insert((Endpoint::Database(0), Endpoint::Vm(0)), 200);
+    world.send(caller, "w", write("1"));
+    world.run_for(100);
+    world.send(plain, "beside", read("1"));
+    world.run_for(50);
+    assert!(values_of(&world, "beside").is_some(), "it ran during the preparation");
+    world.run_for(100);
+    assert_eq!(values_of(&world, "w"), None, "it waits for the slot");
+    world.run_for(100);
+    assert_eq!(values_of(&world, "w"), north());
+    world.run_for(250);
+    assert!(world.response(caller).is_some_and(|response| response.succeeded()));
+}
