Give a promotion request a connection that ends with it

Cause: the request's time limit dropped the exchange, which closed its socket in the usual way. The system goes on delivering what was written to such a socket, for minutes, also after the end of the process. The bounds that other requests and the end of a record rest on (PROMOTION_ARRIVAL_MARGIN, PROMOTION_EFFECT_MAX) took for granted that it does not.

Ruled out: a longer margin (no figure is long enough); a check right before the write alone, which was there; a reset by the process alone, which a SIGKILL or SIGSTOP prevents.

Change: edge::one_shot sends a request over a new connection whose socket doesn't linger and has a user timeout; it does not write the last byte if a suspended process's system could still send it again after the margin. Its errors tell a request that can't have arrived from one that may have: a time limit that passes while connecting is now "not sent". Client::send_if, used by nothing else, is gone. After a request without an answer no VM, and not this one either, sends another before the margin has passed, and none is sent under a lower token than an earlier one of the same VM.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -1,16 +1,11 @@
 //! An HTTP client that reports whether a failed request may have reached the server.
 
-use std::{
-    pin::Pin,
-    sync::Arc,
-    task::{Context, Poll},
-    time::Duration,
-};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, StatusCode};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
 use hyper_util::{
     client::legacy::{self, connect::HttpConnector},
     rt::{TokioExecutor, TokioTimer},
@@ -125,47 +120,13 @@
     pub body: Bytes,
 }
 
-/// Decides right before a request is written whether it may still be sent.
-pub type SendCheck = Arc<dyn Fn() -> bool + Send + Sync>;
-
-/// A request is not written, because it may not be sent any more.
-#[derive(Debug, thiserror::Error)]
-#[error("too late to be sent")]
-struct TooLate;
-
-/// A request's body. The request's head is written together with it, so nothing is sent if the check fails.
-struct CheckedBody {
-    bytes: Option<Bytes>,
-    check: Option<SendCheck>,
-}
-
-impl Body for CheckedBody {
-    type Data = Bytes;
-    type Error = TooLate;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, TooLate>>> {
-        if self.check.as_ref().is_some_and(|check| !check()) {
-            return Poll::Ready(Some(Err(TooLate)));
-        }
-        Poll::Ready(self.bytes.take().map(|bytes| Ok(Frame::data(bytes))))
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.bytes.as_ref().is_none_or(Bytes::is_empty)
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-    }
-}
+/// Name and value of a request header.
+pub type Header = (HeaderName, HeaderValue);
 
 /// An HTTP client with a connection pool. Cheap to clone.
 #[derive(Clone)]
 pub struct Client {
-    inner: legacy::Client<HttpConnector, CheckedBody>,
+    inner: legacy::Client<HttpConnector, Full<Bytes>>,
     sender: HeaderValue,
 }
 
@@ -196,25 +157,9 @@
         address: &str,
         method: Method,
         path: &str,
-        headers: &[(HeaderName, HeaderValue)],
-        body: Bytes,
-        patience: impl Into<Patience>,
-    ) -> Result<Reply, SendError> {
-        self.send_if(address, method, path, headers, body, patience, None).await
-    }
-
-    /// Like [`Client::send`]. With `check`, nothing is written if that is false once the connection is there: the process
-    /// may have been suspended until then. A request with a check needs a body.
-    #[expect(clippy::too_many_arguments, reason = "those of `send`, and the check")]
-    pub async fn send_if(
-        &self,
-        address: &str,
-        method: Method,
-        path: &str,
-        headers: &[(HeaderName, HeaderValue)],
+        headers: &[Header],
         body: Bytes,
         patience: impl Into<Patience>,
-        check: Option<SendCheck>,
     ) -> Result<Reply, SendError> {
         let mut req = Request::builder()
             .method(method)
@@ -225,18 +170,15 @@
         }
         let not_sent = |reason: String| SendError::NotSent { address: address.to_owned(), reason };
         let lost = |reason: String| SendError::ReplyLost { address: address.to_owned(), reason };
-        let req = req
-            .body(CheckedBody { bytes: Some(body), check })
-            .map_err(|e| not_sent(e.to_string()))?;
+        let req = req.body(Full::new(body)).map_err(|e| not_sent(e.to_string()))?;
         let patience = patience.into();
         let exchange = async {
             let response = timeout(patience.first(), self.inner.request(req)).await;
             let late = |_| lost(format!("no reply within {} ms", patience.first().as_millis()));
-            let response =
-                response.map_err(late)?.map_err(|e| match e.is_connect() || is_too_late(&e) {
-                    true => not_sent(error_chain(&e)),
-                    false => lost(error_chain(&e)),
-                })?;
+            let response = response.map_err(late)?.map_err(|e| match e.is_connect() {
+                true => not_sent(error_chain(&e)),
+                false => lost(error_chain(&e)),
+            })?;
             let status = response.status();
             let headers = response.headers().clone();
             let body = read_body(response.into_body(), patience.pause()).await.map_err(lost)?;
@@ -266,7 +208,7 @@
 }
 
 /// Reads a body, unless it pauses for too long or is too large.
-async fn read_body(body: Incoming, pause: Duration) -> Result<Bytes, String> {
+pub(crate) async fn read_body(body: Incoming, pause: Duration) -> Result<Bytes, String> {
     let mut body = Limited::new(body, REPLY_MAX_BYTES);
     let mut received = BytesMut::new();
     loop {
@@ -284,7 +226,7 @@
 }
 
 /// Returns the `content-type` header of a JSON body.
-pub fn json_content_type() -> (HeaderName, HeaderValue) {
+pub fn json_content_type() -> Header {
     (http::header::CONTENT_TYPE, HeaderValue::from_static("application/json"))
 }
 
@@ -311,13 +253,8 @@
     }
 }
 
-/// Whether a request was not written because its check was false.
-fn is_too_late(e: &(dyn std::error::Error + 'static)) -> bool {
-    e.is::<TooLate>() || e.source().is_some_and(is_too_late)
-}
-
 /// Joins an error's message with those of its sources.
-fn error_chain(e: &dyn std::error::Error) -> String {
+pub(crate) fn error_chain(e: &dyn std::error::Error) -> String {
     match e.source() {
         Some(source) => format!("{e}: {}", error_chain(source)),
         None => e.to_string(),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod client;
 pub mod connection;
+pub mod one_shot;
 pub mod peer;
 pub mod platform;
 pub mod replay;
--- a/crates/gateway/src/failover.rs
+++ b/crates/gateway/src/failover.rs
@@ -42,10 +42,12 @@
 const PROOF_RETRY_INTERVAL: DurationUs = DurationUs::from_ms(2_000);
 /// How long a replica may take to receive everything in a planned change.
 pub const CATCH_UP_TIMEOUT: DurationUs = DurationUs::from_ms(1_500);
-/// A promotion request is sent within this time after the update of the fencing token was sent, or
-/// not at all.
+/// A promotion request is given up this long after the update of the fencing token was sent. Its connection is reset
+/// then, or at the end of the process if that comes first, and what it has not delivered by then is lost.
 pub const PROMOTION_SEND_WINDOW: DurationUs = DurationUs::from_ms(400);
-/// Time after [`PROMOTION_SEND_WINDOW`] by which a request that was sent within it has arrived.
+/// Time after [`PROMOTION_SEND_WINDOW`] by which a request has arrived, or never will: the longest way to the platform. Where
+/// the process is suspended and resets nothing, its system gives the connection up; a request for which that could be
+/// later than this is not written (`edge::one_shot`).
 pub const PROMOTION_ARRIVAL_MARGIN: DurationUs = DurationUs::from_ms(200);
 /// How long to wait for the answer to a token update or a promotion request.
 pub const PLATFORM_CALL_TIMEOUT: DurationUs = DurationUs::from_ms(1_500);
@@ -68,7 +70,8 @@
 pub const STANDSTILL_MAX: DurationUs = LIVENESS_TIMEOUT;
 
 /// Time from the update of the fencing token after which no promotion that was requested under it can take effect any
-/// more: it was sent within [`PROMOTION_SEND_WINDOW`], and has arrived and taken effect.
+/// more: the request has arrived within [`PROMOTION_SEND_WINDOW`] and [`PROMOTION_ARRIVAL_MARGIN`] or never will, and
+/// the platform carries it out within [`PROMOTION_TIMEOUT`].
 pub const PROMOTION_EFFECT_MAX: DurationUs =
     DurationUs(PROMOTION_SEND_WINDOW.0 + PROMOTION_ARRIVAL_MARGIN.0 + PROMOTION_TIMEOUT.0);
 /// Time between two collections while an attempt waits until its term can be given up.
