Keep a session's newest commit at each service

Cause: Session held one position and the service that it belongs to. The commit at the second service replaced that at the first, and Engine::requirement found none for the first.

Ruled out: a wrong requirement within one service (the tests without a move held); routes that move within a transaction by themselves: a transaction keeps its service, and its COMMIT counted there, until the next commit elsewhere.

Change: SessionCommits has one entry for each service that the session has committed at. Of two positions the newer counts; an answer without a position leaves the entry, and reads go to the primary until the next commit. Entries are at most as many as configured services; one that is dropped for that leaves a note, so that reads there go to the primary. The simulated fleet of the tests can have further services.

--- a/crates/gateway/src/engine/placement.rs
+++ b/crates/gateway/src/engine/placement.rs
@@ -11,6 +11,7 @@
 };
 use crate::{
     catalog::Freshness,
+    commits::NewestCommit,
     effect::{CallerKey, UpstreamKey},
     evacuation::Work,
     message::{Access, ErrorCode, ForwardedStatement, PreparedKey, Statement, UpstreamRequest},
@@ -377,16 +378,14 @@
         if access == Access::Write {
             return primary;
         }
-        let own = session.last_commit.filter(|_| {
-            own_commits && session.commit_service.as_ref() == Some(&auth.route.service)
-        });
-        let own = match own {
+        let own = match session.commits.newest(&auth.route.service).filter(|_| own_commits) {
             // A commit of an earlier term: a position of the current term that covers it is known only
             // once the new primary has answered.
-            Some(position) => match service.freshness.in_current_term(position) {
+            Some(NewestCommit::At(position)) => match service.freshness.in_current_term(position) {
                 Some(position) => Some(position),
                 None => return primary,
             },
+            Some(NewestCommit::After(_)) => return primary,
             None => None,
         };
         let Some(max_age) = max_age else { return Some(Requirement::AtLeast(own)) };
--- a/crates/gateway/src/engine/replies.rs
+++ b/crates/gateway/src/engine/replies.rs
@@ -401,9 +401,8 @@
             }
         }
         session.last_active = now;
-        if wrote_at.is_some() {
-            session.last_commit = position;
-            session.commit_service = wrote_at;
+        if let Some(service) = wrote_at {
+            session.commits.note(service, position, &self.catalog);
         }
         self.counts.answered += 1;
         for row in rows {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod catalog;
+pub mod commits;
 pub mod contact;
 pub mod effect;
 mod engine;
--- a/crates/gateway/src/session.rs
+++ b/crates/gateway/src/session.rs
@@ -5,6 +5,7 @@
 use model::prelude::*;
 
 use crate::{
+    commits::SessionCommits,
     effect::UpstreamKey,
     engine::Authorization,
     message::{Access, PreparedStatement, Reply, Statement, TransactionState},
@@ -157,10 +158,7 @@
     pub(crate) variables: SessionVariables,
     pub(crate) prepared: FxHashMap<Box<str>, PreparedStatement>,
     pub(crate) transaction: Transaction,
-    /// Position of the session's newest commit.
-    pub(crate) last_commit: Option<Position>,
-    /// The service that `last_commit` belongs to; a position means nothing to another service.
-    pub(crate) commit_service: Option<ServiceName>,
+    pub(crate) commits: SessionCommits,
     /// Whether a statement that writes was sent in the open transaction.
     pub(crate) wrote_in_transaction: bool,
     pub(crate) current: Option<CurrentStatement>,
@@ -182,8 +180,7 @@
             variables: SessionVariables::new(),
             prepared: FxHashMap::default(),
             transaction: Transaction::None,
-            last_commit: None,
-            commit_service: None,
+            commits: SessionCommits::default(),
             wrote_in_transaction: false,
             current: None,
             queued: VecDeque::new(),
--- a/crates/gateway/tests/world/fleet.rs
+++ b/crates/gateway/tests/world/fleet.rs
@@ -96,7 +96,8 @@
             self.connections.keys().filter(|(at, _)| *at == vm).copied().collect();
         for connection in connections {
             if let Some(Connection { database, id, .. }) = self.connections.remove(&connection) {
-                self.group.close(database, id);
+                let (group, member) = self.group_of(database);
+                group.close(member, id);
             }
         }
     }
--- a/crates/gateway/tests/world/mod.rs
+++ b/crates/gateway/tests/world/mod.rs
@@ -233,6 +233,8 @@
     pub frozen: BTreeSet<usize>,
     /// The databases.
     pub group: ReplicaGroup,
+    /// Databases of further services, three each. The first one of the first of these has index 3.
+    pub other_groups: Vec<ReplicaGroup>,
     /// What the settings of all VMs ask for.
     pub policy: Policy,
     /// Region of each data centre, for all VMs.
@@ -348,7 +350,7 @@
     valid(DcName::new(format!("dc-{}", index % 3)))
 }
 
-fn route(freshness: Freshness) -> Route {
+pub fn route(freshness: Freshness) -> Route {
     Route {
         service: service(),
         freshness,
@@ -360,6 +362,21 @@
     }
 }
 
+/// The registry entry of a database whose service has just started.
+fn registered(index: usize, service: ServiceName) -> Database {
+    Database {
+        name: database_name(index),
+        incarnation: 1,
+        service,
+        address: database_address(index),
+        dc: dc(index),
+        slots: 3,
+        leaving: false,
+        cold_left: DurationUs(0),
+        role: if index.is_multiple_of(3) { Role::Primary } else { Role::Replica },
+    }
+}
+
 /// Returns a configuration with three routes and two workspaces of the given rate; `connections` is the
 /// limit of each database.
 pub fn catalog(generation: u64, rate_per_s: f64, connections: u32) -> Catalog {
@@ -422,24 +439,13 @@
     pub fn with_policy(vms: usize, policy: Policy, regions: FxHashMap<DcName, Box<str>>) -> World {
         let now = MonoTime(1_000_000_000);
         let names: Vec<DatabaseName> = (0..3).map(database_name).collect();
-        let databases = (0..3)
-            .map(|index| Database {
-                name: database_name(index),
-                incarnation: 1,
-                service: service(),
-                address: database_address(index),
-                dc: dc(index),
-                slots: 3,
-                leaving: false,
-                cold_left: DurationUs(0),
-                role: if index == 0 { Role::Primary } else { Role::Replica },
-            })
-            .collect();
+        let databases = (0..3).map(|index| registered(index, service())).collect();
         let mut world = World {
             now,
             engines: Vec::new(),
             frozen: BTreeSet::new(),
             group: ReplicaGroup::new(service(), &names),
+            other_groups: Vec::new(),
             policy,
             regions,
             databases,
@@ -505,6 +511,29 @@
         Engine::new(id, Logger::root(Discard, o!()), self.now)
     }
 
+    /// Adds the databases of another service.
+    pub fn with_service(mut self, name: ServiceName) -> World {
+        let first = self.database_count();
+        let names: Vec<DatabaseName> = (first..first + 3).map(database_name).collect();
+        let records = (first..first + 3).map(|index| registered(index, name.clone()));
+        self.databases.extend(records);
+        self.other_groups.push(ReplicaGroup::new(name, &names));
+        self
+    }
+
+    /// Number of databases of all services, also of those that are not registered.
+    fn database_count(&self) -> usize {
+        3 * (1 + self.other_groups.len())
+    }
+
+    /// The group of a database, and its index in the group.
+    pub fn group_of(&mut self, database: usize) -> (&mut ReplicaGroup, usize) {
+        match database / 3 {
+            0 => (&mut self.group, database),
+            other => (&mut self.other_groups[other - 1], database % 3),
+        }
+    }
+
     /// Publishes the list of VMs, the databases and a configuration to all engines.
     pub fn configure(&mut self, catalog: Catalog) {
         let catalog = Arc::new(catalog);
@@ -727,18 +756,23 @@
     }
 
     fn replicate(&mut self) {
-        let newest = (0..3).filter(|member| self.group.members[*member].is_primary);
-        let Some(primary) = newest.max_by_key(|member| self.group.members[*member].term) else {
-            return;
-        };
-        for replica in (0..3).filter(|replica| *replica != primary) {
-            let cut = self.is_cut(Endpoint::Database(primary), Endpoint::Database(replica))
-                || self.deaf.contains(&primary)
-                || self.deaf.contains(&replica);
-            if !cut {
-                // An old primary becomes a replica once it reaches the new one.
-                self.group.members[replica].is_primary = false;
-                self.group.replicate(primary, replica);
+        for first in (0..self.database_count()).step_by(3) {
+            let members = &self.group_of(first).0.members;
+            let newest = (0..3).filter(|member| members[*member].is_primary);
+            let Some(primary) = newest.max_by_key(|member| members[*member].term) else {
+                continue;
+            };
+            for replica in (0..3).filter(|replica| *replica != primary) {
+                let (from, to) = (first + primary, first + replica);
+                let cut = self.is_cut(Endpoint::Database(from), Endpoint::Database(to))
+                    || self.deaf.contains(&from)
+                    || self.deaf.contains(&to);
+                if !cut {
+                    let group = self.group_of(first).0;
+                    // An old primary becomes a replica once it reaches the new one.
+                    group.members[replica].is_primary = false;
+                    group.replicate(primary, replica);
+                }
             }
         }
     }
@@ -867,13 +901,19 @@
             _ => self.arrivals.push((self.now, database, false)),
         }
         let (replies, closes) = match self.take_fault(database, &request) {
-            Some(FaultOutcome::Error(code)) => (self.group.refuse(database, id, code), false),
+            Some(FaultOutcome::Error(code)) => {
+                let (group, member) = self.group_of(database);
+                (group.refuse(member, id, code), false)
+            }
             Some(FaultOutcome::Silence) => (Vec::new(), false),
             Some(FaultOutcome::Close) => (Vec::new(), true),
-            None => match self.group.execute(database, id, request) {
-                Ok(replies) => (replies, false),
-                Err(replies) => (replies, true),
-            },
+            None => {
+                let (group, member) = self.group_of(database);
+                match group.execute(member, id, request) {
+                    Ok(replies) => (replies, false),
+                    Err(replies) => (replies, true),
+                }
+            }
         };
         let us = self.one_way_us(Endpoint::Database(database), Endpoint::Vm(vm));
         for reply in replies {
@@ -903,7 +943,8 @@
                 self.closed.insert(Caller { vm, key });
             }
             Effect::Connect(key, address) => {
-                let database = (0..3).find(|index| database_address(*index) == address);
+                let mut indexes = 0..self.database_count();
+                let database = indexes.find(|index| database_address(*index) == address);
                 let id = ConnectionId(self.next_id);
                 self.next_id += 1;
                 if let Some(database) = database {
@@ -922,7 +963,8 @@
                 if let Some(connection) = self.connections.get_mut(&(vm, key)) {
                     connection.closed = true;
                     let (database, id) = (connection.database, connection.id);
-                    self.group.close(database, id);
+                    let (group, member) = self.group_of(database);
+                    group.close(member, id);
                 }
             }
             Effect::OpenLink(key, address) => self.open_link(vm, key, address),
